Serve requests and gang jobs across separate processes

Cause: nothing existed. A request and a gang job had to go end to end through separate processes before anything else is built on it.

Change: the reducer with its sub-reducers (store, settings, peers, jobs, hall planning, requests), the coordination parts, the CAF engine around it, the HTTP and JSON-RPC interfaces, the stand-in platform, and the command line.

Before: no program. No test yet covers it.

--- /dev/null
+++ b/src/core/janitor.h
@@ -0,0 +1,30 @@
+/// @file
+/// Clears ended jobs once they are old.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_CORE_JANITOR_H_
+#define LIMELEDGE_SRC_CORE_JANITOR_H_
+
+#include "core/context.h"
+#include "core/store_client.h"
+
+namespace limeledge {
+
+/// Erases the rows of jobs whose retention is over. The member that rendezvous
+/// hashing names for the work does it; should two do it, the second finds the
+/// rows gone.
+///
+/// Thread safety: none; belongs to the reducer.
+class Janitor {
+ public:
+  void OnTick(Context& ctx);
+
+ private:
+  TimePoint swept_at_;
+};
+
+}  // namespace limeledge
+
+#endif  // LIMELEDGE_SRC_CORE_JANITOR_H_
--- /dev/null
+++ b/src/core/log_event.cc
@@ -0,0 +1,109 @@
+/// @file
+/// The catalogue of log events.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "core/log_event.h"
+
+namespace limeledge {
+
+const char* ToString(LogLevel level) {
+  switch (level) {
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "error";
+}
+
+const std::vector<LogCatalogueEntry>& LogCatalogue() {
+  constexpr LogLevel kInfo = LogLevel::kInfo;
+  constexpr LogLevel kWarning = LogLevel::kWarning;
+  constexpr LogLevel kError = LogLevel::kError;
+  static const std::vector<LogCatalogueEntry> catalogue = {
+      {LogId::kStarted, kInfo, "started", "The process listens."},
+      {LogId::kReady, kInfo, "ready",
+       "Settings are in force and the table has been read: the instance takes "
+       "work."},
+      {LogId::kStopAsked, kInfo, "stop_asked",
+       "The platform asked for a stop; the instance leaves."},
+      {LogId::kStopped, kInfo, "stopped",
+       "Nothing is in flight any more; the process ends."},
+      {LogId::kNotReady, kWarning, "not_ready",
+       "The instance cannot take work; the field says why."},
+      {LogId::kListenFailed, kError, "listen_failed",
+       "An address could not be listened on."},
+      {LogId::kConfigRejected, kError, "config_rejected",
+       "The process file is faulty."},
+      {LogId::kSettingsInForce, kInfo, "settings_in_force",
+       "A settings version is in force here."},
+      {LogId::kSettingsRejected, kError, "settings_rejected",
+       "An accepted settings version could not be read; the former one stays."},
+      {LogId::kSettingsConflict, kWarning, "settings_conflict",
+       "Two operators raced; the later one was told."},
+      {LogId::kSettingsFromPeer, kInfo, "settings_from_peer",
+       "A settings version came from a peer before the table showed it."},
+      {LogId::kStoreLost, kWarning, "store_lost",
+       "The table service does not answer."},
+      {LogId::kStoreBack, kInfo, "store_back",
+       "The table service answers again."},
+      {LogId::kWriteInDoubt, kWarning, "write_in_doubt",
+       "The answer to a transaction was lost; it will be settled."},
+      {LogId::kWriteSettled, kInfo, "write_settled",
+       "It is known whether the transaction in doubt took effect."},
+      {LogId::kRowUnreadable, kError, "row_unreadable",
+       "A row could not be decoded and is ignored."},
+      {LogId::kHallClaimed, kInfo, "hall_claimed",
+       "This instance plans the hall under a new epoch."},
+      {LogId::kHallLost, kWarning, "hall_lost",
+       "Another instance plans the hall."},
+      {LogId::kHallReleased, kInfo, "hall_released",
+       "This instance handed the hall over."},
+      {LogId::kJobStarting, kInfo, "job_starting",
+       "A placement is committed; the members are being prepared."},
+      {LogId::kJobRunning, kInfo, "job_running",
+       "All members are prepared and the start is committed."},
+      {LogId::kJobEnded, kInfo, "job_ended", "A job reached a final state."},
+      {LogId::kJobStopping, kWarning, "job_stopping",
+       "An attempt is being stopped; the field says why."},
+      {LogId::kJobMoved, kInfo, "job_moved",
+       "A waiting job was handed to another hall."},
+      {LogId::kJobPreempted, kInfo, "job_preempted",
+       "A borrowed placement makes way."},
+      {LogId::kWorkerUnreachable, kWarning, "worker_unreachable",
+       "A worker does not answer exchanges."},
+      {LogId::kWorkerBack, kInfo, "worker_back", "A worker answers again."},
+      {LogId::kWorkerQuarantined, kWarning, "worker_quarantined",
+       "Different jobs failed on a worker; it gets no new work for a while."},
+      {LogId::kWorkerProbed, kInfo, "worker_probed",
+       "A quarantined worker gets one job as a probe."},
+      {LogId::kWorkerRejectedEpoch, kWarning, "worker_rejected_epoch",
+       "A worker has seen a newer planner of its hall."},
+      {LogId::kRunnerAvoided, kWarning, "runner_avoided",
+       "A runner failed repeatedly and is avoided for a while."},
+      {LogId::kRunnerLeaving, kInfo, "runner_leaving",
+       "A runner is leaving and gets no new work."},
+      {LogId::kForeignAnswer, kError, "foreign_answer",
+       "An answer named another request, attempt or workspace and was "
+       "dropped."},
+      {LogId::kPeerSuspect, kWarning, "peer_suspect",
+       "A peer has not been heard for too long."},
+      {LogId::kPeerBack, kInfo, "peer_back", "A suspect peer is heard again."},
+      {LogId::kListUnavailable, kWarning, "list_unavailable",
+       "The instance list could not be read; the last one is kept."},
+  };
+  return catalogue;
+}
+
+const LogCatalogueEntry& CatalogueEntry(LogId id) {
+  for (const LogCatalogueEntry& entry : LogCatalogue()) {
+    if (entry.id == id) return entry;
+  }
+  return LogCatalogue().front();
+}
+
+}  // namespace limeledge
--- /dev/null
+++ b/src/core/log_event.h
@@ -0,0 +1,87 @@
+/// @file
+/// Numbered log events; docs/LOG-EVENTS.md is their catalogue.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_CORE_LOG_EVENT_H_
+#define LIMELEDGE_SRC_CORE_LOG_EVENT_H_
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace limeledge {
+
+enum class LogLevel { kInfo, kWarning, kError };
+
+const char* ToString(LogLevel level);
+
+/// Numbers never change their meaning; new ones are added at the end of their
+/// hundred.
+enum class LogId {
+  kStarted = 100,
+  kReady = 101,
+  kStopAsked = 102,
+  kStopped = 103,
+  kNotReady = 104,
+  kListenFailed = 105,
+  kConfigRejected = 106,
+  kSettingsInForce = 200,
+  kSettingsRejected = 201,
+  kSettingsConflict = 202,
+  kSettingsFromPeer = 203,
+  kStoreLost = 300,
+  kStoreBack = 301,
+  kWriteInDoubt = 302,
+  kWriteSettled = 303,
+  kRowUnreadable = 304,
+  kHallClaimed = 400,
+  kHallLost = 401,
+  kHallReleased = 402,
+  kJobStarting = 500,
+  kJobRunning = 501,
+  kJobEnded = 502,
+  kJobStopping = 503,
+  kJobMoved = 504,
+  kJobPreempted = 505,
+  kWorkerUnreachable = 600,
+  kWorkerBack = 601,
+  kWorkerQuarantined = 602,
+  kWorkerProbed = 603,
+  kWorkerRejectedEpoch = 604,
+  kRunnerAvoided = 700,
+  kRunnerLeaving = 701,
+  kForeignAnswer = 702,
+  kPeerSuspect = 800,
+  kPeerBack = 801,
+  kListUnavailable = 802,
+};
+
+/// One line of the catalogue.
+struct LogCatalogueEntry {
+  LogId id;
+  LogLevel level;
+  std::string_view name;
+  std::string_view meaning;
+};
+
+/// The whole catalogue in order of numbers.
+const std::vector<LogCatalogueEntry>& LogCatalogue();
+const LogCatalogueEntry& CatalogueEntry(LogId id);
+
+/// A named value of a log line.
+struct LogField {
+  std::string name;
+  std::string value;
+};
+
+struct LogLine {
+  LogId id = LogId::kStarted;
+  std::vector<LogField> fields;
+};
+
+}  // namespace limeledge
+
+#endif  // LIMELEDGE_SRC_CORE_LOG_EVENT_H_
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,85 @@
+/// @file
+/// HTTP calls over kept connections, with outcomes told apart.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_NET_HTTP_CLIENT_H_
+#define LIMELEDGE_SRC_NET_HTTP_CLIENT_H_
+
+#include <httplib.h>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "limeledge/clock.h"
+
+namespace limeledge {
+
+enum class HttpOutcome {
+  kAnswered,
+  /// No connection: not a byte of the request left.
+  kNotSent,
+  /// Something was sent and no whole answer came.
+  kLost,
+};
+
+struct HttpReply {
+  HttpOutcome outcome = HttpOutcome::kLost;
+  int status = 0;
+  std::string body;
+  httplib::Headers headers;
+
+  bool ok() const { return outcome == HttpOutcome::kAnswered && status == 200; }
+};
+
+struct HttpCall {
+  /// "HOST:PORT".
+  std::string address;
+  std::string method = "POST";
+  std::string path;
+  std::string body;
+  /// Sent as "Authorization: Bearer TOKEN" unless empty.
+  std::string token;
+  /// Sent as "If-Match" unless empty.
+  std::string if_match;
+  Duration connect_timeout{500};
+  Duration timeout{2000};
+};
+
+/// Calls addresses over connections that are kept for the next call. A call is
+/// never repeated by itself.
+///
+/// Thread safety: `Call` may be used from any thread.
+class HttpClient {
+ public:
+  /// `idle` is how long a kept connection may rest; it must be less than the
+  /// servers' own limit, or a call may meet a closed connection.
+  explicit HttpClient(Duration idle = Duration(1000));
+
+  /// Carries a call out and waits for its end.
+  HttpReply Call(const HttpCall& call);
+
+ private:
+  struct Kept {
+    std::unique_ptr<httplib::Client> client;
+    TimePoint since;
+  };
+
+  std::unique_ptr<httplib::Client> Take(const std::string& address);
+  void Keep(const std::string& address,
+            std::unique_ptr<httplib::Client> client);
+
+  Duration idle_;
+  SteadyClock clock_;
+  std::mutex mutex_;
+  std::map<std::string, std::vector<Kept>> kept_;
+};
+
+}  // namespace limeledge
+
+#endif  // LIMELEDGE_SRC_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,87 @@
+/// @file
+/// HTTP serving by cpp-httplib.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "net/http_server.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace limeledge {
+
+namespace {
+
+constexpr int kMaxPort = 65535;
+constexpr std::size_t kRequestsPerConnection = 1000000;
+
+std::chrono::milliseconds ToChrono(Duration duration) {
+  return std::chrono::milliseconds(duration.ms());
+}
+
+}  // namespace
+
+absl::StatusOr<Endpoint> ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  Endpoint endpoint;
+  const bool whole = colon != std::string::npos && colon > 0;
+  if (whole) endpoint.host = text.substr(0, colon);
+  if (!whole || !absl::SimpleAtoi(text.substr(colon + 1), &endpoint.port) ||
+      endpoint.port < 0 || endpoint.port > kMaxPort) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("'", text, "' is no HOST:PORT"));
+  }
+  return endpoint;
+}
+
+HttpServer::HttpServer(HttpServerOptions options)
+    : options_(std::move(options)) {
+  const std::size_t threads = options_.connections;
+  server_.new_task_queue = [threads] {
+    return new httplib::ThreadPool(threads);
+  };
+  server_.set_payload_max_length(options_.max_body_bytes);
+  server_.set_read_timeout(ToChrono(options_.read_timeout));
+  server_.set_keep_alive_max_count(kRequestsPerConnection);
+  server_.set_keep_alive_timeout(
+      std::max<std::int64_t>(1, options_.keep_alive.ms() / 1000));
+  server_.set_tcp_nodelay(true);
+}
+
+HttpServer::~HttpServer() { Stop(); }
+
+absl::Status HttpServer::Start() {
+  const Endpoint& wanted = options_.endpoint;
+  bool bound = false;
+  if (wanted.port == 0) {
+    options_.endpoint.port = server_.bind_to_any_port(wanted.host);
+    bound = options_.endpoint.port > 0;
+  } else {
+    bound = server_.bind_to_port(wanted.host, wanted.port);
+  }
+  if (!bound) {
+    return absl::UnavailableError(
+        absl::StrCat("cannot listen on ", wanted.host, ":", wanted.port));
+  }
+  thread_ = std::thread([this] { server_.listen_after_bind(); });
+  while (!server_.is_running()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return absl::OkStatus();
+}
+
+void HttpServer::Stop() {
+  server_.stop();
+  if (thread_.joinable()) thread_.join();
+}
+
+std::string HttpServer::address() const {
+  return absl::StrCat(options_.endpoint.host, ":", options_.endpoint.port);
+}
+
+}  // namespace limeledge
--- /dev/null
+++ b/src/settings_follower.cc
@@ -0,0 +1,23 @@
+/// @file
+/// Keeps the newest settings version.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "limeledge/settings_follower.h"
+
+namespace limeledge {
+
+bool SettingsFollower::Offer(SettingsVersion version, const std::string& text) {
+  Heard(version);
+  if (version <= version_) return false;
+  version_ = version;
+  text_ = text;
+  return true;
+}
+
+void SettingsFollower::Heard(SettingsVersion version) {
+  if (version > newest_heard_) newest_heard_ = version;
+}
+
+}  // namespace limeledge
