--- a/src/core/context.h
+++ b/src/core/context.h
@@ -40,6 +40,11 @@
 
 /// Data that several sub-reducers read.
 struct Shared {
+  explicit Shared(Identity identity)
+      : self(std::move(identity)),
+        system(Settings().System()),
+        members(self.id, {system.suspect, system.suspect}) {}
+
   Identity self;
   SettingsFollower follower;
   /// Null until a version is in force.
@@ -54,6 +59,8 @@
   std::map<InstanceId, EntryInfo> entries;
   /// Last heartbeat of each peer.
   std::map<InstanceId, Heartbeat> heard;
+  /// When the list was last asked for and answered, or could not be read.
+  TimePoint list_checked_at;
   /// Newest digest of each hall, from planners here and from peers.
   std::map<HallId, HallDigest> halls;
   /// Newest commit of this instance that other instances wait for.
@@ -73,6 +80,13 @@
   StoreClient& store;
   Effects& effects;
 
+  /// False after a pause, until the instance list has been asked again: targets
+  /// may have left meanwhile. A list that cannot be read does not count.
+  bool ListIsFresh() const {
+    return now - shared.list_checked_at < kListFreshFor;
+  }
+  static constexpr Duration kListFreshFor{4000};
+
   void Emit(Effect effect) { effects.push_back(std::move(effect)); }
   void Reply(CallId call, AnswerBody body) {
     Emit(Answer{call, std::move(body)});
--- a/src/core/gang_keeper.cc
+++ b/src/core/gang_keeper.cc
@@ -250,6 +250,7 @@
 void GangKeeper::Forget(const JobRow& job) {
   watches_.erase(job.spec.id);
   for (const Member& member : job.placement.members) {
+    health_.OnReleased(member.worker);
     const auto it = jobs_on_.find(member.worker);
     if (it == jobs_on_.end()) continue;
     it->second.erase(job.spec.id);
--- a/src/core/hall_planner.cc
+++ b/src/core/hall_planner.cc
@@ -148,7 +148,8 @@
   right.record = ownership_.record();
   right.since = ownership_.since();
   const bool holds = ownership_.HoldsAt(ctx.now);
-  right.may_start = holds && ctx.shared.store_reachable && !ctx.shared.stopping;
+  right.may_start = holds && ctx.shared.store_reachable &&
+                    !ctx.shared.stopping && ctx.ListIsFresh();
   // While nobody reaches the store, nobody can have taken the hall over.
   right.may_renew =
       holds || (!ctx.shared.store_reachable && !PeerReachesStore(ctx));
--- a/src/core/peers.cc
+++ b/src/core/peers.cc
@@ -68,6 +68,7 @@
 
 bool Peers::OnList(Context& ctx, const InstanceListRead& read) {
   list_in_flight_ = false;
+  ctx.shared.list_checked_at = ctx.now;
   if (!read.list.has_value()) {
     if (!list_failed_) ctx.Log(LogId::kListUnavailable, {});
     list_failed_ = true;
--- a/src/core/reducer.cc
+++ b/src/core/reducer.cc
@@ -31,19 +31,6 @@
          std::holds_alternative<SettingsWrite>(purpose);
 }
 
-Shared MakeShared(const Identity& self) {
-  const SystemSettings system = Settings().System();
-  return Shared{
-      self,        SettingsFollower(),
-      nullptr,     system,
-      Mirror(),    Membership(self.id, {system.suspect, system.suspect}),
-      {},          {},
-      {},          {},
-      {},          Revision(),
-      false,       false,
-      TimePoint(), Counters()};
-}
-
 }  // namespace
 
 /// Hands one event to the sub-reducer that it is for.
@@ -205,7 +192,7 @@
 };
 
 Reducer::Reducer(ReducerOptions options)
-    : shared_(MakeShared(options.self)),
+    : shared_(options.self),
       store_(options.self),
       settings_(std::move(options.initial_settings)),
       requests_(options.slot_division) {}
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -149,6 +149,7 @@
 }
 
 void RequestRouter::Dispatch(Context& ctx) {
+  if (!ctx.ListIsFresh()) return;
   std::vector<Pending*> stuck;
   while (!queue_.empty() && slots_.FreeSlots(ctx.now) > 0) {
     Pending* request = Find(*queue_.Pop());
--- a/src/core/worker_health.cc
+++ b/src/core/worker_health.cc
@@ -41,6 +41,11 @@
   return true;
 }
 
+void WorkerHealth::OnReleased(const WorkerId& worker) {
+  const auto it = records_.find(worker);
+  if (it != records_.end()) it->second.probing = false;
+}
+
 bool WorkerHealth::MayPlace(TimePoint now, const WorkerId& worker) const {
   const auto it = records_.find(worker);
   if (it == records_.end() || !it->second.quarantined) return true;
--- a/src/core/worker_health.h
+++ b/src/core/worker_health.h
@@ -32,6 +32,10 @@
   /// Notes that a job was placed on `worker`; returns true when it is a probe.
   bool OnPlaced(TimePoint now, const WorkerId& worker);
 
+  /// Notes that a job left `worker`. A probe that came to no verdict, as when
+  /// it was cancelled, makes room for another.
+  void OnReleased(const WorkerId& worker);
+
   /// True when `worker` may get a new job: it is not quarantined, or its time
   /// is over and no probe is out.
   bool MayPlace(TimePoint now, const WorkerId& worker) const;
