--- a/include/limeledge/membership.h
+++ b/include/limeledge/membership.h
@@ -66,6 +66,9 @@
 
   /// Live members in id order; includes this instance unless it is leaving.
   std::vector<InstanceId> Live(TimePoint now) const;
+  /// Members that still serve, in id order: live ones, and leaving ones that
+  /// are heard or are this instance.
+  std::vector<InstanceId> Serving(TimePoint now) const;
   /// Every listed or heard member other than this one, in id order.
   std::vector<InstanceId> Peers() const;
 
--- a/include/limeledge/ownership.h
+++ b/include/limeledge/ownership.h
@@ -78,18 +78,20 @@
   bool named() const {
     return record_.holder == self_ && record_.incarnation == incarnation_;
   }
-  /// When this instance began its present epoch.
+  /// When this instance learned that it holds its present epoch.
   TimePoint since() const { return since_; }
 
   const OwnershipRecord& record() const { return record_; }
 
  private:
+  void NoteEpoch(TimePoint now);
+
   InstanceId self_;
   std::int64_t incarnation_;
   OwnershipRecord record_;
   HeldLease held_;
   WatchedLease watched_;
-  /// The epoch of this instance's last write, and when it began.
+  /// This instance's last epoch, and when it learned of it.
   Epoch since_epoch_;
   TimePoint since_;
 };
--- a/src/codec/message_codec.cc
+++ b/src/codec/message_codec.cc
@@ -25,6 +25,7 @@
                              const ReadFn& read) {
   const auto json = ParseJson(body);
   if (!json.ok()) return json.status();
+  if (!json->isObject()) return absl::InvalidArgumentError("is no object");
   Findings findings(source);
   T value;
   read(*json, &findings, &value);
--- a/src/codec/row_codec.cc
+++ b/src/codec/row_codec.cc
@@ -69,7 +69,9 @@
                 Member member;
                 JsonFields entry(element, path, findings);
                 entry.Text("worker", kNeeded, &member.worker);
-                if (element["accelerators"].isUInt64()) {
+                const bool has_mask =
+                    element.isObject() && element["accelerators"].isUInt64();
+                if (has_mask) {
                   member.accelerators = element["accelerators"].asUInt64();
                 } else {
                   entry.AddFinding("accelerators", "must be a bit mask");
@@ -84,6 +86,18 @@
   if (!ParseJobState(text, state)) fields->AddFinding(name, "is no job state");
 }
 
+std::string TextOf(const Json::Value& element) {
+  return element.isString() ? element.asString() : "";
+}
+
+/// Parses a row's value, which must be an object.
+absl::StatusOr<Json::Value> ParseRow(const Row& row) {
+  absl::StatusOr<Json::Value> json = ParseJson(row.value);
+  if (!json.ok()) return absl::DataLossError(json.status().message());
+  if (!json->isObject()) return absl::DataLossError("the row is no object");
+  return json;
+}
+
 absl::Status DataLoss(const Findings& findings) {
   if (findings.empty()) return absl::OkStatus();
   return absl::DataLossError(findings.ToStatus().message());
@@ -102,9 +116,9 @@
   json["next"] = ToString(job.next);
   json["cancel_requested"] = job.cancel_requested;
   json["failures"] = job.failures;
-  Json::Value failed_on(Json::arrayValue);
-  for (const WorkerId& worker : job.failed_on) failed_on.append(worker.value());
-  json["failed_on"] = failed_on;
+  Json::Value avoid(Json::arrayValue);
+  for (const WorkerId& worker : job.avoid) avoid.append(worker.value());
+  json["avoid"] = avoid;
   json["checkpoint"] = job.checkpoint;
   json["reason"] = job.reason;
   Json::Value results(Json::arrayValue);
@@ -118,8 +132,8 @@
 }
 
 absl::StatusOr<JobRow> DecodeJobRow(const Row& row) {
-  const auto json = ParseJson(row.value);
-  if (!json.ok()) return absl::DataLossError(json.status().message());
+  const auto json = ParseRow(row);
+  if (!json.ok()) return json.status();
   Findings findings(row.key);
   JobRow job;
   job.version = row.version;
@@ -133,15 +147,15 @@
   DecodeState(&fields, "next", &job.next);
   fields.Bool("cancel_requested", kNeeded, &job.cancel_requested);
   fields.Integer("failures", kNeeded, 0, INT32_MAX, &job.failures);
-  fields.List("failed_on", kNeeded,
+  fields.List("avoid", kNeeded,
               [&](const Json::Value& element, const std::string&) {
-                job.failed_on.emplace_back(element.asString());
+                job.avoid.emplace_back(TextOf(element));
               });
   fields.Text("checkpoint", kMaybe, &job.checkpoint);
   fields.Text("reason", kMaybe, &job.reason);
   fields.List("results", kNeeded,
               [&](const Json::Value& element, const std::string&) {
-                job.results.push_back(element.asString());
+                job.results.push_back(TextOf(element));
               });
   fields.Integer("submitted_ms", kNeeded, 0, INT64_MAX, &job.submitted_ms);
   fields.Integer("waiting_since_ms", kNeeded, 0, INT64_MAX,
@@ -165,8 +179,8 @@
   OwnershipRecord record;
   record.version = row.version;
   if (row.version == Revision(0)) return record;
-  const auto json = ParseJson(row.value);
-  if (!json.ok()) return absl::DataLossError(json.status().message());
+  const auto json = ParseRow(row);
+  if (!json.ok()) return json.status();
   Findings findings(row.key);
   JsonFields fields(*json, "", &findings);
   fields.Integer("epoch", kNeeded, &record.epoch);
@@ -187,8 +201,8 @@
 }
 
 absl::StatusOr<SettingsRow> DecodeSettingsRow(const Row& row) {
-  const auto json = ParseJson(row.value);
-  if (!json.ok()) return absl::DataLossError(json.status().message());
+  const auto json = ParseRow(row);
+  if (!json.ok()) return json.status();
   Findings findings(row.key);
   SettingsRow settings;
   JsonFields fields(*json, "", &findings);
--- a/src/core/gang_keeper.cc
+++ b/src/core/gang_keeper.cc
@@ -20,6 +20,7 @@
 constexpr Duration kLeaseSlack{500};
 /// A worker that missed this many exchanges in a row gets nothing new.
 constexpr int kUnreachableAfter = 3;
+constexpr std::size_t kMostAvoided = 8;
 
 GangMemberState FromTask(TaskState state) {
   switch (state) {
@@ -179,7 +180,7 @@
   }
   for (const JobId& id : due) {
     const JobRow* job = ctx.shared.mirror.FindJob(id);
-    if (job == nullptr || watches_.count(id) == 0 || writer->Busy(id)) continue;
+    if (job == nullptr || watches_.count(id) == 0) continue;
     StepJob(ctx, right, writer, *job);
   }
 }
@@ -238,8 +239,9 @@
   if (is_new || watch.state != job.state) {
     watch.state = job.state;
     watch.since = ctx.now;
+    // What was decided of the former state need not hold of this one.
+    watch.doom.reset();
   }
-  if (job.state == JobState::kStopping) watch.doom.reset();
   for (const Member& member : job.placement.members) {
     jobs_on_[member.worker].insert(job.spec.id);
   }
@@ -262,12 +264,18 @@
 void GangKeeper::StepJob(Context& ctx, const HallRight& right,
                          TransitionWriter* writer, const JobRow& job) {
   Watch& watch = watches_[job.spec.id];
-  if (watch.doom.has_value()) {
-    writer->Push(ctx, right, Stopped(job, *watch.doom), WritePriority::kJobs);
-    return;
-  }
   const GangView view = ViewGang(ctx, right, job);
-  const GangStep step = DecideGang(view);
+  const GangStep step = watch.doom.has_value() ? *watch.doom : DecideGang(view);
+  const bool first_stop = step.action == GangAction::kStop && !watch.doom;
+  if (first_stop) {
+    // Leases stop being renewed at once, also while a write is on its way.
+    Blame(ctx, job, step);
+    watch.doom = step;
+    TouchMembers(job);
+    ctx.Log(LogId::kJobStopping,
+            {{"job", job.spec.id.value()}, {"why", step.reason}});
+  }
+  if (writer->Busy(job.spec.id)) return;
   switch (step.action) {
     case GangAction::kWait:
       return;
@@ -284,11 +292,6 @@
                    WritePriority::kJobs);
       return;
     case GangAction::kStop:
-      Blame(ctx, job, step);
-      watch.doom = step;
-      TouchMembers(job);
-      ctx.Log(LogId::kJobStopping,
-              {{"job", job.spec.id.value()}, {"why", step.reason}});
       writer->Push(ctx, right, Stopped(job, step), WritePriority::kJobs);
       return;
   }
@@ -387,16 +390,17 @@
   next.state = JobState::kStopping;
   next.next = step.next;
   next.reason = step.reason;
-  if (!step.job_failure) return next;
   for (const std::size_t index : step.blamed) {
     const WorkerId& worker = job.placement.members[index].worker;
-    const bool known = std::find(next.failed_on.begin(), next.failed_on.end(),
-                                 worker) != next.failed_on.end();
-    if (!known && !health_.IsQuarantined(worker)) {
-      next.failed_on.push_back(worker);
-    }
+    const bool known = std::find(next.avoid.begin(), next.avoid.end(),
+                                 worker) != next.avoid.end();
+    if (known) continue;
+    next.avoid.push_back(worker);
+    if (step.job_failure && !health_.IsQuarantined(worker)) ++next.failures;
+  }
+  if (next.avoid.size() > kMostAvoided) {
+    next.avoid.erase(next.avoid.begin());
   }
-  next.failures = static_cast<int>(next.failed_on.size());
   return next;
 }
 
--- a/src/core/hall_planner.cc
+++ b/src/core/hall_planner.cc
@@ -64,6 +64,8 @@
 void HallPlanner::OnHallRow(Context& ctx) {
   const bool was_named = ownership_.named();
   ownership_.OnRead(ctx.now, ctx.shared.mirror.HallRecord(hall_));
+  // The answer to a claim may be lost: the row tells all the same.
+  MaybeBeginEpoch(ctx);
   if (!was_named || ownership_.named()) return;
   writer_.Reset();
   // An empty holder is this instance's own release.
@@ -85,16 +87,22 @@
     record.version = revision;
   }
   ownership_.OnWritten(write.proposed_at, record);
-  const std::vector<LogField> fields = {
-      {"hall", hall_.value()}, {"epoch", absl::StrCat(record.epoch.value())}};
-  if (write.action == OwnershipAction::kClaim) {
-    writer_.Reset();
-    keeper_.BeginEpoch(ctx);
-    scheduler_.BeginEpoch();
-    ctx.Log(LogId::kHallClaimed, fields);
-  } else if (write.action == OwnershipAction::kRelease) {
-    ctx.Log(LogId::kHallReleased, fields);
-  }
+  MaybeBeginEpoch(ctx);
+  if (write.action != OwnershipAction::kRelease) return;
+  ctx.Log(
+      LogId::kHallReleased,
+      {{"hall", hall_.value()}, {"epoch", absl::StrCat(record.epoch.value())}});
+}
+
+void HallPlanner::MaybeBeginEpoch(Context& ctx) {
+  const Epoch epoch = ownership_.record().epoch;
+  if (!named() || epoch == begun_) return;
+  begun_ = epoch;
+  writer_.Reset();
+  keeper_.BeginEpoch(ctx);
+  scheduler_.BeginEpoch();
+  ctx.Log(LogId::kHallClaimed,
+          {{"hall", hall_.value()}, {"epoch", absl::StrCat(epoch.value())}});
 }
 
 void HallPlanner::OnTransitionFinished(Context& ctx,
--- a/src/core/hall_planner.h
+++ b/src/core/hall_planner.h
@@ -55,12 +55,16 @@
   const GangKeeper& keeper() const { return keeper_; }
 
  private:
+  /// Starts afresh when this instance has learned of a new epoch of its own.
+  void MaybeBeginEpoch(Context& ctx);
   HallRight Right(const Context& ctx) const;
   bool IsPreferred(const Context& ctx);
   void PushOwnership(Context& ctx, OwnershipAction action);
 
   HallId hall_;
   Ownership ownership_;
+  /// The last epoch that was begun here.
+  Epoch begun_;
   bool write_in_flight_ = false;
   /// Since when another member has been the preferred holder.
   std::optional<TimePoint> unpreferred_since_;
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -94,10 +94,11 @@
   /// What follows `kStopping`.
   JobState next = JobState::kWaiting;
   bool cancel_requested = false;
-  /// Attempts that failed by the job's own doing.
+  /// Good workers on which the job failed by its own doing.
   int failures = 0;
-  /// Workers on which the job failed, without repeats.
-  std::vector<WorkerId> failed_on;
+  /// Workers that refused, lost or failed the job lately, without repeats; it
+  /// is placed elsewhere where it can be.
+  std::vector<WorkerId> avoid;
   /// Progress saved by the last checkpoint.
   std::string checkpoint;
   /// Why it is in this state, in words.
--- a/src/core/placement_policy.cc
+++ b/src/core/placement_policy.cc
@@ -6,8 +6,6 @@
 
 #include "core/placement_policy.h"
 
-#include <algorithm>
-
 namespace limeledge {
 
 namespace {
@@ -116,11 +114,6 @@
 
 }  // namespace
 
-bool FailedOn(const JobRow& job, const WorkerId& worker) {
-  return std::find(job.failed_on.begin(), job.failed_on.end(), worker) !=
-         job.failed_on.end();
-}
-
 const std::vector<const PlacementPolicy*>& AllPlacementPolicies() {
   static const CellsPolicy cells;
   static const FifoPolicy fifo;
--- a/src/core/placement_policy.h
+++ b/src/core/placement_policy.h
@@ -34,9 +34,6 @@
   bool entitled = false;
 };
 
-/// True when the job failed on the worker and should run elsewhere.
-bool FailedOn(const JobRow& job, const WorkerId& worker);
-
 /// Sort key of the queue: smaller goes first, fields in order.
 struct OrderKey {
   int tier = 0;
--- a/src/core/planning_pass.cc
+++ b/src/core/planning_pass.cc
@@ -157,10 +157,10 @@
 bool PlanningPass::TryFree(const QueuedJob& job, const PlacementPolicy& policy,
                            HallView* view) {
   HallView trial = *view;
-  for (const WorkerId& worker : job.job->failed_on) trial.Exclude(worker);
+  for (const WorkerId& worker : job.job->avoid) trial.Exclude(worker);
   std::optional<Placement> placement = policy.Fit(&trial, job);
   trial.RestoreUsable(*view);
-  const bool again = !placement.has_value() && !job.job->failed_on.empty();
+  const bool again = !placement.has_value() && !job.job->avoid.empty();
   if (again) placement = policy.Fit(&trial, job);
   if (!placement.has_value()) return false;
   GuaranteeBook book = BookAfter(job);
--- a/src/core/request_router.cc
+++ b/src/core/request_router.cc
@@ -129,8 +129,9 @@
 }
 
 void RequestRouter::UpdateSlots(Context& ctx) {
-  slots_.Update(ctx.now, ctx.shared.self.id, ctx.shared.members.Live(ctx.now),
-                ctx.shared.runners, ctx.shared.system.slot_handover);
+  slots_.Update(ctx.now, ctx.shared.self.id,
+                ctx.shared.members.Serving(ctx.now), ctx.shared.runners,
+                ctx.shared.system.slot_handover);
   const int percent = ctx.shared.system.retry_share_percent;
   if (percent != budget_percent_) {
     budget_percent_ = percent;
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -79,6 +79,19 @@
   return live;
 }
 
+std::vector<InstanceId> Membership::Serving(TimePoint now) const {
+  std::vector<InstanceId> serving = {self_};
+  for (const auto& [id, entry] : entries_) {
+    const MemberState state = StateOfEntry(now, entry);
+    const bool heard =
+        entry.heard && now - entry.heard_at < options_.suspect_after;
+    const bool leaves = state == MemberState::kLeaving && heard;
+    if (state == MemberState::kLive || leaves) serving.push_back(id);
+  }
+  std::sort(serving.begin(), serving.end());
+  return serving;
+}
+
 std::vector<InstanceId> Membership::Peers() const {
   std::vector<InstanceId> peers;
   peers.reserve(entries_.size());
--- a/src/ownership.cc
+++ b/src/ownership.cc
@@ -42,15 +42,13 @@
   record_ = record;
   watched_.Observe(now, Newest(record));
   if (!named() || record_.epoch != held_epoch) held_.Drop();
+  NoteEpoch(now);
 }
 
 void Ownership::OnWritten(TimePoint sent_at, const OwnershipRecord& record) {
   if (Older(record, record_)) return;
-  if (record.epoch != since_epoch_) {
-    since_epoch_ = record.epoch;
-    since_ = sent_at;
-  }
   record_ = record;
+  NoteEpoch(sent_at);
   watched_.Observe(sent_at, Newest(record));
   if (named()) {
     held_.Renewed(sent_at);
@@ -59,6 +57,12 @@
   }
 }
 
+void Ownership::NoteEpoch(TimePoint now) {
+  if (!named() || record_.epoch == since_epoch_) return;
+  since_epoch_ = record_.epoch;
+  since_ = now;
+}
+
 OwnershipAction Ownership::Decide(TimePoint now, bool preferred,
                                   bool stopping) const {
   if (named()) {
--- a/src/rate_limiter.cc
+++ b/src/rate_limiter.cc
@@ -10,6 +10,13 @@
 
 namespace limeledge {
 
+namespace {
+
+/// Tenths that were added up may fall short of one by this much.
+constexpr double kRounding = 1e-9;
+
+}  // namespace
+
 RateLimiter::RateLimiter(double per_second, double burst)
     : per_second_(per_second), burst_(burst), available_(burst) {}
 
@@ -27,7 +34,7 @@
 
 bool RateLimiter::ReadyAt(TimePoint now) {
   Refill(now);
-  return available_ >= 1.0;
+  return available_ >= 1.0 - kRounding;
 }
 
 void RateLimiter::Refill(TimePoint now) {
--- a/src/settings/guarantee_check.cc
+++ b/src/settings/guarantee_check.cc
@@ -88,19 +88,20 @@
 
 }  // namespace
 
-void CheckGuarantees(const Settings& settings, Findings* findings) {
+void CheckGuarantees(const Settings& settings, const YamlPlaces& places,
+                     Findings* findings) {
   for (const auto& [id, hall] : settings.halls) {
     HallPacker packer(hall);
     for (const HeldGuarantee& held : GuaranteesOf(settings, id)) {
       if (packer.Add(*held.guarantee)) continue;
-      findings->Add(
-          absl::StrCat("workspaces/", held.workspace.value(), "/guarantees/",
-                       held.guarantee->name),
-          absl::StrCat(held.guarantee->members, " x ",
-                       held.guarantee->accelerators,
-                       " accelerators do not fit into hall ", id.value(),
-                       " beside the other guarantees (the hall has ",
-                       hall.accelerators(), ")"));
+      places.Add(absl::StrCat("workspaces/", held.workspace.value(),
+                              "/guarantees/", held.guarantee->name),
+                 absl::StrCat(held.guarantee->members, " x ",
+                              held.guarantee->accelerators,
+                              " accelerators do not fit into hall ", id.value(),
+                              " beside the other guarantees (the hall has ",
+                              hall.accelerators(), ")"),
+                 findings);
     }
   }
 }
--- a/src/settings/guarantee_check.h
+++ b/src/settings/guarantee_check.h
@@ -9,13 +9,15 @@
 
 #include "limeledge/finding.h"
 #include "settings/settings.h"
+#include "settings/yaml_node.h"
 
 namespace limeledge {
 
 /// Adds a finding for every guarantee that cannot be packed, together with
 /// those before it, into the declared workers of its hall. Members of one
 /// guarantee stay in one rack when a rack can hold them. Safe from any thread.
-void CheckGuarantees(const Settings& settings, Findings* findings);
+void CheckGuarantees(const Settings& settings, const YamlPlaces& places,
+                     Findings* findings);
 
 }  // namespace limeledge
 
--- a/src/settings/reader.cc
+++ b/src/settings/reader.cc
@@ -54,7 +54,7 @@
       ReadSection(name, node);
     });
     CheckReferences();
-    if (findings_->empty()) CheckGuarantees(settings_, findings_);
+    if (findings_->empty()) CheckGuarantees(settings_, places_, findings_);
     if (!findings_->empty()) return nullptr;
     return std::make_shared<const Settings>(std::move(settings_));
   }
@@ -86,6 +86,7 @@
 
   void ReadValue(const std::string& name, const YamlNode& value, KeyScope scope,
                  SettingsNode* values) {
+    places_.Note(value);
     const KeySchema* key = FindKey(name, scope);
     if (key == nullptr) {
       value.AddUnknownKey();
@@ -266,6 +267,7 @@
   Guarantee ReadGuarantee(const std::string& name, const YamlNode& entry) {
     Guarantee guarantee;
     guarantee.name = name;
+    places_.Note(entry);
     entry.ForEachEntry([&](const std::string& key, const YamlNode& value) {
       if (key == "hall") {
         guarantee.hall = HallId(value.Identifier().value_or(""));
@@ -308,22 +310,24 @@
     for (const std::function<void()>& check : deferred_) check();
     const SystemSettings system = settings_.System();
     if (system.hall_lease_margin >= system.hall_lease) {
-      findings_->Add("system/hall_lease_margin_ms",
-                     "must be less than hall_lease_ms");
+      places_.Add("system/hall_lease_margin_ms",
+                  "must be less than hall_lease_ms", findings_);
     }
     if (system.exchange * 2 > system.task_lease) {
-      findings_->Add("system/exchange_ms",
-                     "must be at most half of task_lease_ms, so that one lost "
-                     "exchange stops nothing");
+      places_.Add("system/exchange_ms",
+                  "must be at most half of task_lease_ms, so that one lost "
+                  "exchange stops nothing",
+                  findings_);
     }
     if (system.heartbeat * 2 > system.suspect) {
-      findings_->Add("system/heartbeat_ms",
-                     "must be at most half of suspect_ms");
+      places_.Add("system/heartbeat_ms", "must be at most half of suspect_ms",
+                  findings_);
     }
   }
 
   Findings* findings_;
   Settings settings_;
+  YamlPlaces places_;
   std::vector<std::function<void()>> deferred_;
 };
 
--- a/src/settings/schema.cc
+++ b/src/settings/schema.cc
@@ -6,6 +6,8 @@
 
 #include "settings/schema.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace limeledge {
 
 namespace {
@@ -110,6 +112,25 @@
   return keys;
 }
 
+std::string DocumentKey(const KeySchema& key) {
+  std::string type = "whole number";
+  std::string range = absl::StrCat(key.min, " to ", key.max);
+  std::string value = absl::StrCat(key.number);
+  if (key.type == ValueType::kBool) {
+    type = "true or false";
+    range = "";
+    value = key.number != 0 ? "true" : "false";
+  } else if (key.type == ValueType::kName) {
+    type = "name";
+    range = "";
+    value = std::string(key.text);
+  }
+  const char* inherited = key.scope == KeyScope::kInherited ? "yes" : "no";
+  return absl::StrCat("| `", std::string(key.name), "` | ", type, " | ",
+                      std::string(key.unit), " | ", range, " | ", value, " | ",
+                      inherited, " | ", std::string(key.help), " |");
+}
+
 const KeySchema* FindKey(std::string_view name, KeyScope scope) {
   for (const KeySchema& key : AllKeys()) {
     if (key.name == name && key.scope == scope) return &key;
--- a/src/settings/schema.h
+++ b/src/settings/schema.h
@@ -44,6 +44,9 @@
 /// All keys, in the order in which docs/SETTINGS.md lists them.
 const std::vector<KeySchema>& AllKeys();
 
+/// The key's line in docs/SETTINGS.md. Safe from any thread.
+std::string DocumentKey(const KeySchema& key);
+
 /// Returns the key, or null when there is none of that name and scope.
 const KeySchema* FindKey(std::string_view name, KeyScope scope);
 
--- a/src/settings/yaml_node.cc
+++ b/src/settings/yaml_node.cc
@@ -98,6 +98,20 @@
   return node_.Scalar();
 }
 
+void YamlPlaces::Note(const YamlNode& node) {
+  nodes_.emplace(node.path(), node);
+}
+
+void YamlPlaces::Add(const std::string& path, const std::string& message,
+                     Findings* findings) const {
+  const auto it = nodes_.find(path);
+  if (it == nodes_.end()) {
+    findings->Add(path, message);
+  } else {
+    it->second.AddFinding(message);
+  }
+}
+
 void YamlNode::AddFinding(const std::string& message) const {
   const YAML::Mark mark = node_.Mark();
   const bool known = !mark.is_null();
--- a/src/settings/yaml_node.h
+++ b/src/settings/yaml_node.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -54,6 +55,20 @@
   Findings* findings_;
 };
 
+/// Remembers where nodes stand, for checks that come after the reading.
+///
+/// Thread safety: none; use it from one thread.
+class YamlPlaces {
+ public:
+  void Note(const YamlNode& node);
+  /// Adds a finding at the place of `path`, or without one if it was not seen.
+  void Add(const std::string& path, const std::string& message,
+           Findings* findings) const;
+
+ private:
+  std::map<std::string, YamlNode> nodes_;
+};
+
 }  // namespace limeledge
 
 #endif  // LIMELEDGE_SRC_SETTINGS_YAML_NODE_H_
--- a/src/trial/cluster.cc
+++ b/src/trial/cluster.cc
@@ -209,8 +209,9 @@
 
 void Cluster::LeaveWorker(const WorkerId& id, bool listed) {
   workers_.at(id).SetLeaving();
-  left_at_.emplace(id.value(), now_);
+  // A worker that only says so itself is known to leave from its next report.
   if (!listed) return;
+  left_at_.emplace(id.value(), now_);
   for (WorkerInfo& worker : list_.workers) {
     if (worker.id == id) worker.leaving = true;
   }
@@ -487,6 +488,9 @@
   WorkerReplied replied{exchange.worker, exchange.hall, exchange.epoch,
                         exchange.sequence, report};
   After(Delay(), [this, instance, incarnation, replied] {
+    if (replied.report->leaving) {
+      left_at_.emplace(replied.worker.value(), now_);
+    }
     Deliver(instance, incarnation, replied);
   });
 }
--- a/src/trial/cluster.h
+++ b/src/trial/cluster.h
@@ -134,7 +134,7 @@
   void LeaveWorker(const WorkerId& id, bool listed);
   void SetRunnerFaults(const RunnerId& id, const RunnerFaults& faults);
   void LeaveRunner(const RunnerId& id, bool listed);
-  /// Moment at which a target began to leave, by id.
+  /// Moment from which a target is known to leave, by id.
   const std::map<std::string, TimePoint>& left_at() const { return left_at_; }
   const std::map<WorkerId, WorkerModel>& workers() const { return workers_; }
   const std::map<RunnerId, RunnerModel>& runners() const { return runners_; }
--- a/test/fuzz-test.cc
+++ b/test/fuzz-test.cc
@@ -9,10 +9,8 @@
 #include <cstdint>
 #include <vector>
 
-#include "fuzz-course.h"
-
-// CppUTest's macros must come after every other header.
 #include "CppUTest/TestHarness.h"
+#include "fuzz-course.h"
 
 namespace rc {
 
