--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -60,7 +60,7 @@
   std::vector<Command> all;
   for (const std::vector<Command>& group :
        {JobCommands(), RequestCommands(), SettingsCommands(), StateCommands(),
-        PolicyCommands()}) {
+        PolicyCommands(), ReplayCommands()}) {
     all.insert(all.end(), group.begin(), group.end());
   }
   return all;
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -49,6 +49,7 @@
 std::vector<Command> SettingsCommands();
 std::vector<Command> StateCommands();
 std::vector<Command> PolicyCommands();
+std::vector<Command> ReplayCommands();
 
 /// No options of its own.
 void AddNoOptions(cxxopts::OptionAdder& add);
--- a/src/core/gang_keeper.cc
+++ b/src/core/gang_keeper.cc
@@ -102,6 +102,7 @@
   jobs_on_.clear();
   links_.clear();
   changed_.clear();
+  health_.ReleaseAll();
   for (const JobId& id : ctx.shared.mirror.ActiveJobs(hall_)) {
     const JobRow* job = ctx.shared.mirror.FindJob(id);
     if (HoldsPlacement(job->state)) TakeUp(ctx, *job);
@@ -125,6 +126,9 @@
 void GangKeeper::OnTransitionFinished(Context& ctx, const JobRow& job,
                                       IntentOutcome outcome) {
   changed_.insert(job.spec.id);
+  const bool never_placed = job.state == JobState::kStarting &&
+                            outcome != IntentOutcome::kCommitted;
+  if (never_placed) ReleaseProbes(job);
   if (outcome != IntentOutcome::kCommitted || job.state != JobState::kDone) {
     return;
   }
@@ -135,6 +139,12 @@
   static_cast<void>(ctx);
 }
 
+void GangKeeper::ReleaseProbes(const JobRow& job) {
+  for (const Member& member : job.placement.members) {
+    health_.OnReleased(member.worker);
+  }
+}
+
 void GangKeeper::OnWorkerReply(Context& ctx, const WorkerReplied& reply) {
   const auto it = links_.find(reply.worker);
   if (it == links_.end()) return;
@@ -251,8 +261,8 @@
 
 void GangKeeper::Forget(const JobRow& job) {
   watches_.erase(job.spec.id);
+  ReleaseProbes(job);
   for (const Member& member : job.placement.members) {
-    health_.OnReleased(member.worker);
     const auto it = jobs_on_.find(member.worker);
     if (it == jobs_on_.end()) continue;
     it->second.erase(job.spec.id);
--- a/src/core/gang_keeper.h
+++ b/src/core/gang_keeper.h
@@ -73,6 +73,8 @@
 
   void TakeUp(Context& ctx, const JobRow& job);
   void Forget(const JobRow& job);
+  /// Lets the workers of a job that came to no verdict be probed again.
+  void ReleaseProbes(const JobRow& job);
   void StepJob(Context& ctx, const HallRight& right, TransitionWriter* writer,
                const JobRow& job);
   GangView ViewGang(const Context& ctx, const HallRight& right,
--- a/src/core/worker_health.cc
+++ b/src/core/worker_health.cc
@@ -46,6 +46,10 @@
   if (it != records_.end()) it->second.probing = false;
 }
 
+void WorkerHealth::ReleaseAll() {
+  for (auto& [worker, record] : records_) record.probing = false;
+}
+
 bool WorkerHealth::MayPlace(TimePoint now, const WorkerId& worker) const {
   const auto it = records_.find(worker);
   if (it == records_.end() || !it->second.quarantined) return true;
--- a/src/core/worker_health.h
+++ b/src/core/worker_health.h
@@ -36,6 +36,9 @@
   /// it was cancelled, makes room for another.
   void OnReleased(const WorkerId& worker);
 
+  /// The same for all workers, as when a new epoch begins.
+  void ReleaseAll();
+
   /// True when `worker` may get a new job: it is not quarantined, or its time
   /// is over and no probe is out.
   bool MayPlace(TimePoint now, const WorkerId& worker) const;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -7,10 +7,12 @@
 #include "daemon/daemon.h"
 
 #include <chrono>
+#include <fstream>
 #include <optional>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "codec/event_codec.h"
 #include "codec/message_codec.h"
 #include "daemon/access.h"
 #include "daemon/api_server.h"
@@ -147,6 +149,13 @@
     };
     callbacks.log = [this](const LogLine& line) { Log(line); };
     callbacks.exit = [this] { on_exit_(); };
+    if (!config_.record.empty()) {
+      record_.open(config_.record, std::ios::trunc);
+      record_ << EncodeSessionHeader(options.reducer) << "\n";
+      callbacks.record = [this](const Event& event) {
+        record_ << EncodeEvent(event) << "\n";
+      };
+    }
     auto engine = std::make_unique<Engine>(std::move(options), interfaces,
                                            std::move(callbacks));
     const std::lock_guard<std::mutex> lock(engine_mutex_);
@@ -200,6 +209,7 @@
   HttpRunnerCaller runners_{&client_};
   RpcPeerCaller peers_{&client_};
   RpcServer rpc_;
+  std::ofstream record_;
   std::unique_ptr<EmbeddedPlatform> embedded_;
   std::mutex engine_mutex_;
   std::unique_ptr<Engine> engine_;
--- a/src/daemon/engine.cc
+++ b/src/daemon/engine.cc
@@ -143,7 +143,9 @@
 
  private:
   void Reduce(const EventBody& body) {
-    Effects effects = reducer_.Reduce({clock_.Now(), WallMs(), body});
+    const Event event{clock_.Now(), WallMs(), body};
+    if (callbacks_.record) callbacks_.record(event);
+    Effects effects = reducer_.Reduce(event);
     for (Effect& effect : effects) {
       std::visit([this](auto& e) { Perform(std::move(e)); }, effect);
     }
--- a/src/daemon/engine.h
+++ b/src/daemon/engine.h
@@ -32,6 +32,8 @@
   std::function<void(const SettingsInForce&)> settings;
   std::function<void(const SetReady&)> ready;
   std::function<void(const LogLine&)> log;
+  /// Every event before it is reduced; may be empty.
+  std::function<void(const Event&)> record;
   std::function<void()> exit;
 };
 
--- a/src/daemon/process_config.cc
+++ b/src/daemon/process_config.cc
@@ -94,6 +94,8 @@
   } else if (key == "worker_lanes") {
     config->worker_lanes =
         static_cast<int>(value.Integer(1, kMaxLanes).value_or(1));
+  } else if (key == "record") {
+    config->record = value.Text().value_or("");
   } else if (key == "slot_division") {
     ReadDivision(value, config);
   } else {
--- a/src/daemon/process_config.h
+++ b/src/daemon/process_config.h
@@ -41,6 +41,8 @@
   int runner_lanes = 64;
   int worker_lanes = 8;
   SlotDivision slot_division = SlotDivision::kBySlot;
+  /// File that every event is recorded to, for replay; empty for none.
+  std::string record;
   /// The file's section `settings` as text, or empty when it has none.
   std::string initial_settings;
 };
--- a/test/worker-health-test.cc
+++ b/test/worker-health-test.cc
@@ -65,4 +65,11 @@
   CHECK_TRUE(health.MayPlace(TimePoint(1001), worker));
 }
 
+TEST(WorkerHealth, NewEpochForgetsProbesUnderWay) {
+  Quarantine();
+  health.OnPlaced(TimePoint(1000), worker);
+  health.ReleaseAll();
+  CHECK_TRUE(health.MayPlace(TimePoint(1001), worker));
+}
+
 }  // namespace limeledge
