--- a/src/core/gang_keeper.cc
+++ b/src/core/gang_keeper.cc
@@ -126,8 +126,8 @@
 void GangKeeper::OnTransitionFinished(Context& ctx, const JobRow& job,
                                       IntentOutcome outcome) {
   changed_.insert(job.spec.id);
-  const bool never_placed = job.state == JobState::kStarting &&
-                            outcome != IntentOutcome::kCommitted;
+  const bool never_placed =
+      job.state == JobState::kStarting && outcome != IntentOutcome::kCommitted;
   if (never_placed) ReleaseProbes(job);
   if (outcome != IntentOutcome::kCommitted || job.state != JobState::kDone) {
     return;
--- a/src/core/planning_pass.cc
+++ b/src/core/planning_pass.cc
@@ -78,6 +78,8 @@
 void PlanningPass::SortQueue() {
   std::stable_sort(input_.queue.begin(), input_.queue.end(),
                    [](const QueuedJob& a, const QueuedJob& b) {
+                     // Or a borrower would take back what was just reclaimed.
+                     if (a.entitled != b.entitled) return a.entitled;
                      return PolicyOf(a).Key(a) < PolicyOf(b).Key(b);
                    });
 }
--- a/test/planning-pass-test.cc
+++ b/test/planning-pass-test.cc
@@ -113,6 +113,15 @@
   CHECK_TRUE(result.waits.front().reclaiming);
 }
 
+TEST(PlanningPass, ReclaimedRoomIsNotTakenBackByAnEarlierBorrower) {
+  Guarantee("a", 2, 8);
+  Wait("b", "earlier", 2, 8);
+  Wait("a", "entitled", 2, 8);
+  const PassResult result = Run();
+  CHECK_TRUE(StartOf(result, "a/entitled") != nullptr);
+  CHECK_TRUE(StartOf(result, "b/earlier") == nullptr);
+}
+
 TEST(PlanningPass, ReclaimTakesOnlyWhatItNeeds) {
   Guarantee("a", 1, 4);
   Hold("b", "x", "w1", LowBits(4), true);
