--- a/src/cli/policy_commands.cc
+++ b/src/cli/policy_commands.cc
@@ -6,9 +6,13 @@
 
 #include <fmt/format.h>
 
+#include <fstream>
+
 #include "cli/command.h"
 #include "codec/json.h"
 #include "core/placement_policy.h"
+#include "trial/comparison.h"
+#include "trial/workload.h"
 
 namespace limeledge {
 
@@ -28,10 +32,77 @@
   return kExitDone;
 }
 
+void AddCompareOptions(cxxopts::OptionAdder& add) {
+  add("policies", "names, separated by commas",
+      cxxopts::value<std::vector<std::string>>()->default_value(
+          "fifo,backfill,cells"));
+  add("seed", "seed of the workload",
+      cxxopts::value<std::uint64_t>()->default_value("1"));
+  add("jobs", "jobs", cxxopts::value<int>()->default_value("400"));
+  add("load", "accelerators asked for over those there, percent",
+      cxxopts::value<int>()->default_value("90"));
+  add("racks", "racks of the hall", cxxopts::value<int>()->default_value("6"));
+  add("workers-per-rack", "workers in a rack",
+      cxxopts::value<int>()->default_value("8"));
+  add("accelerators", "accelerators of a worker",
+      cxxopts::value<int>()->default_value("8"));
+  add("workspaces", "workspaces", cxxopts::value<int>()->default_value("4"));
+  add("gang", "most members of a gang",
+      cxxopts::value<int>()->default_value("8"));
+  add("html", "write a page with plots to this file",
+      cxxopts::value<std::string>());
+}
+
+/// Returns the first name that is no policy, or an empty string.
+std::string UnknownPolicy(const std::vector<std::string>& names) {
+  for (const std::string& name : names) {
+    if (FindPlacementPolicy(name) == nullptr) return name;
+  }
+  return "";
+}
+
+int Compare(const Target& target, const cxxopts::ParseResult& args,
+            const std::vector<std::string>&) {
+  const auto policies = args["policies"].as<std::vector<std::string>>();
+  const std::string unknown = UnknownPolicy(policies);
+  if (!unknown.empty()) {
+    return ReportUsage("no policy is called '" + unknown + "'");
+  }
+  WorkloadOptions options;
+  options.seed = args["seed"].as<std::uint64_t>();
+  options.jobs = args["jobs"].as<int>();
+  options.load_percent = args["load"].as<int>();
+  options.racks = args["racks"].as<int>();
+  options.workers_per_rack = args["workers-per-rack"].as<int>();
+  options.accelerators_per_worker = args["accelerators"].as<int>();
+  options.workspaces = args["workspaces"].as<int>();
+  options.largest_gang = args["gang"].as<int>();
+  const bool sensible = options.jobs > 0 && options.load_percent > 0 &&
+                        options.racks > 0 && options.workers_per_rack > 0 &&
+                        options.accelerators_per_worker >= 8 &&
+                        options.workspaces > 0 && options.largest_gang > 1;
+  if (!sensible) {
+    return ReportUsage(
+        "sizes must be positive, with 8 accelerators or more "
+        "on a worker");
+  }
+  const Comparison comparison =
+      ComparePolicies(MakeWorkload(options), policies);
+  fmt::print("{}", target.json ? FormatJson(comparison) + "\n"
+                               : FormatTable(comparison));
+  if (args.count("html") == 0) return kExitDone;
+  std::ofstream page(args["html"].as<std::string>());
+  page << FormatHtml(comparison);
+  return page.good() ? kExitDone : kExitFailed;
+}
+
 }  // namespace
 
 std::vector<Command> PolicyCommands() {
   return {
+      {"policy", "compare", "",
+       "Run several policies over one workload and print them side by side.",
+       AddCompareOptions, Compare},
       {"policy", "list", "", "List placement policies.", AddNoOptions,
        ListPolicies},
   };
--- a/src/core/peers.cc
+++ b/src/core/peers.cc
@@ -76,13 +76,17 @@
   }
   list_failed_ = false;
   Shared& shared = ctx.shared;
+  const bool same = list_ == *read.list;
+  list_ = *read.list;
   std::vector<ListedMember> members;
   shared.entries.clear();
   for (const EntryInfo& entry : read.list->entries) {
     shared.entries[entry.id] = entry;
     members.push_back({entry.id, entry.leaving});
   }
+  const std::vector<InstanceId> before = shared.members.Live(ctx.now);
   shared.members.OnList(ctx.now, members);
+  if (same) return before != shared.members.Live(ctx.now);
   shared.workers.clear();
   for (const WorkerInfo& worker : read.list->workers) {
     shared.workers[worker.id] = worker;
--- a/src/core/peers.h
+++ b/src/core/peers.h
@@ -46,6 +46,8 @@
   void Hear(Context& ctx, const Heartbeat& heartbeat);
   void WatchSuspects(Context& ctx);
 
+  /// The list as it was read last.
+  InstanceList list_;
   std::map<InstanceId, Link> links_;
   std::vector<HallDigest> digests_;
   std::vector<RunnerId> leaving_runners_;
--- a/src/core/target.h
+++ b/src/core/target.h
@@ -54,6 +54,11 @@
   std::vector<RunnerInfo> runners;
 };
 
+bool operator==(const EntryInfo& a, const EntryInfo& b);
+bool operator==(const WorkerInfo& a, const WorkerInfo& b);
+bool operator==(const RunnerInfo& a, const RunnerInfo& b);
+bool operator==(const InstanceList& a, const InstanceList& b);
+
 }  // namespace limeledge
 
 #endif  // LIMELEDGE_SRC_CORE_TARGET_H_
--- a/src/trial/cluster.cc
+++ b/src/trial/cluster.cc
@@ -292,7 +292,9 @@
   Node& node = NodeOf(instance);
   const std::int64_t incarnation = node.incarnation;
   const Event event{now_, wall_ms(), std::move(body)};
+  const auto begin = std::chrono::steady_clock::now();
   const Effects effects = node.reducer->Reduce(event);
+  reduce_time_ += std::chrono::steady_clock::now() - begin;
   if (on_reduce_) on_reduce_(instance, event, effects);
   for (const Effect& effect : effects) {
     if (!node.alive || node.incarnation != incarnation) return;
--- a/src/trial/cluster.h
+++ b/src/trial/cluster.h
@@ -7,6 +7,7 @@
 #ifndef LIMELEDGE_SRC_TRIAL_CLUSTER_H_
 #define LIMELEDGE_SRC_TRIAL_CLUSTER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -94,6 +95,8 @@
   std::int64_t wall_ms() const { return options_.wall_start_ms + now_.ms(); }
   /// Lets virtual time pass.
   void RunFor(Duration duration);
+  /// Processor time spent in reducers so far, by all instances.
+  std::chrono::nanoseconds reduce_time() const { return reduce_time_; }
   /// Events reduced so far, by all instances.
   std::int64_t events() const { return events_; }
 
@@ -226,6 +229,7 @@
   std::int64_t next_order_ = 0;
   std::int64_t next_incarnation_ = 1;
   std::int64_t events_ = 0;
+  std::chrono::nanoseconds reduce_time_{0};
   std::priority_queue<Delivery, std::vector<Delivery>, std::greater<>> queue_;
   std::vector<Node> nodes_;
   std::vector<CallRecord> calls_;
