--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -63,7 +63,8 @@
   CLUSTER_PIDS+=($!)
   cluster_wait_line "$CLUSTER_DIR/services.log" "services on"
   "$CLUSTER_BIN/limeledge-platform" workers --listen 127.0.0.1:0 \
-    --platform "$CLUSTER_PLATFORM" --hall demo --racks 2 --workers-per-rack 2 \
+    --platform "$CLUSTER_PLATFORM" --hall demo --racks "${CLUSTER_RACKS:-2}" \
+    --workers-per-rack "${CLUSTER_PER_RACK:-2}" \
     >"$CLUSTER_DIR/workers.log" 2>&1 &
   CLUSTER_WORKERS_PID=$!
   CLUSTER_PIDS+=($!)
--- a/src/daemon/http_interfaces.cc
+++ b/src/daemon/http_interfaces.cc
@@ -20,6 +20,7 @@
 
 constexpr int kRefusedStatus = 503;
 constexpr int kTooManyStatus = 429;
+constexpr int kNotModified = 304;
 constexpr Duration kTableTimeout{2000};
 constexpr Duration kListTimeout{2000};
 constexpr Duration kExchangeTimeout{2000};
@@ -82,12 +83,20 @@
 }
 
 std::optional<InstanceList> HttpInstanceLister::List() {
-  const HttpReply reply =
-      client_->Call(Get(address_, "/v1/instances", kListTimeout));
+  const std::lock_guard<std::mutex> lock(mutex_);
+  HttpCall call = Get(address_, "/v1/instances", kListTimeout);
+  call.if_none_match = tag_;
+  const HttpReply reply = client_->Call(call);
+  const bool same =
+      reply.outcome == HttpOutcome::kAnswered && reply.status == kNotModified;
+  if (same) return last_;
   if (!reply.ok()) return std::nullopt;
   absl::StatusOr<InstanceList> decoded = DecodeInstanceList(reply.body);
   if (!decoded.ok()) return std::nullopt;
-  return *std::move(decoded);
+  const auto tag = reply.headers.find("ETag");
+  tag_ = tag == reply.headers.end() ? "" : tag->second;
+  last_ = *std::move(decoded);
+  return last_;
 }
 
 std::optional<WorkerReport> HttpWorkerCaller::Exchange(
--- a/src/daemon/http_interfaces.h
+++ b/src/daemon/http_interfaces.h
@@ -7,6 +7,7 @@
 #ifndef LIMELEDGE_SRC_DAEMON_HTTP_INTERFACES_H_
 #define LIMELEDGE_SRC_DAEMON_HTTP_INTERFACES_H_
 
+#include <mutex>
 #include <string>
 
 #include "daemon/interfaces.h"
@@ -36,11 +37,16 @@
   HttpInstanceLister(std::string address, HttpClient* client)
       : address_(std::move(address)), client_(client) {}
 
+  /// Asks with the tag of the last answer, so that a list that did not change
+  /// is not sent again where the platform knows tags.
   std::optional<InstanceList> List() override;
 
  private:
   std::string address_;
   HttpClient* client_;
+  std::mutex mutex_;
+  std::string tag_;
+  InstanceList last_;
 };
 
 /// Thread safety: all methods from any thread.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -44,6 +44,9 @@
     request.set_header("Authorization", absl::StrCat("Bearer ", call.token));
   }
   if (!call.if_match.empty()) request.set_header("If-Match", call.if_match);
+  if (!call.if_none_match.empty()) {
+    request.set_header("If-None-Match", call.if_none_match);
+  }
   return request;
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -47,6 +47,8 @@
   std::string token;
   /// Sent as "If-Match" unless empty.
   std::string if_match;
+  /// Sent as "If-None-Match" unless empty.
+  std::string if_none_match;
   Duration connect_timeout{500};
   Duration timeout{2000};
 };
--- a/src/platform/platform_services.cc
+++ b/src/platform/platform_services.cc
@@ -6,6 +6,8 @@
 
 #include "platform/platform_services.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <chrono>
 #include <thread>
@@ -27,6 +29,7 @@
 constexpr std::size_t kCutLength = 1024;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kNotModified = 304;
 
 /// Ends the connection without a whole answer.
 void Cut(httplib::Response& response) {
@@ -186,12 +189,20 @@
 }
 
 void PlatformServices::AddInstanceRoutes() {
-  server_.routes().Get("/v1/instances", [this](const httplib::Request&,
+  server_.routes().Get("/v1/instances", [this](const httplib::Request& request,
                                                httplib::Response& response) {
     Fault fault;
     if (BeginCall("instances", response, &fault)) return;
     const std::lock_guard<std::mutex> lock(mutex_);
-    EndCall(fault, EncodeInstanceList(LaggingList()), response);
+    const std::string body = EncodeInstanceList(LaggingList());
+    const std::string tag =
+        absl::StrCat("\"", XXH64(body.data(), body.size(), 0), "\"");
+    response.set_header("ETag", tag);
+    if (request.get_header_value("If-None-Match") == tag) {
+      response.status = kNotModified;
+      return;
+    }
+    EndCall(fault, body, response);
   });
   server_.routes().Put(
       R"(/v1/instances/(entries|workers|runners)/([^/]+))",
--- a/src/settings/schema.cc
+++ b/src/settings/schema.cc
@@ -78,9 +78,9 @@
       Integer("task_lease_ms", kSystem, "ms", 500, 600000, 20000,
               "A worker stops a task whose lease was not renewed for this "
               "long."),
-      Integer("exchange_ms", kSystem, "ms", 50, 600000, 6000,
+      Integer("exchange_ms", kSystem, "ms", 50, 600000, 8000,
               "Interval of the planner's exchange with an unchanged worker."),
-      Integer("heartbeat_ms", kSystem, "ms", 50, 60000, 1500,
+      Integer("heartbeat_ms", kSystem, "ms", 50, 60000, 2000,
               "Interval of heartbeats between instances."),
       Integer("suspect_ms", kSystem, "ms", 100, 600000, 5000,
               "An instance unheard for this long is suspect."),
--- /dev/null
+++ b/test/headers-test.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Compiles every header alone.
+# Usage: test/headers-test.sh BUILD_DIR COMPILER
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+git ls-files 'include/limeledge/*.h' 'src/*.h' 2>/dev/null |
+  xargs -P "$(nproc)" -I{} "$2" -std=c++17 -fsyntax-only -x c++ -w \
+    -Iinclude -Isrc -I/usr/include/jsoncpp -DCPPHTTPLIB_OPENSSL_SUPPORT {}
+echo "every header compiles alone"
