--- a/bench/request-latency.cc
+++ b/bench/request-latency.cc
@@ -101,6 +101,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(options.threads));
   for (int i = 0; i < options.threads; ++i) threads.emplace_back(work);
   for (std::thread& thread : threads) thread.join();
   Latencies latencies;
--- a/src/core/gang.cc
+++ b/src/core/gang.cc
@@ -72,6 +72,13 @@
   return step;
 }
 
+GangStep Finish() {
+  GangStep step;
+  step.action = GangAction::kFinish;
+  step.next = JobState::kDone;
+  return step;
+}
+
 /// What follows an attempt that may have run and did not end by itself.
 JobState AfterInterrupted(const JobRow& job) {
   return job.spec.repeatable ? JobState::kWaiting : JobState::kUnknown;
@@ -133,12 +140,7 @@
 
 GangStep DecideRunning(const GangView& view) {
   const JobRow& job = *view.job;
-  if (All(view, State::kDone)) {
-    GangStep step;
-    step.action = GangAction::kFinish;
-    step.next = JobState::kDone;
-    return step;
-  }
+  if (All(view, State::kDone)) return Finish();
   if (job.cancel_requested) {
     return Stop(JobState::kCancelled, "cancelled while it ran");
   }
@@ -170,12 +172,7 @@
 
 GangStep DecideCheckpointing(const GangView& view) {
   const JobRow& job = *view.job;
-  if (All(view, State::kDone)) {
-    GangStep step;
-    step.action = GangAction::kFinish;
-    step.next = JobState::kDone;
-    return step;
-  }
+  if (All(view, State::kDone)) return Finish();
   if (job.cancel_requested) {
     return Stop(JobState::kCancelled, "cancelled while it made way");
   }
--- a/src/daemon/api_server.cc
+++ b/src/daemon/api_server.cc
@@ -174,14 +174,7 @@
     SendFailure(InvalidBody(findings), response);
     return;
   }
-  if (principal.workspace != spec.workspace) {
-    SendFailure(
-        {absl::PermissionDeniedError("the token is not one of this workspace"),
-         {},
-         Duration()},
-        response);
-    return;
-  }
+  if (!IsOwnWorkspace(principal, spec.workspace, response)) return;
   const Duration allowed =
       spec.deadline > Duration(0)
           ? spec.deadline
@@ -203,14 +196,7 @@
     SendFailure(InvalidBody(findings), response);
     return;
   }
-  if (principal.workspace != spec.workspace) {
-    SendFailure(
-        {absl::PermissionDeniedError("the token is not one of this workspace"),
-         {},
-         Duration()},
-        response);
-    return;
-  }
+  if (!IsOwnWorkspace(principal, spec.workspace, response)) return;
   Ask(
       [&spec](CallId call) {
         return JobSubmitted{call, std::move(spec)};
@@ -245,14 +231,8 @@
   Principal principal;
   if (!Authorize(request, response, &principal)) return;
   const WorkspaceId workspace(request.get_param_value("workspace"));
-  if (!workspace.empty() && !principal.scope().Allows(workspace)) {
-    SendFailure(
-        {absl::PermissionDeniedError("the token is not one of this workspace"),
-         {},
-         Duration()},
-        response);
-    return;
-  }
+  const bool all = workspace.empty() || principal.is_operator();
+  if (!all && !IsOwnWorkspace(principal, workspace, response)) return;
   Ask(
       [&](CallId call) {
         return JobsAsked{call, principal.scope(), workspace};
@@ -360,6 +340,18 @@
   return false;
 }
 
+bool ApiServer::IsOwnWorkspace(const Principal& principal,
+                               const WorkspaceId& workspace,
+                               httplib::Response& response) const {
+  if (principal.workspace == workspace) return true;
+  SendFailure(
+      {absl::PermissionDeniedError("the token is not one of this workspace"),
+       {},
+       Duration()},
+      response);
+  return false;
+}
+
 bool ApiServer::FindJobId(const httplib::Request& request,
                           httplib::Response& response,
                           const Principal& principal, JobId* job) const {
--- a/src/daemon/api_server.h
+++ b/src/daemon/api_server.h
@@ -61,6 +61,9 @@
   bool AuthorizeOperator(const httplib::Request& request,
                          httplib::Response& response, bool admin,
                          Principal* principal) const;
+  /// True when the caller belongs to the workspace; else answers.
+  bool IsOwnWorkspace(const Principal& principal, const WorkspaceId& workspace,
+                      httplib::Response& response) const;
   /// The job that the path and the caller name, or answers and returns false.
   bool FindJobId(const httplib::Request& request, httplib::Response& response,
                  const Principal& principal, JobId* job) const;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -16,6 +16,7 @@
 
 #include "daemon/daemon.h"
 #include "daemon/log_writer.h"
+#include "net/stop_signals.h"
 
 namespace {
 
@@ -140,13 +141,7 @@
 
 int main(int argc, char** argv) {
   mallopt(M_ARENA_MAX, kMaxHeaps);
-  // Blocked before any thread starts, so that only the main thread sees them.
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  const sigset_t signals = limeledge::BlockStopSignals();
   cxxopts::Options options = MakeOptions();
   try {
     const cxxopts::ParseResult args = options.parse(argc, argv);
--- a/src/platform/embedded_platform.cc
+++ b/src/platform/embedded_platform.cc
@@ -7,6 +7,7 @@
 #include "platform/embedded_platform.h"
 
 #include "absl/strings/str_cat.h"
+#include "platform/declared_workers.h"
 
 namespace limeledge {
 
@@ -62,18 +63,9 @@
 
 absl::Status AddHallTargets(const HallId& id, const HallSettings& hall,
                             TargetHost* host) {
-  for (int rack = 1; rack <= hall.racks; ++rack) {
-    for (int number = 1; number <= hall.workers_per_rack; ++number) {
-      WorkerInfo worker;
-      worker.hall = id;
-      worker.rack = RackId(absl::StrCat(id.value(), "-r", rack));
-      worker.id = WorkerId(absl::StrCat(worker.rack.value(), "-w", number));
-      worker.accelerators = hall.accelerators_per_worker;
-      worker.cores = hall.cores_per_worker;
-      worker.memory_mb = hall.memory_mb_per_worker;
-      const absl::Status status = host->AddWorker(worker);
-      if (!status.ok()) return status;
-    }
+  for (const WorkerInfo& worker : DeclaredWorkers(id, hall)) {
+    const absl::Status status = host->AddWorker(worker);
+    if (!status.ok()) return status;
   }
   return absl::OkStatus();
 }
--- a/src/platform/main.cc
+++ b/src/platform/main.cc
@@ -15,6 +15,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "net/stop_signals.h"
 #include "platform/embedded_platform.h"
 #include "settings/reader.h"
 
@@ -204,12 +205,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  const sigset_t signals = limeledge::BlockStopSignals();
   cxxopts::Options options = MakeOptions();
   try {
     const cxxopts::ParseResult args = options.parse(argc, argv);
