Clear claims when their retention is over

Cause: claim_retention_ms was read and not acted on: claims stayed in the table for ever.

Change: the member that clears jobs reads the oldest claims, 50 at a time, and erases the old ones on condition of their version; a test.

--- a/include/limeledge/claims.h
+++ b/include/limeledge/claims.h
@@ -35,6 +35,9 @@
   std::int64_t written_ms = 0;
 };
 
+/// All claim rows are under it.
+inline constexpr char kClaimPrefix[] = "claim/";
+
 /// Returns the row key, "claim/WORKSPACE/REQUEST". Safe from any thread.
 std::string ClaimKey(const WorkspaceId& workspace, const RequestId& request);
 
--- a/src/claims.cc
+++ b/src/claims.cc
@@ -22,7 +22,7 @@
 }  // namespace
 
 std::string ClaimKey(const WorkspaceId& workspace, const RequestId& request) {
-  return absl::StrCat("claim/", workspace.value(), "/", request.value());
+  return absl::StrCat(kClaimPrefix, workspace.value(), "/", request.value());
 }
 
 std::string EncodeClaim(const Claim& claim) {
--- a/src/codec/effect_text.cc
+++ b/src/codec/effect_text.cc
@@ -72,6 +72,9 @@
   std::string operator()(const ReadRows& effect) const {
     return absl::StrCat("read since ", effect.since.value());
   }
+  std::string operator()(const ReadClaims& effect) const {
+    return absl::StrCat("claims since ", effect.since.value());
+  }
   std::string operator()(const FetchRows& effect) const {
     return absl::StrCat("fetch ", absl::StrJoin(effect.keys, " "));
   }
--- a/src/codec/event_codec.cc
+++ b/src/codec/event_codec.cc
@@ -100,6 +100,12 @@
       json_["changes"] = EncodeChangedRows(*event.changes);
     }
   }
+  void operator()(const ClaimsRead& event) {
+    Type("claims");
+    if (event.claims.has_value()) {
+      json_["claims"] = EncodeChangedRows(*event.claims);
+    }
+  }
   void operator()(const RowsFetched& event) {
     Type("fetched");
     Call(event.call);
@@ -191,6 +197,7 @@
         {"ask_metrics", &EventReader::ReadAsk<MetricsAsked>},
         {"transaction", &EventReader::ReadTransaction},
         {"rows", &EventReader::ReadRows},
+        {"claims", &EventReader::ReadClaims},
         {"fetched", &EventReader::ReadFetched},
         {"list", &EventReader::ReadList},
         {"heartbeat", &EventReader::ReadHeartbeat},
@@ -317,6 +324,10 @@
     return RowsRead{Message("changes", DecodeChangedRows)};
   }
 
+  EventBody ReadClaims() {
+    return ClaimsRead{Message("claims", DecodeChangedRows)};
+  }
+
   EventBody ReadFetched() {
     RowsFetched event;
     event.call = Call();
--- a/src/core/effect.h
+++ b/src/core/effect.h
@@ -38,6 +38,13 @@
   Revision since;
 };
 
+inline constexpr int kClaimsAtOnce = 50;
+
+/// Read the oldest claims written after `since`, to clear the old ones.
+struct ReadClaims {
+  Revision since;
+};
+
 /// Read single rows for a caller.
 struct FetchRows {
   CallId call;
@@ -167,10 +174,10 @@
 /// Nothing is in flight any more: end the process.
 struct Exit {};
 
-using Effect =
-    std::variant<SendTransaction, ReadRows, FetchRows, ReadInstanceList,
-                 SendHeartbeat, FetchSettings, SendExchange, SendRunnerCall,
-                 Answer, SettingsInForce, SetReady, WriteLog, Exit>;
+using Effect = std::variant<SendTransaction, ReadRows, ReadClaims, FetchRows,
+                            ReadInstanceList, SendHeartbeat, FetchSettings,
+                            SendExchange, SendRunnerCall, Answer,
+                            SettingsInForce, SetReady, WriteLog, Exit>;
 
 using Effects = std::vector<Effect>;
 
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -106,6 +106,11 @@
   std::optional<ChangedRows> changes;
 };
 
+/// Some claims in the order of their writing; nothing when it failed.
+struct ClaimsRead {
+  std::optional<ChangedRows> claims;
+};
+
 /// Single rows as read for a caller; nothing when the store is away.
 struct RowsFetched {
   CallId call;
@@ -160,12 +165,14 @@
 /// The platform asked this process to stop.
 struct StopAsked {};
 
-using EventBody = std::variant<
-    Tick, RequestArrived, JobSubmitted, JobAsked, JobsAsked, JobCancelAsked,
-    SettingsProposed, SettingsAsked, SettingsHistoryAsked, StateAsked,
-    MetricsAsked, TransactionReplied, RowsRead, RowsFetched, InstanceListRead,
-    HeartbeatArrived, HeartbeatAnswered, SettingsCopyAsked, SettingsCopyArrived,
-    WorkerReplied, WorkerChanged, RunnerReplied, StopAsked>;
+using EventBody =
+    std::variant<Tick, RequestArrived, JobSubmitted, JobAsked, JobsAsked,
+                 JobCancelAsked, SettingsProposed, SettingsAsked,
+                 SettingsHistoryAsked, StateAsked, MetricsAsked,
+                 TransactionReplied, RowsRead, ClaimsRead, RowsFetched,
+                 InstanceListRead, HeartbeatArrived, HeartbeatAnswered,
+                 SettingsCopyAsked, SettingsCopyArrived, WorkerReplied,
+                 WorkerChanged, RunnerReplied, StopAsked>;
 
 /// One input of the reducer with the moment at which it came.
 struct Event {
--- a/src/core/janitor.cc
+++ b/src/core/janitor.cc
@@ -6,8 +6,10 @@
 
 #include "core/janitor.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "limeledge/claims.h"
 #include "limeledge/rendezvous.h"
 
 namespace limeledge {
@@ -19,11 +21,11 @@
 constexpr int kRowsPerSweep = 50;
 constexpr char kSweepKey[] = "janitor";
 
-void PushErase(Context& ctx, const JobRow& job) {
+void PushErase(Context& ctx, const std::string& key, Revision version) {
   WriteRequest request;
   request.priority = WritePriority::kBookkeeping;
-  request.conditions = {{JobKey(job.spec.id), job.version}};
-  request.writes = {{JobKey(job.spec.id), "", true}};
+  request.conditions = {{key, version}};
+  request.writes = {{key, "", true}};
   request.give_up = ctx.now + kGiveUp;
   request.purpose = Cleanup{};
   ctx.store.Push(std::move(request));
@@ -39,14 +41,31 @@
   const InstanceId owner =
       RendezvousOwner(kSweepKey, ctx.shared.members.Live(ctx.now));
   if (owner != ctx.shared.self.id) return;
+  ctx.Emit(ReadClaims{claims_cleared_});
   int left = kRowsPerSweep;
   const std::int64_t oldest =
       ctx.wall_ms - ctx.shared.system.job_retention.ms();
   for (const auto& [id, job] : ctx.shared.mirror.jobs()) {
     if (!IsFinal(job.state) || job.ended_ms >= oldest) continue;
-    PushErase(ctx, job);
+    PushErase(ctx, JobKey(id), job.version);
     if (--left == 0) return;
   }
 }
 
+void Janitor::OnClaimsRead(Context& ctx, const ClaimsRead& read) {
+  if (!read.claims.has_value()) return;
+  const std::int64_t oldest =
+      ctx.wall_ms - ctx.shared.system.claim_retention.ms();
+  for (const ChangedRow& change : read.claims->rows) {
+    // Those erased before are only passed over.
+    if (!change.erased) {
+      const absl::StatusOr<Claim> claim = DecodeClaim(change.row.value);
+      // Claims come in the order of their writing: the rest is younger.
+      if (claim.ok() && claim->written_ms >= oldest) return;
+      PushErase(ctx, change.row.key, change.row.version);
+    }
+    claims_cleared_ = std::max(claims_cleared_, change.row.version);
+  }
+}
+
 }  // namespace limeledge
--- a/src/core/reducer.cc
+++ b/src/core/reducer.cc
@@ -96,6 +96,9 @@
     r_.shared_.mirror.SetLoaded();
     r_.jobs_.OnRowsRead(ctx_, r_.Explainer());
   }
+  void operator()(const ClaimsRead& event) {
+    r_.janitor_.OnClaimsRead(ctx_, event);
+  }
   void operator()(const RowsFetched& event) {
     SettingsKeeper::OnFetched(ctx_, event);
   }
--- a/src/daemon/engine.cc
+++ b/src/daemon/engine.cc
@@ -161,6 +161,11 @@
       Post(RowsRead{interfaces_.table->Changes(effect.since)});
     });
   }
+  void Perform(ReadClaims effect) {
+    table_reader_.Run([this, effect] {
+      Post(ClaimsRead{interfaces_.table->Claims(effect.since, kClaimsAtOnce)});
+    });
+  }
   void Perform(FetchRows effect) {
     table_reader_.Run([this, effect = std::move(effect)] {
       Post(RowsFetched{effect.call, interfaces_.table->Read(effect.keys)});
--- a/src/daemon/http_interfaces.cc
+++ b/src/daemon/http_interfaces.cc
@@ -13,6 +13,7 @@
 #include "codec/message_codec.h"
 #include "core/mirror.h"
 #include "daemon/rpc.h"
+#include "limeledge/claims.h"
 
 namespace limeledge {
 
@@ -57,10 +58,19 @@
 }
 
 std::optional<ChangedRows> HttpTableService::Changes(Revision since) {
-  const std::string path =
-      absl::StrCat("/v1/table/changes?since=", since.value(),
-                   "&prefix=", kJobPrefix, "&prefix=", kHallPrefix,
-                   "&prefix=", kRenewalPrefix, "&prefix=", kCurrentSettingsKey);
+  return ReadChanges(absl::StrCat(
+      "since=", since.value(), "&prefix=", kJobPrefix, "&prefix=", kHallPrefix,
+      "&prefix=", kRenewalPrefix, "&prefix=", kCurrentSettingsKey));
+}
+
+std::optional<ChangedRows> HttpTableService::Claims(Revision since, int limit) {
+  return ReadChanges(absl::StrCat("since=", since.value(), "&limit=", limit,
+                                  "&prefix=", kClaimPrefix));
+}
+
+std::optional<ChangedRows> HttpTableService::ReadChanges(
+    const std::string& query) {
+  const std::string path = absl::StrCat("/v1/table/changes?", query);
   const HttpReply reply = client_->Call(Get(address_, path, kTableTimeout));
   if (!reply.ok()) return std::nullopt;
   absl::StatusOr<ChangedRows> decoded = DecodeChangedRows(reply.body);
--- a/src/daemon/http_interfaces.h
+++ b/src/daemon/http_interfaces.h
@@ -23,10 +23,13 @@
 
   TransactionReply Commit(const Transaction& transaction) override;
   std::optional<ChangedRows> Changes(Revision since) override;
+  std::optional<ChangedRows> Claims(Revision since, int limit) override;
   std::optional<std::vector<Row>> Read(
       const std::vector<std::string>& keys) override;
 
  private:
+  std::optional<ChangedRows> ReadChanges(const std::string& query);
+
   std::string address_;
   HttpClient* client_;
 };
--- a/src/daemon/interfaces.h
+++ b/src/daemon/interfaces.h
@@ -30,6 +30,8 @@
   virtual TransactionReply Commit(const Transaction& transaction) = 0;
   /// Mirrored rows that changed after `since`; nothing when it failed.
   virtual std::optional<ChangedRows> Changes(Revision since) = 0;
+  /// Up to `limit` claims written after `since`, oldest first.
+  virtual std::optional<ChangedRows> Claims(Revision since, int limit) = 0;
   virtual std::optional<std::vector<Row>> Read(
       const std::vector<std::string>& keys) = 0;
 };
--- a/src/platform/platform_services.cc
+++ b/src/platform/platform_services.cc
@@ -132,6 +132,12 @@
       SetError(response, kBadRequest, "since must be a revision");
       return;
     }
+    std::size_t limit = kRowsPerPage;
+    if (request.has_param("limit") &&
+        !absl::SimpleAtoi(request.get_param_value("limit"), &limit)) {
+      SetError(response, kBadRequest, "limit must be a number");
+      return;
+    }
     std::vector<std::string> prefixes;
     for (std::size_t i = 0; i < request.get_param_value_count("prefix"); ++i) {
       prefixes.push_back(request.get_param_value("prefix", i));
@@ -139,8 +145,8 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     ++calls_["changes"];
     EndCall(fault,
-            EncodeChangedRows(
-                table_.Changes(prefixes, Revision(since), kRowsPerPage)),
+            EncodeChangedRows(table_.Changes(prefixes, Revision(since),
+                                             std::min(limit, kRowsPerPage))),
             response);
   });
   server_.routes().Post(
--- a/src/trial/cluster.h
+++ b/src/trial/cluster.h
@@ -202,6 +202,7 @@
 
   void Perform(int instance, const SendTransaction& effect);
   void Perform(int instance, const ReadRows& effect);
+  void Perform(int instance, const ReadClaims& effect);
   void Perform(int instance, const FetchRows& effect);
   void Perform(int instance, const ReadInstanceList& effect);
   void Perform(int instance, const SendHeartbeat& effect);
--- a/src/trial/cluster_effects.cc
+++ b/src/trial/cluster_effects.cc
@@ -88,6 +88,17 @@
   });
 }
 
+void Cluster::Perform(int instance, const ReadClaims& effect) {
+  const std::int64_t incarnation = NodeOf(instance).incarnation;
+  ClaimsRead read;
+  if (StoreAnswers(instance)) {
+    read.claims = table_.Changes({kClaimPrefix}, effect.since, kClaimsAtOnce);
+  }
+  After(Delay(), [this, instance, incarnation, read] {
+    Deliver(instance, incarnation, read);
+  });
+}
+
 void Cluster::Perform(int instance, const FetchRows& effect) {
   const std::int64_t incarnation = NodeOf(instance).incarnation;
   RowsFetched fetched{effect.call, std::nullopt};
--- a/test/promise-test.cc
+++ b/test/promise-test.cc
@@ -494,6 +494,25 @@
   CHECK_TRUE(agreed > 0);
 }
 
+TEST(Promise, OldClaimsAndJobsAreClearedYoungOnesStay) {
+  std::string shorter = CourseSettings();
+  const std::string grace = "stop_grace_ms: 500";
+  shorter.replace(shorter.find(grace), grace.size(),
+                  "stop_grace_ms: 500\n  claim_retention_ms: 20000\n  "
+                  "job_retention_ms: 20000");
+  cluster->Propose(0, SettingsVersion(1), shorter);
+  cluster->RunFor(Duration(1000));
+  const JobSpec job = Job("w1", 1, 1, 100);
+  cluster->Submit(0, job);
+  cluster->Request(0, MakeRequest("old", false));
+  cluster->RunFor(Duration(30000));
+  cluster->Request(0, MakeRequest("young", false));
+  cluster->RunFor(Duration(11000));
+  CHECK_TRUE(cluster->table().Read("claim/w1/old").version == Revision(0));
+  CHECK_TRUE(cluster->table().Read("claim/w1/young").version > Revision(0));
+  CHECK_TRUE(Row(job.id) == nullptr);
+}
+
 TEST(Promise, PausedInstanceCatchesUpAndNeverGoesBack) {
   cluster->Pause(2);
   cluster->Propose(0, SettingsVersion(1), CourseSettings() + "\n# a\n");
