--- a/src/codec/platform_codec.cc
+++ b/src/codec/platform_codec.cc
@@ -114,8 +114,9 @@
 std::string EncodeInstanceList(const InstanceList& list) {
   Json::Value json(Json::objectValue);
   Json::Value entries(Json::arrayValue);
-  for (const EntryInfo& entry : list.entries)
+  for (const EntryInfo& entry : list.entries) {
     entries.append(EncodeEntry(entry));
+  }
   Json::Value workers(Json::arrayValue);
   for (const WorkerInfo& worker : list.workers) {
     workers.append(EncodeWorker(worker));
