Let a foreign answer differ from the right one

Cause: the emulated runner's foreign answers held the right text under a wrong id, so a planted acceptance of foreign answers was not found in 600 courses.

Change: the text is another request's.

--- a/src/platform/runner_model.cc
+++ b/src/platform/runner_model.cc
@@ -27,7 +27,10 @@
   --in_use_;
   RunnerAnswer answer{call.request, call.attempt, call.workspace,
                       RunnerResult(call)};
-  if (faults_.foreign) answer.attempt = AttemptId("another-attempt");
+  if (faults_.foreign) {
+    answer.attempt = AttemptId("another-attempt");
+    answer.answer = "the answer to another request";
+  }
   return answer;
 }
 
--- a/src/platform/runner_model.h
+++ b/src/platform/runner_model.h
@@ -22,7 +22,7 @@
   bool refuse = false;
   /// Runs the call and cuts the connection instead of answering.
   bool cut = false;
-  /// Answers with another attempt's id.
+  /// Answers with another attempt's id and answer.
   bool foreign = false;
 };
 
