--- a/examples/embed/commit_queue.cc
+++ b/examples/embed/commit_queue.cc
@@ -13,8 +13,11 @@
 int main() {
   limeledge::CommitQueue queue({"instance/a/1", 64});
   limeledge::RateLimiter budget(1000, 1000);
-  queue.Push({limeledge::IntentId(1), limeledge::WritePriority::kJobs,
-              {}, {{"job/1", "x", false}}, TimePoint(10000)});
+  queue.Push({limeledge::IntentId(1),
+              limeledge::WritePriority::kJobs,
+              {},
+              {{"job/1", "x", false}},
+              TimePoint(10000)});
   queue.Next(TimePoint(0), budget);
   queue.OnReply(TimePoint(1), limeledge::TransactionLost{});
   // The fence write succeeds: the lost transaction can never take effect.
