--- a/src/daemon/engine.cc
+++ b/src/daemon/engine.cc
@@ -38,7 +38,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kTickInterval{20};
+constexpr std::chrono::milliseconds kTickInterval{50};
 
 std::int64_t WallMs() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
