Keep open claims past every deadline

Ruled out: recorded answers, which no attempt follows.

Change: an open claim is kept an hour, the longest deadline, beyond the retention; a test with a retention of 1 s.

--- a/src/core/janitor.cc
+++ b/src/core/janitor.cc
@@ -18,6 +18,7 @@
 
 constexpr Duration kSweepInterval{10000};
 constexpr Duration kGiveUp{5000};
+constexpr Duration kLongestDeadline{3600000};
 constexpr int kRowsPerSweep = 50;
 constexpr char kSweepKey[] = "janitor";
 
@@ -31,6 +32,13 @@
   ctx.store.Push(std::move(request));
 }
 
+/// An open claim outlives every deadline, however short the retention is: its
+/// request may still run, and the same id must not run beside it.
+std::int64_t OldestFor(const Claim& claim, std::int64_t oldest) {
+  const bool open = claim.state == ClaimState::kClaimed;
+  return open ? oldest - kLongestDeadline.ms() : oldest;
+}
+
 }  // namespace
 
 void Janitor::OnTick(Context& ctx) {
@@ -61,7 +69,7 @@
     if (!change.erased) {
       const absl::StatusOr<Claim> claim = DecodeClaim(change.row.value);
       // Claims come in the order of their writing: the rest is younger.
-      if (claim.ok() && claim->written_ms >= oldest) return;
+      if (claim.ok() && claim->written_ms >= OldestFor(*claim, oldest)) return;
       PushErase(ctx, change.row.key, change.row.version);
     }
     claims_cleared_ = std::max(claims_cleared_, change.row.version);
--- a/test/request-promise-test.cc
+++ b/test/request-promise-test.cc
@@ -140,6 +140,24 @@
   CHECK_TRUE(PlannerOf("a") >= 0);
 }
 
+TEST(RequestPromise, OpenClaimOutlivesAShortRetention) {
+  std::string shorter = CourseSettings();
+  const std::string grace = "stop_grace_ms: 500";
+  shorter.replace(shorter.find(grace), grace.size(),
+                  "stop_grace_ms: 500\n  claim_retention_ms: 1000");
+  cluster->Propose(0, SettingsVersion(1), shorter);
+  cluster->RunFor(Duration(1000));
+  for (const char* id : {"runner-1", "runner-2"}) {
+    cluster->SetRunnerFaults(RunnerId(id), {false, true, false});
+  }
+  cluster->Request(0, MakeRequest("open", false));
+  cluster->RunFor(Duration(30000));
+  CHECK_TRUE(cluster->table().Read("claim/w1/open").version > Revision(0));
+  cluster->Request(1, MakeRequest("open", false));
+  cluster->RunFor(Duration(5000));
+  LONGS_EQUAL(1, Runs("w1/open"));
+}
+
 TEST(RequestPromise, OldClaimsAndJobsAreClearedYoungOnesStay) {
   std::string shorter = CourseSettings();
   const std::string grace = "stop_grace_ms: 500";
