--- /dev/null
+++ b/src/dispatch/catalog_follower.cc
@@ -0,0 +1,55 @@
+/// @file
+/// Following the configuration.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/catalog_follower.h"
+
+namespace limeledge::dispatch {
+
+void CatalogFollower::Work(Context& ctx) {
+  if (under_way_ || ctx.now() < next_at_) return;
+  under_way_ = true;
+  const bool reread = ctx.now() - read_at_ >= options_.reread_interval;
+  if (read_next_ || reread) {
+    read_at_ = ctx.now();
+    ctx.Emit(ReadCatalog{});
+  } else {
+    ctx.Emit(AwaitCatalog{seen_, options_.wait});
+  }
+}
+
+void CatalogFollower::Take(Context& ctx, const CatalogAnswered& answer) {
+  under_way_ = false;
+  next_at_ = ctx.now();
+  const bool answered = answer.outcome == StoreOutcome::kDone;
+  if (answered != answers_) {
+    ctx.Log(answered ? LogId::kCatalogFollowed : LogId::kCatalogStale, {});
+  }
+  answers_ = answered;
+  // Changes may have been missed unless the wait ended well.
+  read_next_ = !answered;
+  if (!answered) {
+    const bool at_once = answer.outcome == StoreOutcome::kHistoryGone;
+    if (!at_once) next_at_ = ctx.now() + options_.retry_pause;
+    return;
+  }
+  confirmed_at_ = ctx.now();
+  if (answer.newest > seen_) seen_ = answer.newest;
+  if (!answer.catalog.has_value()) {
+    // Nothing was written yet; waiting for a change would do as well.
+    if (!catalog_.has_value()) next_at_ = ctx.now() + options_.retry_pause;
+    read_next_ = !catalog_.has_value();
+    return;
+  }
+  const bool newer =
+      !catalog_.has_value() || answer.catalog->version > catalog_->version;
+  if (!newer) return;
+  catalog_ = answer.catalog;
+  ctx.Log(LogId::kCatalogInForce,
+          {{"version", std::to_string(catalog_->version.value())},
+           {"queues", std::to_string(catalog_->queues.size())}});
+}
+
+}  // namespace limeledge::dispatch
--- /dev/null
+++ b/src/dispatch/desk.cc
@@ -0,0 +1,317 @@
+/// @file
+/// Submitting, asking for and cancelling jobs.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/desk.h"
+
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "dispatch/row_codec.h"
+
+namespace limeledge::dispatch {
+
+namespace {
+
+constexpr std::size_t kJobIdLength = 16;
+
+bool IsJobId(const std::string& text) {
+  if (text.size() != kJobIdLength) return false;
+  for (const char c : text) {
+    const bool hex = absl::ascii_isdigit(c) || (c >= 'a' && c <= 'f');
+    if (!hex) return false;
+  }
+  return true;
+}
+
+const char* ToString(CallKind kind) {
+  switch (kind) {
+    case CallKind::kSubmit:
+      return "submit";
+    case CallKind::kQuery:
+      return "query";
+    case CallKind::kCancel:
+      return "cancel";
+    case CallKind::kCountWaiting:
+      return "count";
+    case CallKind::kOther:
+      return "other";
+  }
+  return "";
+}
+
+const char* ToString(CallResult result) {
+  switch (result) {
+    case CallResult::kDone:
+      return "done";
+    case CallResult::kGone:
+      return "gone";
+    case CallResult::kUnknownKey:
+      return "unknown key";
+    case CallResult::kNoQueue:
+      return "no queue";
+    case CallResult::kInvalid:
+      return "invalid";
+    case CallResult::kConflict:
+      return "conflict";
+    case CallResult::kNotTaken:
+      return "not taken";
+    case CallResult::kUnknown:
+      return "unknown";
+  }
+  return "";
+}
+
+/// True if both rows hold the same job, whenever it was handed in.
+bool SameJob(const std::string& a, const std::string& b) {
+  absl::StatusOr<JobSpec> first = DecodeJobSpec(a);
+  absl::StatusOr<JobSpec> second = DecodeJobSpec(b);
+  if (!first.ok() || !second.ok()) return false;
+  // The queue's policy and the time are not the caller's.
+  first->policy = second->policy;
+  first->accepted_wall_ms = second->accepted_wall_ms;
+  return EncodeJobSpec(*first) == EncodeJobSpec(*second);
+}
+
+}  // namespace
+
+void Desk::Answer(Context& ctx, const CallArrived& call, CallResult result,
+                  const std::string& message, const std::string& state,
+                  std::int64_t waiting) {
+  const bool later =
+      result == CallResult::kNotTaken || result == CallResult::kUnknown;
+  ctx.Log(LogId::kCallAnswered, {{"call", ToString(call.kind)},
+                                 {"path", call.path},
+                                 {"result", ToString(result)},
+                                 {"state", state},
+                                 {"reason", message}});
+  ctx.Emit(AnswerCall{call.call, result, state, waiting, message,
+                      later ? options_.retry_after : Duration(0)});
+}
+
+const Queue* Desk::FindQueue(Context& ctx, const CallArrived& call,
+                             const Catalog& catalog, bool fresh,
+                             WorkspaceId* workspace) {
+  const Queue* queue = catalog.Match(call.host, call.path);
+  const auto known = catalog.workspace_by_key.find(call.key);
+  const bool has_key = known != catalog.workspace_by_key.end();
+  if (has_key) *workspace = known->second;
+  const bool refused = queue == nullptr || (!queue->is_public && !has_key);
+  if (!refused) return queue;
+  if (!fresh) {
+    Answer(ctx, call, CallResult::kNotTaken, "the configuration may be old");
+  } else if (queue == nullptr) {
+    Answer(ctx, call, CallResult::kNoQueue, "no such queue");
+  } else {
+    Answer(ctx, call, CallResult::kUnknownKey, "the key is not known");
+  }
+  return nullptr;
+}
+
+void Desk::Take(Context& ctx, const CallArrived& call, const Catalog* catalog,
+                TimePoint catalog_confirmed, bool store_answers) {
+  if (catalog == nullptr) {
+    Answer(ctx, call, CallResult::kNotTaken, "no configuration yet");
+    return;
+  }
+  const bool fresh = ctx.now() - catalog_confirmed < options_.catalog_fresh;
+  WorkspaceId workspace;
+  const Queue* queue = FindQueue(ctx, call, *catalog, fresh, &workspace);
+  if (queue == nullptr) return;
+  const JobId id(call.path.substr(queue->path_prefix.size()));
+  Pending pending;
+  pending.call = call;
+  pending.queue = queue->id;
+  pending.job = id;
+  const bool counts = call.kind == CallKind::kQuery && id.empty();
+  if (call.kind == CallKind::kOther || (!counts && !IsJobId(id.value()))) {
+    Answer(ctx, call, CallResult::kInvalid, "not a call on a job");
+    return;
+  }
+  if (!store_answers) {
+    // Nothing was sent, so the refusal is certain.
+    Answer(ctx, call, CallResult::kNotTaken, "the store does not answer");
+    return;
+  }
+  if (counts) {
+    Read(ctx, std::move(pending), Stage::kCount);
+  } else if (call.kind == CallKind::kQuery) {
+    Read(ctx, std::move(pending), Stage::kReadProgress);
+  } else if (call.kind == CallKind::kCancel) {
+    Read(ctx, std::move(pending), Stage::kReadJob);
+  } else if (!call.findings.empty()) {
+    Answer(ctx, call, CallResult::kInvalid, call.findings);
+  } else {
+    Submit(ctx, call, *queue, workspace, id);
+  }
+}
+
+void Desk::Submit(Context& ctx, const CallArrived& call, const Queue& queue,
+                  const WorkspaceId& workspace, const JobId& id) {
+  JobSpec spec = call.spec;
+  spec.id = id;
+  spec.queue = queue.id;
+  spec.workspace = workspace;
+  spec.policy = queue.policy;
+  spec.accepted_wall_ms = ctx.wall_ms();
+  Pending pending;
+  pending.call = call;
+  pending.job = id;
+  pending.stage = Stage::kSubmit;
+  pending.stored_spec = EncodeJobSpec(spec);
+  const RowKey key{kJobTable, id.value()};
+  pending.transaction.conditions.push_back({key, Revision()});
+  pending.transaction.puts.push_back({key, pending.stored_spec});
+  Send(ctx, std::move(pending));
+}
+
+void Desk::Send(Context& ctx, Pending pending) {
+  const Ticket ticket = ctx.NewTicket();
+  ++pending.tries;
+  ctx.Emit(CommitRows{ticket, StoreLane::kCallers, pending.transaction,
+                      options_.call_timeout});
+  calls_[ticket] = std::move(pending);
+}
+
+void Desk::Read(Context& ctx, Pending pending, Stage stage) {
+  const Ticket ticket = ctx.NewTicket();
+  ReadRows read;
+  read.ticket = ticket;
+  read.timeout = options_.call_timeout;
+  if (stage == Stage::kCount) {
+    read.table = kLeadershipTable;
+    read.from = kWaitingKey;
+  } else {
+    read.table = stage == Stage::kReadJob ? kJobTable : kProgressTable;
+    read.from = pending.job.value();
+  }
+  // The job and its cancelling: keys go on with a sign below '/'.
+  read.to = absl::StrCat(read.from, "/");
+  read.limit = 2;
+  pending.stage = stage;
+  calls_[ticket] = std::move(pending);
+  ctx.Emit(std::move(read));
+}
+
+void Desk::Take(Context& ctx, const TransactionAnswered& answer) {
+  auto entry = calls_.extract(answer.ticket);
+  Pending pending = std::move(entry.mapped());
+  const bool submit = pending.stage == Stage::kSubmit;
+  if (answer.outcome == StoreOutcome::kDone) {
+    Answer(ctx, pending.call, CallResult::kDone);
+    return;
+  }
+  if (answer.outcome == StoreOutcome::kConflict) {
+    if (submit) {
+      TakeSubmit(ctx, std::move(pending), answer);
+    } else {
+      // The job was cleared away meanwhile.
+      Answer(ctx, pending.call, CallResult::kGone);
+    }
+    return;
+  }
+  const bool unknown = answer.outcome == StoreOutcome::kUnknown;
+  pending.unsettled = pending.unsettled || unknown;
+  if (unknown && pending.tries < options_.most_tries) {
+    // The condition makes a second try harmless, and settles the first.
+    Send(ctx, std::move(pending));
+    return;
+  }
+  Answer(ctx, pending.call,
+         pending.unsettled ? CallResult::kUnknown : CallResult::kNotTaken,
+         pending.unsettled ? "the store's answer was lost"
+                           : "the store took nothing");
+}
+
+void Desk::TakeSubmit(Context& ctx, Pending pending,
+                      const TransactionAnswered& answer) {
+  for (const Row& row : answer.rows) {
+    if (row.key.key != pending.job.value()) continue;
+    const bool same = SameJob(row.value, pending.stored_spec);
+    Answer(ctx, pending.call, same ? CallResult::kDone : CallResult::kConflict,
+           same ? "known already" : "another job has this id");
+    return;
+  }
+  Answer(ctx, pending.call, CallResult::kUnknown,
+         "the job's row is unreadable");
+}
+
+void Desk::Take(Context& ctx, const RowsAnswered& answer) {
+  auto entry = calls_.extract(answer.ticket);
+  Pending pending = std::move(entry.mapped());
+  if (answer.outcome != StoreOutcome::kDone) {
+    Answer(ctx, pending.call, CallResult::kNotTaken,
+           "the store does not answer");
+    return;
+  }
+  switch (pending.stage) {
+    case Stage::kReadProgress:
+      TakeProgress(ctx, std::move(pending), answer);
+      return;
+    case Stage::kReadJob:
+      TakeJob(ctx, std::move(pending), answer);
+      return;
+    default:
+      TakeCount(ctx, pending, answer);
+      return;
+  }
+}
+
+void Desk::TakeProgress(Context& ctx, Pending pending,
+                        const RowsAnswered& answer) {
+  if (answer.rows.empty()) {
+    Read(ctx, std::move(pending), Stage::kReadJob);
+    return;
+  }
+  const absl::StatusOr<JobState> state =
+      DecodeProgressState(answer.rows.front().value);
+  if (!state.ok()) {
+    Answer(ctx, pending.call, CallResult::kNotTaken, "unreadable progress");
+    return;
+  }
+  Answer(ctx, pending.call, CallResult::kDone, "", ToString(*state));
+}
+
+void Desk::TakeJob(Context& ctx, Pending pending, const RowsAnswered& answer) {
+  if (answer.rows.empty()) {
+    Answer(ctx, pending.call, CallResult::kGone);
+    return;
+  }
+  const bool cancelled = answer.rows.size() > 1;
+  if (pending.call.kind == CallKind::kQuery) {
+    const JobState state = cancelled ? JobState::kCancelled : JobState::kQueued;
+    Answer(ctx, pending.call, CallResult::kDone, "", ToString(state));
+    return;
+  }
+  if (cancelled) {
+    Answer(ctx, pending.call, CallResult::kDone, "cancelled already");
+    return;
+  }
+  pending.stage = Stage::kCancel;
+  const Row& job = answer.rows.front();
+  pending.transaction.conditions.push_back({job.key, job.revision});
+  pending.transaction.puts.push_back(
+      {{kJobTable, absl::StrCat(pending.job.value(), kCancelSuffix)}, "{}"});
+  Send(ctx, std::move(pending));
+}
+
+void Desk::TakeCount(Context& ctx, const Pending& pending,
+                     const RowsAnswered& answer) {
+  std::int64_t waiting = 0;
+  if (!answer.rows.empty()) {
+    const absl::StatusOr<WaitingCounts> counts =
+        DecodeWaiting(answer.rows.front().value);
+    if (!counts.ok()) {
+      Answer(ctx, pending.call, CallResult::kNotTaken, "unreadable counts");
+      return;
+    }
+    const auto found = counts->find(pending.queue);
+    if (found != counts->end()) waiting = found->second;
+  }
+  Answer(ctx, pending.call, CallResult::kDone, "", "", waiting);
+}
+
+}  // namespace limeledge::dispatch
--- /dev/null
+++ b/src/dispatch/effect.h
@@ -0,0 +1,139 @@
+/// @file
+/// Everything that a dispatcher node has done for it, as data.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_DISPATCH_EFFECT_H_
+#define LIMELEDGE_SRC_DISPATCH_EFFECT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/log_event.h"
+#include "dispatch/event.h"
+
+namespace limeledge::dispatch {
+
+/// Which calls to the store may not wait for each other.
+enum class StoreLane { kLeader, kCallers, kJobFeed };
+
+struct CommitRows {
+  Ticket ticket;
+  StoreLane lane = StoreLane::kCallers;
+  RowTransaction transaction;
+  Duration timeout;
+};
+
+/// Reads the rows of a table from `from` to before `to`.
+struct ReadRows {
+  Ticket ticket;
+  StoreLane lane = StoreLane::kCallers;
+  std::string table;
+  std::string from;
+  std::string to;
+  int limit = 500;
+  Duration timeout;
+};
+
+/// Waits for changes of a table after a revision.
+struct AwaitChanges {
+  Ticket ticket;
+  std::string table;
+  Revision after;
+  Duration wait;
+};
+
+/// Reads the configuration.
+struct ReadCatalog {};
+/// Waits for a newer configuration than that of a revision.
+struct AwaitCatalog {
+  Revision after;
+  Duration wait;
+};
+
+struct ListRunners {};
+
+/// Where an order goes: one life of a runner at an address.
+struct OrderTarget {
+  RunnerId runner;
+  std::string address;
+  Epoch epoch;
+};
+
+/// Asks what runs and what ended; grants a lease on everything that runs.
+struct LookAtRunner {
+  OrderTarget target;
+  std::int64_t acknowledged_end = 0;
+  /// End of the lease on the runner's clock; 0 grants none.
+  std::int64_t until_ms = 0;
+  /// The answer waits this long for an end.
+  Duration wait;
+};
+
+struct StartRun {
+  OrderTarget target;
+  TaskName task;
+  int run = 0;
+  std::string payload;
+  std::string checkpoint;
+  std::int64_t until_ms = 0;
+};
+
+struct StopRun {
+  OrderTarget target;
+  TaskName task;
+  int run = 0;
+};
+
+/// How a caller's call ended.
+enum class CallResult {
+  kDone,
+  /// The job is not there.
+  kGone,
+  kUnknownKey,
+  kNoQueue,
+  /// The call is malformed; it changed nothing.
+  kInvalid,
+  /// The id names another job.
+  kConflict,
+  /// Not taken; it will never run by this call.
+  kNotTaken,
+  /// It may have been taken.
+  kUnknown,
+};
+
+struct AnswerCall {
+  CallId call;
+  CallResult result = CallResult::kDone;
+  /// With a query: the job's state.
+  std::string state;
+  /// With a count: the number of waiting jobs; -1 for none.
+  std::int64_t waiting = -1;
+  std::string message;
+  /// When to come back; 0 for no advice.
+  Duration retry_after;
+};
+
+struct SetReady {
+  bool ready = false;
+};
+
+struct WriteLog {
+  LogLine line;
+};
+
+/// All is handed over; the process may end.
+struct Exit {};
+
+using Effect = std::variant<CommitRows, ReadRows, AwaitChanges, ReadCatalog,
+                            AwaitCatalog, ListRunners, LookAtRunner, StartRun,
+                            StopRun, AnswerCall, SetReady, WriteLog, Exit>;
+using Effects = std::vector<Effect>;
+
+}  // namespace limeledge::dispatch
+
+#endif  // LIMELEDGE_SRC_DISPATCH_EFFECT_H_
--- /dev/null
+++ b/src/dispatch/event.h
@@ -0,0 +1,179 @@
+/// @file
+/// Everything that can happen to a dispatcher node.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_DISPATCH_EVENT_H_
+#define LIMELEDGE_SRC_DISPATCH_EVENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "dispatch/catalog.h"
+#include "dispatch/job.h"
+#include "dispatch/rows.h"
+#include "dispatch/runner.h"
+#include "limeledge/base.h"
+#include "limeledge/clock.h"
+
+namespace limeledge::dispatch {
+
+/// Matches an answer of the store to its call.
+using Ticket = Number<struct TicketTag>;
+
+/// The moment that was asked for has come.
+struct Woken {};
+
+struct TransactionAnswered {
+  Ticket ticket;
+  StoreOutcome outcome = StoreOutcome::kUnknown;
+  /// Revision of what was written.
+  Revision revision;
+  /// With a conflict: the rows of the conditions as they are.
+  std::vector<Row> rows;
+};
+
+struct RowsAnswered {
+  Ticket ticket;
+  StoreOutcome outcome = StoreOutcome::kUnknown;
+  std::vector<Row> rows;
+  /// More rows follow after the last one.
+  bool more = false;
+  /// Newest revision of the store.
+  Revision newest;
+};
+
+/// Changes of a table, or nothing new within the wait.
+struct ChangesAnswered {
+  Ticket ticket;
+  StoreOutcome outcome = StoreOutcome::kUnknown;
+  std::vector<Row> rows;
+  Revision newest;
+};
+
+/// The configuration was read, or found unchanged within a wait.
+struct CatalogAnswered {
+  StoreOutcome outcome = StoreOutcome::kUnknown;
+  /// The configuration, if the answer holds one.
+  std::optional<Catalog> catalog;
+  Revision newest;
+};
+
+/// The list of runners, read whole.
+struct RunnersListed {
+  bool ok = false;
+  std::vector<RunnerInfo> runners;
+};
+
+struct ListedRun {
+  TaskName task;
+  int run = 0;
+  std::string checkpoint;
+  int percent = 0;
+};
+
+struct ListedEnd {
+  std::int64_t number = 0;
+  TaskName task;
+  int run = 0;
+  RunEnd end = RunEnd::kDone;
+  std::string checkpoint;
+};
+
+/// What became of an order or a look at a runner.
+enum class OrderOutcome {
+  kDone,
+  /// The runner obeys a newer scheduler.
+  kFenced,
+  /// That run, or a newer one, was stopped or ended there.
+  kOldRun,
+  /// Its lease was over when it came.
+  kTooLate,
+  kNoRoom,
+  /// The ticket of the advice does not hold.
+  kNoTicket,
+  /// The order makes no sense to the runner.
+  kInvalid,
+  /// The runner is not well and did nothing.
+  kUnhealthy,
+  /// Another life of the runner answered.
+  kOtherLife,
+  /// No connection came about: surely nothing was done.
+  kNotSent,
+  /// No answer: it may have been done, or may be done seconds later.
+  kLost,
+};
+
+const char* ToString(OrderOutcome outcome);
+
+struct RunnerLooked {
+  RunnerId runner;
+  Epoch epoch;
+  OrderOutcome outcome = OrderOutcome::kLost;
+  std::int64_t clock_ms = 0;
+  std::vector<ListedRun> running;
+  std::vector<ListedEnd> ended;
+};
+
+struct StartAnswered {
+  RunnerId runner;
+  Epoch epoch;
+  TaskName task;
+  int run = 0;
+  OrderOutcome outcome = OrderOutcome::kLost;
+  std::int64_t clock_ms = 0;
+};
+
+struct StopAnswered {
+  RunnerId runner;
+  Epoch epoch;
+  TaskName task;
+  int run = 0;
+  OrderOutcome outcome = OrderOutcome::kLost;
+  std::int64_t clock_ms = 0;
+};
+
+/// What a caller asks for.
+enum class CallKind { kSubmit, kQuery, kCancel, kCountWaiting, kOther };
+
+/// A caller's call, with its place still to be found in the catalog.
+struct CallArrived {
+  CallId call;
+  CallKind kind = CallKind::kOther;
+  std::string host;
+  std::string path;
+  /// Key that the call carries; empty for none.
+  std::string key;
+  /// With `kSubmit`: the payload, steps and recurrence.
+  JobSpec spec;
+  /// What is wrong with the body; empty if nothing is.
+  std::string findings;
+  /// Time until the caller gives up.
+  Duration deadline{3000};
+};
+
+/// The process was asked to end.
+struct StopAsked {};
+
+/// The process's settings were read again after a signal; what is used of them
+/// does not change while a process lives.
+struct SettingsReloaded {};
+
+using EventBody =
+    std::variant<Woken, TransactionAnswered, RowsAnswered, ChangesAnswered,
+                 CatalogAnswered, RunnersListed, RunnerLooked, StartAnswered,
+                 StopAnswered, CallArrived, StopAsked, SettingsReloaded>;
+
+struct Event {
+  TimePoint now;
+  std::int64_t wall_ms = 0;
+  EventBody body;
+};
+
+}  // namespace limeledge::dispatch
+
+#endif  // LIMELEDGE_SRC_DISPATCH_EVENT_H_
--- /dev/null
+++ b/src/dispatch/fleet.cc
@@ -0,0 +1,162 @@
+/// @file
+/// Keeping in touch with runners.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/fleet.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace limeledge::dispatch {
+
+Runner* Fleet::Find(const RunnerId& id) {
+  const auto found = runners_.find(id);
+  return found == runners_.end() ? nullptr : found->second.get();
+}
+
+Runner* Fleet::FindOrInherit(const RunnerId& id, TimePoint now) {
+  Runner* runner = Find(id);
+  if (runner == nullptr) {
+    RunnerInfo info;
+    info.id = id;
+    runner = (runners_[id] = std::make_unique<Runner>(info)).get();
+    runner->Unlist(now);
+  }
+  if (!runner->heard()) {
+    runner->LeaseMayLastUntil(now + options_.inherited_lease);
+  }
+  return runner;
+}
+
+void Fleet::List(Context& ctx) {
+  if (list_under_way_ || ctx.now() < next_list_at_) return;
+  list_under_way_ = true;
+  ctx.Emit(ListRunners{});
+}
+
+void Fleet::Take(Context& ctx, const RunnersListed& answer) {
+  list_under_way_ = false;
+  next_list_at_ = ctx.now() + options_.list_interval;
+  // An unreadable list says nothing of any runner.
+  if (!answer.ok) return;
+  listed_once_ = true;
+  std::set<RunnerId> listed;
+  for (const RunnerInfo& info : answer.runners) {
+    listed.insert(info.id);
+    Runner* runner = Find(info.id);
+    if (runner == nullptr) {
+      auto added = std::make_unique<Runner>(info);
+      runner = added.get();
+      runners_[info.id] = std::move(added);
+      ctx.Log(LogId::kRunnerListed,
+              {{"runner", info.id.value()}, {"address", info.address}});
+    }
+    const bool drained = runner->drains_since().has_value();
+    runner->Update(info, ctx.now());
+    if (!drained && info.draining) {
+      ctx.Log(LogId::kRunnerDrains,
+              {{"runner", info.id.value()},
+               {"leaves_in_ms", std::to_string(info.leaves_in.ms())}});
+    }
+  }
+  for (auto& [id, runner] : runners_) {
+    if (listed.count(id) != 0 || !runner->listed()) continue;
+    runner->Unlist(ctx.now());
+    ctx.Log(LogId::kRunnerUnlisted, {{"runner", id.value()}});
+  }
+}
+
+Duration Fleet::WaitFor(const Runner& runner) const {
+  if (runner.runs().empty()) return options_.idle_wait;
+  for (const auto& [name, run] : runner.runs()) {
+    const bool open =
+        run.phase == RunPhase::kUnsure || run.phase == RunPhase::kInherited;
+    if (open) return Duration(0);
+  }
+  return runner.EndsAreStored() ? options_.busy_wait : Duration(0);
+}
+
+TimePoint Fleet::LookDueAt(const Runner& runner) const {
+  if (runner.EndsAreStored()) return runner.next_look_at;
+  // A look that does not tell newer ends as known would be answered at once.
+  return std::max(runner.next_look_at,
+                  runner.look_sent_at + options_.store_patience);
+}
+
+void Fleet::Look(Context& ctx, Epoch epoch, bool may_renew) {
+  for (auto& [id, runner] : runners_) {
+    if (runner->look_in_flight || runner->info().address.empty()) continue;
+    if (runner->ended || ctx.now() < LookDueAt(*runner)) continue;
+    LookAtRunner look;
+    look.target = TargetOf(*runner, epoch);
+    look.acknowledged_end = runner->AcknowledgedEnd();
+    const bool renew = may_renew && runner->heard() && !runner->runs().empty();
+    if (renew) {
+      look.until_ms = runner->GrantUntil(ctx.now(), options_.run_lease);
+    }
+    // The first look tells the runner's clock, which a renewal needs.
+    look.wait = runner->heard() ? WaitFor(*runner) : Duration(0);
+    runner->look_in_flight = true;
+    runner->look_sent_at = ctx.now();
+    ctx.Emit(std::move(look));
+  }
+}
+
+TimePoint Fleet::next_at() const {
+  constexpr Duration kFarAway{1000};
+  TimePoint next = next_list_at_ + (list_under_way_ ? kFarAway : Duration(0));
+  for (const auto& [id, runner] : runners_) {
+    const bool quiet = runner->look_in_flight || runner->ended ||
+                       runner->info().address.empty();
+    if (!quiet) next = std::min(next, LookDueAt(*runner));
+  }
+  return next;
+}
+
+OrderTarget Fleet::TargetOf(const Runner& runner, Epoch epoch) {
+  return {runner.id(), runner.info().address, epoch};
+}
+
+bool Fleet::MayWork(const Runner& runner, TimePoint now) const {
+  if (runner.ended || !runner.reachable()) return false;
+  if (runner.drains_since().has_value()) return false;
+  if (now < runner.avoid_until) return false;
+  return runner.listed() ||
+         now - runner.unlisted_at() < options_.unlisted_grace;
+}
+
+std::vector<Seat> Fleet::Seats(TimePoint now) const {
+  std::vector<Seat> seats;
+  for (const auto& [id, runner] : runners_) {
+    if (!MayWork(*runner, now)) continue;
+    Seat seat;
+    seat.runner = runner.get();
+    seat.rack = runner->rack();
+    seat.room = runner->free_room();
+    for (const auto& [name, run] : runner->runs()) {
+      if (run.stopping) seat.coming += run.need;
+    }
+    seats.push_back(std::move(seat));
+  }
+  return seats;
+}
+
+void Fleet::DropGone(Context& ctx) {
+  for (auto it = runners_.begin(); it != runners_.end();) {
+    const Runner& runner = *it->second;
+    const bool gone =
+        !runner.listed() && runner.runs().empty() && !runner.look_in_flight &&
+        ctx.now() - runner.unlisted_at() >= options_.unlisted_grace;
+    if (!gone) {
+      ++it;
+      continue;
+    }
+    ctx.Log(LogId::kRunnerGone, {{"runner", runner.id().value()}});
+    it = runners_.erase(it);
+  }
+}
+
+}  // namespace limeledge::dispatch
--- /dev/null
+++ b/src/dispatch/fleet.h
@@ -0,0 +1,96 @@
+/// @file
+/// All runners that the scheduler knows, and the looks that keep in touch with
+/// them.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_DISPATCH_FLEET_H_
+#define LIMELEDGE_SRC_DISPATCH_FLEET_H_
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "dispatch/context.h"
+#include "dispatch/placement.h"
+#include "dispatch/runner.h"
+
+namespace limeledge::dispatch {
+
+/// Timing of what is said to runners.
+struct FleetOptions {
+  /// Lease on everything that runs on a runner. Outlasts a take-over of the
+  /// scheduler (lease of 2 s, half a second of polling, and the reading), and
+  /// is short enough for tasks of a runner that is cut off to come back soon.
+  Duration run_lease{5000};
+  /// How long a look waits for an end: renews the lease in good time.
+  Duration busy_wait{1000};
+  Duration idle_wait{2000};
+  /// Ends that are not stored yet are waited for this long before the lease is
+  /// renewed without telling them as known.
+  Duration store_patience{700};
+  /// First pause after a look that got no answer; doubles up to the second.
+  Duration retry_pause{200};
+  Duration longest_retry_pause{1000};
+  /// A runner that is not listed is still given work for this long, since
+  /// entries lapse while the store is away and come back within 2 s.
+  Duration unlisted_grace{2500};
+  /// Leases are not renewed when this node's own right was not confirmed for
+  /// so long: longer than usual outages of the store.
+  Duration longest_unconfirmed{10000};
+  /// A new scheduler leaves alone for so long what it can neither reach nor
+  /// rule out: what the last one may still renew, plus a lease.
+  Duration inherited_lease{14000};
+  /// How often the list of runners is read.
+  Duration list_interval{1000};
+};
+
+/// Registry of runners.
+///
+/// Thread safety: none; use it from one thread.
+class Fleet {
+ public:
+  explicit Fleet(FleetOptions options) : options_(options) {}
+
+  const FleetOptions& options() const { return options_; }
+  std::map<RunnerId, std::unique_ptr<Runner>>& runners() { return runners_; }
+  /// Null if there is none.
+  Runner* Find(const RunnerId& id);
+  /// Finds a runner, or adds one that is not listed and may hold a lease of an
+  /// earlier scheduler.
+  Runner* FindOrInherit(const RunnerId& id, TimePoint now);
+
+  /// Reads the list of runners when that is due.
+  void List(Context& ctx);
+  void Take(Context& ctx, const RunnersListed& answer);
+  bool listed_once() const { return listed_once_; }
+
+  /// Sends every look that is due. `may_renew`: this node's right to schedule
+  /// is fresh enough to renew leases.
+  void Look(Context& ctx, Epoch epoch, bool may_renew);
+  /// The next moment at which `List` or `Look` has something to do.
+  TimePoint next_at() const;
+
+  /// Where orders for the runner go.
+  static OrderTarget TargetOf(const Runner& runner, Epoch epoch);
+  /// Runners that may be given work now.
+  std::vector<Seat> Seats(TimePoint now) const;
+  /// Drops runners that are gone and hold nothing.
+  void DropGone(Context& ctx);
+
+ private:
+  bool MayWork(const Runner& runner, TimePoint now) const;
+  TimePoint LookDueAt(const Runner& runner) const;
+  Duration WaitFor(const Runner& runner) const;
+
+  FleetOptions options_;
+  std::map<RunnerId, std::unique_ptr<Runner>> runners_;
+  TimePoint next_list_at_;
+  bool list_under_way_ = false;
+  bool listed_once_ = false;
+};
+
+}  // namespace limeledge::dispatch
+
+#endif  // LIMELEDGE_SRC_DISPATCH_FLEET_H_
--- /dev/null
+++ b/src/dispatch/job.cc
@@ -0,0 +1,221 @@
+/// @file
+/// Rules by which a job moves on.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/job.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace limeledge::dispatch {
+
+std::string ToString(const TaskName& name) {
+  return absl::StrCat(name.job.value(), ".", name.occurrence, ".", name.step,
+                      ".", name.index);
+}
+
+const char* ToString(JobState state) {
+  switch (state) {
+    case JobState::kQueued:
+      return "queued";
+    case JobState::kRunning:
+      return "running";
+    case JobState::kDone:
+      return "done";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kCancelled:
+      return "cancelled";
+  }
+  return "";
+}
+
+bool IsFinal(JobState state) {
+  return state != JobState::kQueued && state != JobState::kRunning;
+}
+
+const char* ToString(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return "done";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kStopped:
+      return "stopped";
+    case RunEnd::kLapsed:
+      return "lapsed";
+    case RunEnd::kBroken:
+      return "broken";
+    case RunEnd::kAlone:
+      return "alone";
+    case RunEnd::kRejected:
+      return "rejected";
+  }
+  return "";
+}
+
+int Step::CountIn(TaskPhase phase) const {
+  return static_cast<int>(
+      std::count_if(tasks.begin(), tasks.end(),
+                    [phase](const Task& task) { return task.phase == phase; }));
+}
+
+Job::Job(JobSpec spec) : spec_(std::move(spec)) {
+  MeasureChains();
+  occurrences_.resize(spec_.occurrences());
+  for (std::size_t k = 0; k < occurrences_.size(); ++k) {
+    Occurrence& occurrence = occurrences_[k];
+    if (spec_.recurrence.times > 0) {
+      occurrence.due_wall_ms =
+          spec_.recurrence.first_wall_ms +
+          spec_.recurrence.interval.ms() * static_cast<std::int64_t>(k);
+    }
+    for (const StepSpec& step : spec_.steps) {
+      occurrence.steps.emplace_back();
+      occurrence.steps.back().tasks.resize(step.count);
+    }
+  }
+}
+
+void Job::MeasureChains() {
+  // Steps come after earlier ones only, so that the last is measured first.
+  chains_.resize(spec_.steps.size());
+  for (std::size_t s = spec_.steps.size(); s-- > 0;) {
+    chains_[s] = chains_[s] + spec_.steps[s].estimate;
+    longest_chain_ = std::max(longest_chain_, chains_[s]);
+    for (const int before : spec_.steps[s].after) {
+      chains_[before] = std::max(chains_[before], chains_[s]);
+    }
+  }
+}
+
+Task* Job::Find(const TaskName& name) {
+  const auto within = [](int index, std::size_t size) {
+    return index >= 0 && static_cast<std::size_t>(index) < size;
+  };
+  if (!within(name.occurrence, occurrences_.size())) return nullptr;
+  Occurrence& occurrence = occurrences_[name.occurrence];
+  if (!within(name.step, occurrence.steps.size())) return nullptr;
+  Step& step = occurrence.steps[name.step];
+  if (!within(name.index, step.tasks.size())) return nullptr;
+  return &step.tasks[name.index];
+}
+
+bool Job::StepIsReady(const Occurrence& occurrence, int step) const {
+  for (const int before : spec_.steps[step].after) {
+    const Step& earlier = occurrence.steps[before];
+    const int all = static_cast<int>(earlier.tasks.size());
+    if (earlier.CountIn(TaskPhase::kDone) != all) return false;
+  }
+  return true;
+}
+
+void Job::Assign(const TaskName& name, int run, const RunnerId& runner,
+                 TimePoint now) {
+  Task* task = Find(name);
+  task->phase = TaskPhase::kAssigned;
+  task->run = run;
+  task->runner = runner;
+  task->percent = 0;
+  task->assigned_at = now;
+  has_begun_ = true;
+  if (state_ == JobState::kQueued) state_ = JobState::kRunning;
+}
+
+int Job::NextRun(const TaskName& name) const {
+  const Step& step = occurrences_[name.occurrence].steps[name.step];
+  if (!spec_.steps[name.step].gang) return step.tasks[name.index].run + 1;
+  int highest = 0;
+  for (const Task& member : step.tasks) highest = std::max(highest, member.run);
+  return highest + 1;
+}
+
+bool Job::EndRun(const TaskName& name, int run, RunEnd end,
+                 const std::string& checkpoint, int max_attempts) {
+  Task* task = Find(name);
+  if (task == nullptr) return false;
+  if (task->phase != TaskPhase::kAssigned || task->run != run) return false;
+  const StepSpec& step = spec_.steps[name.step];
+  if (end == RunEnd::kFailed) task->failed_on = task->runner;
+  task->runner = RunnerId();
+  task->phase = TaskPhase::kWaiting;
+  if (step.gang) {
+    EndGangRun(name, end, checkpoint, max_attempts);
+    return true;
+  }
+  if (!checkpoint.empty()) task->checkpoint = checkpoint;
+  if (step.long_running) return true;
+  if (end == RunEnd::kDone) {
+    task->phase = TaskPhase::kDone;
+  } else if (end == RunEnd::kFailed) {
+    ++task->failures;
+    if (task->failures >= max_attempts) task->phase = TaskPhase::kFailed;
+  }
+  return true;
+}
+
+void Job::EndGangRun(const TaskName& name, RunEnd end,
+                     const std::string& checkpoint, int max_attempts) {
+  Step& step = occurrences_[name.occurrence].steps[name.step];
+  if (end == RunEnd::kDone) {
+    // One member that is done stands for all of them.
+    for (Task& member : step.tasks) member.phase = TaskPhase::kDone;
+    return;
+  }
+  // Any member's progress is good for the gang, and all must resume alike.
+  if (!checkpoint.empty()) SaveProgress(name, checkpoint);
+  if (end != RunEnd::kFailed) return;
+  // A second member that fails in the same run is the same failure.
+  Task& failed = step.tasks[name.index];
+  if (failed.run > step.last_failed_run) {
+    step.last_failed_run = failed.run;
+    ++step.gang_failures;
+  }
+  if (step.gang_failures >= max_attempts) failed.phase = TaskPhase::kFailed;
+}
+
+void Job::SaveProgress(const TaskName& name, const std::string& checkpoint) {
+  if (Find(name) == nullptr) return;
+  Step& step = occurrences_[name.occurrence].steps[name.step];
+  if (!spec_.steps[name.step].gang) {
+    step.tasks[name.index].checkpoint = checkpoint;
+    return;
+  }
+  for (Task& member : step.tasks) member.checkpoint = checkpoint;
+}
+
+void Job::Settle() {
+  if (IsFinal(state_)) return;
+  if (cancel_asked_) {
+    state_ = JobState::kCancelled;
+  } else if (AnyTaskFailed()) {
+    state_ = JobState::kFailed;
+  } else if (AllTasksDone()) {
+    state_ = JobState::kDone;
+  }
+}
+
+bool Job::AllTasksDone() const {
+  for (const Occurrence& occurrence : occurrences_) {
+    for (const Step& step : occurrence.steps) {
+      const int all = static_cast<int>(step.tasks.size());
+      if (step.CountIn(TaskPhase::kDone) != all) return false;
+    }
+  }
+  return true;
+}
+
+bool Job::AnyTaskFailed() const {
+  for (const Occurrence& occurrence : occurrences_) {
+    for (const Step& step : occurrence.steps) {
+      if (step.CountIn(TaskPhase::kFailed) > 0) return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace limeledge::dispatch
--- /dev/null
+++ b/src/dispatch/leadership.cc
@@ -0,0 +1,97 @@
+/// @file
+/// Following and claiming the lease on scheduling.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/leadership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace limeledge::dispatch {
+
+namespace {
+
+RowKey LeaderRowKey() { return {kLeadershipTable, kLeaderKey}; }
+
+}  // namespace
+
+Leadership::Leadership(LeadershipOptions options, std::string holder)
+    : options_(options), holder_(std::move(holder)), watch_(options.lease) {}
+
+void Leadership::Wait(TimePoint now, Duration delay) {
+  call_under_way_ = false;
+  next_at_ = now + delay;
+}
+
+void Leadership::Reset(TimePoint now) {
+  watch_ = WatchedLease(options_.lease);
+  Wait(now, options_.poll_interval);
+}
+
+void Leadership::Follow(Context& ctx) {
+  if (call_under_way_ || ctx.now() < next_at_) return;
+  call_under_way_ = true;
+  call_ = ctx.NewTicket();
+  const std::string after_key = absl::StrCat(kLeaderKey, "/");
+  ctx.Emit(ReadRows{call_, StoreLane::kLeader, kLeadershipTable, kLeaderKey,
+                    after_key, 1, options_.call_timeout});
+}
+
+void Leadership::Take(Context& ctx, const RowsAnswered& answer) {
+  Wait(ctx.now(), options_.poll_interval);
+  store_answers_ = answer.outcome == StoreOutcome::kDone;
+  if (!store_answers_) {
+    // The holder may have renewed meanwhile: watch from the start.
+    watch_ = WatchedLease(options_.lease);
+    return;
+  }
+  if (answer.rows.empty()) {
+    Claim(ctx, LeaderRecord(), Revision());
+  } else {
+    Observe(ctx, answer.rows.front());
+  }
+}
+
+void Leadership::Observe(Context& ctx, const Row& row) {
+  const absl::StatusOr<LeaderRecord> record = DecodeLeader(row.value);
+  if (!record.ok()) {
+    ctx.Log(LogId::kRowUnreadable,
+            {{"row", "leader"}, {"error", record.status().ToString()}});
+    return;
+  }
+  watch_.Observe(ctx.now(), row.revision);
+  // Its own name: a claim whose answer was lost, or a lease that this node
+  // stepped back from. A new epoch is safe in both cases.
+  const bool free = record->released || record->holder == holder_ ||
+                    watch_.LapsedAt(ctx.now());
+  if (free) Claim(ctx, *record, row.revision);
+}
+
+void Leadership::Claim(Context& ctx, const LeaderRecord& seen,
+                       Revision revision) {
+  if (retired_) return;
+  claim_ = LeaderRecord{seen.epoch.Next(), holder_, 0, false};
+  call_under_way_ = true;
+  call_ = ctx.NewTicket();
+  RowTransaction claim;
+  claim.conditions.push_back({LeaderRowKey(), revision});
+  claim.puts.push_back({LeaderRowKey(), EncodeLeader(claim_)});
+  ctx.Emit(CommitRows{call_, StoreLane::kLeader, std::move(claim),
+                      options_.call_timeout});
+}
+
+std::optional<Leadership::Claimed> Leadership::Take(
+    Context& ctx, const TransactionAnswered& answer) {
+  // A lost answer shows at the next reading.
+  Wait(ctx.now(), options_.poll_interval);
+  store_answers_ = answer.outcome == StoreOutcome::kDone ||
+                   answer.outcome == StoreOutcome::kConflict;
+  if (answer.outcome != StoreOutcome::kDone) return std::nullopt;
+  return Claimed{claim_, answer.revision};
+}
+
+}  // namespace limeledge::dispatch
--- /dev/null
+++ b/src/dispatch/leadership.h
@@ -0,0 +1,84 @@
+/// @file
+/// Who schedules: a lease row in the store, taken over when it stands still.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_DISPATCH_LEADERSHIP_H_
+#define LIMELEDGE_SRC_DISPATCH_LEADERSHIP_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dispatch/context.h"
+#include "dispatch/row_codec.h"
+#include "limeledge/lease.h"
+
+namespace limeledge::dispatch {
+
+/// Timing of the lease on scheduling.
+struct LeadershipOptions {
+  /// How often a follower reads the row. Short, since a planned hand-over is
+  /// noticed by this reading.
+  Duration poll_interval{500};
+  /// The row must stand still for this long before it is taken over. Four
+  /// renewals may fail before; shorter than the runners' lease, so that what
+  /// runs outlasts a take-over.
+  Duration lease{2000};
+  /// Bound on one call to the store.
+  Duration call_timeout{1000};
+};
+
+/// Follows the row that names the scheduler, and claims it when it lapsed.
+///
+/// Thread safety: none; use it from one thread.
+class Leadership {
+ public:
+  /// `holder` must be new for each life of a process.
+  Leadership(LeadershipOptions options, std::string holder);
+
+  /// Reads or claims when that is due. Precondition: this node does not lead.
+  void Follow(Context& ctx);
+  /// When `Follow` is due next.
+  TimePoint next_at() const { return next_at_; }
+
+  /// What the claim's answer made of this node.
+  struct Claimed {
+    LeaderRecord record;
+    Revision revision;
+  };
+  void Take(Context& ctx, const RowsAnswered& answer);
+  /// Takes in the answer to a claim; returns the lease if it is now this
+  /// node's.
+  std::optional<Claimed> Take(Context& ctx, const TransactionAnswered& answer);
+  /// True if `ticket` is that of the call under way.
+  bool Owns(Ticket ticket) const { return call_ == ticket; }
+
+  /// Begins to watch again, after the lease was lost or released.
+  void Reset(TimePoint now);
+  /// Stops claiming, for a process that is about to end.
+  void Retire() { retired_ = true; }
+
+  /// True if the newest call to the store was answered.
+  bool store_answers() const { return store_answers_; }
+
+ private:
+  void Observe(Context& ctx, const Row& row);
+  void Claim(Context& ctx, const LeaderRecord& seen, Revision revision);
+  void Wait(TimePoint now, Duration delay);
+
+  LeadershipOptions options_;
+  std::string holder_;
+  WatchedLease watch_;
+  Ticket call_;
+  bool call_under_way_ = false;
+  LeaderRecord claim_;
+  TimePoint next_at_;
+  bool store_answers_ = true;
+  bool retired_ = false;
+};
+
+}  // namespace limeledge::dispatch
+
+#endif  // LIMELEDGE_SRC_DISPATCH_LEADERSHIP_H_
--- /dev/null
+++ b/src/dispatch/node.cc
@@ -0,0 +1,172 @@
+/// @file
+/// One reducer over all events of a process.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace limeledge::dispatch {
+
+namespace {
+
+// A ready process without a readable store for this long says it is not.
+constexpr Duration kReadyGrace{4000};
+
+}  // namespace
+
+Node::Node(NodeOptions options)
+    : options_(std::move(options)),
+      leadership_(options_.leadership, options_.name),
+      desk_(options_.desk),
+      catalog_(options_.catalog) {}
+
+Effects Node::Reduce(const Event& event) {
+  Effects effects;
+  Context ctx(event.now, event.wall_ms, &tickets_, &effects);
+  std::visit([this, &ctx](const auto& body) { Handle(ctx, body); }, event.body);
+  catalog_.Work(ctx);
+  if (scheduler_ != nullptr) {
+    scheduler_->Work(ctx, *catalog_.catalog());
+  } else if (catalog_.catalog() != nullptr) {
+    leadership_.Follow(ctx);
+  }
+  UpdateReady(ctx);
+  const bool lingers = ctx.now() - stop_asked_at_ < options_.linger;
+  const bool done =
+      stopping_ && !lingers && scheduler_ == nullptr && desk_.idle();
+  if (done && !exited_) {
+    exited_ = true;
+    ctx.Emit(Exit{});
+  }
+  return effects;
+}
+
+TimePoint Node::next_at() const {
+  TimePoint next =
+      scheduler_ != nullptr ? scheduler_->next_at() : leadership_.next_at();
+  next = std::min(next, catalog_.next_at());
+  if (stopping_) next = std::min(next, stop_asked_at_ + options_.linger);
+  return next;
+}
+
+bool Node::StoreAnswers() const {
+  const bool calls = scheduler_ != nullptr ? scheduler_->store_answers()
+                                           : leadership_.store_answers();
+  return calls;
+}
+
+void Node::UpdateReady(Context& ctx) {
+  const bool in_touch =
+      catalog_.answers() || ctx.now() - catalog_.confirmed_at() < kReadyGrace;
+  const bool ready = catalog_.catalog() != nullptr && !stopping_ && in_touch;
+  if (ready == ready_) return;
+  ready_ = ready;
+  ctx.Emit(SetReady{ready});
+  ctx.Log(ready ? LogId::kReady : LogId::kNotReady, {});
+}
+
+void Node::Handle(Context&, const Woken&) {}
+
+void Node::Handle(Context& ctx, const TransactionAnswered& event) {
+  if (desk_.Owns(event.ticket)) {
+    desk_.Take(ctx, event);
+  } else if (scheduler_ != nullptr && scheduler_->Owns(event.ticket)) {
+    Obey(ctx, scheduler_->Take(ctx, event));
+  } else if (scheduler_ == nullptr && leadership_.Owns(event.ticket)) {
+    const auto claimed = leadership_.Take(ctx, event);
+    if (claimed.has_value()) Lead(ctx, *claimed);
+  }
+}
+
+void Node::Handle(Context& ctx, const RowsAnswered& event) {
+  if (desk_.Owns(event.ticket)) {
+    desk_.Take(ctx, event);
+  } else if (scheduler_ != nullptr && scheduler_->Owns(event.ticket)) {
+    scheduler_->Take(ctx, event);
+  } else if (scheduler_ == nullptr && leadership_.Owns(event.ticket)) {
+    const bool answered = leadership_.store_answers();
+    leadership_.Take(ctx, event);
+    if (answered != leadership_.store_answers()) {
+      ctx.Log(answered ? LogId::kStoreLost : LogId::kStoreBack, {});
+    }
+  }
+}
+
+void Node::Handle(Context& ctx, const ChangesAnswered& event) {
+  if (scheduler_ != nullptr && scheduler_->Owns(event.ticket)) {
+    scheduler_->Take(ctx, event);
+  }
+}
+
+void Node::Handle(Context& ctx, const CatalogAnswered& event) {
+  catalog_.Take(ctx, event);
+}
+
+void Node::Handle(Context& ctx, const RunnersListed& event) {
+  if (scheduler_ != nullptr) scheduler_->Take(ctx, event);
+}
+
+void Node::Handle(Context& ctx, const RunnerLooked& event) {
+  if (scheduler_ != nullptr) Obey(ctx, scheduler_->Take(ctx, event));
+}
+
+void Node::Handle(Context& ctx, const StartAnswered& event) {
+  if (scheduler_ != nullptr) Obey(ctx, scheduler_->Take(ctx, event));
+}
+
+void Node::Handle(Context& ctx, const StopAnswered& event) {
+  if (scheduler_ != nullptr) Obey(ctx, scheduler_->Take(ctx, event));
+}
+
+void Node::Handle(Context& ctx, const CallArrived& event) {
+  desk_.Take(ctx, event, catalog_.catalog(), catalog_.confirmed_at(),
+             StoreAnswers());
+}
+
+void Node::Handle(Context& ctx, const StopAsked&) {
+  if (stopping_) return;
+  stopping_ = true;
+  stop_asked_at_ = ctx.now();
+  leadership_.Retire();
+  ctx.Log(LogId::kStopAsked, {{"leads", leads() ? "yes" : "no"}});
+  if (scheduler_ != nullptr) scheduler_->Release();
+}
+
+void Node::Handle(Context& ctx, const SettingsReloaded&) {
+  ctx.Log(LogId::kSettingsReloaded, {});
+}
+
+void Node::Lead(Context& ctx, const Leadership::Claimed& claimed) {
+  scheduler_ =
+      std::make_unique<Scheduler>(options_.scheduler, claimed, ctx.now());
+  ctx.Log(LogId::kLeaderClaimed,
+          {{"epoch", std::to_string(claimed.record.epoch.value())}});
+  if (stopping_) scheduler_->Release();
+}
+
+void Node::StepDown(Context& ctx, const char* reason) {
+  ctx.Log(LogId::kLeaderLost,
+          {{"epoch", std::to_string(scheduler_->epoch().value())},
+           {"reason", reason}});
+  scheduler_ = nullptr;
+  leadership_.Reset(ctx.now());
+}
+
+void Node::Obey(Context& ctx, Scheduler::Verdict verdict) {
+  switch (verdict) {
+    case Scheduler::Verdict::kGoesOn:
+      return;
+    case Scheduler::Verdict::kDeposed:
+      StepDown(ctx, "another node leads");
+      return;
+    case Scheduler::Verdict::kReleased:
+      StepDown(ctx, "released");
+      return;
+  }
+}
+
+}  // namespace limeledge::dispatch
--- /dev/null
+++ b/src/dispatch/node.h
@@ -0,0 +1,90 @@
+/// @file
+/// The reducer of one process: callers' desk, leadership, and the scheduler
+/// while this process leads.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_DISPATCH_NODE_H_
+#define LIMELEDGE_SRC_DISPATCH_NODE_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "dispatch/catalog.h"
+#include "dispatch/catalog_follower.h"
+#include "dispatch/desk.h"
+#include "dispatch/effect.h"
+#include "dispatch/event.h"
+#include "dispatch/leadership.h"
+#include "dispatch/scheduler.h"
+
+namespace limeledge::dispatch {
+
+struct NodeOptions {
+  /// Names this life of the process.
+  std::string name;
+  LeadershipOptions leadership;
+  SchedulerOptions scheduler;
+  DeskOptions desk;
+  CatalogFollowerOptions catalog;
+  /// Callers are served for this long after a stop was asked for: until the
+  /// balancer has noticed, and well before the process is killed.
+  Duration linger{3000};
+};
+
+/// Reduces events to effects. Deterministic: time comes with the event.
+///
+///     Node node(options);
+///     for (Effect& effect : node.Reduce(event)) Perform(effect);
+///     WakeAt(node.next_at());
+///
+/// Thread safety: none; use it from one thread.
+class Node {
+ public:
+  explicit Node(NodeOptions options);
+
+  /// Takes an event in and returns what is to be done. `event.now` never goes
+  /// back.
+  Effects Reduce(const Event& event);
+  /// A `Woken` event is wanted at this moment, if nothing comes before.
+  TimePoint next_at() const;
+
+  bool leads() const { return scheduler_ != nullptr; }
+
+ private:
+  void Handle(Context& ctx, const Woken& event);
+  void Handle(Context& ctx, const TransactionAnswered& event);
+  void Handle(Context& ctx, const RowsAnswered& event);
+  void Handle(Context& ctx, const ChangesAnswered& event);
+  void Handle(Context& ctx, const CatalogAnswered& event);
+  void Handle(Context& ctx, const RunnersListed& event);
+  void Handle(Context& ctx, const RunnerLooked& event);
+  void Handle(Context& ctx, const StartAnswered& event);
+  void Handle(Context& ctx, const StopAnswered& event);
+  void Handle(Context& ctx, const CallArrived& event);
+  void Handle(Context& ctx, const StopAsked& event);
+  void Handle(Context& ctx, const SettingsReloaded& event);
+
+  void Lead(Context& ctx, const Leadership::Claimed& claimed);
+  void StepDown(Context& ctx, const char* reason);
+  void Obey(Context& ctx, Scheduler::Verdict verdict);
+  void UpdateReady(Context& ctx);
+  bool StoreAnswers() const;
+
+  NodeOptions options_;
+  Ticket tickets_;
+  Leadership leadership_;
+  Desk desk_;
+  std::unique_ptr<Scheduler> scheduler_;
+  CatalogFollower catalog_;
+  bool ready_ = false;
+  bool stopping_ = false;
+  TimePoint stop_asked_at_;
+  bool exited_ = false;
+};
+
+}  // namespace limeledge::dispatch
+
+#endif  // LIMELEDGE_SRC_DISPATCH_NODE_H_
--- /dev/null
+++ b/src/dispatch/placement.cc
@@ -0,0 +1,131 @@
+/// @file
+/// Best-fit placement of tasks and gangs.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace limeledge::dispatch {
+
+namespace {
+
+// A runner that takes this much longer than expected is passed over while
+// others have room.
+constexpr double kSlowRunner = 1.6;
+
+int LimitPerSeat(const PlacementRequest& request, const Seat& seat) {
+  const int limit = request.step->max_per_runner;
+  if (limit <= 0) return std::numeric_limits<int>::max();
+  const auto used = request.used.find(seat.runner->id());
+  const int taken = used == request.used.end() ? 0 : used->second;
+  return std::max(0, limit - taken);
+}
+
+/// Smaller is better: a sound runner, then the one that is left with the least
+/// room, so that large tasks find whole runners.
+std::tuple<bool, std::int64_t, std::int64_t> Waste(const Seat& seat,
+                                                   const Resources& need) {
+  return {seat.runner->slowness >= kSlowRunner,
+          seat.room.accelerators - need.accelerators,
+          seat.room.cpu_millis - need.cpu_millis};
+}
+
+}  // namespace
+
+int CountFitting(const Resources& need, const Resources& room, int limit) {
+  std::int64_t count = limit;
+  const auto narrow = [&count](std::int64_t want, std::int64_t have) {
+    if (want > 0)
+      count = std::min(count, std::max<std::int64_t>(0, have / want));
+  };
+  narrow(need.cpu_millis, room.cpu_millis);
+  narrow(need.memory_mb, room.memory_mb);
+  narrow(need.accelerators, room.accelerators);
+  return static_cast<int>(count);
+}
+
+bool Seating::Suits(const Seat& seat, const PlacementRequest& request) {
+  const RunnerInfo& info = seat.runner->info();
+  const StepSpec& step = *request.step;
+  if (info.service != request.service) return false;
+  if (!step.required_label.empty() &&
+      info.labels.count(step.required_label) == 0) {
+    return false;
+  }
+  if (!request.anywhere && !step.data_rack.empty() &&
+      info.labels.count(step.data_rack) == 0) {
+    return false;
+  }
+  return LimitPerSeat(request, seat) > 0;
+}
+
+Seat* Seating::PlaceOne(const PlacementRequest& request) {
+  Seat* best = nullptr;
+  const Resources& need = request.step->need;
+  for (Seat& seat : seats_) {
+    if (!need.Fits(seat.room) || !Suits(seat, request)) continue;
+    if (best == nullptr) {
+      best = &seat;
+      continue;
+    }
+    const bool avoided = seat.runner->id() == request.avoid;
+    const bool best_avoided = best->runner->id() == request.avoid;
+    if (avoided != best_avoided) {
+      if (best_avoided) best = &seat;
+      continue;
+    }
+    if (Waste(seat, need) < Waste(*best, need)) best = &seat;
+  }
+  if (best != nullptr) best->room -= need;
+  return best;
+}
+
+std::vector<Seat*> Seating::PlaceAmong(const PlacementRequest& request,
+                                       std::vector<Seat*> seats) {
+  const Resources& need = request.step->need;
+  std::sort(seats.begin(), seats.end(), [&need](const Seat* a, const Seat* b) {
+    return Waste(*a, need) < Waste(*b, need);
+  });
+  std::vector<Seat*> chosen;
+  for (Seat* seat : seats) {
+    const int left = request.count - static_cast<int>(chosen.size());
+    const int limit = std::min(left, LimitPerSeat(request, *seat));
+    const int fitting = CountFitting(need, seat->room, limit);
+    chosen.insert(chosen.end(), fitting, seat);
+    if (static_cast<int>(chosen.size()) == request.count) return chosen;
+  }
+  return {};
+}
+
+std::vector<Seat*> Seating::PlaceAll(const PlacementRequest& request) {
+  std::map<std::string, std::vector<Seat*>> racks;
+  std::vector<Seat*> all;
+  for (Seat& seat : seats_) {
+    if (!Suits(seat, request)) continue;
+    racks[seat.rack].push_back(&seat);
+    all.push_back(&seat);
+  }
+  std::vector<Seat*> best;
+  std::int64_t best_room = 0;
+  for (const auto& [rack, seats] : racks) {
+    std::vector<Seat*> chosen = PlaceAmong(request, seats);
+    if (chosen.empty()) continue;
+    std::int64_t room = 0;
+    for (const Seat* seat : seats) room += seat->room.accelerators;
+    // The fullest rack that fits, so that emptier ones stay whole.
+    if (!best.empty() && room >= best_room) continue;
+    best = std::move(chosen);
+    best_room = room;
+  }
+  const bool one_rack_only = request.step->same_rack && !request.anywhere;
+  if (best.empty() && !one_rack_only) best = PlaceAmong(request, all);
+  for (Seat* seat : best) seat->room -= request.step->need;
+  return best;
+}
+
+}  // namespace limeledge::dispatch
--- /dev/null
+++ b/src/dispatch/placement.h
@@ -0,0 +1,71 @@
+/// @file
+/// Chooses runners for tasks, over a view of the room that a pass uses up.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_DISPATCH_PLACEMENT_H_
+#define LIMELEDGE_SRC_DISPATCH_PLACEMENT_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "dispatch/job.h"
+#include "dispatch/runner.h"
+
+namespace limeledge::dispatch {
+
+/// A runner as one pass sees it.
+struct Seat {
+  Runner* runner = nullptr;
+  std::string rack;
+  /// What is left after all that this pass decided on.
+  Resources room;
+  /// Room that runs which are being stopped, or end soon, will give back.
+  Resources coming;
+};
+
+/// What is looked for.
+struct PlacementRequest {
+  const StepSpec* step = nullptr;
+  ServiceId service;
+  int count = 1;
+  /// Runners of the step's tasks now, for the limit on each.
+  std::map<RunnerId, int> used;
+  /// A runner to pass over while there are others.
+  RunnerId avoid;
+  /// Runners outside the rack with the data, or in several racks, are taken
+  /// too.
+  bool anywhere = false;
+};
+
+/// The runners that may be given work now.
+///
+/// Thread safety: none; lives for one pass.
+class Seating {
+ public:
+  explicit Seating(std::vector<Seat> seats) : seats_(std::move(seats)) {}
+
+  std::vector<Seat>& seats() { return seats_; }
+
+  /// One seat for each of `count` tasks, or none at all. Takes their room.
+  std::vector<Seat*> PlaceAll(const PlacementRequest& request);
+  /// The best seat for one task; null if it fits nowhere. Takes its room.
+  Seat* PlaceOne(const PlacementRequest& request);
+
+  /// True if the seat is one that the request allows, whatever its room.
+  static bool Suits(const Seat& seat, const PlacementRequest& request);
+
+ private:
+  std::vector<Seat*> PlaceAmong(const PlacementRequest& request,
+                                std::vector<Seat*> seats);
+  std::vector<Seat> seats_;
+};
+
+/// How many tasks of `need` fit in `room`, at most `limit`.
+int CountFitting(const Resources& need, const Resources& room, int limit);
+
+}  // namespace limeledge::dispatch
+
+#endif  // LIMELEDGE_SRC_DISPATCH_PLACEMENT_H_
--- /dev/null
+++ b/src/dispatch/planner.h
@@ -0,0 +1,124 @@
+/// @file
+/// Decides which tasks run where next, and which make way.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_DISPATCH_PLANNER_H_
+#define LIMELEDGE_SRC_DISPATCH_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "dispatch/catalog.h"
+#include "dispatch/fleet.h"
+#include "dispatch/job_book.h"
+#include "dispatch/placement.h"
+
+namespace limeledge::dispatch {
+
+/// Weights and patience of the planner.
+struct PlannerOptions {
+  /// How long urgent work waits for a good place (one rack, near its data)
+  /// before it takes any: what is left of the reclaim time after a stop.
+  Duration urgent_patience{1200};
+  /// The same for other work. Below the 3 s after which a waiting task beside
+  /// idle runners counts as forgotten.
+  Duration patience{1500};
+  /// Gangs wait this long before room is kept free for them.
+  Duration gang_patience{1000};
+  /// Gangs that room is kept free for at once.
+  int kept_gangs = 1;
+  /// Room that was made for a step is kept for it this long.
+  Duration claim_time{2500};
+  /// Work that can not be done within this many times its objective earns
+  /// nothing and goes last.
+  int worthless_after = 3;
+  /// An accelerator counts as this many cores.
+  int cores_per_accelerator = 8;
+};
+
+/// A task and the runner that it is to be started on. All tasks of a gang
+/// appear together.
+struct Assignment {
+  TaskName task;
+  int run = 0;
+  Runner* runner = nullptr;
+  Duration expected;
+};
+
+/// A run that makes way for urgent work.
+struct Displacement {
+  TaskName task;
+  RunnerId runner;
+  /// The job that needs the room.
+  JobId beneficiary;
+};
+
+struct Plan {
+  std::vector<Assignment> assignments;
+  std::vector<Displacement> displacements;
+};
+
+/// Greedy planner: urgent work within its workspace's guarantee first, then by
+/// priority and time left; displaces others only for the former.
+///
+/// Thread safety: none; use it from one thread.
+class Planner {
+ public:
+  explicit Planner(PlannerOptions options = {}) : options_(options) {}
+
+  /// Decides on everything that can be decided now. The state of `jobs` and
+  /// `fleet` is not changed but for the time since when steps are ready.
+  Plan Decide(TimePoint now, std::int64_t wall_ms, const Catalog& catalog,
+              JobBook* jobs, Fleet* fleet);
+  /// When a step that waits for its due time or its patience comes next.
+  TimePoint next_at() const { return next_at_; }
+
+ private:
+  struct StepKey {
+    JobId job;
+    int occurrence = 0;
+    int step = 0;
+    friend bool operator<(const StepKey& a, const StepKey& b) {
+      return std::tie(a.job, a.occurrence, a.step) <
+             std::tie(b.job, b.occurrence, b.step);
+    }
+  };
+  /// A step with tasks to start.
+  struct Unit {
+    StepKey key;
+    Job* job = nullptr;
+    Step* step = nullptr;
+    const StepSpec* spec = nullptr;
+    QueuePolicy policy;
+    /// Urgent and within its workspace's guarantee.
+    bool entitled = false;
+    int rank = 0;
+    bool hopeless = false;
+    std::int64_t deadline_wall_ms = 0;
+    std::vector<int> waiting;
+  };
+  /// Room that was made by displacing, until it is free.
+  struct Claim {
+    std::vector<RunnerId> runners;
+    TimePoint since;
+  };
+  /// One pass over all units.
+  class Pass;
+
+  PlannerOptions options_;
+  std::map<StepKey, Claim> claims_;
+  TimePoint next_at_;
+};
+
+/// The policy in force for a job: its queue's newest, or the one it was
+/// accepted with when the queue is gone.
+QueuePolicy PolicyOf(const Job& job, const Catalog& catalog);
+
+}  // namespace limeledge::dispatch
+
+#endif  // LIMELEDGE_SRC_DISPATCH_PLANNER_H_
--- /dev/null
+++ b/src/dispatch/row_codec.cc
@@ -0,0 +1,276 @@
+/// @file
+/// JSON of the dispatcher's rows.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/row_codec.h"
+
+#include <json/json.h>
+
+#include <utility>
+
+#include "codec/json.h"
+
+namespace limeledge::dispatch {
+
+namespace {
+
+constexpr JobState kStates[] = {JobState::kQueued, JobState::kRunning,
+                                JobState::kDone, JobState::kFailed,
+                                JobState::kCancelled};
+
+/// Parses an object. jsoncpp throws on a value of another type, which
+/// `Decode` turns into a status.
+absl::StatusOr<Json::Value> ParseObject(const std::string& text) {
+  absl::StatusOr<Json::Value> json = ParseJson(text);
+  if (!json.ok()) return json.status();
+  if (!json->isObject()) return absl::InvalidArgumentError("not an object");
+  return json;
+}
+
+template <typename Result, typename Read>
+absl::StatusOr<Result> Decode(const std::string& text, Read read) {
+  const absl::StatusOr<Json::Value> json = ParseObject(text);
+  if (!json.ok()) return json.status();
+  try {
+    return read(*json);
+  } catch (const Json::Exception& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+}
+
+Json::Value EncodePolicy(const QueuePolicy& policy) {
+  Json::Value json;
+  json["service"] = policy.service.value();
+  json["priority"] = policy.priority;
+  json["max_attempts"] = policy.max_attempts;
+  json["stretch"] = policy.stretch;
+  json["slack_ms"] = Json::Int64(policy.slack.ms());
+  return json;
+}
+
+QueuePolicy DecodePolicy(const Json::Value& json) {
+  QueuePolicy policy;
+  policy.service = ServiceId(json["service"].asString());
+  policy.priority = json["priority"].asInt();
+  policy.max_attempts = json["max_attempts"].asInt();
+  policy.stretch = json["stretch"].asDouble();
+  policy.slack = Duration(json["slack_ms"].asInt64());
+  return policy;
+}
+
+Json::Value EncodeStep(const StepSpec& step) {
+  Json::Value json;
+  json["count"] = step.count;
+  json["cpu"] = Json::Int64(step.need.cpu_millis);
+  json["memory"] = Json::Int64(step.need.memory_mb);
+  json["accelerators"] = Json::Int64(step.need.accelerators);
+  json["estimate_ms"] = Json::Int64(step.estimate.ms());
+  for (const int before : step.after) json["after"].append(before);
+  if (step.saves_progress) json["saves"] = true;
+  if (step.gang) json["gang"] = true;
+  if (step.same_rack) json["same_rack"] = true;
+  if (!step.required_label.empty()) json["label"] = step.required_label;
+  if (!step.data_rack.empty()) json["data_rack"] = step.data_rack;
+  if (step.max_per_runner > 0) json["max_per_runner"] = step.max_per_runner;
+  if (step.speculative) json["speculative"] = true;
+  if (step.long_running) json["long_running"] = true;
+  if (!step.image.empty()) json["image"] = step.image;
+  if (step.tail_target.ms() > 0) {
+    json["tail_target_ms"] = Json::Int64(step.tail_target.ms());
+  }
+  if (step.filler) json["filler"] = true;
+  if (step.may_be_away >= 0) json["may_be_away"] = step.may_be_away;
+  return json;
+}
+
+StepSpec DecodeStep(const Json::Value& json) {
+  StepSpec step;
+  step.count = json["count"].asInt();
+  step.need.cpu_millis = json["cpu"].asInt64();
+  step.need.memory_mb = json["memory"].asInt64();
+  step.need.accelerators = json["accelerators"].asInt64();
+  step.estimate = Duration(json["estimate_ms"].asInt64());
+  for (const Json::Value& before : json["after"]) {
+    step.after.push_back(before.asInt());
+  }
+  step.saves_progress = json.get("saves", false).asBool();
+  step.gang = json.get("gang", false).asBool();
+  step.same_rack = json.get("same_rack", false).asBool();
+  step.required_label = json.get("label", "").asString();
+  step.data_rack = json.get("data_rack", "").asString();
+  step.max_per_runner = json.get("max_per_runner", 0).asInt();
+  step.speculative = json.get("speculative", false).asBool();
+  step.long_running = json.get("long_running", false).asBool();
+  step.image = json.get("image", "").asString();
+  step.tail_target = Duration(json.get("tail_target_ms", 0).asInt64());
+  step.filler = json.get("filler", false).asBool();
+  step.may_be_away = json.get("may_be_away", -1).asInt();
+  return step;
+}
+
+/// A task that has begun, as a list: a job may have thousands of them.
+Json::Value EncodeTask(const Task& task, int index) {
+  Json::Value json(Json::arrayValue);
+  json.append(index);
+  json.append(static_cast<int>(task.phase));
+  json.append(task.run);
+  json.append(task.failures);
+  json.append(task.runner.value());
+  json.append(task.checkpoint);
+  return json;
+}
+
+void DecodeTask(const Json::Value& json, Step* step) {
+  const Json::ArrayIndex index = json[0].asUInt();
+  if (index >= step->tasks.size()) return;
+  Task& task = step->tasks[index];
+  task.phase = static_cast<TaskPhase>(json[1].asInt());
+  task.run = json[2].asInt();
+  task.failures = json[3].asInt();
+  task.runner = RunnerId(json[4].asString());
+  task.checkpoint = json[5].asString();
+}
+
+Json::Value EncodeStepProgress(const Step& step, int occurrence, int number) {
+  Json::Value tasks(Json::arrayValue);
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const Task& task = step.tasks[i];
+    const bool untouched = task.run == 0 && task.phase == TaskPhase::kWaiting;
+    if (!untouched) tasks.append(EncodeTask(task, static_cast<int>(i)));
+  }
+  if (tasks.empty()) return Json::Value();
+  Json::Value json;
+  json["k"] = occurrence;
+  json["step"] = number;
+  if (step.gang_failures > 0) json["failures"] = step.gang_failures;
+  if (step.last_failed_run > 0) json["failed_run"] = step.last_failed_run;
+  json["tasks"] = std::move(tasks);
+  return json;
+}
+
+JobState StateFrom(const Json::Value& json) {
+  const int state = json["state"].asInt();
+  const bool known = state >= 0 && state < static_cast<int>(std::size(kStates));
+  return known ? kStates[state] : JobState::kQueued;
+}
+
+}  // namespace
+
+std::string EncodeLeader(const LeaderRecord& record) {
+  Json::Value json;
+  json["epoch"] = Json::Int64(record.epoch.value());
+  json["holder"] = record.holder;
+  json["sequence"] = Json::Int64(record.sequence);
+  if (record.released) json["released"] = true;
+  return WriteJson(json);
+}
+
+absl::StatusOr<LeaderRecord> DecodeLeader(const std::string& text) {
+  return Decode<LeaderRecord>(text, [](const Json::Value& json) {
+    LeaderRecord record;
+    record.epoch = Epoch(json["epoch"].asInt64());
+    record.holder = json["holder"].asString();
+    record.sequence = json["sequence"].asInt64();
+    record.released = json.get("released", false).asBool();
+    return record;
+  });
+}
+
+std::string EncodeJobSpec(const JobSpec& spec) {
+  Json::Value json;
+  json["id"] = spec.id.value();
+  json["queue"] = spec.queue.value();
+  json["workspace"] = spec.workspace.value();
+  json["policy"] = EncodePolicy(spec.policy);
+  json["payload"] = spec.payload;
+  json["accepted_ms"] = Json::Int64(spec.accepted_wall_ms);
+  for (const StepSpec& step : spec.steps) {
+    json["steps"].append(EncodeStep(step));
+  }
+  if (spec.recurrence.times > 0) {
+    json["times"] = spec.recurrence.times;
+    json["first_ms"] = Json::Int64(spec.recurrence.first_wall_ms);
+    json["interval_ms"] = Json::Int64(spec.recurrence.interval.ms());
+  }
+  return WriteJson(json);
+}
+
+absl::StatusOr<JobSpec> DecodeJobSpec(const std::string& text) {
+  return Decode<JobSpec>(text, [](const Json::Value& json) {
+    JobSpec spec;
+    spec.id = JobId(json["id"].asString());
+    spec.queue = QueueId(json["queue"].asString());
+    spec.workspace = WorkspaceId(json["workspace"].asString());
+    spec.policy = DecodePolicy(json["policy"]);
+    spec.payload = json["payload"].asString();
+    spec.accepted_wall_ms = json["accepted_ms"].asInt64();
+    for (const Json::Value& step : json["steps"]) {
+      spec.steps.push_back(DecodeStep(step));
+    }
+    spec.recurrence.times = json.get("times", 0).asInt();
+    spec.recurrence.first_wall_ms = json.get("first_ms", 0).asInt64();
+    spec.recurrence.interval = Duration(json.get("interval_ms", 0).asInt64());
+    return spec;
+  });
+}
+
+std::string EncodeProgress(const Job& job) {
+  Json::Value json;
+  json["state"] = static_cast<int>(job.state());
+  if (job.has_begun()) json["begun"] = true;
+  // A final job's tasks matter to nobody.
+  if (IsFinal(job.state())) return WriteJson(json);
+  const std::vector<Occurrence>& occurrences = job.occurrences();
+  for (std::size_t k = 0; k < occurrences.size(); ++k) {
+    for (std::size_t s = 0; s < occurrences[k].steps.size(); ++s) {
+      Json::Value step = EncodeStepProgress(
+          occurrences[k].steps[s], static_cast<int>(k), static_cast<int>(s));
+      if (!step.isNull()) json["steps"].append(std::move(step));
+    }
+  }
+  return WriteJson(json);
+}
+
+absl::Status DecodeProgress(const std::string& text, Job* job) {
+  const auto read = [job](const Json::Value& json) {
+    job->Restore(StateFrom(json), json.get("begun", false).asBool());
+    std::vector<Occurrence>& occurrences = job->occurrences();
+    for (const Json::Value& entry : json["steps"]) {
+      const Json::ArrayIndex k = entry["k"].asUInt();
+      const Json::ArrayIndex s = entry["step"].asUInt();
+      if (k >= occurrences.size() || s >= occurrences[k].steps.size()) continue;
+      Step& step = occurrences[k].steps[s];
+      step.gang_failures = entry.get("failures", 0).asInt();
+      step.last_failed_run = entry.get("failed_run", 0).asInt();
+      for (const Json::Value& task : entry["tasks"]) DecodeTask(task, &step);
+    }
+    return true;
+  };
+  return Decode<bool>(text, read).status();
+}
+
+absl::StatusOr<JobState> DecodeProgressState(const std::string& text) {
+  return Decode<JobState>(text, StateFrom);
+}
+
+std::string EncodeWaiting(const WaitingCounts& counts) {
+  Json::Value json(Json::objectValue);
+  for (const auto& [queue, count] : counts) {
+    json[queue.value()] = Json::Int64(count);
+  }
+  return WriteJson(json);
+}
+
+absl::StatusOr<WaitingCounts> DecodeWaiting(const std::string& text) {
+  return Decode<WaitingCounts>(text, [](const Json::Value& json) {
+    WaitingCounts counts;
+    for (const std::string& queue : json.getMemberNames()) {
+      counts[QueueId(queue)] = json[queue].asInt64();
+    }
+    return counts;
+  });
+}
+
+}  // namespace limeledge::dispatch
--- /dev/null
+++ b/src/dispatch/runner.cc
@@ -0,0 +1,85 @@
+/// @file
+/// Bookkeeping of one runner.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/runner.h"
+
+#include <algorithm>
+
+#include "absl/strings/match.h"
+
+namespace limeledge::dispatch {
+
+namespace {
+
+// A runner's steady clock may be 2% slow; one part more for rounding.
+constexpr std::int64_t kSlowClockPercent = 103;
+// Timers at the runner fire a little late.
+constexpr Duration kLapseMargin{150};
+
+Duration OnSlowClock(std::int64_t ms) {
+  return Duration(ms * kSlowClockPercent / 100) + kLapseMargin;
+}
+
+}  // namespace
+
+std::string Runner::rack() const {
+  // Labels are the runner's kind and its rack; racks hold a dash.
+  for (const std::string& label : info_.labels) {
+    if (absl::StrContains(label, "-")) return label;
+  }
+  return "";
+}
+
+void Runner::Update(const RunnerInfo& info, TimePoint now) {
+  listed_ = true;
+  if (!(info.room == info_.room)) {
+    free_room_ += info.room;
+    free_room_ -= info_.room;
+  }
+  info_ = info;
+  if (!info.draining) {
+    drains_since_.reset();
+  } else if (!drains_since_.has_value()) {
+    drains_since_ = now;
+    leaves_at = now + info.leaves_in;
+  }
+}
+
+void Runner::Unlist(TimePoint now) {
+  listed_ = false;
+  unlisted_at_ = now;
+}
+
+void Runner::Add(const TaskName& name, const Run& run) {
+  runs_[name] = run;
+  free_room_ -= run.need;
+}
+
+void Runner::Remove(const TaskName& name) {
+  const auto found = runs_.find(name);
+  if (found == runs_.end()) return;
+  free_room_ += found->second.need;
+  runs_.erase(found);
+}
+
+void Runner::Heard(TimePoint now, std::int64_t clock_ms) {
+  heard_ = true;
+  misses_ = 0;
+  heard_at_ = now;
+  heard_clock_ms_ = clock_ms;
+}
+
+void Runner::Missed(TimePoint) { ++misses_; }
+
+std::int64_t Runner::GrantUntil(TimePoint now, Duration length) {
+  const std::int64_t until =
+      heard_clock_ms_ + (now - heard_at_).ms() + length.ms();
+  const TimePoint over = heard_at_ + OnSlowClock(until - heard_clock_ms_);
+  lease_over_at_ = std::max(lease_over_at_, over);
+  return until;
+}
+
+}  // namespace limeledge::dispatch
--- /dev/null
+++ b/src/dispatch/runner.h
@@ -0,0 +1,156 @@
+/// @file
+/// One life of a runner as the scheduler knows it: what runs there, how much
+/// room is left, and until when its lease may last.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_DISPATCH_RUNNER_H_
+#define LIMELEDGE_SRC_DISPATCH_RUNNER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dispatch/job_spec.h"
+#include "limeledge/base.h"
+#include "limeledge/clock.h"
+
+namespace limeledge::dispatch {
+
+/// What a runner says of itself in the list of runners.
+struct RunnerInfo {
+  RunnerId id;
+  ServiceId service;
+  std::string address;
+  HallId hall;
+  Resources room;
+  std::set<std::string> labels;
+  bool draining = false;
+  /// While it drains: the least time until it leaves.
+  Duration leaves_in;
+};
+
+/// Where a run on a runner stands.
+enum class RunPhase {
+  /// Decided on, not yet stored.
+  kPlanned,
+  /// Stored; the start is under way.
+  kStarting,
+  /// The start got no answer; it may still be carried out.
+  kUnsure,
+  /// Stored by an earlier scheduler; the runner was not heard yet.
+  kInherited,
+  kRunning,
+};
+
+/// A run that takes room on a runner.
+struct Run {
+  int number = 0;
+  Resources need;
+  RunPhase phase = RunPhase::kPlanned;
+  /// The run shall end; its stop was or is still to be sent.
+  bool stopping = false;
+  bool stop_in_flight = false;
+  TimePoint stop_sent_at;
+  /// The runner obeyed the stop: a run that was not there will not come.
+  bool stop_answered = false;
+  /// When the newest answer about the run came.
+  TimePoint answered_at;
+  /// Expected length of the whole run.
+  Duration expected;
+  TimePoint started_at;
+  int percent = 0;
+  /// When `percent` last changed.
+  TimePoint progressed_at;
+};
+
+/// A runner. Pure bookkeeping: it sends nothing.
+///
+/// Thread safety: none; use it from one thread.
+class Runner {
+ public:
+  explicit Runner(RunnerInfo info) : info_(std::move(info)) {}
+
+  const RunnerInfo& info() const { return info_; }
+  const RunnerId& id() const { return info_.id; }
+  std::string rack() const;
+
+  /// Takes over what the list says now.
+  void Update(const RunnerInfo& info, TimePoint now);
+  /// The runner is no longer listed.
+  void Unlist(TimePoint now);
+  bool listed() const { return listed_; }
+  TimePoint unlisted_at() const { return unlisted_at_; }
+  /// When the runner was first seen to drain; nothing while it does not.
+  std::optional<TimePoint> drains_since() const { return drains_since_; }
+
+  std::map<TaskName, Run>& runs() { return runs_; }
+  const std::map<TaskName, Run>& runs() const { return runs_; }
+  void Add(const TaskName& name, const Run& run);
+  void Remove(const TaskName& name);
+  /// Room that no run takes; may be negative after a wrong guess.
+  const Resources& free_room() const { return free_room_; }
+
+  /// Notes an answer that carried the runner's clock.
+  void Heard(TimePoint now, std::int64_t clock_ms);
+  /// Notes a call that got no answer.
+  void Missed(TimePoint now);
+  bool heard() const { return heard_; }
+  /// True if the newest call was answered.
+  bool reachable() const { return heard_ && misses_ == 0; }
+  int misses() const { return misses_; }
+
+  /// The end of a lease of `length` from now on the runner's clock; notes that
+  /// it may be granted. Precondition: `heard()`.
+  std::int64_t GrantUntil(TimePoint now, Duration length);
+  /// From this moment no lease that was granted can last.
+  TimePoint lease_over_at() const { return lease_over_at_; }
+  /// An earlier scheduler may have granted a lease up to `at`.
+  void LeaseMayLastUntil(TimePoint at) { lease_over_at_ = at; }
+
+  // The exchange of what runs there.
+  bool look_in_flight = false;
+  TimePoint look_sent_at;
+  TimePoint next_look_at;
+  /// Newest end that was taken in.
+  std::int64_t newest_end = 0;
+  /// Ends that were taken in and are not stored yet.
+  std::set<std::int64_t> unstored_ends;
+  /// Ends up to this number are stored and need not be told again.
+  std::int64_t AcknowledgedEnd() const {
+    return unstored_ends.empty() ? newest_end : *unstored_ends.begin() - 1;
+  }
+  bool EndsAreStored() const { return unstored_ends.empty(); }
+  /// Nothing is placed here before this moment.
+  TimePoint avoid_until;
+  /// Runs that failed one after the other, of different jobs.
+  int failures_in_a_row = 0;
+  JobId last_failed_job;
+  /// When the runner leaves at the earliest, while it drains.
+  TimePoint leaves_at;
+  /// Time of tasks here against their expected time; 1 for as expected.
+  double slowness = 1;
+  /// All that ran in this life is over.
+  bool ended = false;
+
+ private:
+  RunnerInfo info_;
+  bool listed_ = true;
+  TimePoint unlisted_at_;
+  std::optional<TimePoint> drains_since_;
+  std::map<TaskName, Run> runs_;
+  Resources free_room_ = info_.room;
+  bool heard_ = false;
+  int misses_ = 0;
+  TimePoint heard_at_;
+  std::int64_t heard_clock_ms_ = 0;
+  TimePoint lease_over_at_;
+};
+
+}  // namespace limeledge::dispatch
+
+#endif  // LIMELEDGE_SRC_DISPATCH_RUNNER_H_
--- /dev/null
+++ b/src/dispatch/scheduler.cc
@@ -0,0 +1,223 @@
+/// @file
+/// Jobs, decisions and the store's side of the scheduler; the runners' side is
+/// in scheduler_runs.cc.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace limeledge::dispatch {
+
+namespace {
+
+// How often runs are checked for runners that went silent.
+constexpr Duration kCheckInterval{100};
+
+Scheduler::Verdict VerdictOf(StateWriter::Verdict verdict) {
+  switch (verdict) {
+    case StateWriter::Verdict::kDeposed:
+      return Scheduler::Verdict::kDeposed;
+    case StateWriter::Verdict::kReleased:
+      return Scheduler::Verdict::kReleased;
+    default:
+      return Scheduler::Verdict::kGoesOn;
+  }
+}
+
+}  // namespace
+
+Scheduler::Scheduler(SchedulerOptions options, Leadership::Claimed claimed,
+                     TimePoint now)
+    : options_(options),
+      writer_(options.writer, std::move(claimed), now),
+      book_(options.book),
+      fleet_(options.fleet),
+      planner_(options.planner) {}
+
+bool Scheduler::Owns(Ticket ticket) const {
+  return writer_.Owns(ticket) || book_.Owns(ticket);
+}
+
+void Scheduler::Release() {
+  releasing_ = true;
+  writer_.Release();
+}
+
+Scheduler::Verdict Scheduler::Take(Context& ctx,
+                                   const TransactionAnswered& answer) {
+  return VerdictOf(writer_.Take(ctx, answer));
+}
+
+void Scheduler::Take(Context& ctx, const RowsAnswered& answer) {
+  TakeChanges(ctx, book_.Take(ctx, answer));
+}
+
+void Scheduler::Take(Context& ctx, const ChangesAnswered& answer) {
+  TakeChanges(ctx, book_.Take(ctx, answer));
+}
+
+void Scheduler::Take(Context& ctx, const RunnersListed& answer) {
+  fleet_.Take(ctx, answer);
+  plan_due_ = true;
+}
+
+void Scheduler::TakeChanges(Context& ctx, const std::vector<JobId>& changed) {
+  for (const JobId& id : changed) {
+    Job* job = book_.Find(id);
+    if (job == nullptr) continue;
+    plan_due_ = true;
+    Inherit(ctx, job);
+    if (job->cancel_asked()) Settle(ctx, job);
+  }
+}
+
+void Scheduler::Inherit(Context& ctx, Job* job) {
+  for (std::size_t k = 0; k < job->occurrences().size(); ++k) {
+    std::vector<Step>& steps = job->occurrences()[k].steps;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      for (std::size_t i = 0; i < steps[s].tasks.size(); ++i) {
+        const Task& task = steps[s].tasks[i];
+        if (task.phase != TaskPhase::kAssigned) continue;
+        const TaskName name{job->spec().id, static_cast<int>(k),
+                            static_cast<int>(s), static_cast<int>(i)};
+        Runner* runner = fleet_.FindOrInherit(task.runner, ctx.now());
+        if (runner->runs().count(name) != 0) continue;
+        Run run;
+        run.number = task.run;
+        run.need = job->step_spec(name.step).need;
+        run.phase = RunPhase::kInherited;
+        run.expected = job->step_spec(name.step).estimate;
+        run.started_at = ctx.now();
+        run.progressed_at = ctx.now();
+        runner->Add(name, run);
+      }
+    }
+  }
+}
+
+void Scheduler::Mark(const JobId& id) {
+  writer_.Mark({kProgressTable, id.value()},
+               [this, id]() -> std::optional<std::string> {
+                 const Job* job = book_.Find(id);
+                 if (job == nullptr) return std::nullopt;
+                 return EncodeProgress(*job);
+               });
+}
+
+int Scheduler::MaxAttempts(const Job& job) const {
+  return PolicyOf(job, *catalog_).max_attempts;
+}
+
+void Scheduler::Settle(Context& ctx, Job* job) {
+  const JobId id = job->spec().id;
+  job->Settle();
+  Mark(id);
+  if (!IsFinal(job->state())) return;
+  ctx.Log(LogId::kJobSettled,
+          {{"job", id.value()}, {"state", ToString(job->state())}});
+  StopAll(ctx, id);
+  // The job is forgotten once its final state is stored.
+  writer_.Mark({kProgressTable, id.value()},
+               [text = EncodeProgress(*job)] { return text; });
+  book_.Close(id, ctx.now());
+}
+
+void Scheduler::WriteWaiting(Context& ctx) {
+  if (ctx.now() - last_waiting_ < options_.waiting_interval) return;
+  last_waiting_ = ctx.now();
+  std::string text = EncodeWaiting(book_.CountWaiting());
+  if (text == written_waiting_) return;
+  written_waiting_ = text;
+  writer_.Mark({kLeadershipTable, kWaitingKey},
+               [text = std::move(text)] { return text; });
+}
+
+void Scheduler::ForgetFinal(Context& ctx) {
+  const TimePoint before = ctx.now() - options_.keep_final;
+  for (const JobId& id : book_.ForgetClosedBefore(before)) {
+    const std::string cancel = absl::StrCat(id.value(), kCancelSuffix);
+    for (const RowKey& key :
+         {RowKey{kProgressTable, id.value()}, RowKey{kJobTable, id.value()},
+          RowKey{kJobTable, cancel}}) {
+      writer_.Remove(key);
+    }
+  }
+}
+
+void Scheduler::Apply(Context& ctx, const Plan& plan) {
+  for (const Displacement& displaced : plan.displacements) {
+    Runner* runner = fleet_.Find(displaced.runner);
+    if (runner == nullptr) continue;
+    ctx.Log(LogId::kRunDisplaced, {{"task", ToString(displaced.task)},
+                                   {"runner", displaced.runner.value()},
+                                   {"for", displaced.beneficiary.value()}});
+    AskStop(ctx, runner, displaced.task);
+    StopGang(ctx, displaced.task);
+  }
+  for (const Assignment& assignment : plan.assignments) {
+    const TaskName& name = assignment.task;
+    Job* job = book_.Find(name.job);
+    const RunnerId runner = assignment.runner->id();
+    job->Assign(name, assignment.run, runner, ctx.now());
+    Run run;
+    run.number = assignment.run;
+    run.need = job->step_spec(name.step).need;
+    run.expected = assignment.expected;
+    assignment.runner->Add(name, run);
+    ctx.Log(LogId::kRunAssigned,
+            {{"task", ToString(name)},
+             {"run", std::to_string(run.number)},
+             {"runner", runner.value()},
+             {"expected_ms", std::to_string(run.expected.ms())}});
+    Mark(name.job);
+    writer_.After({kProgressTable, name.job.value()},
+                  [this, name, number = run.number, runner](Context& later) {
+                    SendStart(later, name, number, runner);
+                  });
+  }
+}
+
+void Scheduler::Work(Context& ctx, const Catalog& catalog) {
+  catalog_ = &catalog;
+  fleet_.List(ctx);
+  book_.Work(ctx);
+  const bool may_renew =
+      ctx.now() - writer_.confirmed_at() < options_.fleet.longest_unconfirmed;
+  if (ctx.now() >= next_check_) {
+    next_check_ = ctx.now() + kCheckInterval;
+    CheckRuns(ctx);
+    fleet_.DropGone(ctx);
+    ForgetFinal(ctx);
+  }
+  const bool waited = ctx.now() - last_pass_ >= options_.pass_interval;
+  const bool due = plan_due_ || ctx.now() >= planner_.next_at() ||
+                   ctx.now() - last_pass_ >= options_.longest_pass_interval;
+  if (book_.loaded() && !releasing_ && due && waited &&
+      writer_.store_answers()) {
+    plan_due_ = false;
+    last_pass_ = ctx.now();
+    Apply(ctx,
+          planner_.Decide(ctx.now(), ctx.wall_ms(), catalog, &book_, &fleet_));
+    WriteWaiting(ctx);
+  }
+  // The runners are only known by what is assigned to them once all is read.
+  if (book_.loaded()) fleet_.Look(ctx, writer_.epoch(), may_renew);
+  writer_.Flush(ctx);
+}
+
+TimePoint Scheduler::next_at() const {
+  TimePoint next = std::min(writer_.next_at(), book_.next_at());
+  next = std::min(next, next_check_);
+  if (book_.loaded()) next = std::min(next, fleet_.next_at());
+  const TimePoint pass = last_pass_ + options_.pass_interval;
+  if (plan_due_) next = std::min(next, pass);
+  return std::min(next, std::max(pass, planner_.next_at()));
+}
+
+}  // namespace limeledge::dispatch
--- /dev/null
+++ b/src/dispatch/scheduler.h
@@ -0,0 +1,131 @@
+/// @file
+/// The one scheduler of all runners: the life of each run from its decision to
+/// its stored end, also across take-overs, lost answers and outages.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_DISPATCH_SCHEDULER_H_
+#define LIMELEDGE_SRC_DISPATCH_SCHEDULER_H_
+
+#include <string>
+#include <vector>
+
+#include "dispatch/catalog.h"
+#include "dispatch/context.h"
+#include "dispatch/fleet.h"
+#include "dispatch/job_book.h"
+#include "dispatch/planner.h"
+#include "dispatch/state_writer.h"
+
+namespace limeledge::dispatch {
+
+/// Timing of the scheduler beyond that of its parts.
+struct SchedulerOptions {
+  FleetOptions fleet;
+  PlannerOptions planner;
+  StateWriterOptions writer;
+  JobBookOptions book;
+  /// Shortest time between two passes of the planner.
+  Duration pass_interval{20};
+  /// Longest time between two passes while tasks wait.
+  Duration longest_pass_interval{250};
+  /// A runner that rejected a start for want of room is asked anew first.
+  Duration no_room_pause{400};
+  /// Rest of a runner that is not well, or failed runs of two jobs in a row;
+  /// doubles with each further failure up to the second.
+  Duration unwell_pause{2000};
+  Duration longest_unwell_pause{16000};
+  /// A stop that showed no effect is sent again after this; longer than a
+  /// runner takes to stop.
+  Duration stop_patience{1500};
+  /// A run whose progress stands still for this long is moved elsewhere.
+  Duration stall_patience{3000};
+  /// Final jobs are forgotten after this: states are promised for 120 s.
+  Duration keep_final{180000};
+  /// Shortest time between two writes of the numbers of waiting jobs.
+  Duration waiting_interval{300};
+};
+
+/// Schedules while this node holds the lease.
+///
+/// Thread safety: none; use it from one thread.
+class Scheduler {
+ public:
+  Scheduler(SchedulerOptions options, Leadership::Claimed claimed,
+            TimePoint now);
+
+  enum class Verdict { kGoesOn, kDeposed, kReleased };
+
+  /// True if the answer belongs to a call of this scheduler.
+  bool Owns(Ticket ticket) const;
+  Verdict Take(Context& ctx, const TransactionAnswered& answer);
+  void Take(Context& ctx, const RowsAnswered& answer);
+  void Take(Context& ctx, const ChangesAnswered& answer);
+  void Take(Context& ctx, const RunnersListed& answer);
+  Verdict Take(Context& ctx, const RunnerLooked& answer);
+  Verdict Take(Context& ctx, const StartAnswered& answer);
+  Verdict Take(Context& ctx, const StopAnswered& answer);
+
+  /// Does all that is due. Call it after every event.
+  void Work(Context& ctx, const Catalog& catalog);
+  TimePoint next_at() const;
+
+  /// Starts nothing more and gives the lease up once all is stored.
+  void Release();
+
+  Epoch epoch() const { return writer_.epoch(); }
+  bool store_answers() const { return writer_.store_answers(); }
+
+ private:
+  // Jobs.
+  void TakeChanges(Context& ctx, const std::vector<JobId>& changed);
+  void Inherit(Context& ctx, Job* job);
+  void Settle(Context& ctx, Job* job);
+  void Mark(const JobId& id);
+  int MaxAttempts(const Job& job) const;
+  void WriteWaiting(Context& ctx);
+  void ForgetFinal(Context& ctx);
+
+  // Runs.
+  void Apply(Context& ctx, const Plan& plan);
+  void SendStart(Context& ctx, const TaskName& name, int run,
+                 const RunnerId& runner);
+  void AskStop(Context& ctx, Runner* runner, const TaskName& name);
+  void StopAll(Context& ctx, const JobId& job);
+  /// Stops the other members of a gang's run.
+  void StopGang(Context& ctx, const TaskName& name);
+  void EndRun(Context& ctx, Runner* runner, const TaskName& name, RunEnd end,
+              const std::string& checkpoint);
+  /// All that ran on the runner is over.
+  void EndAll(Context& ctx, Runner* runner, const char* reason);
+
+  // Runners.
+  void TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end);
+  void TakeRunning(Context& ctx, Runner* runner, const ListedRun& listed);
+  void TakeAbsent(Context& ctx, Runner* runner, const RunnerLooked& answer);
+  void Judge(Context& ctx, Runner* runner, const JobId& job, RunEnd end);
+  void Avoid(Context& ctx, Runner* runner, Duration pause, const char* reason);
+  void MissAnswer(Context& ctx, Runner* runner);
+  void CheckRuns(Context& ctx);
+  void CheckStall(Context& ctx, Runner* runner, const TaskName& name, Run* run);
+  void CheckLeaving(Context& ctx, Runner* runner, const TaskName& name,
+                    const Run& run);
+
+  SchedulerOptions options_;
+  StateWriter writer_;
+  JobBook book_;
+  Fleet fleet_;
+  Planner planner_;
+  const Catalog* catalog_ = nullptr;
+  bool plan_due_ = true;
+  bool releasing_ = false;
+  TimePoint last_pass_;
+  TimePoint last_waiting_;
+  TimePoint next_check_;
+  std::string written_waiting_;
+};
+
+}  // namespace limeledge::dispatch
+
+#endif  // LIMELEDGE_SRC_DISPATCH_SCHEDULER_H_
--- /dev/null
+++ b/src/dispatch/scheduler_runs.cc
@@ -0,0 +1,425 @@
+/// @file
+/// The runners' side of the scheduler: starts, stops, ends and silence.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "dispatch/scheduler.h"
+
+namespace limeledge::dispatch {
+
+namespace {
+
+// A runner lists at most this many ends in one answer.
+constexpr std::size_t kMostListedEnds = 500;
+constexpr int kFailuresBeforeRest = 2;
+constexpr int kAllDone = 100;
+constexpr int kMostDoublings = 4;
+
+}  // namespace
+
+const char* ToString(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kDone:
+      return "done";
+    case OrderOutcome::kFenced:
+      return "fenced";
+    case OrderOutcome::kOldRun:
+      return "old run";
+    case OrderOutcome::kTooLate:
+      return "too late";
+    case OrderOutcome::kNoRoom:
+      return "no room";
+    case OrderOutcome::kNoTicket:
+      return "no ticket";
+    case OrderOutcome::kInvalid:
+      return "invalid";
+    case OrderOutcome::kUnhealthy:
+      return "unhealthy";
+    case OrderOutcome::kOtherLife:
+      return "other life";
+    case OrderOutcome::kNotSent:
+      return "not sent";
+    case OrderOutcome::kLost:
+      return "no answer";
+  }
+  return "";
+}
+
+void Scheduler::SendStart(Context& ctx, const TaskName& name, int number,
+                          const RunnerId& id) {
+  Runner* runner = fleet_.Find(id);
+  if (runner == nullptr) return;
+  const auto found = runner->runs().find(name);
+  if (found == runner->runs().end() || found->second.number != number) return;
+  Run& run = found->second;
+  const Job* job = book_.Find(name.job);
+  if (run.stopping || job == nullptr || releasing_) {
+    // Nothing was sent: the run never was.
+    EndRun(ctx, runner, name, RunEnd::kRejected, "");
+    return;
+  }
+  run.phase = RunPhase::kStarting;
+  StartRun start;
+  start.target = Fleet::TargetOf(*runner, writer_.epoch());
+  start.task = name;
+  start.run = number;
+  start.payload = job->spec().payload;
+  start.checkpoint = job->occurrences()[name.occurrence]
+                         .steps[name.step]
+                         .tasks[name.index]
+                         .checkpoint;
+  start.until_ms = runner->GrantUntil(ctx.now(), options_.fleet.run_lease);
+  ctx.Emit(std::move(start));
+}
+
+Scheduler::Verdict Scheduler::Take(Context& ctx, const StartAnswered& answer) {
+  if (answer.epoch != writer_.epoch()) return Verdict::kGoesOn;
+  if (answer.outcome == OrderOutcome::kFenced) return Verdict::kDeposed;
+  Runner* runner = fleet_.Find(answer.runner);
+  if (runner == nullptr) return Verdict::kGoesOn;
+  if (answer.clock_ms > 0) runner->Heard(ctx.now(), answer.clock_ms);
+  plan_due_ = true;
+  const auto found = runner->runs().find(answer.task);
+  const bool known =
+      found != runner->runs().end() && found->second.number == answer.run;
+  if (!known) return Verdict::kGoesOn;
+  Run& run = found->second;
+  run.answered_at = ctx.now();
+  if (answer.outcome == OrderOutcome::kDone) {
+    run.phase = RunPhase::kRunning;
+    run.started_at = ctx.now();
+    run.progressed_at = ctx.now();
+    if (run.stopping) AskStop(ctx, runner, answer.task);
+    return Verdict::kGoesOn;
+  }
+  ctx.Log(LogId::kStartFailed, {{"task", ToString(answer.task)},
+                                {"run", std::to_string(answer.run)},
+                                {"runner", answer.runner.value()},
+                                {"outcome", ToString(answer.outcome)}});
+  if (answer.outcome == OrderOutcome::kOtherLife) {
+    EndAll(ctx, runner, "another life answers at its address");
+    return Verdict::kGoesOn;
+  }
+  if (answer.outcome == OrderOutcome::kLost) {
+    // It may still come: the next look tells, or a stop rules it out.
+    run.phase = RunPhase::kUnsure;
+    MissAnswer(ctx, runner);
+    return Verdict::kGoesOn;
+  }
+  if (answer.outcome == OrderOutcome::kNotSent) MissAnswer(ctx, runner);
+  if (answer.outcome == OrderOutcome::kUnhealthy) {
+    Avoid(ctx, runner, options_.unwell_pause, "not well");
+  }
+  if (answer.outcome == OrderOutcome::kNoRoom) {
+    Avoid(ctx, runner, options_.no_room_pause, "no room");
+  }
+  EndRun(ctx, runner, answer.task, RunEnd::kRejected, "");
+  StopGang(ctx, answer.task);
+  return Verdict::kGoesOn;
+}
+
+void Scheduler::AskStop(Context& ctx, Runner* runner, const TaskName& name) {
+  const auto found = runner->runs().find(name);
+  if (found == runner->runs().end()) return;
+  Run& run = found->second;
+  run.stopping = true;
+  // What was not sent is dropped when its turn comes; what is being started is
+  // stopped as soon as the start is answered.
+  const bool too_early =
+      run.phase == RunPhase::kPlanned || run.phase == RunPhase::kStarting;
+  if (too_early || run.stop_in_flight || runner->info().address.empty()) return;
+  const bool sent_lately =
+      run.stop_sent_at.ms() > 0 &&
+      ctx.now() - run.stop_sent_at < options_.stop_patience;
+  if (sent_lately) return;
+  run.stop_in_flight = true;
+  run.stop_sent_at = ctx.now();
+  ctx.Emit(
+      StopRun{Fleet::TargetOf(*runner, writer_.epoch()), name, run.number});
+}
+
+Scheduler::Verdict Scheduler::Take(Context& ctx, const StopAnswered& answer) {
+  if (answer.epoch != writer_.epoch()) return Verdict::kGoesOn;
+  if (answer.outcome == OrderOutcome::kFenced) return Verdict::kDeposed;
+  Runner* runner = fleet_.Find(answer.runner);
+  if (runner == nullptr) return Verdict::kGoesOn;
+  if (answer.clock_ms > 0) runner->Heard(ctx.now(), answer.clock_ms);
+  if (answer.outcome == OrderOutcome::kOtherLife) {
+    EndAll(ctx, runner, "another life answers at its address");
+    return Verdict::kGoesOn;
+  }
+  const auto found = runner->runs().find(answer.task);
+  const bool known =
+      found != runner->runs().end() && found->second.number == answer.run;
+  if (!known) return Verdict::kGoesOn;
+  Run& run = found->second;
+  run.stop_in_flight = false;
+  const bool answered = answer.outcome == OrderOutcome::kDone ||
+                        answer.outcome == OrderOutcome::kOldRun;
+  if (answered) {
+    run.answered_at = ctx.now();
+    run.stop_answered = true;
+  } else {
+    run.stop_sent_at = TimePoint();
+    MissAnswer(ctx, runner);
+  }
+  return Verdict::kGoesOn;
+}
+
+void Scheduler::StopAll(Context& ctx, const JobId& job) {
+  const TaskName first{job, 0, 0, 0};
+  for (auto& [id, runner] : fleet_.runners()) {
+    std::vector<TaskName> names;
+    for (auto it = runner->runs().lower_bound(first);
+         it != runner->runs().end() && it->first.job == job; ++it) {
+      names.push_back(it->first);
+    }
+    for (const TaskName& name : names) AskStop(ctx, runner.get(), name);
+  }
+}
+
+void Scheduler::StopGang(Context& ctx, const TaskName& name) {
+  Job* job = book_.Find(name.job);
+  if (job == nullptr || !job->step_spec(name.step).gang) return;
+  const Step& step = job->occurrences()[name.occurrence].steps[name.step];
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const Task& member = step.tasks[i];
+    if (member.phase != TaskPhase::kAssigned) continue;
+    Runner* runner = fleet_.Find(member.runner);
+    TaskName other = name;
+    other.index = static_cast<int>(i);
+    if (runner != nullptr) AskStop(ctx, runner, other);
+  }
+}
+
+void Scheduler::EndRun(Context& ctx, Runner* runner, const TaskName& name,
+                       RunEnd end, const std::string& checkpoint) {
+  const auto found = runner->runs().find(name);
+  if (found == runner->runs().end()) return;
+  const int number = found->second.number;
+  runner->Remove(name);
+  plan_due_ = true;
+  Job* job = book_.Find(name.job);
+  if (job == nullptr) return;
+  ctx.Log(LogId::kRunEnded, {{"task", ToString(name)},
+                             {"run", std::to_string(number)},
+                             {"runner", runner->id().value()},
+                             {"end", ToString(end)}});
+  if (job->EndRun(name, number, end, checkpoint, MaxAttempts(*job))) {
+    Settle(ctx, job);
+  }
+}
+
+void Scheduler::EndAll(Context& ctx, Runner* runner, const char* reason) {
+  if (!runner->ended) {
+    ctx.Log(LogId::kRunnerLost,
+            {{"runner", runner->id().value()},
+             {"reason", reason},
+             {"runs", std::to_string(runner->runs().size())}});
+  }
+  std::vector<TaskName> names;
+  for (const auto& [name, run] : runner->runs()) names.push_back(name);
+  for (const TaskName& name : names) {
+    EndRun(ctx, runner, name, RunEnd::kLapsed, "");
+    StopGang(ctx, name);
+  }
+}
+
+Scheduler::Verdict Scheduler::Take(Context& ctx, const RunnerLooked& answer) {
+  Runner* runner = fleet_.Find(answer.runner);
+  if (runner == nullptr || answer.epoch != writer_.epoch()) {
+    return Verdict::kGoesOn;
+  }
+  runner->look_in_flight = false;
+  if (answer.outcome == OrderOutcome::kFenced) return Verdict::kDeposed;
+  if (answer.outcome == OrderOutcome::kOtherLife) {
+    EndAll(ctx, runner, "another life answers at its address");
+    runner->ended = true;
+    return Verdict::kGoesOn;
+  }
+  if (answer.outcome != OrderOutcome::kDone) {
+    MissAnswer(ctx, runner);
+    return Verdict::kGoesOn;
+  }
+  if (!runner->reachable()) {
+    ctx.Log(LogId::kRunnerHeard, {{"runner", runner->id().value()}});
+    plan_due_ = true;
+  }
+  runner->Heard(ctx.now(), answer.clock_ms);
+  runner->next_look_at = ctx.now();
+  for (const ListedEnd& end : answer.ended) TakeEnd(ctx, runner, end);
+  for (const ListedRun& run : answer.running) TakeRunning(ctx, runner, run);
+  if (answer.ended.size() < kMostListedEnds) TakeAbsent(ctx, runner, answer);
+  return Verdict::kGoesOn;
+}
+
+void Scheduler::TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end) {
+  if (end.number <= runner->newest_end) return;
+  runner->newest_end = end.number;
+  const auto found = runner->runs().find(end.task);
+  const bool ours =
+      found != runner->runs().end() && found->second.number == end.run;
+  if (!ours) return;
+  Judge(ctx, runner, end.task.job, end.end);
+  const bool known = book_.Find(end.task.job) != nullptr;
+  EndRun(ctx, runner, end.task, end.end, end.checkpoint);
+  if (!known) return;
+  // A member of a gang that is done already changes nothing by itself.
+  if (book_.Find(end.task.job) != nullptr) Mark(end.task.job);
+  runner->unstored_ends.insert(end.number);
+  writer_.After({kProgressTable, end.task.job.value()},
+                [this, id = runner->id(), number = end.number](Context&) {
+                  Runner* later = fleet_.Find(id);
+                  if (later != nullptr) later->unstored_ends.erase(number);
+                });
+}
+
+void Scheduler::TakeRunning(Context& ctx, Runner* runner,
+                            const ListedRun& listed) {
+  const auto found = runner->runs().find(listed.task);
+  const bool ours =
+      found != runner->runs().end() && found->second.number == listed.run;
+  if (!ours) {
+    // Nobody waits for it any more.
+    ctx.Emit(StopRun{Fleet::TargetOf(*runner, writer_.epoch()), listed.task,
+                     listed.run});
+    return;
+  }
+  Run& run = found->second;
+  const bool moved = listed.percent != run.percent;
+  if (moved) run.progressed_at = ctx.now();
+  run.percent = listed.percent;
+  if (run.phase == RunPhase::kInherited || run.phase == RunPhase::kUnsure) {
+    run.phase = RunPhase::kRunning;
+  }
+  Job* job = book_.Find(listed.task.job);
+  if (job == nullptr) {
+    AskStop(ctx, runner, listed.task);
+    return;
+  }
+  if (run.stopping) AskStop(ctx, runner, listed.task);
+  if (!listed.checkpoint.empty())
+    job->SaveProgress(listed.task, listed.checkpoint);
+}
+
+void Scheduler::TakeAbsent(Context& ctx, Runner* runner,
+                           const RunnerLooked& answer) {
+  std::set<TaskName> running;
+  for (const ListedRun& run : answer.running) running.insert(run.task);
+  std::vector<TaskName> lost;
+  std::vector<TaskName> unsure;
+  for (const auto& [name, run] : runner->runs()) {
+    if (running.count(name) != 0) continue;
+    // The look may have left before the order was carried out.
+    if (run.answered_at >= runner->look_sent_at) continue;
+    if (run.phase == RunPhase::kPlanned || run.phase == RunPhase::kStarting) {
+      continue;
+    }
+    const bool may_still_come =
+        run.phase == RunPhase::kUnsure && !run.stop_answered;
+    (may_still_come ? unsure : lost).push_back(name);
+  }
+  for (const TaskName& name : lost) {
+    EndRun(ctx, runner, name, RunEnd::kLapsed, "");
+    StopGang(ctx, name);
+  }
+  for (const TaskName& name : unsure) {
+    AskStop(ctx, runner, name);
+    StopGang(ctx, name);
+  }
+}
+
+void Scheduler::Judge(Context& ctx, Runner* runner, const JobId& job,
+                      RunEnd end) {
+  if (end == RunEnd::kDone) {
+    runner->failures_in_a_row = 0;
+    return;
+  }
+  if (end != RunEnd::kFailed) return;
+  // One job that fails again and again says nothing of the runner.
+  if (runner->last_failed_job == job) return;
+  runner->last_failed_job = job;
+  ++runner->failures_in_a_row;
+  if (runner->failures_in_a_row < kFailuresBeforeRest) return;
+  const int doublings =
+      std::min(runner->failures_in_a_row - kFailuresBeforeRest, kMostDoublings);
+  const Duration pause = std::min(options_.unwell_pause * (1 << doublings),
+                                  options_.longest_unwell_pause);
+  Avoid(ctx, runner, pause, "failed runs of several jobs");
+}
+
+void Scheduler::Avoid(Context& ctx, Runner* runner, Duration pause,
+                      const char* reason) {
+  runner->avoid_until = std::max(runner->avoid_until, ctx.now() + pause);
+  ctx.Log(LogId::kRunnerAvoidedFor, {{"runner", runner->id().value()},
+                                     {"pause_ms", std::to_string(pause.ms())},
+                                     {"reason", reason}});
+}
+
+void Scheduler::MissAnswer(Context& ctx, Runner* runner) {
+  if (runner->reachable()) {
+    ctx.Log(LogId::kRunnerSilent, {{"runner", runner->id().value()}});
+  }
+  runner->Missed(ctx.now());
+  const Duration pause = std::min(options_.fleet.retry_pause * runner->misses(),
+                                  options_.fleet.longest_retry_pause);
+  runner->next_look_at = ctx.now() + pause;
+}
+
+void Scheduler::CheckRuns(Context& ctx) {
+  for (auto& [id, runner] : fleet_.runners()) {
+    if (runner->runs().empty()) continue;
+    const bool silent = !runner->reachable();
+    if (silent && ctx.now() >= runner->lease_over_at()) {
+      EndAll(ctx, runner.get(), "its lease is over");
+      continue;
+    }
+    std::vector<TaskName> names;
+    for (const auto& [name, run] : runner->runs()) names.push_back(name);
+    for (const TaskName& name : names) {
+      const auto found = runner->runs().find(name);
+      if (found == runner->runs().end()) continue;
+      CheckStall(ctx, runner.get(), name, &found->second);
+      CheckLeaving(ctx, runner.get(), name, found->second);
+    }
+  }
+}
+
+void Scheduler::CheckStall(Context& ctx, Runner* runner, const TaskName& name,
+                           Run* run) {
+  if (run->phase != RunPhase::kRunning || run->stopping) return;
+  if (!runner->reachable() || run->percent >= kAllDone) return;
+  const Job* job = book_.Find(name.job);
+  if (job == nullptr || job->step_spec(name.step).long_running) return;
+  // A percent of a slow run takes its time.
+  const Duration percent = run->expected / kAllDone;
+  const Duration patience = options_.stall_patience + percent * 8;
+  if (ctx.now() - run->progressed_at < patience) return;
+  ctx.Log(LogId::kRunStalled, {{"task", ToString(name)},
+                               {"runner", runner->id().value()},
+                               {"percent", std::to_string(run->percent)}});
+  Avoid(ctx, runner, options_.unwell_pause * 2, "a run stands still");
+  AskStop(ctx, runner, name);
+}
+
+void Scheduler::CheckLeaving(Context& ctx, Runner* runner, const TaskName& name,
+                             const Run& run) {
+  if (!runner->drains_since().has_value() || run.stopping) return;
+  if (run.phase != RunPhase::kRunning) return;
+  const Job* job = book_.Find(name.job);
+  if (job == nullptr || !job->step_spec(name.step).saves_progress) return;
+  const Duration elapsed = ctx.now() - run.started_at;
+  const Duration left = run.percent > 0
+                            ? elapsed * (kAllDone - run.percent) / run.percent
+                            : run.expected - elapsed;
+  if (ctx.now() + left < runner->leaves_at) return;
+  AskStop(ctx, runner, name);
+}
+
+}  // namespace limeledge::dispatch
--- /dev/null
+++ b/src/dispatch/state_writer.cc
@@ -0,0 +1,170 @@
+/// @file
+/// Group commit under the scheduler's lease.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/state_writer.h"
+
+#include <utility>
+
+namespace limeledge::dispatch {
+
+namespace {
+
+RowKey LeaderRowKey() { return {kLeadershipTable, kLeaderKey}; }
+
+}  // namespace
+
+StateWriter::StateWriter(StateWriterOptions options,
+                         Leadership::Claimed claimed, TimePoint now)
+    : options_(options),
+      record_(claimed.record),
+      revision_(claimed.revision),
+      confirmed_at_(now) {}
+
+void StateWriter::Mark(const RowKey& key, Render render) {
+  marked_[{key.table, key.key}].render = std::move(render);
+}
+
+void StateWriter::Remove(const RowKey& key) {
+  marked_[{key.table, key.key}].remove = true;
+}
+
+void StateWriter::After(const RowKey& key, Action action) {
+  marked_[{key.table, key.key}].actions.push_back(std::move(action));
+}
+
+TimePoint StateWriter::next_at() const {
+  if (in_flight_) return waits_ ? retry_at_ : sent_at_ + options_.call_timeout;
+  return confirmed_at_ + options_.renewal;
+}
+
+void StateWriter::Flush(Context& ctx) {
+  if (in_flight_) {
+    if (waits_ && ctx.now() >= retry_at_) Send(ctx);
+    return;
+  }
+  if (ctx.now() < retry_at_) return;
+  const bool renewal_due = ctx.now() - confirmed_at_ >= options_.renewal;
+  if (marked_.empty() && !renewal_due && !release_) return;
+  Compose();
+  Send(ctx);
+}
+
+void StateWriter::Compose() {
+  in_flight_ = true;
+  unsettled_ = false;
+  transaction_ = RowTransaction();
+  std::size_t bytes = 0;
+  while (!marked_.empty()) {
+    const bool full = transaction_.puts.size() + transaction_.removes.size() >=
+                          options_.max_rows ||
+                      bytes >= options_.max_bytes;
+    if (full) break;
+    auto entry = marked_.extract(marked_.begin());
+    const RowKey key{entry.key().first, entry.key().second};
+    const Pending& pending = entry.mapped();
+    std::optional<std::string> value;
+    if (pending.render) value = pending.render();
+    if (pending.remove) {
+      transaction_.removes.push_back(key);
+    } else if (value.has_value()) {
+      bytes += value->size();
+      transaction_.puts.push_back({key, *std::move(value)});
+    }
+    sent_.insert(std::move(entry));
+  }
+  next_record_ = record_;
+  ++next_record_.sequence;
+  next_record_.released = release_ && marked_.empty();
+  transaction_.conditions.push_back({LeaderRowKey(), revision_});
+  transaction_.puts.push_back({LeaderRowKey(), EncodeLeader(next_record_)});
+}
+
+void StateWriter::Send(Context& ctx) {
+  waits_ = false;
+  sent_at_ = ctx.now();
+  call_ = ctx.NewTicket();
+  ctx.Emit(CommitRows{call_, StoreLane::kLeader, transaction_,
+                      options_.call_timeout});
+}
+
+void StateWriter::Stored(Context& ctx, Revision revision) {
+  if (unsettled_) {
+    ctx.Log(LogId::kWriteSettled,
+            {{"sequence", std::to_string(next_record_.sequence)}});
+  }
+  in_flight_ = false;
+  unsettled_ = false;
+  refusals_ = 0;
+  record_ = next_record_;
+  revision_ = revision;
+  // The lease counts from before the write.
+  confirmed_at_ = sent_at_;
+  std::map<PendingKey, Pending> sent = std::move(sent_);
+  sent_.clear();
+  for (auto& [key, pending] : sent) {
+    for (Action& action : pending.actions) action(ctx);
+  }
+}
+
+void StateWriter::PutBack() {
+  in_flight_ = false;
+  for (auto& [key, pending] : sent_) {
+    Pending& newer = marked_[key];
+    if (!newer.render) newer.render = std::move(pending.render);
+    newer.remove = newer.remove || pending.remove;
+    // What waited longer comes first.
+    pending.actions.insert(pending.actions.end(),
+                           std::make_move_iterator(newer.actions.begin()),
+                           std::make_move_iterator(newer.actions.end()));
+    newer.actions = std::move(pending.actions);
+  }
+  sent_.clear();
+}
+
+StateWriter::Verdict StateWriter::Take(Context& ctx,
+                                       const TransactionAnswered& answer) {
+  switch (answer.outcome) {
+    case StoreOutcome::kDone:
+      Stored(ctx, answer.revision);
+      return record_.released ? Verdict::kReleased : Verdict::kGoesOn;
+    case StoreOutcome::kConflict: {
+      for (const Row& row : answer.rows) {
+        if (!(row.key == LeaderRowKey())) continue;
+        const absl::StatusOr<LeaderRecord> now = DecodeLeader(row.value);
+        const bool ours = now.ok() && now->epoch == next_record_.epoch &&
+                          now->holder == next_record_.holder &&
+                          now->sequence == next_record_.sequence;
+        // An earlier sending of this very write has come through.
+        if (unsettled_ && ours) {
+          Stored(ctx, row.revision);
+          return record_.released ? Verdict::kReleased : Verdict::kGoesOn;
+        }
+      }
+      return Verdict::kDeposed;
+    }
+    case StoreOutcome::kNotDone:
+      ++refusals_;
+      retry_at_ = ctx.now() + options_.retry_pause;
+      if (unsettled_) {
+        waits_ = true;
+      } else {
+        PutBack();
+      }
+      return Verdict::kGoesOn;
+    default:
+      break;
+  }
+  if (!unsettled_) {
+    ctx.Log(LogId::kWriteInDoubt,
+            {{"sequence", std::to_string(next_record_.sequence)}});
+  }
+  unsettled_ = true;
+  waits_ = true;
+  retry_at_ = ctx.now() + options_.retry_pause;
+  return Verdict::kGoesOn;
+}
+
+}  // namespace limeledge::dispatch
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -6,6 +6,8 @@
 
 #include "net/http_client.h"
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -23,6 +25,14 @@
   return std::chrono::milliseconds(std::max<std::int64_t>(1, duration.ms()));
 }
 
+/// A peer that vanished without a word is noticed by unacknowledged bytes.
+constexpr unsigned int kUserTimeoutMs = 3000;
+
+void SetUserTimeout(socket_t socket) {
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+             sizeof(kUserTimeoutMs));
+}
+
 bool WasNotSent(httplib::Error error) {
   switch (error) {
     case httplib::Error::Connection:
@@ -39,6 +49,7 @@
   request.method = call.method;
   request.path = call.path;
   request.body = call.body;
+  request.headers = call.headers;
   if (!call.body.empty()) request.set_header("Content-Type", kJsonType);
   if (!call.token.empty()) {
     request.set_header("Authorization", absl::StrCat("Bearer ", call.token));
@@ -97,6 +108,7 @@
       std::make_unique<httplib::Client>(endpoint->host, endpoint->port);
   client->set_keep_alive(true);
   client->set_tcp_nodelay(true);
+  client->set_socket_options(SetUserTimeout);
   return client;
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -49,6 +49,8 @@
   std::string if_match;
   /// Sent as "If-None-Match" unless empty.
   std::string if_none_match;
+  /// Further headers.
+  httplib::Headers headers;
   Duration connect_timeout{500};
   Duration timeout{2000};
 };
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr int kMaxPort = 65535;
-constexpr std::size_t kRequestsPerConnection = 1000000;
 
 std::chrono::milliseconds ToChrono(Duration duration) {
   return std::chrono::milliseconds(duration.ms());
@@ -47,7 +46,7 @@
   };
   server_.set_payload_max_length(options_.max_body_bytes);
   server_.set_read_timeout(ToChrono(options_.read_timeout));
-  server_.set_keep_alive_max_count(kRequestsPerConnection);
+  server_.set_keep_alive_max_count(options_.requests_per_connection);
   server_.set_keep_alive_timeout(
       std::max<std::int64_t>(1, options_.keep_alive.ms() / 1000));
   server_.set_tcp_nodelay(true);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -35,6 +35,8 @@
   std::size_t max_body_bytes = 1 << 20;
   /// Time for a client to send its header and body.
   Duration read_timeout{5000};
+  /// A connection is closed after so many requests.
+  std::size_t requests_per_connection = 1000000;
   /// An idle connection is closed after this; whole seconds.
   Duration keep_alive{2000};
 };
