Do not renew a lease by looks that nobody answers

Change: only a look at a runner that answered the last call renews. The test fails with the code before. Conclusion: the end of a lease has to be bounded by what was heard, not by what was sent.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -93,12 +93,15 @@
     LookAtRunner look;
     look.target = TargetOf(*runner, epoch);
     look.acknowledged_end = runner->AcknowledgedEnd();
-    const bool renew = may_renew && runner->heard() && !runner->runs().empty();
+    // A look at a silent runner may arrive unheard: renewing by it would put
+    // off for ever the moment at which its runs are surely over.
+    const bool renew =
+        may_renew && runner->reachable() && !runner->runs().empty();
     if (renew) {
       look.until_ms = runner->GrantUntil(ctx.now(), options_.run_lease);
     }
     // The first look tells the runner's clock, which a renewal needs.
-    look.wait = runner->heard() ? WaitFor(*runner) : Duration(0);
+    look.wait = runner->reachable() ? WaitFor(*runner) : Duration(0);
     runner->look_in_flight = true;
     runner->look_sent_at = ctx.now();
     ctx.Emit(std::move(look));
--- /dev/null
+++ b/test/fleet-test.cc
@@ -0,0 +1,116 @@
+/// @file
+/// Tests of keeping in touch with runners.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/fleet.h"
+
+#include <optional>
+#include <utility>
+
+#include "CppUTest/TestHarness.h"
+
+namespace limeledge::dispatch {
+
+TEST_GROUP(Fleet) {
+  Fleet fleet{FleetOptions()};
+  Ticket tickets;
+  Effects effects;
+  TimePoint now{1000};
+
+  Context NewContext() {
+    effects.clear();
+    return Context(now, 0, &tickets, &effects);
+  }
+
+  Runner* AddRunner(const char* id) {
+    RunnersListed listed;
+    listed.ok = true;
+    RunnerInfo info;
+    info.id = RunnerId(id);
+    info.address = "10.0.0.1:80";
+    info.room = {64000, 262144, 8};
+    listed.runners.push_back(info);
+    Context ctx = NewContext();
+    fleet.Take(ctx, listed);
+    return fleet.Find(info.id);
+  }
+
+  void AddRun(Runner * runner) {
+    Run run;
+    run.number = 1;
+    run.phase = RunPhase::kRunning;
+    runner->Add({JobId("00000000000000aa"), 0, 0, 0}, run);
+  }
+
+  std::optional<LookAtRunner> Look() {
+    Context ctx = NewContext();
+    fleet.Look(ctx, Epoch(1), true);
+    for (const Effect& effect : effects) {
+      if (const auto* look = std::get_if<LookAtRunner>(&effect)) return *look;
+    }
+    return std::nullopt;
+  }
+};
+
+TEST(Fleet, LookAtAnsweringRunnerRenewsItsLease) {
+  Runner* runner = AddRunner("i-1");
+  AddRun(runner);
+  runner->Heard(now, 500000);
+  const std::optional<LookAtRunner> look = Look();
+  CHECK_TRUE(look.has_value());
+  LONGS_EQUAL(500000 + FleetOptions().run_lease.ms(), look->until_ms);
+}
+
+// A runner that was gone for good was looked at with a renewal again and
+// again, and its tasks were never started elsewhere.
+TEST(Fleet, LookAtSilentRunnerDoesNotPutOffTheEndOfItsLease) {
+  Runner* runner = AddRunner("i-1");
+  AddRun(runner);
+  runner->Heard(now, 500000);
+  CHECK_TRUE(Look().has_value());
+  const TimePoint over = runner->lease_over_at();
+  runner->look_in_flight = false;
+  runner->Missed(now);
+  now = now + Duration(2000);
+  const std::optional<LookAtRunner> look = Look();
+  CHECK_TRUE(look.has_value());
+  LONGS_EQUAL(0, look->until_ms);
+  CHECK_TRUE(over == runner->lease_over_at());
+}
+
+TEST(Fleet, RunnerThatWasNeverHeardGetsNoWork) {
+  AddRunner("i-1");
+  CHECK_TRUE(fleet.Seats(now).empty());
+}
+
+TEST(Fleet, DrainingRunnerGetsNoWork) {
+  Runner* runner = AddRunner("i-1");
+  runner->Heard(now, 500000);
+  LONGS_EQUAL(1, fleet.Seats(now).size());
+  RunnerInfo info = runner->info();
+  info.draining = true;
+  runner->Update(info, now);
+  CHECK_TRUE(fleet.Seats(now).empty());
+}
+
+TEST(Fleet, RunnerThatLapsedFromTheListIsUsedForAGraceAndThenNot) {
+  Runner* runner = AddRunner("i-1");
+  runner->Heard(now, 500000);
+  Context ctx = NewContext();
+  RunnersListed none;
+  none.ok = true;
+  fleet.Take(ctx, none);
+  LONGS_EQUAL(1, fleet.Seats(now).size());
+  LONGS_EQUAL(0, fleet.Seats(now + FleetOptions().unlisted_grace).size());
+}
+
+TEST(Fleet, UnreadableListSaysNothingOfRunners) {
+  Runner* runner = AddRunner("i-1");
+  Context ctx = NewContext();
+  fleet.Take(ctx, RunnersListed());
+  CHECK_TRUE(runner->listed());
+}
+
+}  // namespace limeledge::dispatch
