Sleep while calls are under way

Cause: the next moment of a part whose call was under way lay in the past, so that the process woke itself every millisecond. Change: such a part asks for no wake-up; its answer is one. Two tests failed before (FollowerSleeps, NodeWithoutConfigurationSleeps).

--- a/src/dispatch/catalog_follower.h
+++ b/src/dispatch/catalog_follower.h
@@ -36,7 +36,7 @@
 
   /// Sends the next call when it is due.
   void Work(Context& ctx);
-  TimePoint next_at() const { return next_at_; }
+  TimePoint next_at() const { return under_way_ ? kNever : next_at_; }
   void Take(Context& ctx, const CatalogAnswered& answer);
 
   /// Null before the first version.
--- a/src/dispatch/context.h
+++ b/src/dispatch/context.h
@@ -7,6 +7,7 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_CONTEXT_H_
 #define LIMELEDGE_SRC_DISPATCH_CONTEXT_H_
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +17,9 @@
 
 namespace limeledge::dispatch {
 
+/// The moment that never comes: nothing is to be done by itself.
+inline constexpr TimePoint kNever{INT64_MAX / 4};
+
 /// The moment of an event and the place for its effects.
 ///
 /// Thread safety: none; lives for one call of the reducer.
--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -109,8 +109,7 @@
 }
 
 TimePoint Fleet::next_at() const {
-  constexpr Duration kFarAway{1000};
-  TimePoint next = next_list_at_ + (list_under_way_ ? kFarAway : Duration(0));
+  TimePoint next = list_under_way_ ? kNever : next_list_at_;
   for (const auto& [id, runner] : runners_) {
     const bool quiet = runner->look_in_flight || runner->ended ||
                        runner->info().address.empty();
--- a/src/dispatch/job_book.h
+++ b/src/dispatch/job_book.h
@@ -42,7 +42,7 @@
 
   /// Sends the next call when it is due.
   void Work(Context& ctx);
-  TimePoint next_at() const { return next_at_; }
+  TimePoint next_at() const { return under_way_ ? kNever : next_at_; }
   /// True once everything was read a first time.
   bool loaded() const { return stage_ == Stage::kFollow; }
 
--- a/src/dispatch/leadership.h
+++ b/src/dispatch/leadership.h
@@ -41,7 +41,7 @@
   /// Reads or claims when that is due. Precondition: this node does not lead.
   void Follow(Context& ctx);
   /// When `Follow` is due next.
-  TimePoint next_at() const { return next_at_; }
+  TimePoint next_at() const { return call_under_way_ ? kNever : next_at_; }
 
   /// What the claim's answer made of this node.
   struct Claimed {
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -46,10 +46,16 @@
 }
 
 TimePoint Node::next_at() const {
-  TimePoint next =
-      scheduler_ != nullptr ? scheduler_->next_at() : leadership_.next_at();
+  TimePoint next = kNever;
+  if (scheduler_ != nullptr) {
+    next = scheduler_->next_at();
+  } else if (catalog_.catalog() != nullptr) {
+    next = leadership_.next_at();
+  }
   next = std::min(next, catalog_.next_at());
-  if (stopping_) next = std::min(next, stop_asked_at_ + options_.linger);
+  if (stopping_ && !exited_) {
+    next = std::min(next, stop_asked_at_ + options_.linger);
+  }
   return next;
 }
 
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -21,7 +21,6 @@
 // A task off its data, or of a gang over several racks, takes so many times as
 // long; runners say the same on every site so far.
 constexpr int kFarFactor = 3;
-constexpr Duration kLongest{1000000000};
 
 std::int64_t Accelerators(const JobSpec& spec) {
   std::int64_t most = 0;
@@ -59,7 +58,7 @@
         jobs_(*jobs),
         fleet_(*fleet),
         seating_(fleet->Seats(now)) {
-    planner_.next_at_ = now + kLongest;
+    planner_.next_at_ = kNever;
   }
 
   Plan Run() {
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -215,6 +215,8 @@
   TimePoint next = std::min(writer_.next_at(), book_.next_at());
   next = std::min(next, next_check_);
   if (book_.loaded()) next = std::min(next, fleet_.next_at());
+  // A pass that can not be made now is made when the store answers.
+  if (!book_.loaded() || releasing_ || !writer_.store_answers()) return next;
   const TimePoint pass = last_pass_ + options_.pass_interval;
   if (plan_due_) next = std::min(next, pass);
   return std::min(next, std::max(pass, planner_.next_at()));
--- a/src/dispatch/state_writer.cc
+++ b/src/dispatch/state_writer.cc
@@ -6,6 +6,7 @@
 
 #include "dispatch/state_writer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace limeledge::dispatch {
@@ -36,8 +37,9 @@
 }
 
 TimePoint StateWriter::next_at() const {
-  if (in_flight_) return waits_ ? retry_at_ : sent_at_ + options_.call_timeout;
-  return confirmed_at_ + options_.renewal;
+  if (in_flight_) return waits_ ? retry_at_ : kNever;
+  if (!marked_.empty()) return retry_at_;
+  return std::max(retry_at_, confirmed_at_ + options_.renewal);
 }
 
 void StateWriter::Flush(Context& ctx) {
--- /dev/null
+++ b/test/node-test.cc
@@ -0,0 +1,110 @@
+/// @file
+/// Tests of the reducer of one process.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/node.h"
+
+#include <utility>
+
+#include "CppUTest/TestHarness.h"
+
+namespace limeledge::dispatch {
+
+TEST_GROUP(Node) {
+  Node node{NodeOptions{"e1/1", {}, {}, {}, {}, Duration(3000)}};
+  TimePoint now{1000};
+
+  Effects Reduce(EventBody body) {
+    return node.Reduce({now, 1700000000000, std::move(body)});
+  }
+
+  /// The effects of one kind among `effects`.
+  template <typename Kind>
+  static std::vector<Kind> Only(const Effects& effects) {
+    std::vector<Kind> found;
+    for (const Effect& effect : effects) {
+      if (const auto* kind = std::get_if<Kind>(&effect)) found.push_back(*kind);
+    }
+    return found;
+  }
+
+  /// Puts a configuration in force; returns the effects.
+  Effects ReadCatalog() {
+    Reduce(Woken());
+    CatalogAnswered answer;
+    answer.outcome = StoreOutcome::kDone;
+    answer.catalog = Catalog();
+    answer.catalog->version = CatalogVersion(1);
+    return Reduce(answer);
+  }
+
+  /// Makes the node the scheduler; returns the effects.
+  Effects Lead() {
+    const Effects reads = ReadCatalog();
+    RowsAnswered empty;
+    empty.ticket = Only<ReadRows>(reads).front().ticket;
+    empty.outcome = StoreOutcome::kDone;
+    const Effects claim = Reduce(empty);
+    TransactionAnswered done;
+    done.ticket = Only<CommitRows>(claim).front().ticket;
+    done.outcome = StoreOutcome::kDone;
+    done.revision = Revision(1);
+    return Reduce(done);
+  }
+};
+
+// A follower woke itself every millisecond while it waited for the store,
+// which took four fifths of its processor time.
+TEST(Node, FollowerSleepsWhileItsCallsAreUnderWay) {
+  ReadCatalog();
+  CHECK_TRUE(node.next_at() > now + Duration(10000));
+}
+
+TEST(Node, NodeWithoutConfigurationSleepsWhileItIsRead) {
+  Reduce(Woken());
+  CHECK_TRUE(node.next_at() > now + Duration(10000));
+}
+
+TEST(Node, SchedulerSleepsUntilItsLeaseIsToBeRenewed) {
+  Lead();
+  CHECK_TRUE(node.leads());
+  CHECK_TRUE(node.next_at() > now);
+}
+
+TEST(Node, ReadyOnceAConfigurationIsInForce) {
+  const std::vector<SetReady> ready = Only<SetReady>(ReadCatalog());
+  LONGS_EQUAL(1, ready.size());
+  CHECK_TRUE(ready.front().ready);
+}
+
+TEST(Node, CallBeforeAnyConfigurationIsNotTaken) {
+  Reduce(Woken());
+  CallArrived call;
+  call.kind = CallKind::kSubmit;
+  const auto answers = Only<AnswerCall>(Reduce(call));
+  LONGS_EQUAL(1, answers.size());
+  CHECK_TRUE(answers.front().result == CallResult::kNotTaken);
+  CHECK_TRUE(answers.front().retry_after.ms() > 0);
+}
+
+TEST(Node, StopAskedHandsTheLeaseOverAtOnceAndExitsAfterTheLinger) {
+  Lead();
+  const auto commits = Only<CommitRows>(Reduce(StopAsked()));
+  LONGS_EQUAL(1, commits.size());
+  const auto record =
+      DecodeLeader(commits.front().transaction.puts.back().value);
+  CHECK_TRUE(record.ok());
+  CHECK_TRUE(record->released);
+  TransactionAnswered done;
+  done.ticket = commits.front().ticket;
+  done.outcome = StoreOutcome::kDone;
+  done.revision = Revision(2);
+  CHECK_TRUE(Only<Exit>(Reduce(done)).empty());
+  CHECK_FALSE(node.leads());
+  now = now + Duration(3000);
+  LONGS_EQUAL(1, Only<Exit>(Reduce(Woken())).size());
+}
+
+}  // namespace limeledge::dispatch
