Let urgent work displace lower priorities, and pack racks

Cause: urgent gangs beyond their workspace's guarantee waited behind lower priorities, urgent gangs of others were displaced like any work, and single tasks were spread over all racks, so that gangs found no whole runners. Change: priority 0 displaces lower priorities always, urgent work only within the guarantee and last; a task goes to the fullest rack among equal seats.

--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -27,11 +27,12 @@
 }
 
 /// Smaller is better: a sound runner, then the one that is left with the least
-/// room, so that large tasks find whole runners.
-std::tuple<bool, std::int64_t, std::int64_t> Waste(const Seat& seat,
-                                                   const Resources& need) {
+/// room, in the fullest rack, so that gangs find whole runners of one rack.
+using Waste = std::tuple<bool, std::int64_t, std::int64_t, std::int64_t>;
+
+Waste WasteOf(const Seat& seat, const Resources& need, std::int64_t rack_room) {
   return {seat.runner->slowness >= kSlowRunner,
-          seat.room.accelerators - need.accelerators,
+          seat.room.accelerators - need.accelerators, rack_room,
           seat.room.cpu_millis - need.cpu_millis};
 }
 
@@ -64,6 +65,17 @@
   return LimitPerSeat(request, seat) > 0;
 }
 
+Seating::Seating(std::vector<Seat> seats) : seats_(std::move(seats)) {
+  for (const Seat& seat : seats_) {
+    rack_room_[seat.rack] += seat.room.accelerators;
+  }
+}
+
+void Seating::Take(Seat* seat, const Resources& need) {
+  seat->room -= need;
+  rack_room_[seat->rack] -= need.accelerators;
+}
+
 Seat* Seating::PlaceOne(const PlacementRequest& request) {
   Seat* best = nullptr;
   const Resources& need = request.step->need;
@@ -79,18 +91,22 @@
       if (best_avoided) best = &seat;
       continue;
     }
-    if (Waste(seat, need) < Waste(*best, need)) best = &seat;
+    const bool better = WasteOf(seat, need, rack_room_[seat.rack]) <
+                        WasteOf(*best, need, rack_room_[best->rack]);
+    if (better) best = &seat;
   }
-  if (best != nullptr) best->room -= need;
+  if (best != nullptr) Take(best, need);
   return best;
 }
 
 std::vector<Seat*> Seating::PlaceAmong(const PlacementRequest& request,
                                        std::vector<Seat*> seats) {
   const Resources& need = request.step->need;
-  std::sort(seats.begin(), seats.end(), [&need](const Seat* a, const Seat* b) {
-    return Waste(*a, need) < Waste(*b, need);
-  });
+  std::sort(seats.begin(), seats.end(),
+            [this, &need](const Seat* a, const Seat* b) {
+              return WasteOf(*a, need, rack_room_[a->rack]) <
+                     WasteOf(*b, need, rack_room_[b->rack]);
+            });
   std::vector<Seat*> chosen;
   for (Seat* seat : seats) {
     const int left = request.count - static_cast<int>(chosen.size());
@@ -124,7 +140,7 @@
   }
   const bool one_rack_only = request.step->same_rack && !request.anywhere;
   if (best.empty() && !one_rack_only) best = PlaceAmong(request, all);
-  for (Seat* seat : best) seat->room -= request.step->need;
+  for (Seat* seat : best) Take(seat, request.step->need);
   return best;
 }
 
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -45,7 +45,7 @@
 /// Thread safety: none; lives for one pass.
 class Seating {
  public:
-  explicit Seating(std::vector<Seat> seats) : seats_(std::move(seats)) {}
+  explicit Seating(std::vector<Seat> seats);
 
   std::vector<Seat>& seats() { return seats_; }
 
@@ -60,7 +60,11 @@
  private:
   std::vector<Seat*> PlaceAmong(const PlacementRequest& request,
                                 std::vector<Seat*> seats);
+  void Take(Seat* seat, const Resources& need);
+
   std::vector<Seat> seats_;
+  /// Free accelerators of each rack.
+  std::map<std::string, std::int64_t> rack_room_;
 };
 
 /// How many tasks of `need` fit in `room`, at most `limit`.
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -261,7 +261,7 @@
       }
       planner_.claims_.erase(claim);
     }
-    if (unit.entitled) {
+    if (unit.policy.priority == 0) {
       Displace(unit, request);
     } else if (unit.spec->gang) {
       KeepForGang(unit, request);
@@ -295,22 +295,29 @@
         run.phase == RunPhase::kRunning ? now_ - run.started_at : Duration(0);
     if (spec.saves_progress) lost = std::min(lost, Duration(kMillisPerCore));
     const int members = spec.gang ? spec.count : 1;
-    return cores / kMillisPerCore * (lost.ms() + 1) * members;
+    const bool urgent = PolicyOf(*job, catalog_).priority == 0;
+    const std::int64_t weight = urgent ? options_.urgent_victim_weight : 1;
+    return cores / kMillisPerCore * (lost.ms() + 1) * members * weight;
   }
 
-  bool MayDisplace(const TaskName& name, const dispatch::Run& run) {
+  /// Urgent work displaces other work; within its guarantee also urgent work
+  /// of workspaces that are beyond theirs.
+  bool MayDisplace(const Unit& unit, const TaskName& name,
+                   const dispatch::Run& run) {
     if (run.stopping || displaced_.count(name) != 0) return false;
     Job* job = jobs_.Find(name.job);
     if (job == nullptr) return false;
     if (job->step_spec(name.step).long_running) return false;
-    return entitled_.count(name.job) == 0;
+    if (unit.entitled) return entitled_.count(name.job) == 0;
+    return PolicyOf(*job, catalog_).priority > 0;
   }
 
   /// Places on one seat in rising cost, at most `limit`.
-  std::vector<Opening> PlacesOn(Seat* seat, const Resources& need, int limit) {
+  std::vector<Opening> PlacesOn(const Unit& unit, Seat* seat, int limit) {
+    const Resources& need = unit.spec->need;
     std::vector<std::pair<std::int64_t, TaskName>> victims;
     for (const auto& [name, run] : seat->runner->runs()) {
-      if (!MayDisplace(name, run)) continue;
+      if (!MayDisplace(unit, name, run)) continue;
       victims.emplace_back(CostOf(name, run), name);
     }
     std::sort(victims.begin(), victims.end());
@@ -335,7 +342,8 @@
   }
 
   /// The cheapest places among `seats`; empty if there are not enough.
-  std::vector<Opening> CheapestPlaces(const std::vector<Seat*>& seats,
+  std::vector<Opening> CheapestPlaces(const Unit& unit,
+                                      const std::vector<Seat*>& seats,
                                       const PlacementRequest& request) {
     const int per_seat =
         request.step->max_per_runner > 0
@@ -343,7 +351,7 @@
             : request.count;
     std::vector<Opening> places;
     for (Seat* seat : seats) {
-      std::vector<Opening> own = PlacesOn(seat, request.step->need, per_seat);
+      std::vector<Opening> own = PlacesOn(unit, seat, per_seat);
       places.insert(places.end(), std::make_move_iterator(own.begin()),
                     std::make_move_iterator(own.end()));
     }
@@ -367,7 +375,7 @@
     std::vector<Opening> best;
     std::int64_t best_cost = std::numeric_limits<std::int64_t>::max();
     for (const auto& [rack, seats] : groups) {
-      std::vector<Opening> places = CheapestPlaces(seats, request);
+      std::vector<Opening> places = CheapestPlaces(unit, seats, request);
       if (places.empty()) continue;
       std::int64_t cost = 0;
       for (const Opening& place : places) cost += place.cost;
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -37,6 +37,9 @@
   /// Work that can not be done within this many times its objective earns
   /// nothing and goes last.
   int worthless_after = 3;
+  /// Work lost by displacing urgent work counts so many times: such work is
+  /// taken last.
+  std::int64_t urgent_victim_weight = 1000;
   /// An accelerator counts as this many cores.
   int cores_per_accelerator = 8;
 };
