Learn run times and slow runners, keep racks for urgent work

Cause: callers' guesses are off by factors; runs were placed on runners that had turned slow; urgent gangs waited a second or more until others had been stopped for them. Change: run times are learnt for each queue, the pace of runs marks slow runners, and a sixth of the runners, in whole racks, is for urgent work while more than half of all accelerators is in use.

--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -16,7 +16,9 @@
 
 // A runner that takes this much longer than expected is passed over while
 // others have room.
-constexpr double kSlowRunner = 1.6;
+constexpr double kSlowRunner = 2.2;
+
+bool IsSlow(const Seat& seat) { return seat.runner->slowness() >= kSlowRunner; }
 
 int LimitPerSeat(const PlacementRequest& request, const Seat& seat) {
   const int limit = request.step->max_per_runner;
@@ -26,13 +28,16 @@
   return std::max(0, limit - taken);
 }
 
+bool Holds(const std::set<std::string>* racks, const std::string& rack) {
+  return racks != nullptr && racks->count(rack) != 0;
+}
+
 /// Smaller is better: a sound runner, then the one that is left with the least
 /// room, in the fullest rack, so that gangs find whole runners of one rack.
 using Waste = std::tuple<bool, std::int64_t, std::int64_t, std::int64_t>;
 
 Waste WasteOf(const Seat& seat, const Resources& need, std::int64_t rack_room) {
-  return {seat.runner->slowness >= kSlowRunner,
-          seat.room.accelerators - need.accelerators, rack_room,
+  return {IsSlow(seat), seat.room.accelerators - need.accelerators, rack_room,
           seat.room.cpu_millis - need.cpu_millis};
 }
 
@@ -54,6 +59,7 @@
   const RunnerInfo& info = seat.runner->info();
   const StepSpec& step = *request.step;
   if (info.service != request.service) return false;
+  if (Holds(request.closed_racks, seat.rack)) return false;
   if (!step.required_label.empty() &&
       info.labels.count(step.required_label) == 0) {
     return false;
@@ -127,16 +133,20 @@
     all.push_back(&seat);
   }
   std::vector<Seat*> best;
-  std::int64_t best_room = 0;
+  // The fewest slow runners, then the fullest rack that fits, so that emptier
+  // ones stay whole.
+  std::tuple<std::int64_t, bool, std::int64_t> best_cost;
   for (const auto& [rack, seats] : racks) {
     std::vector<Seat*> chosen = PlaceAmong(request, seats);
     if (chosen.empty()) continue;
-    std::int64_t room = 0;
-    for (const Seat* seat : seats) room += seat->room.accelerators;
-    // The fullest rack that fits, so that emptier ones stay whole.
-    if (!best.empty() && room >= best_room) continue;
+    const std::int64_t slow = std::count_if(
+        chosen.begin(), chosen.end(), [](const Seat* s) { return IsSlow(*s); });
+    const bool preferred = Holds(request.preferred_racks, rack);
+    const std::tuple<std::int64_t, bool, std::int64_t> cost = {
+        slow, !preferred, rack_room_[rack]};
+    if (!best.empty() && cost >= best_cost) continue;
     best = std::move(chosen);
-    best_room = room;
+    best_cost = cost;
   }
   const bool one_rack_only = request.step->same_rack && !request.anywhere;
   if (best.empty() && !one_rack_only) best = PlaceAmong(request, all);
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -8,6 +8,7 @@
 #define LIMELEDGE_SRC_DISPATCH_PLACEMENT_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,9 @@
   /// Runners outside the rack with the data, or in several racks, are taken
   /// too.
   bool anywhere = false;
+  /// Racks to be used first, and racks not to be used; null for none.
+  const std::set<std::string>* preferred_racks = nullptr;
+  const std::set<std::string>* closed_racks = nullptr;
 };
 
 /// The runners that may be given work now.
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -49,12 +49,14 @@
 class Planner::Pass {
  public:
   Pass(Planner* planner, TimePoint now, std::int64_t wall_ms,
-       const Catalog& catalog, JobBook* jobs, Fleet* fleet)
+       const Catalog& catalog, const RunTimes& times, JobBook* jobs,
+       Fleet* fleet)
       : planner_(*planner),
         options_(planner->options_),
         now_(now),
         wall_ms_(wall_ms),
         catalog_(catalog),
+        times_(times),
         jobs_(*jobs),
         fleet_(*fleet),
         seating_(fleet->Seats(now)) {
@@ -62,6 +64,7 @@
   }
 
   Plan Run() {
+    SetUrgentRacksApart();
     CollectUnits();
     std::sort(units_.begin(), units_.end(), [](const Unit& a, const Unit& b) {
       return std::tie(a.rank, a.hopeless, a.deadline_wall_ms, a.key) <
@@ -77,6 +80,30 @@
     if (at > now_) planner_.next_at_ = std::min(planner_.next_at_, at);
   }
 
+  /// Chooses the racks that only urgent work is placed on: always the same
+  /// ones while the fleet stays the same.
+  void SetUrgentRacksApart() {
+    std::map<std::string, std::int64_t> size_of_rack;
+    std::int64_t runners = 0;
+    std::int64_t all = 0;
+    std::int64_t free = 0;
+    for (const Seat& seat : seating_.seats()) {
+      ++size_of_rack[seat.rack];
+      ++runners;
+      all += seat.runner->info().room.accelerators;
+      free += seat.room.accelerators;
+    }
+    const double used = static_cast<double>(all - free);
+    if (used < options_.idle_share * static_cast<double>(all)) return;
+    double left = options_.urgent_share * static_cast<double>(runners);
+    for (const auto& [rack, size] : size_of_rack) {
+      left -= static_cast<double>(size);
+      // Rounded to the nearest number of racks.
+      if (left < -static_cast<double>(size) / 2) return;
+      urgent_racks_.insert(rack);
+    }
+  }
+
   /// Urgent jobs within their workspaces' guarantees, oldest first.
   std::set<JobId> FindEntitled() {
     std::map<std::string, std::vector<const Job*>> urgent;
@@ -160,12 +187,13 @@
     unit->rank = unit->entitled ? 0 : unit->policy.priority + 1;
     const std::int64_t from =
         std::max(spec.accepted_wall_ms, occurrence.due_wall_ms);
-    const double chain = static_cast<double>(unit->job->longest_chain().ms());
+    const std::int64_t chain =
+        times_.Expect(spec.queue, unit->job->longest_chain()).ms();
+    const double stretched = unit->policy.stretch * static_cast<double>(chain);
     const std::int64_t objective =
-        static_cast<std::int64_t>(unit->policy.stretch * chain) +
-        unit->policy.slack.ms();
+        static_cast<std::int64_t>(stretched) + unit->policy.slack.ms();
     unit->deadline_wall_ms = from + objective;
-    const Duration left = unit->job->ChainFrom(step);
+    const Duration left = times_.Expect(spec.queue, unit->job->ChainFrom(step));
     unit->hopeless =
         wall_ms_ + left.ms() > from + objective * options_.worthless_after;
   }
@@ -186,6 +214,11 @@
     for (const Task& task : unit.step->tasks) {
       if (task.phase == TaskPhase::kAssigned) ++request.used[task.runner];
     }
+    if (unit.policy.priority == 0) {
+      request.preferred_racks = &urgent_racks_;
+    } else {
+      request.closed_racks = &urgent_racks_;
+    }
     return request;
   }
 
@@ -239,13 +272,16 @@
     const bool off_data =
         !spec.data_rack.empty() &&
         seat->runner->info().labels.count(spec.data_rack) == 0;
-    const Duration expected =
-        spread || off_data ? spec.estimate * kFarFactor : spec.estimate;
+    const bool far = spread || off_data;
+    const Duration near_time =
+        times_.Expect(unit.job->spec().queue, spec.estimate);
+    const Duration expected = far ? near_time * kFarFactor : near_time;
     plan_.assignments.push_back(
         {{unit.key.job, unit.key.occurrence, unit.key.step, index},
          run,
          seat->runner,
-         expected});
+         expected,
+         !far});
   }
 
   /// For what did not fit: keeps room that was made, displaces others, or
@@ -462,10 +498,12 @@
   TimePoint now_;
   std::int64_t wall_ms_;
   const Catalog& catalog_;
+  const RunTimes& times_;
   JobBook& jobs_;
   Fleet& fleet_;
   Seating seating_;
   std::set<JobId> entitled_;
+  std::set<std::string> urgent_racks_;
   std::set<TaskName> displaced_;
   std::vector<Unit> units_;
   int kept_ = 0;
@@ -473,8 +511,9 @@
 };
 
 Plan Planner::Decide(TimePoint now, std::int64_t wall_ms,
-                     const Catalog& catalog, JobBook* jobs, Fleet* fleet) {
-  return Pass(this, now, wall_ms, catalog, jobs, fleet).Run();
+                     const Catalog& catalog, const RunTimes& times,
+                     JobBook* jobs, Fleet* fleet) {
+  return Pass(this, now, wall_ms, catalog, times, jobs, fleet).Run();
 }
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -17,6 +17,7 @@
 #include "dispatch/fleet.h"
 #include "dispatch/job_book.h"
 #include "dispatch/placement.h"
+#include "dispatch/run_times.h"
 
 namespace limeledge::dispatch {
 
@@ -37,6 +38,13 @@
   /// Work that can not be done within this many times its objective earns
   /// nothing and goes last.
   int worthless_after = 3;
+  /// Share of the runners, in whole racks, that only urgent work is placed on:
+  /// about what it needs on an ordinary day, so that it need not wait for
+  /// others to be stopped.
+  double urgent_share = 0.17;
+  /// Other work may go there too while less than this share of all
+  /// accelerators is in use.
+  double idle_share = 0.5;
   /// Work lost by displacing urgent work counts so many times: such work is
   /// taken last.
   std::int64_t urgent_victim_weight = 1000;
@@ -51,6 +59,8 @@
   int run = 0;
   Runner* runner = nullptr;
   Duration expected;
+  /// Expected to take as long as on a sound runner near its data.
+  bool near = true;
 };
 
 /// A run that makes way for urgent work.
@@ -77,7 +87,7 @@
   /// Decides on everything that can be decided now. The state of `jobs` and
   /// `fleet` is not changed but for the time since when steps are ready.
   Plan Decide(TimePoint now, std::int64_t wall_ms, const Catalog& catalog,
-              JobBook* jobs, Fleet* fleet);
+              const RunTimes& times, JobBook* jobs, Fleet* fleet);
   /// When a step that waits for its due time or its patience comes next.
   TimePoint next_at() const { return next_at_; }
 
--- /dev/null
+++ b/src/dispatch/run_times.h
@@ -0,0 +1,46 @@
+/// @file
+/// How long runs really take, learnt for each queue from what was seen.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_DISPATCH_RUN_TIMES_H_
+#define LIMELEDGE_SRC_DISPATCH_RUN_TIMES_H_
+
+#include <map>
+
+#include "dispatch/catalog.h"
+#include "limeledge/clock.h"
+
+namespace limeledge::dispatch {
+
+/// Weighs callers' guesses against what the queue's runs took: the better one
+/// of the two in the past counts for more.
+///
+/// Thread safety: none; use it from one thread.
+class RunTimes {
+ public:
+  /// Notes that a run guessed at `estimate` takes `actual` in all, on a sound
+  /// runner as far as is known.
+  void Learn(const QueueId& queue, Duration estimate, Duration actual);
+  /// The expected time of a run guessed at `estimate`.
+  Duration Expect(const QueueId& queue, Duration estimate) const;
+
+ private:
+  /// Mean and variance of a logarithm, newer values counting for more.
+  struct LogMean {
+    double mean = 0;
+    double variance = 0;
+    int count = 0;
+    void Add(double value);
+  };
+  struct QueueTimes {
+    LogMean actual;
+    LogMean error;
+  };
+  std::map<QueueId, QueueTimes> queues_;
+};
+
+}  // namespace limeledge::dispatch
+
+#endif  // LIMELEDGE_SRC_DISPATCH_RUN_TIMES_H_
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -7,6 +7,7 @@
 #include "dispatch/runner.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "absl/strings/match.h"
 
@@ -18,6 +19,13 @@
 constexpr std::int64_t kSlowClockPercent = 103;
 // Timers at the runner fire a little late.
 constexpr Duration kLapseMargin{150};
+// Weight of the newest pace, and bounds on what one measure may say.
+constexpr double kPaceWeight = 0.4;
+constexpr double kLeastPace = 0.25;
+constexpr double kMostPace = 12;
+// What is kept of a suspicion from one reading of the list to the next, so
+// that a runner that gets no work is tried again after some seconds.
+constexpr double kSuspicionKept = 0.85;
 
 Duration OnSlowClock(std::int64_t ms) {
   return Duration(ms * kSlowClockPercent / 100) + kLapseMargin;
@@ -35,6 +43,7 @@
 
 void Runner::Update(const RunnerInfo& info, TimePoint now) {
   listed_ = true;
+  slowness_ = std::pow(slowness_, kSuspicionKept);
   if (!(info.room == info_.room)) {
     free_room_ += info.room;
     free_room_ -= info_.room;
@@ -53,6 +62,12 @@
   unlisted_at_ = now;
 }
 
+void Runner::NotePace(double ratio) {
+  const double bounded = std::clamp(ratio, kLeastPace, kMostPace);
+  slowness_ =
+      std::pow(slowness_, 1 - kPaceWeight) * std::pow(bounded, kPaceWeight);
+}
+
 void Runner::Add(const TaskName& name, const Run& run) {
   runs_[name] = run;
   free_room_ -= run.need;
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -66,6 +66,11 @@
   int percent = 0;
   /// When `percent` last changed.
   TimePoint progressed_at;
+  /// Where the newest measure of the run's pace began.
+  TimePoint pace_from;
+  int pace_percent = 0;
+  /// The run began from nothing, near its data: its time can be learnt from.
+  bool learns = false;
 };
 
 /// A runner. Pure bookkeeping: it sends nothing.
@@ -132,8 +137,10 @@
   JobId last_failed_job;
   /// When the runner leaves at the earliest, while it drains.
   TimePoint leaves_at;
-  /// Time of tasks here against their expected time; 1 for as expected.
-  double slowness = 1;
+  /// Takes in that a run's pace made it take `ratio` times as long as expected.
+  void NotePace(double ratio);
+  /// Time of runs here against their expected time; 1 for as expected.
+  double slowness() const { return slowness_; }
   /// All that ran in this life is over.
   bool ended = false;
 
@@ -144,6 +151,7 @@
   std::optional<TimePoint> drains_since_;
   std::map<TaskName, Run> runs_;
   Resources free_room_ = info_.room;
+  double slowness_ = 1;
   bool heard_ = false;
   int misses_ = 0;
   TimePoint heard_at_;
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -169,6 +169,7 @@
     run.number = assignment.run;
     run.need = job->step_spec(name.step).need;
     run.expected = assignment.expected;
+    run.learns = assignment.near && job->Find(name)->checkpoint.empty();
     assignment.runner->Add(name, run);
     ctx.Log(LogId::kRunAssigned,
             {{"task", ToString(name)},
@@ -202,8 +203,8 @@
       writer_.store_answers()) {
     plan_due_ = false;
     last_pass_ = ctx.now();
-    Apply(ctx,
-          planner_.Decide(ctx.now(), ctx.wall_ms(), catalog, &book_, &fleet_));
+    Apply(ctx, planner_.Decide(ctx.now(), ctx.wall_ms(), catalog, times_,
+                               &book_, &fleet_));
     WriteWaiting(ctx);
   }
   // The runners are only known by what is assigned to them once all is read.
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -41,6 +41,10 @@
   Duration stop_patience{1500};
   /// A run whose progress stands still for this long is moved elsewhere.
   Duration stall_patience{3000};
+  /// Progress over at least this time tells a run's pace.
+  Duration pace_interval{600};
+  /// A run's length is learnt once it has done this much, in percent.
+  int learn_percent = 20;
   /// Final jobs are forgotten after this: states are promised for 120 s.
   Duration keep_final{180000};
   /// Shortest time between two writes of the numbers of waiting jobs.
@@ -103,6 +107,9 @@
   // Runners.
   void TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end);
   void TakeRunning(Context& ctx, Runner* runner, const ListedRun& listed);
+  /// Learns from a run's progress: its length, and its runner's pace.
+  void MeasurePace(Context& ctx, Runner* runner, const Job& job,
+                   const TaskName& name, Run* run);
   void TakeAbsent(Context& ctx, Runner* runner, const RunnerLooked& answer);
   void Judge(Context& ctx, Runner* runner, const JobId& job, RunEnd end);
   void Avoid(Context& ctx, Runner* runner, Duration pause, const char* reason);
@@ -116,6 +123,7 @@
   StateWriter writer_;
   JobBook book_;
   Fleet fleet_;
+  RunTimes times_;
   Planner planner_;
   const Catalog* catalog_ = nullptr;
   bool plan_due_ = true;
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -95,6 +95,7 @@
     run.phase = RunPhase::kRunning;
     run.started_at = ctx.now();
     run.progressed_at = ctx.now();
+    run.pace_from = ctx.now();
     if (run.stopping) AskStop(ctx, runner, answer.task);
     return Verdict::kGoesOn;
   }
@@ -304,10 +305,33 @@
     return;
   }
   if (run.stopping) AskStop(ctx, runner, listed.task);
+  MeasurePace(ctx, runner, *job, listed.task, &run);
   if (!listed.checkpoint.empty())
     job->SaveProgress(listed.task, listed.checkpoint);
 }
 
+void Scheduler::MeasurePace(Context& ctx, Runner* runner, const Job& job,
+                            const TaskName& name, Run* run) {
+  const StepSpec& step = job.step_spec(name.step);
+  if (step.long_running || run->pace_from.ms() == 0) return;
+  const Duration elapsed = ctx.now() - run->pace_from;
+  if (elapsed < options_.pace_interval) return;
+  // A gang that has not begun shows no progress anywhere.
+  if (run->percent == 0) return;
+  const int done = std::max(1, run->percent - run->pace_percent);
+  const double length = static_cast<double>((elapsed * kAllDone).ms()) / done;
+  const double expected =
+      static_cast<double>(std::max<std::int64_t>(1, run->expected.ms()));
+  runner->NotePace(length / expected);
+  run->pace_from = ctx.now();
+  run->pace_percent = run->percent;
+  if (!run->learns || run->percent < options_.learn_percent) return;
+  run->learns = false;
+  const Duration whole =
+      (ctx.now() - run->started_at) * kAllDone / run->percent;
+  times_.Learn(job.spec().queue, step.estimate, whole);
+}
+
 void Scheduler::TakeAbsent(Context& ctx, Runner* runner,
                            const RunnerLooked& answer) {
   std::set<TaskName> running;
