Move runs off slow runners and press shortly before the deadline

Cause: gangs of middle priority waited behind single tasks of the lowest until their objective was gone; runs that began before a runner was known to be slow took six times as long. Change: room is kept for four gangs; work whose time runs out displaces lower priorities; a run on a slow runner moves if it would go on for half as long again as a new one. Ends of closed jobs' runs are logged too.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -111,6 +111,8 @@
        "A run made no progress for too long and is moved."},
       {LogId::kStartFailed, kWarning, "start_failed",
        "A runner did not begin a run, or did not say whether it did."},
+      {LogId::kRunMoved, kInfo, "run_moved",
+       "A run on a runner that turned slow is stopped, to start elsewhere."},
       {LogId::kRunnerListed, kInfo, "runner_listed",
        "A runner appeared in the list."},
       {LogId::kRunnerUnlisted, kWarning, "runner_unlisted",
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -65,6 +65,7 @@
   kRunDisplaced = 912,
   kRunStalled = 913,
   kStartFailed = 914,
+  kRunMoved = 915,
   kRunnerListed = 920,
   kRunnerUnlisted = 921,
   kRunnerDrains = 922,
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -194,6 +194,7 @@
         static_cast<std::int64_t>(stretched) + unit->policy.slack.ms();
     unit->deadline_wall_ms = from + objective;
     const Duration left = times_.Expect(spec.queue, unit->job->ChainFrom(step));
+    unit->latest_start_wall_ms = unit->deadline_wall_ms - left.ms();
     unit->hopeless =
         wall_ms_ + left.ms() > from + objective * options_.worthless_after;
   }
@@ -297,13 +298,23 @@
       }
       planner_.claims_.erase(claim);
     }
-    if (unit.policy.priority == 0) {
+    if (unit.policy.priority == 0 || IsPressed(unit)) {
       Displace(unit, request);
     } else if (unit.spec->gang) {
       KeepForGang(unit, request);
     }
   }
 
+  /// True shortly before the last moment at which the objective can be met.
+  bool IsPressed(const Unit& unit) {
+    const Duration left(unit.latest_start_wall_ms - wall_ms_);
+    if (left > options_.press_margin) {
+      WakeAt(now_ + left - options_.press_margin);
+      return false;
+    }
+    return left >= Duration(0);
+  }
+
   void Keep(const Unit& unit, const std::vector<RunnerId>& runners) {
     for (const RunnerId& id : runners) {
       for (Seat& seat : seating_.seats()) {
@@ -345,7 +356,7 @@
     if (job == nullptr) return false;
     if (job->step_spec(name.step).long_running) return false;
     if (unit.entitled) return entitled_.count(name.job) == 0;
-    return PolicyOf(*job, catalog_).priority > 0;
+    return PolicyOf(*job, catalog_).priority > unit.policy.priority;
   }
 
   /// Places on one seat in rising cost, at most `limit`.
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -30,9 +30,12 @@
   /// idle runners counts as forgotten.
   Duration patience{1500};
   /// Gangs wait this long before room is kept free for them.
-  Duration gang_patience{1000};
+  Duration gang_patience{300};
   /// Gangs that room is kept free for at once.
-  int kept_gangs = 1;
+  int kept_gangs = 4;
+  /// Other work displaces lower priorities once it must start within this time
+  /// to be done by its objective: room for a stop, twice over.
+  Duration press_margin{2500};
   /// Room that was made for a step is kept for it this long.
   Duration claim_time{2500};
   /// Work that can not be done within this many times its objective earns
@@ -77,7 +80,8 @@
 };
 
 /// Greedy planner: urgent work within its workspace's guarantee first, then by
-/// priority and time left; displaces others only for the former.
+/// priority and time left; displaces lower priorities for the former, and for
+/// others when their time runs out.
 ///
 /// Thread safety: none; use it from one thread.
 class Planner {
@@ -113,6 +117,8 @@
     int rank = 0;
     bool hopeless = false;
     std::int64_t deadline_wall_ms = 0;
+    /// Latest start that still meets the deadline.
+    std::int64_t latest_start_wall_ms = 0;
     std::vector<int> waiting;
   };
   /// Room that was made by displacing, until it is free.
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -43,6 +43,11 @@
   Duration stall_patience{3000};
   /// Progress over at least this time tells a run's pace.
   Duration pace_interval{600};
+  /// A run on a runner that is this much slower than expected is moved if it
+  /// would go on for this many times its whole expected time, and a stop more.
+  double slow_runner = 2.0;
+  double move_gain = 1.5;
+  Duration move_cost{500};
   /// A run's length is learnt once it has done this much, in percent.
   int learn_percent = 20;
   /// Final jobs are forgotten after this: states are promised for 120 s.
@@ -110,6 +115,9 @@
   /// Learns from a run's progress: its length, and its runner's pace.
   void MeasurePace(Context& ctx, Runner* runner, const Job& job,
                    const TaskName& name, Run* run);
+  /// Moves a run off a runner that turned slow, if that gains time.
+  void MoveFromSlow(Context& ctx, Runner* runner, const TaskName& name,
+                    const Run& run, Duration left);
   void TakeAbsent(Context& ctx, Runner* runner, const RunnerLooked& answer);
   void Judge(Context& ctx, Runner* runner, const JobId& job, RunEnd end);
   void Avoid(Context& ctx, Runner* runner, Duration pause, const char* reason);
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -5,10 +5,12 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "dispatch/scheduler.h"
 
 namespace limeledge::dispatch {
@@ -206,12 +208,12 @@
   const int number = found->second.number;
   runner->Remove(name);
   plan_due_ = true;
-  Job* job = book_.Find(name.job);
-  if (job == nullptr) return;
   ctx.Log(LogId::kRunEnded, {{"task", ToString(name)},
                              {"run", std::to_string(number)},
                              {"runner", runner->id().value()},
                              {"end", ToString(end)}});
+  Job* job = book_.Find(name.job);
+  if (job == nullptr) return;
   if (job->EndRun(name, number, end, checkpoint, MaxAttempts(*job))) {
     Settle(ctx, job);
   }
@@ -325,6 +327,8 @@
   runner->NotePace(length / expected);
   run->pace_from = ctx.now();
   run->pace_percent = run->percent;
+  const double left = length * (kAllDone - run->percent) / kAllDone;
+  MoveFromSlow(ctx, runner, name, *run, Duration(std::llround(left)));
   if (!run->learns || run->percent < options_.learn_percent) return;
   run->learns = false;
   const Duration whole =
@@ -332,6 +336,21 @@
   times_.Learn(job.spec().queue, step.estimate, whole);
 }
 
+void Scheduler::MoveFromSlow(Context& ctx, Runner* runner, const TaskName& name,
+                             const Run& run, Duration left) {
+  if (run.stopping || runner->slowness() < options_.slow_runner) return;
+  const double anew =
+      options_.move_gain * static_cast<double>(run.expected.ms());
+  if (left < Duration(std::llround(anew)) + options_.move_cost) return;
+  ctx.Log(LogId::kRunMoved, {{"task", ToString(name)},
+                             {"runner", runner->id().value()},
+                             {"percent", std::to_string(run.percent)},
+                             {"left_ms", std::to_string(left.ms())},
+                             {"slowness", absl::StrCat(runner->slowness())}});
+  AskStop(ctx, runner, name);
+  StopGang(ctx, name);
+}
+
 void Scheduler::TakeAbsent(Context& ctx, Runner* runner,
                            const RunnerLooked& answer) {
   std::set<TaskName> running;
