--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -94,7 +94,7 @@
       free += seat.room.accelerators;
     }
     const double used = static_cast<double>(all - free);
-    if (used < options_.idle_share * static_cast<double>(all)) return;
+    idle_ = used < options_.idle_share * static_cast<double>(all);
     double left = options_.urgent_share * static_cast<double>(runners);
     for (const auto& [rack, size] : size_of_rack) {
       left -= static_cast<double>(size);
@@ -217,7 +217,7 @@
     }
     if (unit.policy.priority == 0) {
       request.preferred_racks = &urgent_racks_;
-    } else {
+    } else if (!idle_ || !request.anywhere) {
       request.closed_racks = &urgent_racks_;
     }
     return request;
@@ -515,6 +515,7 @@
   Seating seating_;
   std::set<JobId> entitled_;
   std::set<std::string> urgent_racks_;
+  bool idle_ = false;
   std::set<TaskName> displaced_;
   std::vector<Unit> units_;
   int kept_ = 0;
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -44,9 +44,9 @@
   /// Share of the runners, in whole racks, that only urgent work is placed on:
   /// about what it needs on an ordinary day, so that it need not wait for
   /// others to be stopped.
-  double urgent_share = 0.17;
-  /// Other work may go there too while less than this share of all
-  /// accelerators is in use.
+  double urgent_share = 0.3;
+  /// Other work goes there too, once its patience is over, while less than
+  /// this share of all accelerators is in use.
   double idle_share = 0.5;
   /// Work lost by displacing urgent work counts so many times: such work is
   /// taken last.
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -25,7 +25,7 @@
 constexpr double kMostPace = 12;
 // What is kept of a suspicion from one reading of the list to the next, so
 // that a runner that gets no work is tried again after some seconds.
-constexpr double kSuspicionKept = 0.85;
+constexpr double kSuspicionKept = 0.93;
 
 Duration OnSlowClock(std::int64_t ms) {
   return Duration(ms * kSlowClockPercent / 100) + kLapseMargin;
