Emulate the platform in memory and fuzz whole systems

Change: src/emulator holds a store, runners and callers under virtual time around real nodes, with an oracle over every start; test/dispatch-fuzz plays random courses with kills, freezes, stops, drains, cuts, lost and late answers and outages.

--- /dev/null
+++ b/src/emulator/emulated_runner.cc
@@ -0,0 +1,308 @@
+/// @file
+/// Runners in memory.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "emulator/emulated_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "dispatch/context.h"
+
+namespace limeledge::emulator {
+
+using dispatch::OrderOutcome;
+using dispatch::RunEnd;
+using dispatch::TaskName;
+
+namespace {
+
+constexpr std::size_t kEndsAtOnce = 500;
+constexpr int kPercent = 100;
+
+}  // namespace
+
+EmulatedRunner::EmulatedRunner(dispatch::RunnerInfo info, RunnerBounds bounds,
+                               Truth truth, GangBoard* board)
+    : info_(std::move(info)),
+      bounds_(bounds),
+      truth_(std::move(truth)),
+      board_(board) {}
+
+EmulatedRunner::~EmulatedRunner() {
+  // Members elsewhere notice that this one is gone.
+  std::map<TaskName, ActiveRun> runs = std::move(runs_);
+  runs_.clear();
+  for (const auto& [name, run] : runs) {
+    if (run.truth.gang_size > 0) {
+      board_->Leave(name, run.number, RunEnd::kLapsed);
+    }
+  }
+}
+
+std::int64_t EmulatedRunner::clock_ms() const {
+  // Some clock of its own: starts elsewhere than the system's.
+  constexpr std::int64_t kClockStart = 480000;
+  return kClockStart + now_.ms();
+}
+
+dispatch::Resources EmulatedRunner::FreeRoom() const {
+  dispatch::Resources room = info_.room;
+  for (const auto& [name, run] : runs_) room -= run.truth.need;
+  return room;
+}
+
+void EmulatedRunner::AdvanceTo(TimePoint now) {
+  while (now_ < now) {
+    const TimePoint until =
+        std::min(now, std::max(next_at(), now_ + Duration(1)));
+    const Duration step = until - now_;
+    now_ = until;
+    std::vector<TaskName> names;
+    for (const auto& [name, run] : runs_) names.push_back(name);
+    if (!names.empty() && clock_ms() >= lease_until_ms_) {
+      for (const TaskName& name : names) End(name, RunEnd::kLapsed);
+      continue;
+    }
+    for (const TaskName& name : names) {
+      const auto found = runs_.find(name);
+      // Another member's end may have ended it meanwhile.
+      if (found != runs_.end()) Work(name, &found->second, step);
+    }
+  }
+}
+
+void EmulatedRunner::Work(const TaskName& name, ActiveRun* run, Duration step) {
+  if (run->stopping) {
+    if (now_ >= run->stops_at) End(name, RunEnd::kStopped);
+    return;
+  }
+  const TaskTruth& truth = run->truth;
+  if (truth.gang_size > 0 &&
+      board_->Present(name, run->number) < truth.gang_size) {
+    if (now_ - run->started_at >= bounds_.gang_wait) End(name, RunEnd::kAlone);
+    return;
+  }
+  run->worked_ms += static_cast<double>(step.ms()) / slowness_;
+  const auto save_ms = static_cast<double>(bounds_.save_interval.ms());
+  if (truth.saves_progress && run->worked_ms - run->saved_ms >= save_ms) {
+    Save(name, run);
+  }
+  if (run->worked_ms < static_cast<double>(truth.work.ms())) return;
+  const bool fails = failing_ || truth.always_fails;
+  End(name, fails ? RunEnd::kFailed : RunEnd::kDone);
+}
+
+void EmulatedRunner::Save(const TaskName&, ActiveRun* run) {
+  run->saved_ms = run->worked_ms;
+  run->checkpoint = absl::StrCat(static_cast<std::int64_t>(run->worked_ms));
+}
+
+TimePoint EmulatedRunner::next_at() const {
+  TimePoint next = dispatch::kNever;
+  if (runs_.empty()) return next;
+  next =
+      now_ + Duration(std::max<std::int64_t>(1, lease_until_ms_ - clock_ms()));
+  for (const auto& [name, run] : runs_) {
+    if (run.stopping) {
+      next = std::min(next, run.stops_at);
+      continue;
+    }
+    const bool waits = run.truth.gang_size > 0 &&
+                       board_->Present(name, run.number) < run.truth.gang_size;
+    if (waits) {
+      next = std::min(next, run.started_at + bounds_.gang_wait);
+      continue;
+    }
+    const double left =
+        (static_cast<double>(run.truth.work.ms()) - run.worked_ms) * slowness_;
+    next = std::min(
+        next,
+        now_ + Duration(1 + static_cast<std::int64_t>(std::max(0.0, left))));
+  }
+  return next;
+}
+
+void EmulatedRunner::End(const TaskName& name, RunEnd end) {
+  const auto found = runs_.find(name);
+  if (found == runs_.end()) return;
+  ActiveRun run = std::move(found->second);
+  runs_.erase(found);
+  if (run.truth.saves_progress && end == RunEnd::kStopped) Save(name, &run);
+  barred_[name] = std::max(barred_[name], run.number);
+  ended_.push_back({++last_end_, name, run.number, end, run.checkpoint});
+  if (run.truth.gang_size > 0) board_->Leave(name, run.number, end);
+}
+
+void EmulatedRunner::EndMember(const TaskName& name, int number, RunEnd end) {
+  const auto found = runs_.find(name);
+  if (found == runs_.end() || found->second.number != number) return;
+  End(name, end);
+}
+
+bool EmulatedRunner::Obeys(Epoch epoch) {
+  if (epoch < fence_) return false;
+  fence_ = epoch;
+  return true;
+}
+
+void EmulatedRunner::Grant(std::int64_t until_ms) {
+  const std::int64_t longest = clock_ms() + bounds_.longest_lease.ms();
+  lease_until_ms_ = std::max(lease_until_ms_, std::min(until_ms, longest));
+}
+
+dispatch::StartAnswered EmulatedRunner::Start(const dispatch::StartRun& order) {
+  dispatch::StartAnswered answer;
+  answer.runner = info_.id;
+  answer.epoch = order.target.epoch;
+  answer.task = order.task;
+  answer.run = order.run;
+  answer.clock_ms = clock_ms();
+  answer.outcome = OrderOutcome::kDone;
+  if (order.target.runner != info_.id) {
+    answer.outcome = OrderOutcome::kOtherLife;
+    return answer;
+  }
+  if (!Obeys(order.target.epoch)) {
+    answer.outcome = OrderOutcome::kFenced;
+    return answer;
+  }
+  const bool too_late = order.until_ms <= clock_ms();
+  Grant(order.until_ms);
+  const auto active = runs_.find(order.task);
+  if (active != runs_.end()) {
+    const bool same = active->second.number == order.run;
+    if (!same) answer.outcome = OrderOutcome::kOldRun;
+    return answer;
+  }
+  const auto barred = barred_.find(order.task);
+  if (barred != barred_.end() && order.run <= barred->second) {
+    answer.outcome = OrderOutcome::kOldRun;
+    return answer;
+  }
+  if (too_late) {
+    answer.outcome = OrderOutcome::kTooLate;
+    return answer;
+  }
+  ActiveRun run;
+  run.truth = truth_(order.task);
+  if (!run.truth.need.Fits(FreeRoom())) {
+    answer.outcome = OrderOutcome::kNoRoom;
+    return answer;
+  }
+  run.number = order.run;
+  run.started_at = now_;
+  run.checkpoint = order.checkpoint;
+  std::int64_t saved = 0;
+  if (absl::SimpleAtoi(order.checkpoint, &saved)) {
+    run.worked_ms = static_cast<double>(saved);
+    run.saved_ms = run.worked_ms;
+  }
+  const bool gang = run.truth.gang_size > 0;
+  runs_[order.task] = std::move(run);
+  if (gang) board_->Join(order.task, order.run, this);
+  return answer;
+}
+
+dispatch::StopAnswered EmulatedRunner::Stop(const dispatch::StopRun& order) {
+  dispatch::StopAnswered answer;
+  answer.runner = info_.id;
+  answer.epoch = order.target.epoch;
+  answer.task = order.task;
+  answer.run = order.run;
+  answer.clock_ms = clock_ms();
+  answer.outcome = OrderOutcome::kDone;
+  if (order.target.runner != info_.id) {
+    answer.outcome = OrderOutcome::kOtherLife;
+    return answer;
+  }
+  if (!Obeys(order.target.epoch)) {
+    answer.outcome = OrderOutcome::kFenced;
+    return answer;
+  }
+  const auto active = runs_.find(order.task);
+  if (active == runs_.end() || active->second.number != order.run) {
+    int& barred = barred_[order.task];
+    barred = std::max(barred, order.run);
+    return answer;
+  }
+  if (!active->second.stopping) {
+    active->second.stopping = true;
+    active->second.stops_at = now_ + bounds_.stop_time;
+  }
+  return answer;
+}
+
+bool EmulatedRunner::HasNewEnds(std::int64_t acknowledged) const {
+  return last_end_ > acknowledged;
+}
+
+dispatch::RunnerLooked EmulatedRunner::Look(
+    const dispatch::LookAtRunner& look) {
+  dispatch::RunnerLooked answer;
+  answer.runner = info_.id;
+  answer.epoch = look.target.epoch;
+  answer.clock_ms = clock_ms();
+  answer.outcome = OrderOutcome::kDone;
+  if (look.target.runner != info_.id) {
+    answer.outcome = OrderOutcome::kOtherLife;
+    return answer;
+  }
+  if (!Obeys(look.target.epoch)) {
+    answer.outcome = OrderOutcome::kFenced;
+    return answer;
+  }
+  if (look.until_ms > 0) Grant(look.until_ms);
+  ended_.erase(std::remove_if(ended_.begin(), ended_.end(),
+                              [&look](const dispatch::ListedEnd& end) {
+                                return end.number <= look.acknowledged_end;
+                              }),
+               ended_.end());
+  const std::size_t count = std::min(ended_.size(), kEndsAtOnce);
+  answer.ended.assign(ended_.begin(),
+                      ended_.begin() + static_cast<std::ptrdiff_t>(count));
+  for (const auto& [name, run] : runs_) {
+    const double share =
+        run.worked_ms /
+        static_cast<double>(std::max<std::int64_t>(1, run.truth.work.ms()));
+    const int percent =
+        std::min(kPercent - 1, static_cast<int>(share * kPercent));
+    answer.running.push_back({name, run.number, run.checkpoint, percent});
+  }
+  return answer;
+}
+
+void EmulatedRunner::ForEachRun(
+    const std::function<void(const TaskName&, int)>& visit) const {
+  for (const auto& [name, run] : runs_) visit(name, run.number);
+}
+
+GangBoard::GangKey GangBoard::KeyOf(const TaskName& name, int run) {
+  return {{name.job, name.occurrence, name.step, 0}, run};
+}
+
+void GangBoard::Join(const TaskName& name, int run, EmulatedRunner* runner) {
+  gangs_[KeyOf(name, run)].push_back({name, runner});
+}
+
+void GangBoard::Leave(const TaskName& name, int run, RunEnd end) {
+  const auto found = gangs_.find(KeyOf(name, run));
+  if (found == gangs_.end()) return;
+  std::vector<Member> others = std::move(found->second);
+  gangs_.erase(found);
+  const RunEnd theirs = end == RunEnd::kDone ? RunEnd::kDone : RunEnd::kBroken;
+  for (const Member& other : others) {
+    if (!(other.name == name)) other.runner->EndMember(other.name, run, theirs);
+  }
+}
+
+int GangBoard::Present(const TaskName& name, int run) const {
+  const auto found = gangs_.find(KeyOf(name, run));
+  return found == gangs_.end() ? 0 : static_cast<int>(found->second.size());
+}
+
+}  // namespace limeledge::emulator
--- /dev/null
+++ b/src/emulator/emulated_runner.h
@@ -0,0 +1,142 @@
+/// @file
+/// Runners that run tasks under leases, by the clock that they are given.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_EMULATOR_EMULATED_RUNNER_H_
+#define LIMELEDGE_SRC_EMULATOR_EMULATED_RUNNER_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "dispatch/effect.h"
+#include "dispatch/event.h"
+
+namespace limeledge::emulator {
+
+/// How a task really behaves, whatever its caller guessed.
+struct TaskTruth {
+  Duration work{1000};
+  dispatch::Resources need;
+  bool saves_progress = false;
+  /// 0 for a task that is no member of a gang.
+  int gang_size = 0;
+  /// Every run fails when it is done with its work.
+  bool always_fails = false;
+};
+
+/// Bounds that hold on all runners.
+struct RunnerBounds {
+  Duration longest_lease{10000};
+  Duration stop_time{300};
+  Duration gang_wait{3000};
+  Duration save_interval{1000};
+};
+
+/// What runners share: the truth of tasks, and who is there of each gang.
+class GangBoard;
+
+/// One life of a runner.
+///
+/// Thread safety: none; callers lock.
+class EmulatedRunner {
+ public:
+  using Truth = std::function<TaskTruth(const dispatch::TaskName&)>;
+
+  EmulatedRunner(dispatch::RunnerInfo info, RunnerBounds bounds, Truth truth,
+                 GangBoard* board);
+  ~EmulatedRunner();
+  EmulatedRunner(const EmulatedRunner&) = delete;
+  EmulatedRunner& operator=(const EmulatedRunner&) = delete;
+
+  const dispatch::RunnerInfo& info() const { return info_; }
+  dispatch::RunnerInfo& info() { return info_; }
+
+  /// Lets work, stops and leases go on until `now`. Call it before every other
+  /// method, with times that do not go back.
+  void AdvanceTo(TimePoint now);
+  /// The next moment at which something ends by itself.
+  TimePoint next_at() const;
+
+  dispatch::StartAnswered Start(const dispatch::StartRun& order);
+  dispatch::StopAnswered Stop(const dispatch::StopRun& order);
+  dispatch::RunnerLooked Look(const dispatch::LookAtRunner& look);
+  /// True if a look that waits for an end would be answered now.
+  bool HasNewEnds(std::int64_t acknowledged) const;
+
+  /// Tasks take so many times as long from now on.
+  void SetSlowness(double factor) { slowness_ = factor; }
+  /// Every run fails from now on.
+  void SetFailing(bool failing) { failing_ = failing; }
+
+  /// Calls `visit` for each run that has not ended.
+  void ForEachRun(
+      const std::function<void(const dispatch::TaskName&, int)>& visit) const;
+
+  /// Called by the board: another member ended, or all members are done.
+  void EndMember(const dispatch::TaskName& name, int run, dispatch::RunEnd end);
+
+ private:
+  struct ActiveRun {
+    int number = 0;
+    TaskTruth truth;
+    TimePoint started_at;
+    double worked_ms = 0;
+    std::string checkpoint;
+    double saved_ms = 0;
+    /// The run is being stopped and ends then.
+    bool stopping = false;
+    TimePoint stops_at;
+  };
+
+  std::int64_t clock_ms() const;
+  bool Obeys(Epoch epoch);
+  void Grant(std::int64_t until_ms);
+  void Work(const dispatch::TaskName& name, ActiveRun* run, Duration step);
+  void End(const dispatch::TaskName& name, dispatch::RunEnd end);
+  void Save(const dispatch::TaskName& name, ActiveRun* run);
+  dispatch::Resources FreeRoom() const;
+
+  dispatch::RunnerInfo info_;
+  RunnerBounds bounds_;
+  Truth truth_;
+  GangBoard* board_;
+  TimePoint now_;
+  Epoch fence_;
+  std::int64_t lease_until_ms_ = 0;
+  double slowness_ = 1;
+  bool failing_ = false;
+  std::int64_t last_end_ = 0;
+  std::map<dispatch::TaskName, ActiveRun> runs_;
+  /// The newest run of each task that ended here or may not begin any more.
+  std::map<dispatch::TaskName, int> barred_;
+  std::vector<dispatch::ListedEnd> ended_;
+};
+
+/// Brings the members of a gang's run together.
+///
+/// Thread safety: none; callers lock.
+class GangBoard {
+ public:
+  void Join(const dispatch::TaskName& name, int run, EmulatedRunner* runner);
+  /// Takes a member away; the others end by it.
+  void Leave(const dispatch::TaskName& name, int run, dispatch::RunEnd end);
+  /// Members of the run that are there.
+  int Present(const dispatch::TaskName& name, int run) const;
+
+ private:
+  struct Member {
+    dispatch::TaskName name;
+    EmulatedRunner* runner = nullptr;
+  };
+  using GangKey = std::pair<dispatch::TaskName, int>;
+  static GangKey KeyOf(const dispatch::TaskName& name, int run);
+  std::map<GangKey, std::vector<Member>> gangs_;
+};
+
+}  // namespace limeledge::emulator
+
+#endif  // LIMELEDGE_SRC_EMULATOR_EMULATED_RUNNER_H_
--- /dev/null
+++ b/src/emulator/emulated_store.cc
@@ -0,0 +1,93 @@
+/// @file
+/// The store in memory.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "emulator/emulated_store.h"
+
+#include <algorithm>
+
+namespace limeledge::emulator {
+
+using dispatch::StoreOutcome;
+
+dispatch::Row EmulatedStore::RowOf(const Key& key, const Cell& cell) {
+  dispatch::Row row;
+  row.key = {key.first, key.second};
+  row.value = cell.value;
+  row.revision = cell.gone ? Revision() : cell.revision;
+  row.gone = cell.gone;
+  return row;
+}
+
+dispatch::TransactionAnswered EmulatedStore::Commit(
+    const dispatch::RowTransaction& transaction) {
+  dispatch::TransactionAnswered answer;
+  answer.outcome = StoreOutcome::kDone;
+  for (const dispatch::RowCondition& condition : transaction.conditions) {
+    const Key key{condition.key.table, condition.key.key};
+    const auto found = cells_.find(key);
+    const Cell cell =
+        found == cells_.end() ? Cell{"", Revision(), true} : found->second;
+    const dispatch::Row row = RowOf(key, cell);
+    if (row.revision != condition.revision) {
+      answer.outcome = StoreOutcome::kConflict;
+    }
+    if (!cell.gone) answer.rows.push_back(row);
+  }
+  if (answer.outcome == StoreOutcome::kConflict) return answer;
+  answer.rows.clear();
+  revision_ = revision_.Next();
+  answer.revision = revision_;
+  for (const dispatch::RowWrite& put : transaction.puts) {
+    cells_[{put.key.table, put.key.key}] = {put.value, revision_, false};
+  }
+  for (const dispatch::RowKey& key : transaction.removes) {
+    cells_[{key.table, key.key}] = {"", revision_, true};
+  }
+  return answer;
+}
+
+dispatch::RowsAnswered EmulatedStore::Read(const std::string& table,
+                                           const std::string& from,
+                                           const std::string& to,
+                                           int limit) const {
+  dispatch::RowsAnswered answer;
+  answer.outcome = StoreOutcome::kDone;
+  answer.newest = revision_;
+  for (auto it = cells_.lower_bound({table, from});
+       it != cells_.end() && it->first.first == table; ++it) {
+    if (!to.empty() && it->first.second >= to) break;
+    if (it->second.gone) continue;
+    if (static_cast<int>(answer.rows.size()) == limit) {
+      answer.more = true;
+      break;
+    }
+    answer.rows.push_back(RowOf(it->first, it->second));
+  }
+  return answer;
+}
+
+dispatch::ChangesAnswered EmulatedStore::Changes(const std::string& table,
+                                                 Revision after) const {
+  dispatch::ChangesAnswered answer;
+  if (after < history_from_) {
+    answer.outcome = StoreOutcome::kHistoryGone;
+    return answer;
+  }
+  answer.outcome = StoreOutcome::kDone;
+  answer.newest = revision_;
+  std::vector<std::pair<Revision, dispatch::Row>> rows;
+  for (auto it = cells_.lower_bound({table, ""});
+       it != cells_.end() && it->first.first == table; ++it) {
+    if (it->second.revision <= after) continue;
+    rows.emplace_back(it->second.revision, RowOf(it->first, it->second));
+  }
+  std::sort(rows.begin(), rows.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (auto& [revision, row] : rows) answer.rows.push_back(std::move(row));
+  return answer;
+}
+
+}  // namespace limeledge::emulator
--- /dev/null
+++ b/src/emulator/emulated_system.h
@@ -0,0 +1,189 @@
+/// @file
+/// Nodes, store, runners and callers under virtual time, with faults and an
+/// oracle.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_EMULATOR_EMULATED_SYSTEM_H_
+#define LIMELEDGE_SRC_EMULATOR_EMULATED_SYSTEM_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dispatch/node.h"
+#include "emulator/emulated_runner.h"
+#include "emulator/emulated_store.h"
+
+namespace limeledge::emulator {
+
+/// Sizes and times of an emulated system.
+struct SystemOptions {
+  std::uint64_t seed = 1;
+  int nodes = 3;
+  int runners = 8;
+  int runners_per_rack = 4;
+  dispatch::Resources room{64000, 262144, 8};
+  RunnerBounds bounds;
+  /// One way between any two parties.
+  Duration network{1};
+  Duration store_time{4};
+};
+
+/// Faults that are on at the moment.
+struct Faults {
+  bool store_down = false;
+  /// Shares of calls whose answer is lost after the call took effect.
+  double store_answers_lost = 0;
+  double orders_lost = 0;
+  /// Such an order is carried out late by up to this.
+  Duration late_order{0};
+  /// The store takes so many times as long.
+  int store_slowness = 1;
+  std::set<int> nodes_without_store;
+  std::set<RunnerId> unreachable_runners;
+};
+
+/// A job as its caller knows it, and what the oracle saw of it.
+struct JobWatch {
+  dispatch::JobSpec spec;
+  std::vector<TaskTruth> truths;
+  bool accepted = false;
+  /// An attempt to hand it in was not answered by a refusal.
+  bool may_be_taken = false;
+  bool cancel_sent = false;
+  std::string final_state;
+  std::map<dispatch::TaskName, int> starts;
+  /// Runs whose end was taken note of, by how they ended.
+  std::map<dispatch::TaskName, int> failures;
+  std::set<dispatch::TaskName> done;
+  /// Tasks that a runner has listed as done; a gang's members by any of them.
+  std::set<dispatch::TaskName> listed_done;
+};
+
+/// A whole system in one thread. What breaks a promise is collected in
+/// `violations`.
+///
+/// Thread safety: none; use it from one thread.
+class EmulatedSystem {
+ public:
+  explicit EmulatedSystem(SystemOptions options);
+  ~EmulatedSystem();
+
+  /// Lets virtual time pass.
+  void Run(Duration time);
+  TimePoint now() const { return now_; }
+
+  /// Hands a job in at a random node, again with the same id until there is a
+  /// final answer.
+  JobId Submit(dispatch::JobSpec spec, std::vector<TaskTruth> truths);
+  void Cancel(const JobId& job);
+  /// The state that a node tells; empty while it does not answer.
+  std::string StateOf(const JobId& job);
+
+  Faults& faults() { return faults_; }
+  EmulatedStore& store() { return store_; }
+  const std::vector<std::string>& violations() const { return violations_; }
+  const std::map<JobId, JobWatch>& jobs() const { return jobs_; }
+  /// The node that leads now; -1 for none.
+  int leader() const;
+
+  /// The process ends without a word and starts again after `down`.
+  void KillNode(int node, Duration down);
+  /// The process stands still for `time`; its calls go on.
+  void FreezeNode(int node, Duration time);
+  /// The process is asked to stop, and starts again after it ended.
+  void StopNode(int node);
+  /// The runner ends; another life comes at its address after `down`.
+  void KillRunner(const RunnerId& runner, Duration down);
+  /// The runner says that it leaves, and does so after `time`.
+  void DrainRunner(const RunnerId& runner, Duration time);
+  EmulatedRunner* FindRunner(const RunnerId& runner);
+  std::vector<RunnerId> RunnerIds() const;
+
+ private:
+  struct Process {
+    std::unique_ptr<dispatch::Node> node;
+    /// Counts lives; answers to an earlier one are dropped.
+    int life = 0;
+    TimePoint frozen_until;
+    std::vector<dispatch::EventBody> held;
+    bool ready = false;
+    TimePoint woken_for;
+  };
+  struct Action {
+    TimePoint at;
+    std::int64_t order = 0;
+    std::function<void()> run;
+    friend bool operator<(const Action& a, const Action& b) {
+      return a.at != b.at ? a.at > b.at : a.order > b.order;
+    }
+  };
+
+  void At(TimePoint at, std::function<void()> run);
+  double Chance();
+  bool Happens(double share) { return share > 0 && Chance() < share; }
+
+  void StartNode(int node);
+  void Deliver(int node, int life, dispatch::EventBody body);
+  void Reduce(int node, dispatch::EventBody body);
+  void Perform(int node, const dispatch::Effect& effect);
+  /// Carries a call to the store out; the answer comes later or never.
+  template <typename Answer>
+  void CallStore(int node, Duration timeout, std::function<Answer()> carry_out,
+                 Answer lost);
+  void Follow(int node, int life, const dispatch::AwaitChanges& effect,
+              TimePoint until);
+  void ReadCatalog(int node, const dispatch::AwaitCatalog* wait);
+  void ListRunners(int node);
+  void Look(int node, const dispatch::LookAtRunner& look);
+  void AnswerLook(int node, int life, const dispatch::LookAtRunner& look,
+                  TimePoint until);
+  template <typename Answer, typename Order>
+  void SendOrder(int node, const Order& order, Answer answer,
+                 std::function<Answer(EmulatedRunner*)> carry_out);
+  void TakeAnswer(const dispatch::AnswerCall& answer);
+  void SendSubmit(const JobId& job);
+  CallId SendCall(dispatch::CallArrived call,
+                  std::function<void(const dispatch::AnswerCall*)> done);
+
+  void AddRunner(int index, int life);
+  bool Reaches(const RunnerId& runner) const;
+  void CheckStart(const EmulatedRunner& runner,
+                  const dispatch::StartRun& order);
+  void NoteEnds(const dispatch::LookAtRunner& look,
+                const dispatch::RunnerLooked& answer);
+  void CheckTwice();
+  void Violate(const std::string& what);
+  TaskTruth TruthOf(const dispatch::TaskName& name) const;
+
+  SystemOptions options_;
+  std::mt19937_64 random_;
+  TimePoint now_{1000};
+  std::int64_t order_ = 0;
+  std::priority_queue<Action> actions_;
+  Faults faults_;
+  EmulatedStore store_;
+  GangBoard board_;
+  dispatch::Catalog catalog_;
+  std::vector<Process> processes_;
+  std::map<RunnerId, std::unique_ptr<EmulatedRunner>> runners_;
+  std::map<std::string, RunnerId> runner_at_;
+  std::map<JobId, JobWatch> jobs_;
+  CallId last_call_;
+  std::map<CallId, std::function<void(const dispatch::AnswerCall*)>> calls_;
+  /// Ends that each runner has listed, until they are taken note of.
+  std::map<RunnerId, std::map<std::int64_t, dispatch::ListedEnd>> listed_;
+  std::vector<std::string> violations_;
+  std::int64_t last_job_ = 0;
+};
+
+}  // namespace limeledge::emulator
+
+#endif  // LIMELEDGE_SRC_EMULATOR_EMULATED_SYSTEM_H_
