Acknowledge no end before the store has it

Cause: a gang's first end closed its job, and the other members' ends, of a job no longer known, were told as known at once. Change: an end is told as known once no change of its job's row is pending; a runner's lease is renewed while ends of it are not stored. The oracle knows that an end does not count as told when the lease ran out in between.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -95,8 +95,10 @@
     look.acknowledged_end = runner->AcknowledgedEnd();
     // A look at a silent runner may arrive unheard: renewing by it would put
     // off for ever the moment at which its runs are surely over.
-    const bool renew =
-        may_renew && runner->reachable() && !runner->runs().empty();
+    // An end that is told as known after the lease ran out is not taken as
+    // told.
+    const bool leased = !runner->runs().empty() || !runner->EndsAreStored();
+    const bool renew = may_renew && runner->reachable() && leased;
     if (renew) {
       look.until_ms = runner->GrantUntil(ctx.now(), options_.run_lease);
     }
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -270,17 +270,15 @@
       found != runner->runs().end() && found->second.number == end.run;
   if (!ours) return;
   Judge(ctx, runner, end.task.job, end.end);
-  const bool known = book_.Find(end.task.job) != nullptr;
   EndRun(ctx, runner, end.task, end.end, end.checkpoint);
-  if (!known) return;
-  // A member of a gang that is done already changes nothing by itself.
-  if (book_.Find(end.task.job) != nullptr) Mark(end.task.job);
+  // Also a job that was closed just now may not be stored yet.
+  const RowKey key{kProgressTable, end.task.job.value()};
+  if (!writer_.IsPending(key)) return;
   runner->unstored_ends.insert(end.number);
-  writer_.After({kProgressTable, end.task.job.value()},
-                [this, id = runner->id(), number = end.number](Context&) {
-                  Runner* later = fleet_.Find(id);
-                  if (later != nullptr) later->unstored_ends.erase(number);
-                });
+  writer_.After(key, [this, id = runner->id(), number = end.number](Context&) {
+    Runner* later = fleet_.Find(id);
+    if (later != nullptr) later->unstored_ends.erase(number);
+  });
 }
 
 void Scheduler::TakeRunning(Context& ctx, Runner* runner,
--- a/src/dispatch/state_writer.cc
+++ b/src/dispatch/state_writer.cc
@@ -32,8 +32,16 @@
   marked_[{key.table, key.key}].remove = true;
 }
 
+bool StateWriter::IsPending(const RowKey& key) const {
+  const PendingKey pending{key.table, key.key};
+  return marked_.count(pending) != 0 || sent_.count(pending) != 0;
+}
+
 void StateWriter::After(const RowKey& key, Action action) {
-  marked_[{key.table, key.key}].actions.push_back(std::move(action));
+  const PendingKey pending{key.table, key.key};
+  auto found = marked_.find(pending);
+  if (found == marked_.end()) found = sent_.find(pending);
+  found->second.actions.push_back(std::move(action));
 }
 
 TimePoint StateWriter::next_at() const {
--- a/src/dispatch/state_writer.h
+++ b/src/dispatch/state_writer.h
@@ -54,8 +54,10 @@
   void Mark(const RowKey& key, Render render);
   /// The row is to be removed.
   void Remove(const RowKey& key);
-  /// Runs `action` once the row's present state is stored.
-  /// Precondition: the row was marked and `Flush` not called since.
+  /// True if a change of the row is not known to be stored yet.
+  bool IsPending(const RowKey& key) const;
+  /// Runs `action` once all changes of the row up to now are stored.
+  /// Precondition: `IsPending(key)`.
   void After(const RowKey& key, Action action);
 
   /// Sends what is due, if nothing is under way.
--- a/src/emulator/emulated_runner.cc
+++ b/src/emulator/emulated_runner.cc
@@ -62,6 +62,7 @@
         std::min(now, std::max(next_at(), now_ + Duration(1)));
     const Duration step = until - now_;
     now_ = until;
+    NoteLapse();
     std::vector<TaskName> names;
     for (const auto& [name, run] : runs_) names.push_back(name);
     if (!names.empty() && clock_ms() >= lease_until_ms_) {
@@ -76,6 +77,17 @@
   }
 }
 
+void EmulatedRunner::NoteLapse() {
+  const bool over = clock_ms() >= lease_until_ms_;
+  if (over && !lapsed_) ++lapses_;
+  lapsed_ = over;
+}
+
+bool EmulatedRunner::LapsedSince(std::int64_t end) const {
+  const auto found = lapses_at_end_.find(end);
+  return found != lapses_at_end_.end() && found->second != lapses_;
+}
+
 void EmulatedRunner::Work(const TaskName& name, ActiveRun* run, Duration step) {
   if (run->stopping) {
     if (now_ >= run->stops_at) End(name, RunEnd::kStopped);
@@ -104,7 +116,7 @@
 
 TimePoint EmulatedRunner::next_at() const {
   TimePoint next = dispatch::kNever;
-  if (runs_.empty()) return next;
+  if (lapsed_) return next;
   next =
       now_ + Duration(std::max<std::int64_t>(1, lease_until_ms_ - clock_ms()));
   for (const auto& [name, run] : runs_) {
@@ -134,6 +146,7 @@
   runs_.erase(found);
   if (run.truth.saves_progress && end == RunEnd::kStopped) Save(name, &run);
   barred_[name] = std::max(barred_[name], run.number);
+  lapses_at_end_[last_end_ + 1] = lapses_;
   ended_.push_back({++last_end_, name, run.number, end, run.checkpoint});
   if (run.truth.gang_size > 0) board_->Leave(name, run.number, end);
 }
@@ -152,7 +165,9 @@
 
 void EmulatedRunner::Grant(std::int64_t until_ms) {
   const std::int64_t longest = clock_ms() + bounds_.longest_lease.ms();
+  NoteLapse();
   lease_until_ms_ = std::max(lease_until_ms_, std::min(until_ms, longest));
+  NoteLapse();
 }
 
 dispatch::StartAnswered EmulatedRunner::Start(const dispatch::StartRun& order) {
--- a/src/emulator/emulated_runner.h
+++ b/src/emulator/emulated_runner.h
@@ -67,6 +67,9 @@
   /// True if a look that waits for an end would be answered now.
   bool HasNewEnds(std::int64_t acknowledged) const;
 
+  /// True if the runner's lease was over at some time since it listed the end.
+  bool LapsedSince(std::int64_t end) const;
+
   /// Tasks take so many times as long from now on.
   void SetSlowness(double factor) { slowness_ = factor; }
   /// Every run fails from now on.
@@ -95,6 +98,7 @@
   std::int64_t clock_ms() const;
   bool Obeys(Epoch epoch);
   void Grant(std::int64_t until_ms);
+  void NoteLapse();
   void Work(const dispatch::TaskName& name, ActiveRun* run, Duration step);
   void End(const dispatch::TaskName& name, dispatch::RunEnd end);
   void Save(const dispatch::TaskName& name, ActiveRun* run);
@@ -114,6 +118,10 @@
   /// The newest run of each task that ended here or may not begin any more.
   std::map<dispatch::TaskName, int> barred_;
   std::vector<dispatch::ListedEnd> ended_;
+  /// Times that the lease ran out, and their number at each end.
+  int lapses_ = 0;
+  bool lapsed_ = false;
+  std::map<std::int64_t, int> lapses_at_end_;
 };
 
 /// Brings the members of a gang's run together.
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -232,6 +232,13 @@
                                       });
   } else if (const auto* call = std::get_if<dispatch::AnswerCall>(&effect)) {
     At(now_ + options_.network, [this, answer = *call] { TakeAnswer(answer); });
+  } else if (const auto* log = std::get_if<dispatch::WriteLog>(&effect)) {
+    std::string text =
+        absl::StrCat("n", node, " ", CatalogueEntry(log->line.id).name.data());
+    for (const LogField& field : log->line.fields) {
+      absl::StrAppend(&text, " ", field.name, "=", field.value);
+    }
+    Trace(text);
   } else if (const auto* ready = std::get_if<dispatch::SetReady>(&effect)) {
     processes_[node].ready = ready->ready;
   } else if (std::get_if<dispatch::Exit>(&effect) != nullptr) {
@@ -567,6 +574,10 @@
   return truth;
 }
 
+void EmulatedSystem::Trace(const std::string& what) {
+  if (trace_) trace_(absl::StrCat(now_.ms(), " ", what));
+}
+
 void EmulatedSystem::Violate(const std::string& what) {
   violations_.push_back(absl::StrCat("at ", now_.ms(), " ms: ", what));
 }
@@ -581,6 +592,9 @@
   }
   JobWatch& watch = found->second;
   ++watch.starts[order.task];
+  Trace(absl::StrCat("start ", task, " run ", order.run, " at ",
+                     runner.info().id.value(), " by epoch ",
+                     order.target.epoch.value()));
   if (!watch.may_be_taken) {
     // The answer may be on its way; a refusal must not follow.
     watch.may_be_taken = true;
@@ -624,8 +638,16 @@
   while (!listed.empty() && listed.begin()->first <= look.acknowledged_end) {
     const dispatch::ListedEnd end = listed.begin()->second;
     listed.erase(listed.begin());
+    // Its lease was over meanwhile, so that the task may run elsewhere.
+    const auto runner = runners_.find(look.target.runner);
+    const bool stands =
+        runner != runners_.end() && !runner->second->LapsedSince(end.number);
+    if (!stands) continue;
     const auto found = jobs_.find(end.task.job);
     if (found == jobs_.end()) continue;
+    Trace(absl::StrCat("noted ", ToString(end.task), " run ", end.run, " ",
+                       dispatch::ToString(end.end), " at ",
+                       look.target.runner.value()));
     if (end.end == dispatch::RunEnd::kDone) found->second.done.insert(end.task);
     if (end.end == dispatch::RunEnd::kFailed)
       ++found->second.failures[end.task];
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -87,6 +87,11 @@
   /// The state that a node tells; empty while it does not answer.
   std::string StateOf(const JobId& job);
 
+  /// Called with each log line of a node and each start at a runner.
+  void SetTrace(std::function<void(const std::string&)> trace) {
+    trace_ = std::move(trace);
+  }
+
   Faults& faults() { return faults_; }
   EmulatedStore& store() { return store_; }
   const std::vector<std::string>& violations() const { return violations_; }
@@ -161,6 +166,7 @@
                 const dispatch::RunnerLooked& answer);
   void CheckTwice();
   void Violate(const std::string& what);
+  void Trace(const std::string& what);
   TaskTruth TruthOf(const dispatch::TaskName& name) const;
 
   SystemOptions options_;
@@ -181,6 +187,7 @@
   /// Ends that each runner has listed, until they are taken note of.
   std::map<RunnerId, std::map<std::int64_t, dispatch::ListedEnd>> listed_;
   std::vector<std::string> violations_;
+  std::function<void(const std::string&)> trace_;
   std::int64_t last_job_ = 0;
 };
 
--- a/test/dispatch-fuzz-test.cc
+++ b/test/dispatch-fuzz-test.cc
@@ -4,6 +4,7 @@
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
 
+#include <cstdio>
 #include <cstdlib>
 #include <random>
 #include <string>
@@ -31,7 +32,12 @@
 class Course {
  public:
   explicit Course(int seed)
-      : random_(static_cast<std::uint64_t>(seed)), system_(OptionsFor(seed)) {}
+      : random_(static_cast<std::uint64_t>(seed)), system_(OptionsFor(seed)) {
+    // LIMELEDGE_TRACE=1 shows what led to a finding.
+    if (std::getenv("LIMELEDGE_TRACE") == nullptr) return;
+    system_.SetTrace(
+        [](const std::string& line) { std::printf("%s\n", line.c_str()); });
+  }
 
   /// Plays jobs and faults, then lets all come to rest. Returns what went
   /// wrong.
--- /dev/null
+++ b/test/scheduler-test.cc
@@ -0,0 +1,199 @@
+/// @file
+/// Tests of the scheduler in an emulated system.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <utility>
+#include <vector>
+
+#include "CppUTest/TestHarness.h"
+#include "emulator/emulated_system.h"
+
+namespace limeledge::emulator {
+
+TEST_GROUP(Scheduler) {
+  EmulatedSystem system{SystemOptions()};
+
+  void setup() override { system.Run(Duration(3000)); }
+
+  static dispatch::StepSpec Step(int count, std::int64_t accelerators,
+                                 Duration estimate) {
+    dispatch::StepSpec step;
+    step.count = count;
+    step.need = {2000, 4096, accelerators};
+    step.estimate = estimate;
+    return step;
+  }
+
+  /// Hands in a job of one step that takes just as long as guessed.
+  JobId Submit(const dispatch::StepSpec& step, int priority = 1) {
+    dispatch::JobSpec spec;
+    spec.steps.push_back(step);
+    spec.policy.priority = priority;
+    TaskTruth truth;
+    truth.work = step.estimate;
+    return system.Submit(std::move(spec), {truth});
+  }
+
+  const JobWatch& Watch(const JobId& job) { return system.jobs().at(job); }
+
+  void CheckNoViolation() {
+    for (const std::string& what : system.violations()) FAIL(what.c_str());
+  }
+};
+
+TEST(Scheduler, JobRunsOnceAndIsDone) {
+  const JobId job = Submit(Step(4, 1, Duration(500)));
+  system.Run(Duration(3000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  LONGS_EQUAL(4, Watch(job).starts.size());
+  CheckNoViolation();
+}
+
+TEST(Scheduler, StepWaitsForTheStepsBefore) {
+  dispatch::JobSpec spec;
+  spec.steps = {Step(2, 1, Duration(500)), Step(2, 1, Duration(500))};
+  spec.steps[1].after = {0};
+  spec.policy.priority = 1;
+  TaskTruth truth;
+  truth.work = Duration(500);
+  const JobId job = system.Submit(spec, {truth, truth});
+  system.Run(Duration(400));
+  LONGS_EQUAL(2, Watch(job).starts.size());
+  system.Run(Duration(3000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
+// The ends of a gang's other members were told as known at once, since the job
+// was closed by the first, whose own end was not stored yet.
+TEST(Scheduler, EndsOfAGangAreNotAcknowledgedBeforeTheyAreStored) {
+  dispatch::StepSpec gang = Step(3, 4, Duration(1000));
+  gang.gang = true;
+  const JobId job = Submit(gang);
+  system.Run(Duration(900));
+  LONGS_EQUAL(3, Watch(job).starts.size());
+  system.faults().store_down = true;
+  system.Run(Duration(4000));
+  LONGS_EQUAL(3, Watch(job).listed_done.size());
+  LONGS_EQUAL(0, Watch(job).done.size());
+  system.faults().store_down = false;
+  system.Run(Duration(4000));
+  LONGS_EQUAL(3, Watch(job).done.size());
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
+TEST(Scheduler, CancelledJobIsStoppedAndStaysCancelled) {
+  const JobId job = Submit(Step(2, 1, Duration(20000)));
+  system.Run(Duration(1000));
+  system.Cancel(job);
+  system.Run(Duration(2000));
+  STRCMP_EQUAL("cancelled", system.StateOf(job).c_str());
+  for (const RunnerId& id : system.RunnerIds()) {
+    system.FindRunner(id)->ForEachRun(
+        [](const dispatch::TaskName&, int) { FAIL("still runs"); });
+  }
+}
+
+TEST(Scheduler, JobThatCanNotBeDoneFailsAfterItsAttempts) {
+  dispatch::JobSpec spec;
+  spec.steps = {Step(1, 1, Duration(300))};
+  spec.policy.priority = 1;
+  TaskTruth truth;
+  truth.work = Duration(300);
+  truth.always_fails = true;
+  const JobId job = system.Submit(spec, {truth});
+  system.Run(Duration(5000));
+  STRCMP_EQUAL("failed", system.StateOf(job).c_str());
+  LONGS_EQUAL(3, Watch(job).starts.begin()->second);
+  CheckNoViolation();
+}
+
+TEST(Scheduler, UrgentGangWithinItsGuaranteeDisplacesOthers) {
+  // Fills every accelerator of every runner.
+  Submit(Step(64, 1, Duration(30000)));
+  system.Run(Duration(2500));
+  dispatch::StepSpec gang = Step(2, 8, Duration(1000));
+  gang.gang = true;
+  const JobId urgent = Submit(gang, 0);
+  system.Run(Duration(1500));
+  LONGS_EQUAL(2, Watch(urgent).starts.size());
+  CheckNoViolation();
+}
+
+TEST(Scheduler, KilledSchedulerIsReplacedAndWorkGoesOn) {
+  const JobId running = Submit(Step(4, 1, Duration(6000)));
+  system.Run(Duration(1000));
+  system.KillNode(system.leader(), Duration(60000));
+  const JobId later = Submit(Step(1, 1, Duration(200)));
+  system.Run(Duration(4000));
+  STRCMP_EQUAL("done", system.StateOf(later).c_str());
+  system.Run(Duration(4000));
+  STRCMP_EQUAL("done", system.StateOf(running).c_str());
+  // What ran outlasted the take-over.
+  for (const auto& [task, starts] : Watch(running).starts) {
+    LONGS_EQUAL(1, starts);
+  }
+  CheckNoViolation();
+}
+
+TEST(Scheduler, StoppedSchedulerHandsOverWithinASecond) {
+  system.StopNode(system.leader());
+  system.Run(Duration(700));
+  CHECK_TRUE(system.leader() >= 0);
+}
+
+TEST(Scheduler, FrozenSchedulerThatWakesStartsNothing) {
+  const int frozen = system.leader();
+  system.FreezeNode(frozen, Duration(6000));
+  const JobId job = Submit(Step(2, 1, Duration(200)));
+  system.Run(Duration(9000));
+  CHECK_TRUE(system.leader() != frozen);
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
+TEST(Scheduler, RunsGoOnThroughAnOutageOfTheStore) {
+  const JobId job = Submit(Step(4, 1, Duration(7000)));
+  system.Run(Duration(1000));
+  system.faults().store_down = true;
+  system.Run(Duration(9000));
+  system.faults().store_down = false;
+  system.Run(Duration(4000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  for (const auto& [task, starts] : Watch(job).starts) LONGS_EQUAL(1, starts);
+  CheckNoViolation();
+}
+
+TEST(Scheduler, TasksOfARunnerThatIsCutOffStartElsewhereAfterItsLease) {
+  const JobId job = Submit(Step(1, 8, Duration(4000)));
+  system.Run(Duration(1000));
+  const Duration lease = dispatch::FleetOptions().run_lease;
+  for (const RunnerId& id : system.RunnerIds()) {
+    system.FindRunner(id)->ForEachRun(
+        [this, &id](const dispatch::TaskName&, int) {
+          system.faults().unreachable_runners.insert(id);
+        });
+  }
+  system.Run(lease / 2);
+  LONGS_EQUAL(1, Watch(job).starts.begin()->second);
+  system.Run(lease);
+  LONGS_EQUAL(2, Watch(job).starts.begin()->second);
+  system.Run(Duration(6000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
+TEST(Scheduler, DrainingRunnerGetsNoNewWork) {
+  const RunnerId leaving = system.RunnerIds().front();
+  system.DrainRunner(leaving, Duration(10000));
+  system.Run(Duration(1500));
+  Submit(Step(64, 1, Duration(500)));
+  system.Run(Duration(1500));
+  system.FindRunner(leaving)->ForEachRun(
+      [](const dispatch::TaskName&, int) { FAIL("runs on a leaving runner"); });
+}
+
+}  // namespace limeledge::emulator
