Judge a run's pace against its step's other runs

Change: pace counts only against a queue of which four jobs were seen; the length that a step's runs have on other runners goes before the guess; a run moves at three times that length and twice at most; lengths are learnt once a step, with a prior variance.

--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -64,6 +64,17 @@
                     [phase](const Task& task) { return task.phase == phase; }));
 }
 
+Duration Step::UsualElsewhere(const RunnerId& runner) const {
+  Duration sum;
+  std::int64_t count = 0;
+  for (const auto& [id, length] : seen_lengths) {
+    if (id == runner) continue;
+    sum = sum + length;
+    ++count;
+  }
+  return count == 0 ? Duration(0) : sum / count;
+}
+
 Job::Job(JobSpec spec) : spec_(std::move(spec)) {
   MeasureChains();
   occurrences_.resize(spec_.occurrences());
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -8,6 +8,7 @@
 #define LIMELEDGE_SRC_DISPATCH_JOB_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -75,8 +76,15 @@
   /// Since when the step's turn has come without a break; for patience.
   TimePoint ready_since;
   bool ready = false;
+  /// The length of one of its runs was learnt; the others are much alike.
+  bool learnt = false;
+  /// The shortest length that runs on each runner were seen to have: what is
+  /// long everywhere is no runner's fault.
+  std::map<RunnerId, Duration> seen_lengths;
 
   int CountIn(TaskPhase phase) const;
+  /// The mean length seen on other runners than `runner`; 0 for none.
+  Duration UsualElsewhere(const RunnerId& runner) const;
 };
 
 /// One occurrence of a job's steps.
--- a/src/dispatch/run_times.cc
+++ b/src/dispatch/run_times.cc
@@ -17,9 +17,14 @@
 constexpr double kLeastWeight = 0.025;
 // Fewer runs than this say nothing yet.
 constexpr int kEnough = 4;
+// The variance that is assumed at first counts as so many runs.
+constexpr int kPriorRuns = 3;
 // Keeps one lucky streak from counting as certainty.
 constexpr double kLeastVariance = 0.01;
 
+// Standard deviations within which nearly all runs lie.
+constexpr double kLikelyDeviations = 2;
+
 double LogOf(Duration duration) {
   return std::log(
       static_cast<double>(std::max<std::int64_t>(1, duration.ms())));
@@ -29,10 +34,14 @@
 
 void RunTimes::LogMean::Add(double value) {
   ++count;
-  const double weight = std::max(1.0 / count, kLeastWeight);
   const double off = value - mean;
-  mean += weight * off;
-  variance = (1 - weight) * (variance + weight * off * off);
+  mean += std::max(1.0 / count, kLeastWeight) * off;
+  const double weight = std::max(1.0 / (count + kPriorRuns), kLeastWeight);
+  variance += weight * (off * off - variance);
+}
+
+double RunTimes::LogMean::Precision() const {
+  return 1 / std::max(variance, kLeastVariance);
 }
 
 void RunTimes::Learn(const QueueId& queue, Duration estimate, Duration actual) {
@@ -41,19 +50,29 @@
   times.error.Add(LogOf(actual) - LogOf(estimate));
 }
 
-Duration RunTimes::Expect(const QueueId& queue, Duration estimate) const {
+const RunTimes::QueueTimes* RunTimes::Known(const QueueId& queue) const {
   const auto found = queues_.find(queue);
-  if (found == queues_.end() || found->second.actual.count < kEnough) {
-    return estimate;
-  }
-  const LogMean& actual = found->second.actual;
-  const LogMean& error = found->second.error;
-  const double by_queue = 1 / std::max(actual.variance, kLeastVariance);
-  const double by_guess = 1 / std::max(error.variance, kLeastVariance);
-  const double guess = LogOf(estimate) + error.mean;
-  const double expected =
-      (by_queue * actual.mean + by_guess * guess) / (by_queue + by_guess);
+  const bool enough =
+      found != queues_.end() && found->second.actual.count >= kEnough;
+  return enough ? &found->second : nullptr;
+}
+
+Duration RunTimes::Expect(const QueueId& queue, Duration estimate) const {
+  const QueueTimes* known = Known(queue);
+  if (known == nullptr) return estimate;
+  const double by_queue = known->actual.Precision();
+  const double by_guess = known->error.Precision();
+  const double guess = LogOf(estimate) + known->error.mean;
+  const double expected = (by_queue * known->actual.mean + by_guess * guess) /
+                          (by_queue + by_guess);
   return Duration(std::llround(std::exp(expected)));
 }
 
+std::optional<double> RunTimes::LikelyFactor(const QueueId& queue) const {
+  const QueueTimes* known = Known(queue);
+  if (known == nullptr) return std::nullopt;
+  const double precision = known->actual.Precision() + known->error.Precision();
+  return std::exp(kLikelyDeviations / std::sqrt(precision));
+}
+
 }  // namespace limeledge::dispatch
--- a/src/dispatch/run_times.h
+++ b/src/dispatch/run_times.h
@@ -8,6 +8,7 @@
 #define LIMELEDGE_SRC_DISPATCH_RUN_TIMES_H_
 
 #include <map>
+#include <optional>
 
 #include "dispatch/catalog.h"
 #include "limeledge/clock.h"
@@ -25,19 +26,27 @@
   void Learn(const QueueId& queue, Duration estimate, Duration actual);
   /// The expected time of a run guessed at `estimate`.
   Duration Expect(const QueueId& queue, Duration estimate) const;
+  /// By which factor a sound run may well take longer than expected; nothing
+  /// while too little was seen of the queue.
+  std::optional<double> LikelyFactor(const QueueId& queue) const;
 
  private:
   /// Mean and variance of a logarithm, newer values counting for more.
   struct LogMean {
     double mean = 0;
-    double variance = 0;
+    /// At first: guesses are off by a factor of 1.6 or so.
+    double variance = 0.25;
     int count = 0;
     void Add(double value);
+    double Precision() const;
   };
   struct QueueTimes {
     LogMean actual;
     LogMean error;
   };
+  /// Null while too little was seen.
+  const QueueTimes* Known(const QueueId& queue) const;
+
   std::map<QueueId, QueueTimes> queues_;
 };
 
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -43,11 +43,16 @@
   Duration stall_patience{3000};
   /// Progress over at least this time tells a run's pace.
   Duration pace_interval{600};
-  /// A run on a runner that is this much slower than expected is moved if it
-  /// would go on for this many times its whole expected time, and a stop more.
-  double slow_runner = 2.0;
+  /// A run that is this much slower than expected, on a runner that seems this
+  /// much slower than others, is moved if it would go on for this many times
+  /// its whole expected time, and a stop more. Tasks of a step differ by a
+  /// factor of two; runners that turn slow take four times as long and more.
+  double slow_run = 3.0;
+  double slow_runner = 2.2;
   double move_gain = 1.5;
   Duration move_cost{500};
+  /// Runs of a task after which it is not moved any more.
+  int most_moves = 2;
   /// A run's length is learnt once it has done this much, in percent.
   int learn_percent = 20;
   /// Final jobs are forgotten after this: states are promised for 120 s.
@@ -113,11 +118,11 @@
   void TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end);
   void TakeRunning(Context& ctx, Runner* runner, const ListedRun& listed);
   /// Learns from a run's progress: its length, and its runner's pace.
-  void MeasurePace(Context& ctx, Runner* runner, const Job& job,
-                   const TaskName& name, Run* run);
+  void MeasurePace(Context& ctx, Runner* runner, Job* job, const TaskName& name,
+                   Run* run);
   /// Moves a run off a runner that turned slow, if that gains time.
   void MoveFromSlow(Context& ctx, Runner* runner, const TaskName& name,
-                    const Run& run, Duration left);
+                    const Run& run, Duration left, Duration expected);
   void TakeAbsent(Context& ctx, Runner* runner, const RunnerLooked& answer);
   void Judge(Context& ctx, Runner* runner, const JobId& job, RunEnd end);
   void Avoid(Context& ctx, Runner* runner, Duration pause, const char* reason);
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -305,14 +305,14 @@
     return;
   }
   if (run.stopping) AskStop(ctx, runner, listed.task);
-  MeasurePace(ctx, runner, *job, listed.task, &run);
+  MeasurePace(ctx, runner, job, listed.task, &run);
   if (!listed.checkpoint.empty())
     job->SaveProgress(listed.task, listed.checkpoint);
 }
 
-void Scheduler::MeasurePace(Context& ctx, Runner* runner, const Job& job,
+void Scheduler::MeasurePace(Context& ctx, Runner* runner, Job* job,
                             const TaskName& name, Run* run) {
-  const StepSpec& step = job.step_spec(name.step);
+  const StepSpec& step = job->step_spec(name.step);
   if (step.long_running || run->pace_from.ms() == 0) return;
   const Duration elapsed = ctx.now() - run->pace_from;
   if (elapsed < options_.pace_interval) return;
@@ -320,25 +320,42 @@
   if (run->percent == 0) return;
   const int done = std::max(1, run->percent - run->pace_percent);
   const double length = static_cast<double>((elapsed * kAllDone).ms()) / done;
-  const double expected =
-      static_cast<double>(std::max<std::int64_t>(1, run->expected.ms()));
-  runner->NotePace(length / expected);
   run->pace_from = ctx.now();
   run->pace_percent = run->percent;
-  const double left = length * (kAllDone - run->percent) / kAllDone;
-  MoveFromSlow(ctx, runner, name, *run, Duration(std::llround(left)));
+  Step& progress = job->occurrences()[name.occurrence].steps[name.step];
+  const Duration elsewhere = progress.UsualElsewhere(runner->id());
+  const Duration seen(std::llround(length));
+  Duration& shortest = progress.seen_lengths[runner->id()];
+  shortest = shortest == Duration(0) ? seen : std::min(shortest, seen);
+  const std::optional<double> factor = times_.LikelyFactor(job->spec().queue);
+  if (factor.has_value()) {
+    const Duration expected = std::max({run->expected, elsewhere, Duration(1)});
+    const double ratio = length / static_cast<double>(expected.ms());
+    runner->NotePace(ratio);
+    const double left = length * (kAllDone - run->percent) / kAllDone;
+    // Known lengths of the step's other runs are a surer ground than guesses.
+    const double bound = elsewhere > Duration(0)
+                             ? options_.slow_run
+                             : std::max(*factor, options_.slow_run);
+    if (ratio > bound) {
+      MoveFromSlow(ctx, runner, name, *run, Duration(std::llround(left)),
+                   expected);
+    }
+  }
   if (!run->learns || run->percent < options_.learn_percent) return;
   run->learns = false;
+  if (progress.learnt) return;
+  progress.learnt = true;
   const Duration whole =
       (ctx.now() - run->started_at) * kAllDone / run->percent;
-  times_.Learn(job.spec().queue, step.estimate, whole);
+  times_.Learn(job->spec().queue, step.estimate, whole);
 }
 
 void Scheduler::MoveFromSlow(Context& ctx, Runner* runner, const TaskName& name,
-                             const Run& run, Duration left) {
+                             const Run& run, Duration left, Duration expected) {
   if (run.stopping || runner->slowness() < options_.slow_runner) return;
-  const double anew =
-      options_.move_gain * static_cast<double>(run.expected.ms());
+  if (run.number > options_.most_moves) return;
+  const double anew = options_.move_gain * static_cast<double>(expected.ms());
   if (left < Duration(std::llround(anew)) + options_.move_cost) return;
   ctx.Log(LogId::kRunMoved, {{"task", ToString(name)},
                              {"runner", runner->id().value()},
