Prefer usually faster runners for urgent work

Cause: a third of the runners always takes 1.3 times as long, and an urgent gang is as slow as its slowest member. Change: each runner's usual pace is learnt against its steps' runs elsewhere; urgent work passes over those that take 1.07 times as long and more.

--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -17,6 +17,8 @@
 // A runner that takes this much longer than expected is passed over while
 // others have room.
 constexpr double kSlowRunner = 2.2;
+// Urgent work passes over runners that usually take this much longer.
+constexpr double kLeisurelyRunner = 1.07;
 
 bool IsSlow(const Seat& seat) { return seat.runner->slowness() >= kSlowRunner; }
 
@@ -34,10 +36,21 @@
 
 /// Smaller is better: a sound runner, then the one that is left with the least
 /// room, in the fullest rack, so that gangs find whole runners of one rack.
-using Waste = std::tuple<bool, std::int64_t, std::int64_t, std::int64_t>;
+using Waste = std::tuple<int, std::int64_t, std::int64_t, std::int64_t>;
+
+/// 0 for the runners that are taken first.
+int PaceRank(const Seat& seat, bool prefers_fast) {
+  if (IsSlow(seat)) return 2;
+  const bool leisurely =
+      prefers_fast && seat.runner->usual_pace() >= kLeisurelyRunner;
+  return leisurely ? 1 : 0;
+}
 
-Waste WasteOf(const Seat& seat, const Resources& need, std::int64_t rack_room) {
-  return {IsSlow(seat), seat.room.accelerators - need.accelerators, rack_room,
+Waste WasteOf(const Seat& seat, const PlacementRequest& request,
+              std::int64_t rack_room) {
+  const Resources& need = request.step->need;
+  return {PaceRank(seat, request.prefers_fast),
+          seat.room.accelerators - need.accelerators, rack_room,
           seat.room.cpu_millis - need.cpu_millis};
 }
 
@@ -97,8 +110,8 @@
       if (best_avoided) best = &seat;
       continue;
     }
-    const bool better = WasteOf(seat, need, rack_room_[seat.rack]) <
-                        WasteOf(*best, need, rack_room_[best->rack]);
+    const bool better = WasteOf(seat, request, rack_room_[seat.rack]) <
+                        WasteOf(*best, request, rack_room_[best->rack]);
     if (better) best = &seat;
   }
   if (best != nullptr) Take(best, need);
@@ -109,9 +122,9 @@
                                        std::vector<Seat*> seats) {
   const Resources& need = request.step->need;
   std::sort(seats.begin(), seats.end(),
-            [this, &need](const Seat* a, const Seat* b) {
-              return WasteOf(*a, need, rack_room_[a->rack]) <
-                     WasteOf(*b, need, rack_room_[b->rack]);
+            [this, &request](const Seat* a, const Seat* b) {
+              return WasteOf(*a, request, rack_room_[a->rack]) <
+                     WasteOf(*b, request, rack_room_[b->rack]);
             });
   std::vector<Seat*> chosen;
   for (Seat* seat : seats) {
@@ -135,15 +148,18 @@
   std::vector<Seat*> best;
   // The fewest slow runners, then the fullest rack that fits, so that emptier
   // ones stay whole.
-  std::tuple<std::int64_t, bool, std::int64_t> best_cost;
+  std::tuple<int, bool, std::int64_t> best_cost;
   for (const auto& [rack, seats] : racks) {
     std::vector<Seat*> chosen = PlaceAmong(request, seats);
     if (chosen.empty()) continue;
-    const std::int64_t slow = std::count_if(
-        chosen.begin(), chosen.end(), [](const Seat* s) { return IsSlow(*s); });
+    // A gang is as slow as its slowest member.
+    int pace = 0;
+    for (const Seat* seat : chosen) {
+      pace = std::max(pace, PaceRank(*seat, request.prefers_fast));
+    }
     const bool preferred = Holds(request.preferred_racks, rack);
-    const std::tuple<std::int64_t, bool, std::int64_t> cost = {
-        slow, !preferred, rack_room_[rack]};
+    const std::tuple<int, bool, std::int64_t> cost = {pace, !preferred,
+                                                      rack_room_[rack]};
     if (!best.empty() && cost >= best_cost) continue;
     best = std::move(chosen);
     best_cost = cost;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -39,6 +39,8 @@
   /// Runners outside the rack with the data, or in several racks, are taken
   /// too.
   bool anywhere = false;
+  /// Runners that are usually faster go first.
+  bool prefers_fast = false;
   /// Racks to be used first, and racks not to be used; null for none.
   const std::set<std::string>* preferred_racks = nullptr;
   const std::set<std::string>* closed_racks = nullptr;
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -217,6 +217,7 @@
     }
     if (unit.policy.priority == 0) {
       request.preferred_racks = &urgent_racks_;
+      request.prefers_fast = true;
     } else if (!idle_ || !request.anywhere) {
       request.closed_racks = &urgent_racks_;
     }
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -23,6 +23,10 @@
 constexpr double kPaceWeight = 0.4;
 constexpr double kLeastPace = 0.25;
 constexpr double kMostPace = 12;
+// Some twenty measures tell a runner's usual pace; one that is further off
+// than this tells of a passing slowness, or of an unlike task.
+constexpr double kUsualPaceWeight = 0.08;
+constexpr double kUnusualPace = 2.2;
 // What is kept of a suspicion from one reading of the list to the next, so
 // that a runner that gets no work is tried again after some seconds.
 constexpr double kSuspicionKept = 0.93;
@@ -68,6 +72,13 @@
       std::pow(slowness_, 1 - kPaceWeight) * std::pow(bounded, kPaceWeight);
 }
 
+void Runner::NoteUsualPace(double ratio) {
+  if (ratio > kUnusualPace || ratio < 1 / kUnusualPace) return;
+  usual_pace_ += kUsualPaceWeight * (std::log(ratio) - usual_pace_);
+}
+
+double Runner::usual_pace() const { return std::exp(usual_pace_); }
+
 void Runner::Add(const TaskName& name, const Run& run) {
   runs_[name] = run;
   free_room_ -= run.need;
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -141,6 +141,11 @@
   void NotePace(double ratio);
   /// Time of runs here against their expected time; 1 for as expected.
   double slowness() const { return slowness_; }
+  /// Takes in that a run here takes `ratio` times as long as its step's runs
+  /// elsewhere.
+  void NoteUsualPace(double ratio);
+  /// How much longer runs usually take here than elsewhere, slowly learnt.
+  double usual_pace() const;
   /// All that ran in this life is over.
   bool ended = false;
 
@@ -152,6 +157,8 @@
   std::map<TaskName, Run> runs_;
   Resources free_room_ = info_.room;
   double slowness_ = 1;
+  /// Logarithm of the usual pace.
+  double usual_pace_ = 0;
   bool heard_ = false;
   int misses_ = 0;
   TimePoint heard_at_;
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -325,6 +325,9 @@
   Step& progress = job->occurrences()[name.occurrence].steps[name.step];
   const Duration elsewhere = progress.UsualElsewhere(runner->id());
   const Duration seen(std::llround(length));
+  if (elsewhere > Duration(0)) {
+    runner->NoteUsualPace(length / static_cast<double>(elsewhere.ms()));
+  }
   Duration& shortest = progress.seen_lengths[runner->id()];
   shortest = shortest == Duration(0) ? seen : std::min(shortest, seen);
   const std::optional<double> factor = times_.LikelyFactor(job->spec().queue);
