--- a/src/dispatch/desk.cc
+++ b/src/dispatch/desk.cc
@@ -206,7 +206,7 @@
   }
   if (answer.outcome == StoreOutcome::kConflict) {
     if (submit) {
-      TakeSubmit(ctx, std::move(pending), answer);
+      TakeSubmit(ctx, pending, answer);
     } else {
       // The job was cleared away meanwhile.
       Answer(ctx, pending.call, CallResult::kGone);
@@ -226,7 +226,7 @@
                            : "the store took nothing");
 }
 
-void Desk::TakeSubmit(Context& ctx, Pending pending,
+void Desk::TakeSubmit(Context& ctx, const Pending& pending,
                       const TransactionAnswered& answer) {
   for (const Row& row : answer.rows) {
     if (row.key.key != pending.job.value()) continue;
--- a/src/dispatch/desk.h
+++ b/src/dispatch/desk.h
@@ -76,7 +76,7 @@
               const WorkspaceId& workspace, const JobId& id);
   void Send(Context& ctx, Pending pending);
   void Read(Context& ctx, Pending pending, Stage stage);
-  void TakeSubmit(Context& ctx, Pending pending,
+  void TakeSubmit(Context& ctx, const Pending& pending,
                   const TransactionAnswered& answer);
   void TakeProgress(Context& ctx, Pending pending, const RowsAnswered& answer);
   void TakeJob(Context& ctx, Pending pending, const RowsAnswered& answer);
--- a/src/dispatch/effect.h
+++ b/src/dispatch/effect.h
@@ -118,6 +118,12 @@
   Duration retry_after;
 };
 
+/// The state that was asked for, as JSON.
+struct AnswerState {
+  CallId call;
+  std::string text;
+};
+
 struct SetReady {
   bool ready = false;
 };
@@ -129,9 +135,10 @@
 /// All is handed over; the process may end.
 struct Exit {};
 
-using Effect = std::variant<CommitRows, ReadRows, AwaitChanges, ReadCatalog,
-                            AwaitCatalog, ListRunners, LookAtRunner, StartRun,
-                            StopRun, AnswerCall, SetReady, WriteLog, Exit>;
+using Effect =
+    std::variant<CommitRows, ReadRows, AwaitChanges, ReadCatalog, AwaitCatalog,
+                 ListRunners, LookAtRunner, StartRun, StopRun, AnswerCall,
+                 AnswerState, SetReady, WriteLog, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -159,6 +159,11 @@
 /// The process was asked to end.
 struct StopAsked {};
 
+/// Somebody wants to see this process's state.
+struct StateAsked {
+  CallId call;
+};
+
 /// The process's settings were read again after a signal; what is used of them
 /// does not change while a process lives.
 struct SettingsReloaded {};
@@ -166,7 +171,8 @@
 using EventBody =
     std::variant<Woken, TransactionAnswered, RowsAnswered, ChangesAnswered,
                  CatalogAnswered, RunnersListed, RunnerLooked, StartAnswered,
-                 StopAnswered, CallArrived, StopAsked, SettingsReloaded>;
+                 StopAnswered, CallArrived, StopAsked, SettingsReloaded,
+                 StateAsked>;
 
 struct Event {
   TimePoint now;
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -6,9 +6,13 @@
 
 #include "dispatch/node.h"
 
+#include <json/json.h>
+
 #include <algorithm>
 #include <utility>
 
+#include "codec/json.h"
+
 namespace limeledge::dispatch {
 
 namespace {
@@ -150,6 +154,23 @@
   ctx.Log(LogId::kSettingsReloaded, {});
 }
 
+void Node::Handle(Context& ctx, const StateAsked& event) {
+  Json::Value json;
+  json["name"] = options_.name;
+  json["leads"] = leads();
+  json["ready"] = ready_;
+  json["stopping"] = stopping_;
+  json["store_answers"] = StoreAnswers();
+  const Catalog* catalog = catalog_.catalog();
+  if (catalog != nullptr) {
+    json["catalog"] = Json::Int64(catalog->version.value());
+    json["catalog_age_ms"] =
+        Json::Int64((ctx.now() - catalog_.confirmed_at()).ms());
+  }
+  if (scheduler_ != nullptr) json["scheduler"] = scheduler_->Dump(ctx.now());
+  ctx.Emit(AnswerState{event.call, WriteJson(json)});
+}
+
 void Node::Lead(Context& ctx, const Leadership::Claimed& claimed) {
   scheduler_ =
       std::make_unique<Scheduler>(options_.scheduler, claimed, ctx.now());
--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -69,6 +69,7 @@
   void Handle(Context& ctx, const CallArrived& event);
   void Handle(Context& ctx, const StopAsked& event);
   void Handle(Context& ctx, const SettingsReloaded& event);
+  void Handle(Context& ctx, const StateAsked& event);
 
   void Lead(Context& ctx, const Leadership::Claimed& claimed);
   void StepDown(Context& ctx, const char* reason);
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -59,8 +59,8 @@
 int CountFitting(const Resources& need, const Resources& room, int limit) {
   std::int64_t count = limit;
   const auto narrow = [&count](std::int64_t want, std::int64_t have) {
-    if (want > 0)
-      count = std::min(count, std::max<std::int64_t>(0, have / want));
+    if (want <= 0) return;
+    count = std::min(count, std::max<std::int64_t>(0, have / want));
   };
   narrow(need.cpu_millis, room.cpu_millis);
   narrow(need.memory_mb, room.memory_mb);
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -58,7 +58,6 @@
         catalog_(catalog),
         times_(times),
         jobs_(*jobs),
-        fleet_(*fleet),
         seating_(fleet->Seats(now)) {
     planner_.next_at_ = kNever;
   }
@@ -512,7 +511,6 @@
   const Catalog& catalog_;
   const RunTimes& times_;
   JobBook& jobs_;
-  Fleet& fleet_;
   Seating seating_;
   std::set<JobId> entitled_;
   std::set<std::string> urgent_racks_;
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -32,10 +32,10 @@
 
 }  // namespace
 
-Scheduler::Scheduler(SchedulerOptions options, Leadership::Claimed claimed,
-                     TimePoint now)
+Scheduler::Scheduler(SchedulerOptions options,
+                     const Leadership::Claimed& claimed, TimePoint now)
     : options_(options),
-      writer_(options.writer, std::move(claimed), now),
+      writer_(options.writer, claimed, now),
       book_(options.book),
       fleet_(options.fleet),
       planner_(options.planner) {}
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -8,6 +8,8 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_SCHEDULER_H_
 #define LIMELEDGE_SRC_DISPATCH_SCHEDULER_H_
 
+#include <json/json.h>
+
 #include <string>
 #include <vector>
 
@@ -66,7 +68,7 @@
 /// Thread safety: none; use it from one thread.
 class Scheduler {
  public:
-  Scheduler(SchedulerOptions options, Leadership::Claimed claimed,
+  Scheduler(SchedulerOptions options, const Leadership::Claimed& claimed,
             TimePoint now);
 
   enum class Verdict { kGoesOn, kDeposed, kReleased };
@@ -88,6 +90,9 @@
   /// Starts nothing more and gives the lease up once all is stored.
   void Release();
 
+  /// Jobs and runners as they are seen now, for people.
+  Json::Value Dump(TimePoint now);
+
   Epoch epoch() const { return writer_.epoch(); }
   bool store_answers() const { return writer_.store_answers(); }
 
--- /dev/null
+++ b/src/dispatch/scheduler_dump.cc
@@ -0,0 +1,80 @@
+/// @file
+/// The scheduler's state as JSON, for people who look into a process.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/scheduler.h"
+
+namespace limeledge::dispatch {
+
+namespace {
+
+Json::Value DumpJob(const Job& job) {
+  Json::Value json;
+  json["state"] = ToString(job.state());
+  json["queue"] = job.spec().queue.value();
+  json["workspace"] = job.spec().workspace.value();
+  int waiting = 0;
+  int assigned = 0;
+  int done = 0;
+  for (const Occurrence& occurrence : job.occurrences()) {
+    for (const Step& step : occurrence.steps) {
+      waiting += step.CountIn(TaskPhase::kWaiting);
+      assigned += step.CountIn(TaskPhase::kAssigned);
+      done += step.CountIn(TaskPhase::kDone);
+    }
+  }
+  json["tasks_waiting"] = waiting;
+  json["tasks_assigned"] = assigned;
+  json["tasks_done"] = done;
+  return json;
+}
+
+Json::Value DumpRunner(const Runner& runner, TimePoint now) {
+  Json::Value json;
+  json["address"] = runner.info().address;
+  json["rack"] = runner.rack();
+  json["listed"] = runner.listed();
+  json["reachable"] = runner.reachable();
+  json["draining"] = runner.drains_since().has_value();
+  json["avoided_ms"] =
+      Json::Int64(std::max<std::int64_t>(0, (runner.avoid_until - now).ms()));
+  json["slowness"] = runner.slowness();
+  json["usual_pace"] = runner.usual_pace();
+  json["free_accelerators"] = Json::Int64(runner.free_room().accelerators);
+  json["free_cpu_millis"] = Json::Int64(runner.free_room().cpu_millis);
+  json["free_memory_mb"] = Json::Int64(runner.free_room().memory_mb);
+  json["lease_left_ms"] = Json::Int64(
+      std::max<std::int64_t>(0, (runner.lease_over_at() - now).ms()));
+  json["unstored_ends"] =
+      Json::UInt64(static_cast<Json::UInt64>(runner.unstored_ends.size()));
+  for (const auto& [name, run] : runner.runs()) {
+    Json::Value entry;
+    entry["run"] = run.number;
+    entry["percent"] = run.percent;
+    entry["stopping"] = run.stopping;
+    json["runs"][ToString(name)] = std::move(entry);
+  }
+  return json;
+}
+
+}  // namespace
+
+Json::Value Scheduler::Dump(TimePoint now) {
+  Json::Value json;
+  json["epoch"] = Json::Int64(writer_.epoch().value());
+  json["confirmed_ms_ago"] = Json::Int64((now - writer_.confirmed_at()).ms());
+  json["jobs_read"] = book_.loaded();
+  json["jobs"] = Json::Value(Json::objectValue);
+  for (const JobId& id : book_.active()) {
+    json["jobs"][id.value()] = DumpJob(*book_.Find(id));
+  }
+  json["runners"] = Json::Value(Json::objectValue);
+  for (const auto& [id, runner] : fleet_.runners()) {
+    json["runners"][id.value()] = DumpRunner(*runner, now);
+  }
+  return json;
+}
+
+}  // namespace limeledge::dispatch
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -306,8 +306,8 @@
   }
   if (run.stopping) AskStop(ctx, runner, listed.task);
   MeasurePace(ctx, runner, job, listed.task, &run);
-  if (!listed.checkpoint.empty())
-    job->SaveProgress(listed.task, listed.checkpoint);
+  if (listed.checkpoint.empty()) return;
+  job->SaveProgress(listed.task, listed.checkpoint);
 }
 
 void Scheduler::MeasurePace(Context& ctx, Runner* runner, Job* job,
--- a/src/dispatch/state_writer.cc
+++ b/src/dispatch/state_writer.cc
@@ -18,7 +18,7 @@
 }  // namespace
 
 StateWriter::StateWriter(StateWriterOptions options,
-                         Leadership::Claimed claimed, TimePoint now)
+                         const Leadership::Claimed& claimed, TimePoint now)
     : options_(options),
       record_(claimed.record),
       revision_(claimed.revision),
--- a/src/dispatch/state_writer.h
+++ b/src/dispatch/state_writer.h
@@ -47,7 +47,7 @@
   /// Gives a row's value when its write is sent; nothing leaves it as it is.
   using Render = std::function<std::optional<std::string>()>;
 
-  StateWriter(StateWriterOptions options, Leadership::Claimed claimed,
+  StateWriter(StateWriterOptions options, const Leadership::Claimed& claimed,
               TimePoint now);
 
   /// The row is to be written with what `render` gives then.
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -218,7 +218,7 @@
                                    OrderOutcome::kLost,  0};
     SendOrder<dispatch::StartAnswered>(
         node, *start, answer, [this, order = *start](EmulatedRunner* runner) {
-          const dispatch::StartAnswered done = runner->Start(order);
+          dispatch::StartAnswered done = runner->Start(order);
           if (done.outcome == OrderOutcome::kDone) CheckStart(*runner, order);
           return done;
         });
@@ -649,8 +649,9 @@
                        dispatch::ToString(end.end), " at ",
                        look.target.runner.value()));
     if (end.end == dispatch::RunEnd::kDone) found->second.done.insert(end.task);
-    if (end.end == dispatch::RunEnd::kFailed)
+    if (end.end == dispatch::RunEnd::kFailed) {
       ++found->second.failures[end.task];
+    }
   }
   for (const dispatch::ListedEnd& end : answer.ended) {
     listed.emplace(end.number, end);
--- a/test/dispatch-fuzz-test.cc
+++ b/test/dispatch-fuzz-test.cc
@@ -77,7 +77,8 @@
   dispatch::StepSpec MakeStep(TaskTruth* truth) {
     dispatch::StepSpec step;
     step.count = Pick(1, 6);
-    step.need = {Pick(1, 8) * 1000, 4096, Pick(0, 4)};
+    constexpr std::int64_t kMillisPerCore = 1000;
+    step.need = {Pick(1, 8) * kMillisPerCore, 4096, Pick(0, 4)};
     step.estimate = Duration(Pick(200, 3000));
     step.gang = OneIn(3);
     step.same_rack = step.gang && OneIn(2);
