Ask for advice and start with its tickets

Cause: a queue may carry advice; its steps then start only with a ticket, which the service gives for some runners and a short time.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -66,6 +66,8 @@
   kRunStalled = 913,
   kStartFailed = 914,
   kRunMoved = 915,
+  kAdviceTaken = 916,
+  kAdviceFailed = 917,
   kRunnerListed = 920,
   kRunnerUnlisted = 921,
   kRunnerDrains = 922,
--- /dev/null
+++ b/src/dispatch/advice_book.cc
@@ -0,0 +1,79 @@
+/// @file
+/// Asking for tickets and keeping them.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/advice_book.h"
+
+#include <utility>
+
+namespace limeledge::dispatch {
+
+std::string AdviceBook::TicketFor(const StepName& step, const RunnerId& runner,
+                                  TimePoint now) const {
+  const auto found = steps_.find(step);
+  if (found == steps_.end()) return "";
+  const auto entry = found->second.find(runner);
+  if (entry == found->second.end() || !entry->second.good) return "";
+  const bool holds = now < entry->second.valid_until;
+  return holds ? entry->second.ticket : "";
+}
+
+std::set<RunnerId> AdviceBook::Allowed(const StepName& step,
+                                       TimePoint now) const {
+  std::set<RunnerId> allowed;
+  const auto found = steps_.find(step);
+  if (found == steps_.end()) return allowed;
+  for (const auto& [runner, entry] : found->second) {
+    const bool holds =
+        entry.good && now + options_.ticket_margin < entry.valid_until;
+    if (holds) allowed.insert(runner);
+  }
+  return allowed;
+}
+
+void AdviceBook::Ask(Context& ctx, const StepName& step,
+                     const std::vector<RunnerId>& runners) {
+  if (under_way_ || ctx.now() < next_at_) return;
+  std::map<RunnerId, Entry>& known = steps_[step];
+  AskAdvice ask;
+  ask.step = step;
+  for (const RunnerId& runner : runners) {
+    if (ask.runners.size() == options_.runners_per_call) break;
+    const auto entry = known.find(runner);
+    const bool unknown = entry == known.end();
+    const bool runs_out =
+        !unknown && entry->second.good &&
+        ctx.now() + options_.ticket_margin * 2 >= entry->second.valid_until;
+    if (unknown || runs_out) ask.runners.push_back(runner);
+  }
+  if (ask.runners.empty()) return;
+  under_way_ = true;
+  ctx.Emit(std::move(ask));
+}
+
+void AdviceBook::Take(Context& ctx, const AdviceAnswered& answer) {
+  under_way_ = false;
+  if (!answer.ok) {
+    next_at_ = ctx.now() + options_.retry_pause;
+    ctx.Log(LogId::kAdviceFailed, {{"step", ToString(answer.step)}});
+    return;
+  }
+  std::map<RunnerId, Entry>& known = steps_[answer.step];
+  for (const RunnerId& runner : answer.asked) known[runner] = Entry();
+  for (const auto& [runner, ticket] : answer.tickets) {
+    known[runner] = {true, ticket, ctx.now() + answer.valid};
+  }
+  ctx.Log(LogId::kAdviceTaken,
+          {{"step", ToString(answer.step)},
+           {"asked", std::to_string(answer.asked.size())},
+           {"good", std::to_string(answer.tickets.size())}});
+}
+
+void AdviceBook::Forget(const JobId& job) {
+  auto it = steps_.lower_bound({job, 0, 0});
+  while (it != steps_.end() && it->first.job == job) it = steps_.erase(it);
+}
+
+}  // namespace limeledge::dispatch
--- a/src/dispatch/catalog.h
+++ b/src/dispatch/catalog.h
@@ -35,6 +35,8 @@
   /// plus `slack`.
   double stretch = 1;
   Duration slack;
+  /// Only some runners may run its steps, and starts need a ticket.
+  bool needs_advice = false;
 };
 
 /// Where jobs of one kind are handed in.
--- a/src/dispatch/effect.h
+++ b/src/dispatch/effect.h
@@ -80,6 +80,8 @@
   int run = 0;
   std::string payload;
   std::string checkpoint;
+  /// Where the queue needs advice; else empty.
+  std::string ticket;
   std::int64_t until_ms = 0;
 };
 
@@ -89,6 +91,12 @@
   int run = 0;
 };
 
+/// Asks on which of the runners the step may run.
+struct AskAdvice {
+  StepName step;
+  std::vector<RunnerId> runners;
+};
+
 /// How a caller's call ended.
 enum class CallResult {
   kDone,
@@ -137,8 +145,8 @@
 
 using Effect =
     std::variant<CommitRows, ReadRows, AwaitChanges, ReadCatalog, AwaitCatalog,
-                 ListRunners, LookAtRunner, StartRun, StopRun, AnswerCall,
-                 AnswerState, SetReady, WriteLog, Exit>;
+                 ListRunners, LookAtRunner, StartRun, StopRun, AskAdvice,
+                 AnswerCall, AnswerState, SetReady, WriteLog, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -8,6 +8,7 @@
 #define LIMELEDGE_SRC_DISPATCH_EVENT_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -137,6 +138,17 @@
   std::int64_t clock_ms = 0;
 };
 
+/// On which of the runners that were asked about the step may run.
+struct AdviceAnswered {
+  StepName step;
+  bool ok = false;
+  std::vector<RunnerId> asked;
+  /// Tickets of those that may.
+  std::map<RunnerId, std::string> tickets;
+  /// How long the tickets hold.
+  Duration valid;
+};
+
 /// What a caller asks for.
 enum class CallKind { kSubmit, kQuery, kCancel, kCountWaiting, kOther };
 
@@ -171,8 +183,8 @@
 using EventBody =
     std::variant<Woken, TransactionAnswered, RowsAnswered, ChangesAnswered,
                  CatalogAnswered, RunnersListed, RunnerLooked, StartAnswered,
-                 StopAnswered, CallArrived, StopAsked, SettingsReloaded,
-                 StateAsked>;
+                 StopAnswered, AdviceAnswered, CallArrived, StopAsked,
+                 SettingsReloaded, StateAsked>;
 
 struct Event {
   TimePoint now;
--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -18,6 +18,10 @@
                       ".", name.index);
 }
 
+std::string ToString(const StepName& name) {
+  return absl::StrCat(name.job.value(), ".", name.occurrence, ".", name.step);
+}
+
 const char* ToString(JobState state) {
   switch (state) {
     case JobState::kQueued:
--- a/src/dispatch/job_spec.h
+++ b/src/dispatch/job_spec.h
@@ -127,6 +127,21 @@
 /// Returns "JOB.OCCURRENCE.STEP.INDEX", for logs.
 std::string ToString(const TaskName& name);
 
+/// Names one occurrence of a step.
+struct StepName {
+  JobId job;
+  int occurrence = 0;
+  int step = 0;
+
+  friend bool operator<(const StepName& a, const StepName& b) {
+    return std::tie(a.job, a.occurrence, a.step) <
+           std::tie(b.job, b.occurrence, b.step);
+  }
+};
+
+/// Returns "JOB.OCCURRENCE.STEP".
+std::string ToString(const StepName& name);
+
 }  // namespace limeledge::dispatch
 
 #endif  // LIMELEDGE_SRC_DISPATCH_JOB_SPEC_H_
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -136,6 +136,10 @@
   if (scheduler_ != nullptr) Obey(ctx, scheduler_->Take(ctx, event));
 }
 
+void Node::Handle(Context& ctx, const AdviceAnswered& event) {
+  if (scheduler_ != nullptr) scheduler_->Take(ctx, event);
+}
+
 void Node::Handle(Context& ctx, const CallArrived& event) {
   desk_.Take(ctx, event, catalog_.catalog(), catalog_.confirmed_at(),
              StoreAnswers());
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -73,6 +73,9 @@
   const StepSpec& step = *request.step;
   if (info.service != request.service) return false;
   if (Holds(request.closed_racks, seat.rack)) return false;
+  if (request.allowed != nullptr && request.allowed->count(info.id) == 0) {
+    return false;
+  }
   if (!step.required_label.empty() &&
       info.labels.count(step.required_label) == 0) {
     return false;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -39,6 +39,8 @@
   /// Runners outside the rack with the data, or in several racks, are taken
   /// too.
   bool anywhere = false;
+  /// Only these runners may be used; null for any.
+  const std::set<RunnerId>* allowed = nullptr;
   /// Runners that are usually faster go first.
   bool prefers_fast = false;
   /// Racks to be used first, and racks not to be used; null for none.
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -49,14 +49,15 @@
 class Planner::Pass {
  public:
   Pass(Planner* planner, TimePoint now, std::int64_t wall_ms,
-       const Catalog& catalog, const RunTimes& times, JobBook* jobs,
-       Fleet* fleet)
+       const Catalog& catalog, const RunTimes& times, const AdviceBook& advice,
+       JobBook* jobs, Fleet* fleet)
       : planner_(*planner),
         options_(planner->options_),
         now_(now),
         wall_ms_(wall_ms),
         catalog_(catalog),
         times_(times),
+        advice_(advice),
         jobs_(*jobs),
         seating_(fleet->Seats(now)) {
     planner_.next_at_ = kNever;
@@ -225,6 +226,12 @@
 
   void Place(Unit* unit) {
     PlacementRequest request = RequestFor(*unit);
+    std::set<RunnerId> allowed;
+    if (unit->policy.needs_advice) {
+      WishForAdvice(*unit, request);
+      allowed = advice_.Allowed(unit->key, now_);
+      request.allowed = &allowed;
+    }
     if (unit->spec->gang) {
       PlaceGang(unit, &request);
     } else {
@@ -232,6 +239,21 @@
     }
   }
 
+  /// Wishes for tickets at the runners that suit the step, those with room
+  /// first.
+  void WishForAdvice(const Unit& unit, const PlacementRequest& request) {
+    AdviceWish wish;
+    wish.step = unit.key;
+    std::vector<RunnerId> full;
+    for (const Seat& seat : seating_.seats()) {
+      if (!Seating::Suits(seat, request)) continue;
+      const bool fits = unit.spec->need.Fits(seat.room);
+      (fits ? wish.runners : full).push_back(seat.runner->id());
+    }
+    wish.runners.insert(wish.runners.end(), full.begin(), full.end());
+    plan_.advice_wishes.push_back(std::move(wish));
+  }
+
   void PlaceGang(Unit* unit, PlacementRequest* request) {
     const std::vector<Seat*> seats = seating_.PlaceAll(*request);
     if (seats.empty()) {
@@ -510,6 +532,7 @@
   std::int64_t wall_ms_;
   const Catalog& catalog_;
   const RunTimes& times_;
+  const AdviceBook& advice_;
   JobBook& jobs_;
   Seating seating_;
   std::set<JobId> entitled_;
@@ -523,8 +546,8 @@
 
 Plan Planner::Decide(TimePoint now, std::int64_t wall_ms,
                      const Catalog& catalog, const RunTimes& times,
-                     JobBook* jobs, Fleet* fleet) {
-  return Pass(this, now, wall_ms, catalog, times, jobs, fleet).Run();
+                     const AdviceBook& advice, JobBook* jobs, Fleet* fleet) {
+  return Pass(this, now, wall_ms, catalog, times, advice, jobs, fleet).Run();
 }
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -13,6 +13,7 @@
 #include <tuple>
 #include <vector>
 
+#include "dispatch/advice_book.h"
 #include "dispatch/catalog.h"
 #include "dispatch/fleet.h"
 #include "dispatch/job_book.h"
@@ -74,9 +75,16 @@
   JobId beneficiary;
 };
 
+/// A step that waits for tickets, and the runners that suit it, best first.
+struct AdviceWish {
+  StepName step;
+  std::vector<RunnerId> runners;
+};
+
 struct Plan {
   std::vector<Assignment> assignments;
   std::vector<Displacement> displacements;
+  std::vector<AdviceWish> advice_wishes;
 };
 
 /// Greedy planner: urgent work within its workspace's guarantee first, then by
@@ -91,23 +99,15 @@
   /// Decides on everything that can be decided now. The state of `jobs` and
   /// `fleet` is not changed but for the time since when steps are ready.
   Plan Decide(TimePoint now, std::int64_t wall_ms, const Catalog& catalog,
-              const RunTimes& times, JobBook* jobs, Fleet* fleet);
+              const RunTimes& times, const AdviceBook& advice, JobBook* jobs,
+              Fleet* fleet);
   /// When a step that waits for its due time or its patience comes next.
   TimePoint next_at() const { return next_at_; }
 
  private:
-  struct StepKey {
-    JobId job;
-    int occurrence = 0;
-    int step = 0;
-    friend bool operator<(const StepKey& a, const StepKey& b) {
-      return std::tie(a.job, a.occurrence, a.step) <
-             std::tie(b.job, b.occurrence, b.step);
-    }
-  };
   /// A step with tasks to start.
   struct Unit {
-    StepKey key;
+    StepName key;
     Job* job = nullptr;
     Step* step = nullptr;
     const StepSpec* spec = nullptr;
@@ -130,7 +130,7 @@
   class Pass;
 
   PlannerOptions options_;
-  std::map<StepKey, Claim> claims_;
+  std::map<StepName, Claim> claims_;
   TimePoint next_at_;
 };
 
--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -47,6 +47,7 @@
   json["max_attempts"] = policy.max_attempts;
   json["stretch"] = policy.stretch;
   json["slack_ms"] = Json::Int64(policy.slack.ms());
+  if (policy.needs_advice) json["advice"] = true;
   return json;
 }
 
@@ -57,6 +58,7 @@
   policy.max_attempts = json["max_attempts"].asInt();
   policy.stretch = json["stretch"].asDouble();
   policy.slack = Duration(json["slack_ms"].asInt64());
+  policy.needs_advice = json.get("advice", false).asBool();
   return policy;
 }
 
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -125,6 +125,7 @@
   // The job is forgotten once its final state is stored.
   writer_.Mark({kProgressTable, id.value()},
                [text = EncodeProgress(*job)] { return text; });
+  advice_.Forget(id);
   book_.Close(id, ctx.now());
 }
 
@@ -150,7 +151,15 @@
   }
 }
 
+void Scheduler::Take(Context& ctx, const AdviceAnswered& answer) {
+  advice_.Take(ctx, answer);
+  plan_due_ = true;
+}
+
 void Scheduler::Apply(Context& ctx, const Plan& plan) {
+  for (const AdviceWish& wish : plan.advice_wishes) {
+    advice_.Ask(ctx, wish.step, wish.runners);
+  }
   for (const Displacement& displaced : plan.displacements) {
     Runner* runner = fleet_.Find(displaced.runner);
     if (runner == nullptr) continue;
@@ -204,7 +213,7 @@
     plan_due_ = false;
     last_pass_ = ctx.now();
     Apply(ctx, planner_.Decide(ctx.now(), ctx.wall_ms(), catalog, times_,
-                               &book_, &fleet_));
+                               advice_, &book_, &fleet_));
     WriteWaiting(ctx);
   }
   // The runners are only known by what is assigned to them once all is read.
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -82,6 +82,7 @@
   Verdict Take(Context& ctx, const RunnerLooked& answer);
   Verdict Take(Context& ctx, const StartAnswered& answer);
   Verdict Take(Context& ctx, const StopAnswered& answer);
+  void Take(Context& ctx, const AdviceAnswered& answer);
 
   /// Does all that is due. Call it after every event.
   void Work(Context& ctx, const Catalog& catalog);
@@ -142,6 +143,7 @@
   JobBook book_;
   Fleet fleet_;
   RunTimes times_;
+  AdviceBook advice_;
   Planner planner_;
   const Catalog* catalog_ = nullptr;
   bool plan_due_ = true;
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -66,6 +66,14 @@
     EndRun(ctx, runner, name, RunEnd::kRejected, "");
     return;
   }
+  const std::string ticket =
+      advice_.TicketFor({name.job, name.occurrence, name.step}, id, ctx.now());
+  if (ticket.empty() && PolicyOf(*job, *catalog_).needs_advice) {
+    // It ran out while the decision was being stored.
+    EndRun(ctx, runner, name, RunEnd::kRejected, "");
+    StopGang(ctx, name);
+    return;
+  }
   run.phase = RunPhase::kStarting;
   StartRun start;
   start.target = Fleet::TargetOf(*runner, writer_.epoch());
@@ -76,6 +84,7 @@
                          .steps[name.step]
                          .tasks[name.index]
                          .checkpoint;
+  start.ticket = ticket;
   start.until_ms = runner->GrantUntil(ctx.now(), options_.fleet.run_lease);
   ctx.Emit(std::move(start));
 }
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -30,6 +30,10 @@
 constexpr char kHost[] = "jobs.example";
 constexpr char kPrefix[] = "/queue/";
 constexpr char kUrgentPrefix[] = "/urgent/";
+constexpr char kAdvisedPrefix[] = "/advised/";
+constexpr int kAdvisedPriority = 2;
+constexpr Duration kAdviceTime{100};
+constexpr Duration kTicketTime{3000};
 constexpr char kKey[] = "key-1";
 constexpr int kMaxAttempts = 3;
 
@@ -46,11 +50,20 @@
   return queue;
 }
 
+const char* PrefixOf(const JobWatch& watch) {
+  const int priority = watch.spec.policy.priority;
+  if (priority == 0) return kUrgentPrefix;
+  return priority == kAdvisedPriority ? kAdvisedPrefix : kPrefix;
+}
+
 dispatch::Catalog MakeCatalog() {
   dispatch::Catalog catalog;
   catalog.version = dispatch::CatalogVersion(1);
   catalog.queues.push_back(MakeQueue("patient", kPrefix, 1));
   catalog.queues.push_back(MakeQueue("urgent", kUrgentPrefix, 0));
+  catalog.queues.push_back(
+      MakeQueue("advised", kAdvisedPrefix, kAdvisedPriority));
+  catalog.queues.back().policy.needs_advice = true;
   catalog.services[dispatch::ServiceId("compute")] = {true};
   dispatch::Workspace workspace;
   workspace.id = WorkspaceId("roads");
@@ -230,6 +243,8 @@
                                       [order = *stop](EmulatedRunner* runner) {
                                         return runner->Stop(order);
                                       });
+  } else if (const auto* ask = std::get_if<dispatch::AskAdvice>(&effect)) {
+    Advise(node, *ask);
   } else if (const auto* call = std::get_if<dispatch::AnswerCall>(&effect)) {
     At(now_ + options_.network, [this, answer = *call] { TakeAnswer(answer); });
   } else if (const auto* log = std::get_if<dispatch::WriteLog>(&effect)) {
@@ -422,6 +437,22 @@
      [this, node, life, answer] { Deliver(node, life, answer); });
 }
 
+void EmulatedSystem::Advise(int node, const dispatch::AskAdvice& ask) {
+  dispatch::AdviceAnswered answer;
+  answer.step = ask.step;
+  answer.ok = true;
+  answer.asked = ask.runners;
+  answer.valid = kTicketTime;
+  for (const RunnerId& runner : ask.runners) {
+    // Every other runner may run a step.
+    const std::size_t sum = IdHash()(runner) + IdHash()(ask.step.job);
+    if (sum % 2 == 0) answer.tickets[runner] = ToString(ask.step);
+  }
+  const int life = processes_[node].life;
+  At(now_ + kAdviceTime,
+     [this, node, life, answer] { Deliver(node, life, answer); });
+}
+
 template <typename Answer, typename Order>
 void EmulatedSystem::SendOrder(
     int node, const Order& order, Answer answer,
@@ -517,8 +548,7 @@
   dispatch::CallArrived call;
   call.kind = dispatch::CallKind::kSubmit;
   const JobWatch& watch = jobs_[job];
-  const bool urgent = watch.spec.policy.priority == 0;
-  call.path = absl::StrCat(urgent ? kUrgentPrefix : kPrefix, job.value());
+  call.path = absl::StrCat(PrefixOf(jobs_[job]), job.value());
   call.spec = watch.spec;
   SendCall(call, [this, job](const dispatch::AnswerCall* answer) {
     JobWatch& submitted = jobs_[job];
@@ -539,16 +569,14 @@
   call.kind = dispatch::CallKind::kCancel;
   JobWatch& watch = jobs_[job];
   watch.cancel_sent = true;
-  const bool urgent = watch.spec.policy.priority == 0;
-  call.path = absl::StrCat(urgent ? kUrgentPrefix : kPrefix, job.value());
+  call.path = absl::StrCat(PrefixOf(jobs_[job]), job.value());
   SendCall(call, [](const dispatch::AnswerCall*) {});
 }
 
 std::string EmulatedSystem::StateOf(const JobId& job) {
   dispatch::CallArrived call;
   call.kind = dispatch::CallKind::kQuery;
-  const bool urgent = jobs_[job].spec.policy.priority == 0;
-  call.path = absl::StrCat(urgent ? kUrgentPrefix : kPrefix, job.value());
+  call.path = absl::StrCat(PrefixOf(jobs_[job]), job.value());
   std::string state;
   bool answered = false;
   SendCall(call, [&](const dispatch::AnswerCall* answer) {
@@ -603,6 +631,12 @@
     Violate(
         absl::StrCat("start of ", task, " after its end was noted as done"));
   }
+  const dispatch::StepName step_name{order.task.job, order.task.occurrence,
+                                     order.task.step};
+  if (watch.spec.policy.priority == kAdvisedPriority &&
+      order.ticket != ToString(step_name)) {
+    Violate(absl::StrCat("start of ", task, " without its ticket"));
+  }
   if (watch.failures[order.task] >= kMaxAttempts) {
     Violate(absl::StrCat("start of ", task, " after all of its attempts"));
   }
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -150,6 +150,7 @@
   void Look(int node, const dispatch::LookAtRunner& look);
   void AnswerLook(int node, int life, const dispatch::LookAtRunner& look,
                   TimePoint until);
+  void Advise(int node, const dispatch::AskAdvice& ask);
   template <typename Answer, typename Order>
   void SendOrder(int node, const Order& order, Answer answer,
                  std::function<Answer(EmulatedRunner*)> carry_out);
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -85,6 +85,13 @@
   CheckNoViolation();
 }
 
+TEST(Scheduler, QueueWithAdviceStartsOnlyWithTickets) {
+  const JobId job = Submit(Step(6, 1, Duration(500)), 2);
+  system.Run(Duration(4000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
 TEST(Scheduler, CancelledJobIsStoppedAndStaysCancelled) {
   const JobId job = Submit(Step(2, 1, Duration(20000)));
   system.Run(Duration(1000));
