Let large machines schedule

Cause: on the grown site a machine of an eighth of a core led first and could not keep in touch with 350 runners. Conclusion: machines that are alike are not affected.

--- a/src/dispatch/leadership.cc
+++ b/src/dispatch/leadership.cc
@@ -69,15 +69,31 @@
   watch_.Observe(ctx.now(), row.revision);
   // Its own name: a claim whose answer was lost, or a lease that this node
   // stepped back from. A new epoch is safe in both cases.
-  const bool free = record->released || record->holder == holder_ ||
-                    watch_.LapsedAt(ctx.now());
+  const bool lapsed = watch_.LapsedAt(ctx.now());
+  const bool given_up = record->released && !IsSmall(*record);
+  const bool free = given_up || record->holder == holder_ || lapsed ||
+                    IsMuchLargerThan(*record);
   if (free) Claim(ctx, *record, row.revision);
 }
 
+bool Leadership::IsSmall(const LeaderRecord& record) const {
+  return static_cast<double>(options_.capacity) * options_.capacity_factor <
+         static_cast<double>(record.largest_capacity);
+}
+
+bool Leadership::IsMuchLargerThan(const LeaderRecord& record) const {
+  return static_cast<double>(options_.capacity) >
+         static_cast<double>(record.capacity) * options_.capacity_factor;
+}
+
 void Leadership::Claim(Context& ctx, const LeaderRecord& seen,
                        Revision revision) {
   if (retired_) return;
-  claim_ = LeaderRecord{seen.epoch.Next(), holder_, 0, false};
+  claim_ = LeaderRecord();
+  claim_.epoch = seen.epoch.Next();
+  claim_.holder = holder_;
+  claim_.capacity = options_.capacity;
+  claim_.largest_capacity = std::max(seen.largest_capacity, options_.capacity);
   call_under_way_ = true;
   call_ = ctx.NewTicket();
   RowTransaction claim;
--- a/src/dispatch/leadership.h
+++ b/src/dispatch/leadership.h
@@ -31,6 +31,13 @@
   int lease_per_latency = 3;
   /// Bound on one call to the store.
   Duration call_timeout{1000};
+  /// Processor time that this process has, in thousandths of a core.
+  std::int64_t capacity = 0;
+  /// A process that has this many times less than the largest holder so far
+  /// waits longer, so that a large one goes first; one that has so much more
+  /// than the holder takes over at once.
+  double capacity_factor = 1.5;
+  Duration small_delay{900};
 };
 
 /// Follows the row that names the scheduler, and claims it when it lapsed.
@@ -68,6 +75,8 @@
 
  private:
   void Observe(Context& ctx, const Row& row);
+  bool IsSmall(const LeaderRecord& record) const;
+  bool IsMuchLargerThan(const LeaderRecord& record) const;
   void Claim(Context& ctx, const LeaderRecord& seen, Revision revision);
   void Wait(TimePoint now, Duration delay);
 
--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -166,6 +166,8 @@
   json["holder"] = record.holder;
   json["sequence"] = Json::Int64(record.sequence);
   if (record.released) json["released"] = true;
+  json["capacity"] = Json::Int64(record.capacity);
+  json["largest_capacity"] = Json::Int64(record.largest_capacity);
   return WriteJson(json);
 }
 
@@ -176,6 +178,8 @@
     record.holder = json["holder"].asString();
     record.sequence = json["sequence"].asInt64();
     record.released = json.get("released", false).asBool();
+    record.capacity = json.get("capacity", 0).asInt64();
+    record.largest_capacity = json.get("largest_capacity", 0).asInt64();
     return record;
   });
 }
--- a/src/dispatch/row_codec.h
+++ b/src/dispatch/row_codec.h
@@ -26,6 +26,10 @@
   std::int64_t sequence = 0;
   /// The holder has given the lease up.
   bool released = false;
+  /// Processor time that the holder has, in thousandths of a core, and the
+  /// most that any holder had so far.
+  std::int64_t capacity = 0;
+  std::int64_t largest_capacity = 0;
 };
 
 std::string EncodeLeader(const LeaderRecord& record);
