--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -86,10 +86,23 @@
                   runner.look_sent_at + options_.store_patience);
 }
 
+int Fleet::FirstLooksUnderWay() const {
+  int under_way = 0;
+  for (const auto& [id, runner] : runners_) {
+    if (runner->look_in_flight && !runner->heard()) ++under_way;
+  }
+  return under_way;
+}
+
 void Fleet::Look(Context& ctx, Epoch epoch, bool may_renew) {
+  int first_looks = FirstLooksUnderWay();
   for (auto& [id, runner] : runners_) {
     if (runner->look_in_flight || runner->info().address.empty()) continue;
     if (runner->ended || ctx.now() < LookDueAt(*runner)) continue;
+    const bool first = !runner->heard();
+    // The answer to another first look makes room for this one.
+    if (first && first_looks >= options_.first_looks) continue;
+    if (first) ++first_looks;
     LookAtRunner look;
     look.target = TargetOf(*runner, epoch);
     look.acknowledged_end = runner->AcknowledgedEnd();
@@ -112,9 +125,11 @@
 
 TimePoint Fleet::next_at() const {
   TimePoint next = list_under_way_ ? kNever : next_list_at_;
+  const bool first_looks_wait = FirstLooksUnderWay() >= options_.first_looks;
   for (const auto& [id, runner] : runners_) {
     const bool quiet = runner->look_in_flight || runner->ended ||
-                       runner->info().address.empty();
+                       runner->info().address.empty() ||
+                       (first_looks_wait && !runner->heard());
     if (!quiet) next = std::min(next, LookDueAt(*runner));
   }
   return next;
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -42,6 +42,10 @@
   /// A new scheduler leaves alone for so long what it can neither reach nor
   /// rule out: what the last one may still renew, plus a lease.
   Duration inherited_lease{14000};
+  /// Runners that are looked at for the first time at once: a new scheduler
+  /// that opened hundreds of connections together would not come to renew its
+  /// own lease on a small machine.
+  int first_looks = 24;
   /// How often the list of runners is read.
   Duration list_interval{1000};
 };
@@ -80,6 +84,7 @@
   void DropGone(Context& ctx);
 
  private:
+  int FirstLooksUnderWay() const;
   bool MayWork(const Runner& runner, TimePoint now) const;
   TimePoint LookDueAt(const Runner& runner) const;
   Duration WaitFor(const Runner& runner) const;
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -7,6 +7,7 @@
 #include "dispatch/fleet.h"
 
 #include <optional>
+#include <string>
 #include <utility>
 
 #include "CppUTest/TestHarness.h"
@@ -80,6 +81,32 @@
   CHECK_TRUE(over == runner->lease_over_at());
 }
 
+TEST(Fleet, FirstLooksAreSpreadAndTheRestWaitsForAnswers) {
+  RunnersListed listed;
+  listed.ok = true;
+  const int all = FleetOptions().first_looks + 5;
+  for (int i = 0; i < all; ++i) {
+    RunnerInfo info;
+    info.id = RunnerId("i-" + std::to_string(i));
+    info.address = "10.0.0.1:80";
+    listed.runners.push_back(info);
+  }
+  Context ctx = NewContext();
+  fleet.Take(ctx, listed);
+  Context first = NewContext();
+  fleet.Look(first, Epoch(1), true);
+  LONGS_EQUAL(FleetOptions().first_looks, effects.size());
+  CHECK_TRUE(fleet.next_at() > now);
+  const auto* look = std::get_if<LookAtRunner>(&effects.front());
+  Runner* answered = fleet.Find(look->target.runner);
+  answered->look_in_flight = false;
+  answered->Heard(now, 1000);
+  answered->next_look_at = now + Duration(500);
+  Context second = NewContext();
+  fleet.Look(second, Epoch(1), true);
+  LONGS_EQUAL(1, effects.size());
+}
+
 TEST(Fleet, RunnerThatWasNeverHeardGetsNoWork) {
   AddRunner("i-1");
   CHECK_TRUE(fleet.Seats(now).empty());
