Bound the planner's passes under a backlog

Change: beyond 24 gangs of other than urgent work, each is tried in every fifth pass; a need that fits nowhere is not tried again in the pass; the next pass comes later by what the last one tried.

--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -70,7 +70,10 @@
       return std::tie(a.rank, a.hopeless, a.deadline_wall_ms, a.key) <
              std::tie(b.rank, b.hopeless, b.deadline_wall_ms, b.key);
     });
-    for (Unit& unit : units_) Place(&unit);
+    ++planner_.passes_;
+    for (Unit& unit : units_) {
+      if (IsDue(unit)) Place(&unit);
+    }
     DropOldClaims();
     return std::move(plan_);
   }
@@ -224,7 +227,16 @@
     return request;
   }
 
+  /// Under a backlog, gangs of other work take turns.
+  bool IsDue(const Unit& unit) {
+    if (unit.policy.priority == 0 || !unit.spec->gang) return true;
+    ++gangs_;
+    if (gangs_ <= options_.gangs_in_each_pass) return true;
+    return (gangs_ + planner_.passes_) % options_.passes_for_the_rest == 0;
+  }
+
   void Place(Unit* unit) {
+    ++plan_.steps_tried;
     PlacementRequest request = RequestFor(*unit);
     std::set<RunnerId> allowed;
     if (unit->policy.needs_advice) {
@@ -271,7 +283,21 @@
     planner_.claims_.erase(unit->key);
   }
 
+  /// True if a task that takes no more was found to fit nowhere in this pass.
+  bool FitsNowhere(const Unit& unit) const {
+    const auto found = fit_nowhere_.find(unit.policy.service);
+    if (found == fit_nowhere_.end()) return false;
+    for (const Resources& need : found->second) {
+      if (need.Fits(unit.spec->need)) return true;
+    }
+    return false;
+  }
+
   void PlaceSingles(Unit* unit, PlacementRequest* request) {
+    if (FitsNowhere(*unit)) {
+      MakeRoom(*unit, *request);
+      return;
+    }
     std::size_t placed = 0;
     for (const int index : unit->waiting) {
       request->avoid = unit->step->tasks[index].failed_on;
@@ -283,6 +309,13 @@
       ++placed;
     }
     request->count -= static_cast<int>(placed);
+    const bool plain = request->allowed == nullptr && request->anywhere &&
+                       request->closed_racks == nullptr &&
+                       unit->spec->required_label.empty() &&
+                       unit->spec->max_per_runner == 0;
+    if (placed == 0 && plain) {
+      fit_nowhere_[unit->policy.service].push_back(unit->spec->need);
+    }
     if (request->count == 0) {
       planner_.claims_.erase(unit->key);
     } else {
@@ -541,6 +574,9 @@
   std::set<TaskName> displaced_;
   std::vector<Unit> units_;
   int kept_ = 0;
+  int gangs_ = 0;
+  /// What was found to fit nowhere any more, by service.
+  std::map<ServiceId, std::vector<Resources>> fit_nowhere_;
   Plan plan_;
 };
 
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -52,6 +52,10 @@
   /// Work lost by displacing urgent work counts so many times: such work is
   /// taken last.
   std::int64_t urgent_victim_weight = 1000;
+  /// Gangs that are tried in each pass; those behind them in order are tried in
+  /// every so many-th pass, so that a pass stays short under a backlog.
+  int gangs_in_each_pass = 24;
+  int passes_for_the_rest = 5;
   /// An accelerator counts as this many cores.
   int cores_per_accelerator = 8;
 };
@@ -85,6 +89,8 @@
   std::vector<Assignment> assignments;
   std::vector<Displacement> displacements;
   std::vector<AdviceWish> advice_wishes;
+  /// Steps that were tried, as a measure of the pass's cost.
+  int steps_tried = 0;
 };
 
 /// Greedy planner: urgent work within its workspace's guarantee first, then by
@@ -131,6 +137,7 @@
 
   PlannerOptions options_;
   std::map<StepName, Claim> claims_;
+  int passes_ = 0;
   TimePoint next_at_;
 };
 
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -205,15 +205,20 @@
     fleet_.DropGone(ctx);
     ForgetFinal(ctx);
   }
-  const bool waited = ctx.now() - last_pass_ >= options_.pass_interval;
+  const bool waited = ctx.now() >= next_pass_;
   const bool due = plan_due_ || ctx.now() >= planner_.next_at() ||
                    ctx.now() - last_pass_ >= options_.longest_pass_interval;
   if (book_.loaded() && !releasing_ && due && waited &&
       writer_.store_answers()) {
     plan_due_ = false;
     last_pass_ = ctx.now();
-    Apply(ctx, planner_.Decide(ctx.now(), ctx.wall_ms(), catalog, times_,
-                               advice_, &book_, &fleet_));
+    const Plan plan = planner_.Decide(ctx.now(), ctx.wall_ms(), catalog, times_,
+                                      advice_, &book_, &fleet_);
+    constexpr int kHundred = 100;
+    next_pass_ =
+        ctx.now() + options_.pass_interval +
+        options_.pass_interval_per_hundred * plan.steps_tried / kHundred;
+    Apply(ctx, plan);
     WriteWaiting(ctx);
   }
   // The runners are only known by what is assigned to them once all is read.
@@ -227,9 +232,8 @@
   if (book_.loaded()) next = std::min(next, fleet_.next_at());
   // A pass that can not be made now is made when the store answers.
   if (!book_.loaded() || releasing_ || !writer_.store_answers()) return next;
-  const TimePoint pass = last_pass_ + options_.pass_interval;
-  if (plan_due_) next = std::min(next, pass);
-  return std::min(next, std::max(pass, planner_.next_at()));
+  if (plan_due_) next = std::min(next, next_pass_);
+  return std::min(next, std::max(next_pass_, planner_.next_at()));
 }
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -28,8 +28,11 @@
   PlannerOptions planner;
   StateWriterOptions writer;
   JobBookOptions book;
-  /// Shortest time between two passes of the planner.
+  /// Shortest time between two passes of the planner, and what is added for
+  /// each hundred steps that the last one tried: some five times what such a
+  /// pass takes on half a core.
   Duration pass_interval{20};
+  Duration pass_interval_per_hundred{80};
   /// Longest time between two passes while tasks wait.
   Duration longest_pass_interval{250};
   /// A runner that rejected a start for want of room is asked anew first.
@@ -149,6 +152,8 @@
   bool plan_due_ = true;
   bool releasing_ = false;
   TimePoint last_pass_;
+  /// The next pass is not made sooner.
+  TimePoint next_pass_;
   TimePoint last_waiting_;
   TimePoint next_check_;
   std::string written_waiting_;
