--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -34,6 +34,10 @@
   return racks != nullptr && racks->count(rack) != 0;
 }
 
+/// Smaller is better: a sound runner, then the one that is left with the least
+/// room, in the fullest rack, so that gangs find whole runners of one rack.
+using Waste = std::tuple<int, std::int64_t, std::int64_t, std::int64_t>;
+
 /// 0 for the runners that are taken first.
 int PaceRank(const Seat& seat, bool prefers_fast) {
   if (IsSlow(seat)) return 2;
@@ -42,6 +46,14 @@
   return leisurely ? 1 : 0;
 }
 
+Waste WasteOf(const Seat& seat, const PlacementRequest& request,
+              std::int64_t rack_room) {
+  const Resources& need = request.step->need;
+  return {PaceRank(seat, request.prefers_fast),
+          seat.room.accelerators - need.accelerators, rack_room,
+          seat.room.cpu_millis - need.cpu_millis};
+}
+
 }  // namespace
 
 int CountFitting(const Resources& need, const Resources& room, int limit) {
@@ -75,26 +87,10 @@
   return LimitPerSeat(request, seat) > 0;
 }
 
-Seating::Waste Seating::WasteOf(const Seat& seat,
-                                const PlacementRequest& request) const {
-  const Resources& need = request.step->need;
-  const std::int64_t left = seat.room.accelerators - need.accelerators;
-  const std::int64_t cpu_left = seat.room.cpu_millis - need.cpu_millis;
-  const int pace = PaceRank(seat, request.prefers_fast);
-  if (request.prefers_fast) {
-    return {pace, left, rack_room_.at(seat.rack), cpu_left};
-  }
-  return {pace, -rack_position_.at(seat.rack), left, cpu_left};
-}
-
 Seating::Seating(std::vector<Seat> seats) : seats_(std::move(seats)) {
   for (const Seat& seat : seats_) {
     rack_room_[seat.rack] += seat.room.accelerators;
   }
-  std::int64_t position = 0;
-  for (const auto& [rack, room] : rack_room_) {
-    rack_position_[rack] = position++;
-  }
 }
 
 void Seating::Take(Seat* seat, const Resources& need) {
@@ -117,7 +113,8 @@
       if (best_avoided) best = &seat;
       continue;
     }
-    const bool better = WasteOf(seat, request) < WasteOf(*best, request);
+    const bool better = WasteOf(seat, request, rack_room_[seat.rack]) <
+                        WasteOf(*best, request, rack_room_[best->rack]);
     if (better) best = &seat;
   }
   if (best != nullptr) Take(best, need);
@@ -129,7 +126,8 @@
   const Resources& need = request.step->need;
   std::sort(seats.begin(), seats.end(),
             [this, &request](const Seat* a, const Seat* b) {
-              return WasteOf(*a, request) < WasteOf(*b, request);
+              return WasteOf(*a, request, rack_room_[a->rack]) <
+                     WasteOf(*b, request, rack_room_[b->rack]);
             });
   std::vector<Seat*> chosen;
   for (Seat* seat : seats) {
@@ -163,9 +161,8 @@
       pace = std::max(pace, PaceRank(*seat, request.prefers_fast));
     }
     const bool preferred = Holds(request.preferred_racks, rack);
-    const std::int64_t order =
-        request.prefers_fast ? rack_room_[rack] : -rack_position_[rack];
-    const std::tuple<int, bool, std::int64_t> cost = {pace, !preferred, order};
+    const std::tuple<int, bool, std::int64_t> cost = {pace, !preferred,
+                                                      rack_room_[rack]};
     if (!best.empty() && cost >= best_cost) continue;
     best = std::move(chosen);
     best_cost = cost;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -10,7 +10,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <tuple>
 #include <vector>
 
 #include "dispatch/job.h"
@@ -42,9 +41,7 @@
   bool anywhere = false;
   /// Only these runners may be used; null for any.
   const std::set<RunnerId>* allowed = nullptr;
-  /// Runners that are usually faster go first, then the fullest. Other work
-  /// fills racks one after the other from the last one, so that the first ones
-  /// stay whole for urgent gangs.
+  /// Runners that are usually faster go first.
   bool prefers_fast = false;
   /// Racks to be used first, and racks not to be used; null for none.
   const std::set<std::string>* preferred_racks = nullptr;
@@ -71,16 +68,11 @@
  private:
   std::vector<Seat*> PlaceAmong(const PlacementRequest& request,
                                 std::vector<Seat*> seats);
-  /// Smaller is better.
-  using Waste = std::tuple<int, std::int64_t, std::int64_t, std::int64_t>;
-  Waste WasteOf(const Seat& seat, const PlacementRequest& request) const;
   void Take(Seat* seat, const Resources& need);
 
   std::vector<Seat> seats_;
   /// Free accelerators of each rack.
   std::map<std::string, std::int64_t> rack_room_;
-  /// Position of each rack in the order of their names.
-  std::map<std::string, std::int64_t> rack_position_;
 };
 
 /// How many tasks of `need` fit in `room`, at most `limit`.
