Name openings alike, and shorten displacing

Cause: a struct renamed to Opening still had locals called places, and Displace grouped seats, chose openings and claimed them in one function. Change: the locals and functions say opening; grouping the seats and taking the openings are functions of their own; sorting moves to the units' file. No change of behaviour.

--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -7,7 +7,6 @@
 #include "dispatch/planner.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include "dispatch/planner_pass.h"
@@ -37,10 +36,7 @@
 Plan Planner::Pass::Decide() {
   SetUrgentRacksApart();
   CollectUnits();
-  std::sort(units_.begin(), units_.end(), [](const Unit& a, const Unit& b) {
-    return std::tie(a.rank, a.hopeless, a.deadline_wall_ms, a.key) <
-           std::tie(b.rank, b.hopeless, b.deadline_wall_ms, b.key);
-  });
+  SortUnits();
   ++planner_.passes_;
   for (Unit& unit : units_) {
     if (IsDue(unit)) Place(&unit);
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -33,7 +33,7 @@
   Plan Decide();
 
  private:
-  /// One place for a task: the seat, and what it costs to have it.
+  /// Room for one task on a seat, and what it costs to have it.
   struct Opening {
     Seat* seat = nullptr;
     std::int64_t cost = 0;
@@ -49,8 +49,10 @@
   /// Urgent jobs within their workspaces' guarantees, oldest first.
   std::set<JobId> FindEntitled();
   void CollectUnits();
+  /// The most urgent first.
+  void SortUnits();
   void CollectOccurrence(Job* job, int number);
-  void CollectStep(Job* job, int number, int s);
+  void CollectStep(Job* job, int number, int index);
   void SetOrder(const Occurrence& occurrence, int step, Unit* unit);
 
   // Places for what fits.
@@ -80,13 +82,19 @@
   /// Urgent work displaces other work; within its guarantee also urgent work
   /// of workspaces that are beyond theirs.
   bool MayDisplace(const Unit& unit, const TaskName& name, const Run& run);
-  /// Places on one seat in rising cost, at most `limit`.
-  std::vector<Opening> PlacesOn(const Unit& unit, Seat* seat, int limit);
-  /// The cheapest places among `seats`; empty if there are not enough.
-  std::vector<Opening> CheapestPlaces(const Unit& unit,
-                                      const std::vector<Seat*>& seats,
-                                      const PlacementRequest& request);
+  /// Openings on one seat in rising cost, at most `limit`.
+  std::vector<Opening> OpeningsOn(const Unit& unit, Seat* seat, int limit);
+  /// The cheapest openings among `seats`; empty if there are not enough.
+  std::vector<Opening> CheapestOpenings(const Unit& unit,
+                                        const std::vector<Seat*>& seats,
+                                        const PlacementRequest& request);
+  /// The suitable seats that the step's tasks may share: by rack, and all.
+  std::map<std::string, std::vector<Seat*>> GroupSeats(
+      const Unit& unit, const PlacementRequest& request);
+  /// Displaces what costs least, if that makes room for the whole step.
   void Displace(const Unit& unit, const PlacementRequest& request);
+  /// Stops the victims, and claims their room for the step.
+  void TakeOpenings(const Unit& unit, const std::vector<Opening>& openings);
   /// Keeps the runners free that have room for the gang soonest.
   void KeepForGang(const Unit& unit, const PlacementRequest& request);
   /// When the seat will have room for each further task.
--- a/src/dispatch/planner_room.cc
+++ b/src/dispatch/planner_room.cc
@@ -92,9 +92,9 @@
   return PolicyOf(*job, catalog_).priority > unit.policy.priority;
 }
 
-std::vector<Planner::Pass::Opening> Planner::Pass::PlacesOn(const Unit& unit,
-                                                            Seat* seat,
-                                                            int limit) {
+std::vector<Planner::Pass::Opening> Planner::Pass::OpeningsOn(const Unit& unit,
+                                                              Seat* seat,
+                                                              int limit) {
   const Resources& need = unit.spec->need;
   std::vector<std::pair<std::int64_t, TaskName>> victims;
   for (const auto& [name, run] : seat->runner->runs()) {
@@ -104,75 +104,84 @@
   std::sort(victims.begin(), victims.end());
   Resources room = seat->room;
   room += seat->coming;
-  std::vector<Opening> places;
+  std::vector<Opening> openings;
   std::size_t next = 0;
-  while (static_cast<int>(places.size()) < limit) {
-    Opening place;
-    place.seat = seat;
+  while (static_cast<int>(openings.size()) < limit) {
+    Opening opening;
+    opening.seat = seat;
     while (!need.Fits(room) && next < victims.size()) {
-      place.cost += victims[next].first;
-      place.victims.push_back(victims[next].second);
+      opening.cost += victims[next].first;
+      opening.victims.push_back(victims[next].second);
       room += seat->runner->runs().at(victims[next].second).need;
       ++next;
     }
     if (!need.Fits(room)) break;
     room -= need;
-    places.push_back(std::move(place));
+    openings.push_back(std::move(opening));
   }
-  return places;
+  return openings;
 }
 
-std::vector<Planner::Pass::Opening> Planner::Pass::CheapestPlaces(
+std::vector<Planner::Pass::Opening> Planner::Pass::CheapestOpenings(
     const Unit& unit, const std::vector<Seat*>& seats,
     const PlacementRequest& request) {
   const int per_seat =
       request.step->max_per_runner > 0
           ? std::min(request.step->max_per_runner, request.count)
           : request.count;
-  std::vector<Opening> places;
+  std::vector<Opening> openings;
   for (Seat* seat : seats) {
-    std::vector<Opening> own = PlacesOn(unit, seat, per_seat);
-    places.insert(places.end(), std::make_move_iterator(own.begin()),
-                  std::make_move_iterator(own.end()));
+    std::vector<Opening> own = OpeningsOn(unit, seat, per_seat);
+    openings.insert(openings.end(), std::make_move_iterator(own.begin()),
+                    std::make_move_iterator(own.end()));
   }
-  if (static_cast<int>(places.size()) < request.count) return {};
+  if (static_cast<int>(openings.size()) < request.count) return {};
   std::stable_sort(
-      places.begin(), places.end(),
+      openings.begin(), openings.end(),
       [](const Opening& a, const Opening& b) { return a.cost < b.cost; });
-  places.resize(request.count);
-  return places;
+  openings.resize(request.count);
+  return openings;
 }
 
-void Planner::Pass::Displace(const Unit& unit,
-                             const PlacementRequest& request) {
+std::map<std::string, std::vector<Seat*>> Planner::Pass::GroupSeats(
+    const Unit& unit, const PlacementRequest& request) {
   std::map<std::string, std::vector<Seat*>> groups;
+  const bool one_rack = unit.spec->gang && unit.spec->same_rack;
   for (Seat& seat : seating_.seats()) {
     if (!Seating::Suits(seat, request)) continue;
-    const bool one_rack = unit.spec->gang && unit.spec->same_rack;
     if (one_rack) groups[seat.rack].push_back(&seat);
     // The key of no rack: all of them.
     if (!one_rack || request.anywhere) groups[""].push_back(&seat);
   }
+  return groups;
+}
+
+void Planner::Pass::Displace(const Unit& unit,
+                             const PlacementRequest& request) {
   std::vector<Opening> best;
   std::int64_t best_cost = std::numeric_limits<std::int64_t>::max();
-  for (const auto& [rack, seats] : groups) {
-    std::vector<Opening> places = CheapestPlaces(unit, seats, request);
-    if (places.empty()) continue;
+  for (const auto& [rack, seats] : GroupSeats(unit, request)) {
+    std::vector<Opening> openings = CheapestOpenings(unit, seats, request);
+    if (openings.empty()) continue;
     std::int64_t cost = 0;
-    for (const Opening& place : places) cost += place.cost;
+    for (const Opening& opening : openings) cost += opening.cost;
     if (cost >= best_cost) continue;
     best_cost = cost;
-    best = std::move(places);
+    best = std::move(openings);
   }
-  if (best.empty()) return;
+  if (!best.empty()) TakeOpenings(unit, best);
+}
+
+void Planner::Pass::TakeOpenings(const Unit& unit,
+                                 const std::vector<Opening>& openings) {
   Claim claim;
   claim.since = now_;
-  for (const Opening& place : best) {
-    claim.runners.push_back(place.seat->runner->id());
-    for (const TaskName& victim : place.victims) {
+  for (const Opening& opening : openings) {
+    const RunnerId& runner = opening.seat->runner->id();
+    claim.runners.push_back(runner);
+    for (const TaskName& victim : opening.victims) {
       displaced_.insert(victim);
-      plan_.displacements.push_back(
-          {victim, place.seat->runner->id(), unit.key.job});
+      plan_.displacements.push_back({victim, runner, unit.key.job});
     }
   }
   WakeAt(now_ + options_.claim_time);
--- a/src/dispatch/planner_units.cc
+++ b/src/dispatch/planner_units.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <tuple>
 #include <utility>
 
 #include "dispatch/planner_pass.h"
@@ -95,9 +96,9 @@
   }
 }
 
-void Planner::Pass::CollectStep(Job* job, int number, int s) {
+void Planner::Pass::CollectStep(Job* job, int number, int index) {
   Occurrence& occurrence = job->occurrences()[number];
-  Step& step = occurrence.steps[s];
+  Step& step = occurrence.steps[index];
   Unit unit;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     const bool waits = step.tasks[i].phase == TaskPhase::kWaiting;
@@ -111,14 +112,14 @@
     step.ready = true;
     step.ready_since = now_;
   }
-  unit.key = {job->spec().id, number, s};
+  unit.key = {job->spec().id, number, index};
   unit.job = job;
   unit.step = &step;
-  unit.spec = &job->step_spec(s);
+  unit.spec = &job->step_spec(index);
   // A gang starts anew only when the last of its old runs is over.
   if (unit.spec->gang && unit.waiting.size() != step.tasks.size()) return;
   unit.policy = PolicyOf(*job, catalog_);
-  SetOrder(occurrence, s, &unit);
+  SetOrder(occurrence, index, &unit);
   units_.push_back(std::move(unit));
 }
 
@@ -141,4 +142,11 @@
       wall_ms_ + left.ms() > from + objective * options_.worthless_after;
 }
 
+void Planner::Pass::SortUnits() {
+  std::sort(units_.begin(), units_.end(), [](const Unit& a, const Unit& b) {
+    return std::tie(a.rank, a.hopeless, a.deadline_wall_ms, a.key) <
+           std::tie(b.rank, b.hopeless, b.deadline_wall_ms, b.key);
+  });
+}
+
 }  // namespace limeledge::dispatch
