Move the pace of runs to a file of its own

Change: measuring runs, moving them from slow runners and the checks of runs that stall or must leave are in scheduler_pace.cc; the text is as it was.

--- /dev/null
+++ b/src/dispatch/scheduler_pace.cc
@@ -0,0 +1,132 @@
+/// @file
+/// The pace of runs: what is learnt from it, and which runs are moved for it.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "dispatch/scheduler.h"
+
+namespace limeledge::dispatch {
+
+namespace {
+
+constexpr int kAllDone = 100;
+
+}  // namespace
+
+void Scheduler::MeasurePace(Context& ctx, Runner* runner, Job* job,
+                            const TaskName& name, Run* run) {
+  const StepSpec& step = job->step_spec(name.step);
+  if (step.long_running || run->pace_from.ms() == 0) return;
+  const Duration elapsed = ctx.now() - run->pace_from;
+  if (elapsed < options_.pace_interval) return;
+  // A gang that has not begun shows no progress anywhere.
+  if (run->percent == 0) return;
+  const int done = std::max(1, run->percent - run->pace_percent);
+  const double length = static_cast<double>((elapsed * kAllDone).ms()) / done;
+  run->pace_from = ctx.now();
+  run->pace_percent = run->percent;
+  Step& progress = job->occurrences()[name.occurrence].steps[name.step];
+  const Duration elsewhere = progress.UsualElsewhere(runner->id());
+  const Duration seen(std::llround(length));
+  if (elsewhere > Duration(0)) {
+    runner->NoteUsualPace(length / static_cast<double>(elsewhere.ms()));
+  }
+  Duration& shortest = progress.seen_lengths[runner->id()];
+  shortest = shortest == Duration(0) ? seen : std::min(shortest, seen);
+  const std::optional<double> factor = times_.LikelyFactor(job->spec().queue);
+  if (factor.has_value()) {
+    const Duration expected = std::max({run->expected, elsewhere, Duration(1)});
+    const double ratio = length / static_cast<double>(expected.ms());
+    runner->NotePace(ratio);
+    const double left = length * (kAllDone - run->percent) / kAllDone;
+    // Known lengths of the step's other runs are a surer ground than guesses.
+    const double bound = elsewhere > Duration(0)
+                             ? options_.slow_run
+                             : std::max(*factor, options_.slow_run);
+    if (ratio > bound) {
+      MoveFromSlow(ctx, runner, name, *run, Duration(std::llround(left)),
+                   expected);
+    }
+  }
+  if (!run->learns || run->percent < options_.learn_percent) return;
+  run->learns = false;
+  if (progress.learnt) return;
+  progress.learnt = true;
+  const Duration whole =
+      (ctx.now() - run->started_at) * kAllDone / run->percent;
+  times_.Learn(job->spec().queue, step.estimate, whole);
+}
+
+void Scheduler::MoveFromSlow(Context& ctx, Runner* runner, const TaskName& name,
+                             const Run& run, Duration left, Duration expected) {
+  if (run.stopping || runner->slowness() < options_.slow_runner) return;
+  if (run.number > options_.most_moves) return;
+  const double anew = options_.move_gain * static_cast<double>(expected.ms());
+  if (left < Duration(std::llround(anew)) + options_.move_cost) return;
+  ctx.Log(LogId::kRunMoved, {{"task", ToString(name)},
+                             {"runner", runner->id().value()},
+                             {"percent", std::to_string(run.percent)},
+                             {"left_ms", std::to_string(left.ms())},
+                             {"slowness", absl::StrCat(runner->slowness())}});
+  AskStop(ctx, runner, name);
+  StopGang(ctx, name);
+}
+
+void Scheduler::CheckRuns(Context& ctx) {
+  for (auto& [id, runner] : fleet_.runners()) {
+    if (runner->runs().empty()) continue;
+    const bool silent = !runner->reachable();
+    if (silent && ctx.now() >= runner->lease_over_at()) {
+      EndAll(ctx, runner.get(), "its lease is over");
+      continue;
+    }
+    std::vector<TaskName> names;
+    for (const auto& [name, run] : runner->runs()) names.push_back(name);
+    for (const TaskName& name : names) {
+      const auto found = runner->runs().find(name);
+      if (found == runner->runs().end()) continue;
+      CheckStall(ctx, runner.get(), name, &found->second);
+      CheckLeaving(ctx, runner.get(), name, found->second);
+    }
+  }
+}
+
+void Scheduler::CheckStall(Context& ctx, Runner* runner, const TaskName& name,
+                           Run* run) {
+  if (run->phase != RunPhase::kRunning || run->stopping) return;
+  if (!runner->reachable() || run->percent >= kAllDone) return;
+  const Job* job = book_.Find(name.job);
+  if (job == nullptr || job->step_spec(name.step).long_running) return;
+  // A percent of a slow run takes its time.
+  const Duration percent = run->expected / kAllDone;
+  const Duration patience = options_.stall_patience + percent * 8;
+  if (ctx.now() - run->progressed_at < patience) return;
+  ctx.Log(LogId::kRunStalled, {{"task", ToString(name)},
+                               {"runner", runner->id().value()},
+                               {"percent", std::to_string(run->percent)}});
+  Avoid(ctx, runner, options_.unwell_pause * 2, "a run stands still");
+  AskStop(ctx, runner, name);
+}
+
+void Scheduler::CheckLeaving(Context& ctx, Runner* runner, const TaskName& name,
+                             const Run& run) {
+  if (!runner->drains_since().has_value() || run.stopping) return;
+  if (run.phase != RunPhase::kRunning) return;
+  const Job* job = book_.Find(name.job);
+  if (job == nullptr || !job->step_spec(name.step).saves_progress) return;
+  const Duration elapsed = ctx.now() - run.started_at;
+  const Duration left = run.percent > 0
+                            ? elapsed * (kAllDone - run.percent) / run.percent
+                            : run.expected - elapsed;
+  if (ctx.now() + left < runner->leaves_at) return;
+  AskStop(ctx, runner, name);
+}
+
+}  // namespace limeledge::dispatch
