Split taking starts and measuring pace

Cause: five places looked a run up by its number in the same three lines, and taking a start's answer and measuring pace did several things each. Change: FindRun does the look-up; TakeFailedStart, JudgePace and LearnLength are functions of their own. No change of behaviour.

--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -114,6 +114,9 @@
   void Apply(Context& ctx, const Plan& plan);
   void SendStart(Context& ctx, const TaskName& name, int run,
                  const RunnerId& runner);
+  /// A start that was refused, or whose outcome is not known.
+  void TakeFailedStart(Context& ctx, Runner* runner,
+                       const StartAnswered& answer, Run* run);
   void AskStop(Context& ctx, Runner* runner, const TaskName& name);
   void StopAll(Context& ctx, const JobId& job);
   /// Stops the other members of a gang's run.
@@ -126,9 +129,15 @@
   // Runners.
   void TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end);
   void TakeRunning(Context& ctx, Runner* runner, const ListedRun& listed);
-  /// Learns from a run's progress: its length, and its runner's pace.
+  /// Measures a run's pace by its progress, and learns from it.
   void MeasurePace(Context& ctx, Runner* runner, Job* job, const TaskName& name,
                    Run* run);
+  /// Compares a run's `length`, in milliseconds, with those of its step's runs
+  /// elsewhere and with what was expected.
+  void JudgePace(Context& ctx, Runner* runner, Job* job, const TaskName& name,
+                 const Run& run, double length);
+  /// Learns a run's length once enough of it is done: one of each step.
+  void LearnLength(Context& ctx, Job* job, const TaskName& name, Run* run);
   /// Moves a run off a runner that turned slow, if that gains time.
   void MoveFromSlow(Context& ctx, Runner* runner, const TaskName& name,
                     const Run& run, Duration left, Duration expected);
--- a/src/dispatch/scheduler_pace.cc
+++ b/src/dispatch/scheduler_pace.cc
@@ -32,36 +32,46 @@
   const double length = static_cast<double>((elapsed * kAllDone).ms()) / done;
   run->pace_from = ctx.now();
   run->pace_percent = run->percent;
-  Step& progress = job->occurrences()[name.occurrence].steps[name.step];
-  const Duration elsewhere = progress.UsualElsewhere(runner->id());
+  JudgePace(ctx, runner, job, name, *run, length);
+  LearnLength(ctx, job, name, run);
+}
+
+void Scheduler::JudgePace(Context& ctx, Runner* runner, Job* job,
+                          const TaskName& name, const Run& run, double length) {
+  Step& step = job->occurrences()[name.occurrence].steps[name.step];
+  const Duration elsewhere = step.UsualElsewhere(runner->id());
   const Duration seen(std::llround(length));
   if (elsewhere > Duration(0)) {
     runner->NoteUsualPace(length / static_cast<double>(elsewhere.ms()));
   }
-  Duration& shortest = progress.seen_lengths[runner->id()];
+  Duration& shortest = step.seen_lengths[runner->id()];
   shortest = shortest == Duration(0) ? seen : std::min(shortest, seen);
   const std::optional<double> factor = times_.LikelyFactor(job->spec().queue);
-  if (factor.has_value()) {
-    const Duration expected = std::max({run->expected, elsewhere, Duration(1)});
-    const double ratio = length / static_cast<double>(expected.ms());
-    runner->NotePace(ratio);
-    const double left = length * (kAllDone - run->percent) / kAllDone;
-    // Known lengths of the step's other runs are a surer ground than guesses.
-    const double bound = elsewhere > Duration(0)
-                             ? options_.slow_run
-                             : std::max(*factor, options_.slow_run);
-    if (ratio > bound) {
-      MoveFromSlow(ctx, runner, name, *run, Duration(std::llround(left)),
-                   expected);
-    }
+  if (!factor.has_value()) return;
+  const Duration expected = std::max({run.expected, elsewhere, Duration(1)});
+  const double ratio = length / static_cast<double>(expected.ms());
+  runner->NotePace(ratio);
+  const double left = length * (kAllDone - run.percent) / kAllDone;
+  // Known lengths of the step's other runs are a surer ground than guesses.
+  const double bound = elsewhere > Duration(0)
+                           ? options_.slow_run
+                           : std::max(*factor, options_.slow_run);
+  if (ratio > bound) {
+    MoveFromSlow(ctx, runner, name, run, Duration(std::llround(left)),
+                 expected);
   }
+}
+
+void Scheduler::LearnLength(Context& ctx, Job* job, const TaskName& name,
+                            Run* run) {
   if (!run->learns || run->percent < options_.learn_percent) return;
   run->learns = false;
-  if (progress.learnt) return;
-  progress.learnt = true;
+  Step& step = job->occurrences()[name.occurrence].steps[name.step];
+  if (step.learnt) return;
+  step.learnt = true;
   const Duration whole =
       (ctx.now() - run->started_at) * kAllDone / run->percent;
-  times_.Learn(job->spec().queue, step.estimate, whole);
+  times_.Learn(job->spec().queue, job->step_spec(name.step).estimate, whole);
 }
 
 void Scheduler::MoveFromSlow(Context& ctx, Runner* runner, const TaskName& name,
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -20,6 +20,13 @@
 constexpr int kFailuresBeforeRest = 2;
 constexpr int kMostDoublings = 4;
 
+/// The runner's run of that number of the task; null if it holds none.
+Run* FindRun(Runner* runner, const TaskName& name, int number) {
+  const auto found = runner->runs().find(name);
+  if (found == runner->runs().end()) return nullptr;
+  return found->second.number == number ? &found->second : nullptr;
+}
+
 }  // namespace
 
 const char* ToString(OrderOutcome outcome) {
@@ -54,11 +61,10 @@
                           const RunnerId& id) {
   Runner* runner = fleet_.Find(id);
   if (runner == nullptr) return;
-  const auto found = runner->runs().find(name);
-  if (found == runner->runs().end() || found->second.number != number) return;
-  Run& run = found->second;
+  Run* run = FindRun(runner, name, number);
+  if (run == nullptr) return;
   const Job* job = book_.Find(name.job);
-  if (run.stopping || job == nullptr || releasing_) {
+  if (run->stopping || job == nullptr || releasing_) {
     // Nothing was sent: the run never was.
     EndRun(ctx, runner, name, RunEnd::kRejected, "");
     return;
@@ -71,7 +77,7 @@
     StopGang(ctx, name);
     return;
   }
-  run.phase = RunPhase::kStarting;
+  run->phase = RunPhase::kStarting;
   StartRun start;
   start.target = Fleet::TargetOf(*runner, writer_.epoch());
   start.task = name;
@@ -93,33 +99,36 @@
   if (runner == nullptr) return Verdict::kGoesOn;
   if (answer.clock_ms > 0) runner->Heard(ctx.now(), answer.clock_ms);
   plan_due_ = true;
-  const auto found = runner->runs().find(answer.task);
-  const bool known =
-      found != runner->runs().end() && found->second.number == answer.run;
-  if (!known) return Verdict::kGoesOn;
-  Run& run = found->second;
-  run.answered_at = ctx.now();
+  Run* run = FindRun(runner, answer.task, answer.run);
+  if (run == nullptr) return Verdict::kGoesOn;
+  run->answered_at = ctx.now();
   if (answer.outcome == OrderOutcome::kDone) {
-    run.phase = RunPhase::kRunning;
-    run.started_at = ctx.now();
-    run.progressed_at = ctx.now();
-    run.pace_from = ctx.now();
-    if (run.stopping) AskStop(ctx, runner, answer.task);
+    run->phase = RunPhase::kRunning;
+    run->started_at = ctx.now();
+    run->progressed_at = ctx.now();
+    run->pace_from = ctx.now();
+    if (run->stopping) AskStop(ctx, runner, answer.task);
     return Verdict::kGoesOn;
   }
+  TakeFailedStart(ctx, runner, answer, run);
+  return Verdict::kGoesOn;
+}
+
+void Scheduler::TakeFailedStart(Context& ctx, Runner* runner,
+                                const StartAnswered& answer, Run* run) {
   ctx.Log(LogId::kStartFailed, {{"task", ToString(answer.task)},
                                 {"run", std::to_string(answer.run)},
                                 {"runner", answer.runner.value()},
                                 {"outcome", ToString(answer.outcome)}});
   if (answer.outcome == OrderOutcome::kOtherLife) {
     EndAll(ctx, runner, "another life answers at its address");
-    return Verdict::kGoesOn;
+    return;
   }
   if (answer.outcome == OrderOutcome::kLost) {
     // It may still come: the next look tells, or a stop rules it out.
-    run.phase = RunPhase::kUnsure;
+    run->phase = RunPhase::kUnsure;
     MissAnswer(ctx, runner);
-    return Verdict::kGoesOn;
+    return;
   }
   if (answer.outcome == OrderOutcome::kNotSent) MissAnswer(ctx, runner);
   if (answer.outcome == OrderOutcome::kUnhealthy) {
@@ -130,7 +139,6 @@
   }
   EndRun(ctx, runner, answer.task, RunEnd::kRejected, "");
   StopGang(ctx, answer.task);
-  return Verdict::kGoesOn;
 }
 
 void Scheduler::AskStop(Context& ctx, Runner* runner, const TaskName& name) {
@@ -163,19 +171,16 @@
     EndAll(ctx, runner, "another life answers at its address");
     return Verdict::kGoesOn;
   }
-  const auto found = runner->runs().find(answer.task);
-  const bool known =
-      found != runner->runs().end() && found->second.number == answer.run;
-  if (!known) return Verdict::kGoesOn;
-  Run& run = found->second;
-  run.stop_in_flight = false;
+  Run* run = FindRun(runner, answer.task, answer.run);
+  if (run == nullptr) return Verdict::kGoesOn;
+  run->stop_in_flight = false;
   const bool answered = answer.outcome == OrderOutcome::kDone ||
                         answer.outcome == OrderOutcome::kOldRun;
   if (answered) {
-    run.answered_at = ctx.now();
-    run.stop_answered = true;
+    run->answered_at = ctx.now();
+    run->stop_answered = true;
   } else {
-    run.stop_sent_at = TimePoint();
+    run->stop_sent_at = TimePoint();
     MissAnswer(ctx, runner);
   }
   return Verdict::kGoesOn;
@@ -271,10 +276,7 @@
 void Scheduler::TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end) {
   if (end.number <= runner->newest_end) return;
   runner->newest_end = end.number;
-  const auto found = runner->runs().find(end.task);
-  const bool ours =
-      found != runner->runs().end() && found->second.number == end.run;
-  if (!ours) return;
+  if (FindRun(runner, end.task, end.run) == nullptr) return;
   Judge(ctx, runner, end.task.job, end.end);
   EndRun(ctx, runner, end.task, end.end, end.checkpoint);
   // Also a job that was closed just now may not be stored yet.
@@ -289,29 +291,26 @@
 
 void Scheduler::TakeRunning(Context& ctx, Runner* runner,
                             const ListedRun& listed) {
-  const auto found = runner->runs().find(listed.task);
-  const bool ours =
-      found != runner->runs().end() && found->second.number == listed.run;
-  if (!ours) {
+  Run* run = FindRun(runner, listed.task, listed.run);
+  if (run == nullptr) {
     // Nobody waits for it any more.
     ctx.Emit(StopRun{Fleet::TargetOf(*runner, writer_.epoch()), listed.task,
                      listed.run});
     return;
   }
-  Run& run = found->second;
-  const bool moved = listed.percent != run.percent;
-  if (moved) run.progressed_at = ctx.now();
-  run.percent = listed.percent;
-  if (run.phase == RunPhase::kInherited || run.phase == RunPhase::kUnsure) {
-    run.phase = RunPhase::kRunning;
+  const bool moved = listed.percent != run->percent;
+  if (moved) run->progressed_at = ctx.now();
+  run->percent = listed.percent;
+  if (run->phase == RunPhase::kInherited || run->phase == RunPhase::kUnsure) {
+    run->phase = RunPhase::kRunning;
   }
   Job* job = book_.Find(listed.task.job);
   if (job == nullptr) {
     AskStop(ctx, runner, listed.task);
     return;
   }
-  if (run.stopping) AskStop(ctx, runner, listed.task);
-  MeasurePace(ctx, runner, job, listed.task, &run);
+  if (run->stopping) AskStop(ctx, runner, listed.task);
+  MeasurePace(ctx, runner, job, listed.task, run);
   if (listed.checkpoint.empty()) return;
   job->SaveProgress(listed.task, listed.checkpoint);
 }
