Split the emulated system into files

Cause: emulated_system.cc held time, lives, calls, callers and the oracle. Change: a file for each, and one for the catalog; the text is as it was but for PrefixOf, which takes the priority that it reads.

--- /dev/null
+++ b/src/emulator/emulated_callers.cc
@@ -0,0 +1,122 @@
+/// @file
+/// Callers that hand jobs in, cancel them and ask for their states.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "emulator/emulated_catalog.h"
+#include "emulator/emulated_system.h"
+
+namespace limeledge::emulator {
+
+using dispatch::CallResult;
+
+namespace {
+
+constexpr Duration kCallerDeadline{3000};
+constexpr Duration kCallerRetry{800};
+
+}  // namespace
+
+CallId EmulatedSystem::SendCall(
+    dispatch::CallArrived call,
+    std::function<void(const dispatch::AnswerCall*)> done) {
+  last_call_ = last_call_.Next();
+  const CallId id = last_call_;
+  call.call = id;
+  call.key = kKey;
+  call.host = kHost;
+  calls_[id] = std::move(done);
+  const int first = static_cast<int>(random_() % processes_.size());
+  int node = first;
+  for (std::size_t i = 0; i < processes_.size(); ++i) {
+    const int other =
+        (first + static_cast<int>(i)) % static_cast<int>(processes_.size());
+    if (!processes_[other].ready) continue;
+    node = other;
+    break;
+  }
+  const int life = processes_[node].life;
+  At(now_ + options_.network,
+     [this, node, life, call] { Deliver(node, life, call); });
+  At(now_ + kCallerDeadline, [this, id] {
+    const auto open = calls_.find(id);
+    if (open == calls_.end()) return;
+    const auto unanswered = std::move(open->second);
+    calls_.erase(open);
+    unanswered(nullptr);
+  });
+  return id;
+}
+
+void EmulatedSystem::TakeAnswer(const dispatch::AnswerCall& answer) {
+  const auto open = calls_.find(answer.call);
+  if (open == calls_.end()) return;
+  const auto done = std::move(open->second);
+  calls_.erase(open);
+  done(&answer);
+}
+
+JobId EmulatedSystem::Submit(dispatch::JobSpec spec,
+                             std::vector<TaskTruth> truths) {
+  spec.id = JobId(absl::StrFormat("%016x", ++last_job_));
+  JobWatch watch;
+  watch.spec = spec;
+  watch.truths = std::move(truths);
+  jobs_[spec.id] = std::move(watch);
+  SendSubmit(spec.id);
+  return spec.id;
+}
+
+void EmulatedSystem::SendSubmit(const JobId& job) {
+  dispatch::CallArrived call;
+  call.kind = dispatch::CallKind::kSubmit;
+  const JobWatch& watch = jobs_[job];
+  call.path =
+      absl::StrCat(PrefixOf(jobs_[job].spec.policy.priority), job.value());
+  call.spec = watch.spec;
+  SendCall(call, [this, job](const dispatch::AnswerCall* answer) {
+    JobWatch& submitted = jobs_[job];
+    if (answer != nullptr && answer->result == CallResult::kDone) {
+      submitted.accepted = true;
+      submitted.may_be_taken = true;
+      return;
+    }
+    const bool refused =
+        answer != nullptr && answer->result == CallResult::kNotTaken;
+    if (!refused) submitted.may_be_taken = true;
+    At(now_ + kCallerRetry, [this, job] { SendSubmit(job); });
+  });
+}
+
+void EmulatedSystem::Cancel(const JobId& job) {
+  dispatch::CallArrived call;
+  call.kind = dispatch::CallKind::kCancel;
+  JobWatch& watch = jobs_[job];
+  watch.cancel_sent = true;
+  call.path =
+      absl::StrCat(PrefixOf(jobs_[job].spec.policy.priority), job.value());
+  SendCall(call, [](const dispatch::AnswerCall*) {});
+}
+
+std::string EmulatedSystem::StateOf(const JobId& job) {
+  dispatch::CallArrived call;
+  call.kind = dispatch::CallKind::kQuery;
+  call.path =
+      absl::StrCat(PrefixOf(jobs_[job].spec.policy.priority), job.value());
+  std::string state;
+  bool answered = false;
+  SendCall(call, [&](const dispatch::AnswerCall* answer) {
+    answered = true;
+    if (answer == nullptr) return;
+    state = answer->result == CallResult::kGone ? "gone" : answer->state;
+  });
+  while (!answered) Run(Duration(50));
+  return state;
+}
+
+}  // namespace limeledge::emulator
--- /dev/null
+++ b/src/emulator/emulated_catalog.h
@@ -0,0 +1,32 @@
+/// @file
+/// The queues, the workspace and its key in every emulated system.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_EMULATOR_EMULATED_CATALOG_H_
+#define LIMELEDGE_SRC_EMULATOR_EMULATED_CATALOG_H_
+
+#include "dispatch/catalog.h"
+
+namespace limeledge::emulator {
+
+/// Host that callers call, and the key that they show.
+inline constexpr char kHost[] = "jobs.example";
+inline constexpr char kKey[] = "key-1";
+
+/// Priority of the queue whose steps need tickets.
+inline constexpr int kAdvisedPriority = 2;
+
+/// Attempts that each queue gives a task.
+inline constexpr int kMaxAttempts = 3;
+
+/// The path prefix of the queue of a priority. Thread-safe.
+const char* PrefixOf(int priority);
+
+/// One queue of each priority, one service and one workspace. Thread-safe.
+dispatch::Catalog MakeCatalog();
+
+}  // namespace limeledge::emulator
+
+#endif  // LIMELEDGE_SRC_EMULATOR_EMULATED_CATALOG_H_
