Split the emulated start and its checks

Cause: EmulatedRunner::Start set an outcome and returned at six places, and the oracle's check of a start held that of the steps' order. Change: TakeStart tells the outcome, BeginRun begins the run, CheckOrder checks the order; each check is as strict as before. No change of behaviour.

--- a/src/emulator/emulated_oracle.cc
+++ b/src/emulator/emulated_oracle.cc
@@ -62,16 +62,20 @@
   if (watch.failures[order.task] >= kMaxAttempts) {
     Violate(absl::StrCat("start of ", task, " after all of its attempts"));
   }
-  for (const int before : watch.spec.steps[order.task.step].after) {
+  CheckOrder(watch, order.task);
+  CheckTwice();
+}
+
+void EmulatedSystem::CheckOrder(const JobWatch& watch, const TaskName& task) {
+  for (const int before : watch.spec.steps[task.step].after) {
     const dispatch::StepSpec& step = watch.spec.steps[before];
     for (int i = 0; i < step.count; ++i) {
-      const TaskName earlier{order.task.job, order.task.occurrence, before, i};
+      const TaskName earlier{task.job, task.occurrence, before, i};
       if (watch.listed_done.count(earlier) == 0) {
-        Violate(absl::StrCat("start of ", task, " out of order"));
+        Violate(absl::StrCat("start of ", ToString(task), " out of order"));
       }
     }
   }
-  CheckTwice();
 }
 
 void EmulatedSystem::CheckTwice() {
--- a/src/emulator/emulated_runner.cc
+++ b/src/emulator/emulated_runner.cc
@@ -177,38 +177,35 @@
   answer.task = order.task;
   answer.run = order.run;
   answer.clock_ms = clock_ms();
-  answer.outcome = OrderOutcome::kDone;
-  if (order.target.runner != info_.id) {
-    answer.outcome = OrderOutcome::kOtherLife;
-    return answer;
-  }
-  if (!Obeys(order.target.epoch)) {
-    answer.outcome = OrderOutcome::kFenced;
-    return answer;
-  }
+  answer.outcome = TakeStart(order);
+  return answer;
+}
+
+OrderOutcome EmulatedRunner::TakeStart(const dispatch::StartRun& order) {
+  if (order.target.runner != info_.id) return OrderOutcome::kOtherLife;
+  if (!Obeys(order.target.epoch)) return OrderOutcome::kFenced;
   const bool too_late = order.until_ms <= clock_ms();
   Grant(order.until_ms);
   const auto active = runs_.find(order.task);
   if (active != runs_.end()) {
     const bool same = active->second.number == order.run;
-    if (!same) answer.outcome = OrderOutcome::kOldRun;
-    return answer;
+    return same ? OrderOutcome::kDone : OrderOutcome::kOldRun;
   }
   const auto barred = barred_.find(order.task);
   if (barred != barred_.end() && order.run <= barred->second) {
-    answer.outcome = OrderOutcome::kOldRun;
-    return answer;
-  }
-  if (too_late) {
-    answer.outcome = OrderOutcome::kTooLate;
-    return answer;
+    return OrderOutcome::kOldRun;
   }
+  if (too_late) return OrderOutcome::kTooLate;
+  const TaskTruth truth = truth_(order.task);
+  if (!truth.need.Fits(FreeRoom())) return OrderOutcome::kNoRoom;
+  BeginRun(order, truth);
+  return OrderOutcome::kDone;
+}
+
+void EmulatedRunner::BeginRun(const dispatch::StartRun& order,
+                              const TaskTruth& truth) {
   ActiveRun run;
-  run.truth = truth_(order.task);
-  if (!run.truth.need.Fits(FreeRoom())) {
-    answer.outcome = OrderOutcome::kNoRoom;
-    return answer;
-  }
+  run.truth = truth;
   run.number = order.run;
   run.started_at = now_;
   run.checkpoint = order.checkpoint;
@@ -217,10 +214,8 @@
     run.worked_ms = static_cast<double>(saved);
     run.saved_ms = run.worked_ms;
   }
-  const bool gang = run.truth.gang_size > 0;
   runs_[order.task] = std::move(run);
-  if (gang) board_->Join(order.task, order.run, this);
-  return answer;
+  if (truth.gang_size > 0) board_->Join(order.task, order.run, this);
 }
 
 dispatch::StopAnswered EmulatedRunner::Stop(const dispatch::StopRun& order) {
--- a/src/emulator/emulated_runner.h
+++ b/src/emulator/emulated_runner.h
@@ -97,6 +97,9 @@
 
   std::int64_t clock_ms() const;
   bool Obeys(Epoch epoch);
+  /// Begins the run if nothing is against it.
+  dispatch::OrderOutcome TakeStart(const dispatch::StartRun& order);
+  void BeginRun(const dispatch::StartRun& order, const TaskTruth& truth);
   void Grant(std::int64_t until_ms);
   void NoteLapse();
   void Work(const dispatch::TaskName& name, ActiveRun* run, Duration step);
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -178,6 +178,8 @@
   bool Reaches(const RunnerId& runner) const;
   void CheckStart(const EmulatedRunner& runner,
                   const dispatch::StartRun& order);
+  /// All tasks of the steps before must be done.
+  void CheckOrder(const JobWatch& watch, const dispatch::TaskName& task);
   void NoteEnds(const dispatch::LookAtRunner& look,
                 const dispatch::RunnerLooked& answer);
   void CheckTwice();
