Shorten the desk's taking of calls

Cause: Desk::Take checked a call, filled what waits for the store and chose the read; a kind of call that nothing makes, kCountWaiting, would have been taken as a job handed in. Change: BeginRead begins the calls that read first; kCountWaiting goes. A count stays a query without a job. No change of behaviour for the calls that there are.

--- a/src/dispatch/desk.cc
+++ b/src/dispatch/desk.cc
@@ -35,8 +35,6 @@
       return "query";
     case CallKind::kCancel:
       return "cancel";
-    case CallKind::kCountWaiting:
-      return "count";
     case CallKind::kOther:
       return "other";
   }
@@ -122,10 +120,6 @@
   const Queue* queue = FindQueue(ctx, call, *catalog, fresh, &workspace);
   if (queue == nullptr) return;
   const JobId id(call.path.substr(queue->path_prefix.size()));
-  Pending pending;
-  pending.call = call;
-  pending.queue = queue->id;
-  pending.job = id;
   const bool counts = call.kind == CallKind::kQuery && id.empty();
   if (call.kind == CallKind::kOther || (!counts && !IsJobId(id.value()))) {
     Answer(ctx, call, CallResult::kInvalid, "not a call on a job");
@@ -136,12 +130,8 @@
     Answer(ctx, call, CallResult::kNotTaken, "the store does not answer");
     return;
   }
-  if (counts) {
-    Read(ctx, std::move(pending), Stage::kCount);
-  } else if (call.kind == CallKind::kQuery) {
-    Read(ctx, std::move(pending), Stage::kReadProgress);
-  } else if (call.kind == CallKind::kCancel) {
-    Read(ctx, std::move(pending), Stage::kReadJob);
+  if (call.kind != CallKind::kSubmit) {
+    BeginRead(ctx, call, *queue, id);
   } else if (!call.findings.empty()) {
     Answer(ctx, call, CallResult::kInvalid, call.findings);
   } else {
@@ -149,6 +139,20 @@
   }
 }
 
+void Desk::BeginRead(Context& ctx, const CallArrived& call, const Queue& queue,
+                     const JobId& id) {
+  Pending pending;
+  pending.call = call;
+  pending.queue = queue.id;
+  pending.job = id;
+  if (call.kind == CallKind::kCancel) {
+    Read(ctx, std::move(pending), Stage::kReadJob);
+  } else {
+    Read(ctx, std::move(pending),
+         id.empty() ? Stage::kCount : Stage::kReadProgress);
+  }
+}
+
 void Desk::Submit(Context& ctx, const CallArrived& call, const Queue& queue,
                   const WorkspaceId& workspace, const JobId& id) {
   JobSpec spec = call.spec;
--- a/src/dispatch/desk.h
+++ b/src/dispatch/desk.h
@@ -72,6 +72,9 @@
   const Queue* FindQueue(Context& ctx, const CallArrived& call,
                          const Catalog& catalog, bool fresh,
                          WorkspaceId* workspace);
+  /// Begins a query, a count or a cancel.
+  void BeginRead(Context& ctx, const CallArrived& call, const Queue& queue,
+                 const JobId& id);
   void Submit(Context& ctx, const CallArrived& call, const Queue& queue,
               const WorkspaceId& workspace, const JobId& id);
   void Send(Context& ctx, Pending pending);
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -150,7 +150,7 @@
 };
 
 /// What a caller asks for.
-enum class CallKind { kSubmit, kQuery, kCancel, kCountWaiting, kOther };
+enum class CallKind { kSubmit, kQuery, kCancel, kOther };
 
 /// A caller's call, with its place still to be found in the catalog.
 struct CallArrived {
