--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -5,12 +5,10 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 #include <utility>
 #include <vector>
 
-#include "absl/strings/str_cat.h"
 #include "dispatch/scheduler.h"
 
 namespace limeledge::dispatch {
@@ -20,9 +18,15 @@
 // A runner lists at most this many ends in one answer.
 constexpr std::size_t kMostListedEnds = 500;
 constexpr int kFailuresBeforeRest = 2;
-constexpr int kAllDone = 100;
 constexpr int kMostDoublings = 4;
 
+/// The runner's run of that number of the task; null if it holds none.
+Run* FindRun(Runner* runner, const TaskName& name, int number) {
+  const auto found = runner->runs().find(name);
+  if (found == runner->runs().end()) return nullptr;
+  return found->second.number == number ? &found->second : nullptr;
+}
+
 }  // namespace
 
 const char* ToString(OrderOutcome outcome) {
@@ -57,11 +61,10 @@
                           const RunnerId& id) {
   Runner* runner = fleet_.Find(id);
   if (runner == nullptr) return;
-  const auto found = runner->runs().find(name);
-  if (found == runner->runs().end() || found->second.number != number) return;
-  Run& run = found->second;
+  Run* run = FindRun(runner, name, number);
+  if (run == nullptr) return;
   const Job* job = book_.Find(name.job);
-  if (run.stopping || job == nullptr || releasing_) {
+  if (run->stopping || job == nullptr || releasing_) {
     // Nothing was sent: the run never was.
     EndRun(ctx, runner, name, RunEnd::kRejected, "");
     return;
@@ -74,7 +77,7 @@
     StopGang(ctx, name);
     return;
   }
-  run.phase = RunPhase::kStarting;
+  run->phase = RunPhase::kStarting;
   StartRun start;
   start.target = Fleet::TargetOf(*runner, writer_.epoch());
   start.task = name;
@@ -96,33 +99,36 @@
   if (runner == nullptr) return Verdict::kGoesOn;
   if (answer.clock_ms > 0) runner->Heard(ctx.now(), answer.clock_ms);
   plan_due_ = true;
-  const auto found = runner->runs().find(answer.task);
-  const bool known =
-      found != runner->runs().end() && found->second.number == answer.run;
-  if (!known) return Verdict::kGoesOn;
-  Run& run = found->second;
-  run.answered_at = ctx.now();
+  Run* run = FindRun(runner, answer.task, answer.run);
+  if (run == nullptr) return Verdict::kGoesOn;
+  run->answered_at = ctx.now();
   if (answer.outcome == OrderOutcome::kDone) {
-    run.phase = RunPhase::kRunning;
-    run.started_at = ctx.now();
-    run.progressed_at = ctx.now();
-    run.pace_from = ctx.now();
-    if (run.stopping) AskStop(ctx, runner, answer.task);
+    run->phase = RunPhase::kRunning;
+    run->started_at = ctx.now();
+    run->progressed_at = ctx.now();
+    run->pace_from = ctx.now();
+    if (run->stopping) AskStop(ctx, runner, answer.task);
     return Verdict::kGoesOn;
   }
+  TakeFailedStart(ctx, runner, answer, run);
+  return Verdict::kGoesOn;
+}
+
+void Scheduler::TakeFailedStart(Context& ctx, Runner* runner,
+                                const StartAnswered& answer, Run* run) {
   ctx.Log(LogId::kStartFailed, {{"task", ToString(answer.task)},
                                 {"run", std::to_string(answer.run)},
                                 {"runner", answer.runner.value()},
                                 {"outcome", ToString(answer.outcome)}});
   if (answer.outcome == OrderOutcome::kOtherLife) {
     EndAll(ctx, runner, "another life answers at its address");
-    return Verdict::kGoesOn;
+    return;
   }
   if (answer.outcome == OrderOutcome::kLost) {
     // It may still come: the next look tells, or a stop rules it out.
-    run.phase = RunPhase::kUnsure;
+    run->phase = RunPhase::kUnsure;
     MissAnswer(ctx, runner);
-    return Verdict::kGoesOn;
+    return;
   }
   if (answer.outcome == OrderOutcome::kNotSent) MissAnswer(ctx, runner);
   if (answer.outcome == OrderOutcome::kUnhealthy) {
@@ -133,7 +139,6 @@
   }
   EndRun(ctx, runner, answer.task, RunEnd::kRejected, "");
   StopGang(ctx, answer.task);
-  return Verdict::kGoesOn;
 }
 
 void Scheduler::AskStop(Context& ctx, Runner* runner, const TaskName& name) {
@@ -166,19 +171,16 @@
     EndAll(ctx, runner, "another life answers at its address");
     return Verdict::kGoesOn;
   }
-  const auto found = runner->runs().find(answer.task);
-  const bool known =
-      found != runner->runs().end() && found->second.number == answer.run;
-  if (!known) return Verdict::kGoesOn;
-  Run& run = found->second;
-  run.stop_in_flight = false;
+  Run* run = FindRun(runner, answer.task, answer.run);
+  if (run == nullptr) return Verdict::kGoesOn;
+  run->stop_in_flight = false;
   const bool answered = answer.outcome == OrderOutcome::kDone ||
                         answer.outcome == OrderOutcome::kOldRun;
   if (answered) {
-    run.answered_at = ctx.now();
-    run.stop_answered = true;
+    run->answered_at = ctx.now();
+    run->stop_answered = true;
   } else {
-    run.stop_sent_at = TimePoint();
+    run->stop_sent_at = TimePoint();
     MissAnswer(ctx, runner);
   }
   return Verdict::kGoesOn;
@@ -274,10 +276,7 @@
 void Scheduler::TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end) {
   if (end.number <= runner->newest_end) return;
   runner->newest_end = end.number;
-  const auto found = runner->runs().find(end.task);
-  const bool ours =
-      found != runner->runs().end() && found->second.number == end.run;
-  if (!ours) return;
+  if (FindRun(runner, end.task, end.run) == nullptr) return;
   Judge(ctx, runner, end.task.job, end.end);
   EndRun(ctx, runner, end.task, end.end, end.checkpoint);
   // Also a job that was closed just now may not be stored yet.
@@ -292,92 +291,30 @@
 
 void Scheduler::TakeRunning(Context& ctx, Runner* runner,
                             const ListedRun& listed) {
-  const auto found = runner->runs().find(listed.task);
-  const bool ours =
-      found != runner->runs().end() && found->second.number == listed.run;
-  if (!ours) {
+  Run* run = FindRun(runner, listed.task, listed.run);
+  if (run == nullptr) {
     // Nobody waits for it any more.
     ctx.Emit(StopRun{Fleet::TargetOf(*runner, writer_.epoch()), listed.task,
                      listed.run});
     return;
   }
-  Run& run = found->second;
-  const bool moved = listed.percent != run.percent;
-  if (moved) run.progressed_at = ctx.now();
-  run.percent = listed.percent;
-  if (run.phase == RunPhase::kInherited || run.phase == RunPhase::kUnsure) {
-    run.phase = RunPhase::kRunning;
+  const bool moved = listed.percent != run->percent;
+  if (moved) run->progressed_at = ctx.now();
+  run->percent = listed.percent;
+  if (run->phase == RunPhase::kInherited || run->phase == RunPhase::kUnsure) {
+    run->phase = RunPhase::kRunning;
   }
   Job* job = book_.Find(listed.task.job);
   if (job == nullptr) {
     AskStop(ctx, runner, listed.task);
     return;
   }
-  if (run.stopping) AskStop(ctx, runner, listed.task);
-  MeasurePace(ctx, runner, job, listed.task, &run);
+  if (run->stopping) AskStop(ctx, runner, listed.task);
+  MeasurePace(ctx, runner, job, listed.task, run);
   if (listed.checkpoint.empty()) return;
   job->SaveProgress(listed.task, listed.checkpoint);
 }
 
-void Scheduler::MeasurePace(Context& ctx, Runner* runner, Job* job,
-                            const TaskName& name, Run* run) {
-  const StepSpec& step = job->step_spec(name.step);
-  if (step.long_running || run->pace_from.ms() == 0) return;
-  const Duration elapsed = ctx.now() - run->pace_from;
-  if (elapsed < options_.pace_interval) return;
-  // A gang that has not begun shows no progress anywhere.
-  if (run->percent == 0) return;
-  const int done = std::max(1, run->percent - run->pace_percent);
-  const double length = static_cast<double>((elapsed * kAllDone).ms()) / done;
-  run->pace_from = ctx.now();
-  run->pace_percent = run->percent;
-  Step& progress = job->occurrences()[name.occurrence].steps[name.step];
-  const Duration elsewhere = progress.UsualElsewhere(runner->id());
-  const Duration seen(std::llround(length));
-  if (elsewhere > Duration(0)) {
-    runner->NoteUsualPace(length / static_cast<double>(elsewhere.ms()));
-  }
-  Duration& shortest = progress.seen_lengths[runner->id()];
-  shortest = shortest == Duration(0) ? seen : std::min(shortest, seen);
-  const std::optional<double> factor = times_.LikelyFactor(job->spec().queue);
-  if (factor.has_value()) {
-    const Duration expected = std::max({run->expected, elsewhere, Duration(1)});
-    const double ratio = length / static_cast<double>(expected.ms());
-    runner->NotePace(ratio);
-    const double left = length * (kAllDone - run->percent) / kAllDone;
-    // Known lengths of the step's other runs are a surer ground than guesses.
-    const double bound = elsewhere > Duration(0)
-                             ? options_.slow_run
-                             : std::max(*factor, options_.slow_run);
-    if (ratio > bound) {
-      MoveFromSlow(ctx, runner, name, *run, Duration(std::llround(left)),
-                   expected);
-    }
-  }
-  if (!run->learns || run->percent < options_.learn_percent) return;
-  run->learns = false;
-  if (progress.learnt) return;
-  progress.learnt = true;
-  const Duration whole =
-      (ctx.now() - run->started_at) * kAllDone / run->percent;
-  times_.Learn(job->spec().queue, step.estimate, whole);
-}
-
-void Scheduler::MoveFromSlow(Context& ctx, Runner* runner, const TaskName& name,
-                             const Run& run, Duration left, Duration expected) {
-  if (run.stopping || runner->slowness() < options_.slow_runner) return;
-  if (run.number > options_.most_moves) return;
-  const double anew = options_.move_gain * static_cast<double>(expected.ms());
-  if (left < Duration(std::llround(anew)) + options_.move_cost) return;
-  ctx.Log(LogId::kRunMoved, {{"task", ToString(name)},
-                             {"runner", runner->id().value()},
-                             {"percent", std::to_string(run.percent)},
-                             {"left_ms", std::to_string(left.ms())},
-                             {"slowness", absl::StrCat(runner->slowness())}});
-  AskStop(ctx, runner, name);
-  StopGang(ctx, name);
-}
-
 void Scheduler::TakeAbsent(Context& ctx, Runner* runner,
                            const RunnerLooked& answer) {
   std::set<TaskName> running;
@@ -442,54 +379,4 @@
   runner->next_look_at = ctx.now() + pause;
 }
 
-void Scheduler::CheckRuns(Context& ctx) {
-  for (auto& [id, runner] : fleet_.runners()) {
-    if (runner->runs().empty()) continue;
-    const bool silent = !runner->reachable();
-    if (silent && ctx.now() >= runner->lease_over_at()) {
-      EndAll(ctx, runner.get(), "its lease is over");
-      continue;
-    }
-    std::vector<TaskName> names;
-    for (const auto& [name, run] : runner->runs()) names.push_back(name);
-    for (const TaskName& name : names) {
-      const auto found = runner->runs().find(name);
-      if (found == runner->runs().end()) continue;
-      CheckStall(ctx, runner.get(), name, &found->second);
-      CheckLeaving(ctx, runner.get(), name, found->second);
-    }
-  }
-}
-
-void Scheduler::CheckStall(Context& ctx, Runner* runner, const TaskName& name,
-                           Run* run) {
-  if (run->phase != RunPhase::kRunning || run->stopping) return;
-  if (!runner->reachable() || run->percent >= kAllDone) return;
-  const Job* job = book_.Find(name.job);
-  if (job == nullptr || job->step_spec(name.step).long_running) return;
-  // A percent of a slow run takes its time.
-  const Duration percent = run->expected / kAllDone;
-  const Duration patience = options_.stall_patience + percent * 8;
-  if (ctx.now() - run->progressed_at < patience) return;
-  ctx.Log(LogId::kRunStalled, {{"task", ToString(name)},
-                               {"runner", runner->id().value()},
-                               {"percent", std::to_string(run->percent)}});
-  Avoid(ctx, runner, options_.unwell_pause * 2, "a run stands still");
-  AskStop(ctx, runner, name);
-}
-
-void Scheduler::CheckLeaving(Context& ctx, Runner* runner, const TaskName& name,
-                             const Run& run) {
-  if (!runner->drains_since().has_value() || run.stopping) return;
-  if (run.phase != RunPhase::kRunning) return;
-  const Job* job = book_.Find(name.job);
-  if (job == nullptr || !job->step_spec(name.step).saves_progress) return;
-  const Duration elapsed = ctx.now() - run.started_at;
-  const Duration left = run.percent > 0
-                            ? elapsed * (kAllDone - run.percent) / run.percent
-                            : run.expected - elapsed;
-  if (ctx.now() + left < runner->leaves_at) return;
-  AskStop(ctx, runner, name);
-}
-
 }  // namespace limeledge::dispatch
--- /dev/null
+++ b/src/emulator/emulated_calls.cc
@@ -0,0 +1,297 @@
+/// @file
+/// Carries out the nodes' calls to the store and to runners, with their faults.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "emulator/emulated_system.h"
+
+namespace limeledge::emulator {
+
+using dispatch::OrderOutcome;
+using dispatch::StoreOutcome;
+
+namespace {
+
+constexpr Duration kOrderTimeout{1000};
+constexpr Duration kFeedStep{20};
+constexpr Duration kReadTimeout{1000};
+constexpr Duration kAdviceTime{100};
+constexpr Duration kTicketTime{3000};
+
+}  // namespace
+
+// What needs neither the store nor runners.
+
+void EmulatedSystem::Perform(int node, const dispatch::WriteLog& log) {
+  std::string text =
+      absl::StrCat("n", node, " ", CatalogueEntry(log.line.id).name.data());
+  for (const LogField& field : log.line.fields) {
+    absl::StrAppend(&text, " ", field.name, "=", field.value);
+  }
+  Trace(text);
+}
+
+void EmulatedSystem::Perform(int node, const dispatch::SetReady& effect) {
+  processes_[node].ready = effect.ready;
+}
+
+void EmulatedSystem::Perform(int node, const dispatch::Exit&) {
+  KillNode(node, Duration(200));
+}
+
+void EmulatedSystem::Perform(int, const dispatch::AnswerCall& answer) {
+  At(now_ + options_.network, [this, answer] { TakeAnswer(answer); });
+}
+
+void EmulatedSystem::Perform(int, const dispatch::AnswerState&) {
+  // Emulated callers ask for no dump.
+}
+
+// The store.
+
+bool EmulatedSystem::IsCutOffFromStore(int node) const {
+  return faults_.store_down || faults_.nodes_without_store.count(node) != 0;
+}
+
+template <typename Answer>
+void EmulatedSystem::CallStore(int node, Duration timeout,
+                               std::function<Answer()> carry_out, Answer lost) {
+  const int life = processes_[node].life;
+  const TimePoint sent = now_;
+  const auto give_up = [this, node, life, lost](TimePoint at) {
+    At(at, [this, node, life, lost] { Deliver(node, life, lost); });
+  };
+  const Duration work = options_.store_time * faults_.store_slowness;
+  At(now_ + options_.network + work, [=] {
+    const bool away = IsCutOffFromStore(node);
+    if (away) {
+      give_up(sent + timeout);
+      return;
+    }
+    const Answer answer = carry_out();
+    const bool late = now_ + options_.network >= sent + timeout;
+    if (late || Happens(faults_.store_answers_lost)) {
+      give_up(std::max(sent + timeout, now_));
+      return;
+    }
+    At(now_ + options_.network,
+       [this, node, life, answer] { Deliver(node, life, answer); });
+  });
+}
+
+void EmulatedSystem::Perform(int node, const dispatch::CommitRows& commit) {
+  dispatch::TransactionAnswered lost;
+  lost.ticket = commit.ticket;
+  CallStore<dispatch::TransactionAnswered>(
+      node, commit.timeout,
+      [this, commit] {
+        dispatch::TransactionAnswered answer =
+            store_.Commit(commit.transaction);
+        answer.ticket = commit.ticket;
+        return answer;
+      },
+      lost);
+}
+
+void EmulatedSystem::Perform(int node, const dispatch::ReadRows& read) {
+  dispatch::RowsAnswered lost;
+  lost.ticket = read.ticket;
+  lost.outcome = StoreOutcome::kNotDone;
+  CallStore<dispatch::RowsAnswered>(
+      node, read.timeout,
+      [this, read] {
+        dispatch::RowsAnswered answer =
+            store_.Read(read.table, read.from, read.to, read.limit);
+        answer.ticket = read.ticket;
+        return answer;
+      },
+      lost);
+}
+
+void EmulatedSystem::Perform(int node, const dispatch::AwaitChanges& follow) {
+  Follow(node, processes_[node].life, follow, now_ + follow.wait);
+}
+
+void EmulatedSystem::Follow(int node, int life,
+                            const dispatch::AwaitChanges& effect,
+                            TimePoint until) {
+  const bool away = IsCutOffFromStore(node);
+  dispatch::ChangesAnswered answer;
+  answer.outcome = StoreOutcome::kNotDone;
+  if (!away) answer = store_.Changes(effect.table, effect.after);
+  answer.ticket = effect.ticket;
+  const bool waits =
+      now_ < until &&
+      (away || (answer.rows.empty() && answer.outcome == StoreOutcome::kDone));
+  if (waits) {
+    At(now_ + kFeedStep, [this, node, life, effect, until] {
+      Follow(node, life, effect, until);
+    });
+    return;
+  }
+  At(now_ + options_.network,
+     [this, node, life, answer] { Deliver(node, life, answer); });
+}
+
+void EmulatedSystem::Perform(int node, const dispatch::ReadCatalog&) {
+  AnswerCatalog(node, options_.network * 2, true);
+}
+
+void EmulatedSystem::Perform(int node, const dispatch::AwaitCatalog& await) {
+  AnswerCatalog(node, await.wait, false);
+}
+
+void EmulatedSystem::AnswerCatalog(int node, Duration after, bool whole) {
+  const int life = processes_[node].life;
+  At(now_ + after, [this, node, life, whole] {
+    const bool away = IsCutOffFromStore(node);
+    dispatch::CatalogAnswered answer;
+    answer.outcome = away ? StoreOutcome::kNotDone : StoreOutcome::kDone;
+    if (!away && whole) answer.catalog = catalog_;
+    Deliver(node, life, answer);
+  });
+}
+
+// Calls to runners.
+
+void EmulatedSystem::Perform(int node, const dispatch::ListRunners&) {
+  dispatch::RunnersListed lost;
+  CallStore<dispatch::RunnersListed>(
+      node, kReadTimeout,
+      [this] {
+        dispatch::RunnersListed listed;
+        listed.ok = true;
+        for (const auto& [id, runner] : runners_) {
+          // A runner that is cut off can not renew its entry either.
+          if (Reaches(id)) listed.runners.push_back(runner->info());
+        }
+        return listed;
+      },
+      lost);
+}
+
+void EmulatedSystem::Perform(int node, const dispatch::LookAtRunner& look) {
+  const int life = processes_[node].life;
+  At(now_ + options_.network, [this, node, life, look] {
+    AnswerLook(node, life, look, now_ + look.wait);
+  });
+}
+
+void EmulatedSystem::AnswerLook(int node, int life,
+                                const dispatch::LookAtRunner& look,
+                                TimePoint until) {
+  const RunnerId& id = look.target.runner;
+  dispatch::RunnerLooked answer;
+  answer.runner = id;
+  answer.epoch = look.target.epoch;
+  const auto at = runner_at_.find(look.target.address);
+  if (at == runner_at_.end() || !Reaches(id) || !Reaches(at->second)) {
+    const bool dead = at == runner_at_.end() && Reaches(id);
+    answer.outcome = dead ? OrderOutcome::kNotSent : OrderOutcome::kLost;
+    At(now_ + (dead ? options_.network : kOrderTimeout),
+       [this, node, life, answer] { Deliver(node, life, answer); });
+    return;
+  }
+  EmulatedRunner* runner = FindRunner(at->second);
+  // The lease is renewed when the look comes, not when it is answered.
+  answer = runner->Look(look);
+  const bool waits = answer.outcome == OrderOutcome::kDone && now_ < until &&
+                     !runner->HasNewEnds(look.acknowledged_end);
+  if (waits) {
+    dispatch::LookAtRunner rest = look;
+    rest.until_ms = 0;
+    At(now_ + kFeedStep, [this, node, life, rest, until] {
+      AnswerLook(node, life, rest, until);
+    });
+    return;
+  }
+  NoteEnds(look, answer);
+  answer.runner = id;
+  At(now_ + options_.network,
+     [this, node, life, answer] { Deliver(node, life, answer); });
+}
+
+void EmulatedSystem::Perform(int node, const dispatch::AskAdvice& ask) {
+  dispatch::AdviceAnswered answer;
+  answer.step = ask.step;
+  answer.ok = true;
+  answer.asked = ask.runners;
+  answer.valid = kTicketTime;
+  for (const RunnerId& runner : ask.runners) {
+    // Every other runner may run a step, in all of its lives.
+    int index = 0;
+    std::sscanf(runner.value().c_str(), "i-%d-", &index);
+    if (index % 2 == 0) answer.tickets[runner] = ToString(ask.step);
+  }
+  const int life = processes_[node].life;
+  At(now_ + kAdviceTime,
+     [this, node, life, answer] { Deliver(node, life, answer); });
+}
+
+template <typename Answer, typename Order>
+void EmulatedSystem::SendOrder(
+    int node, const Order& order, Answer answer,
+    std::function<Answer(EmulatedRunner*)> carry_out) {
+  const int life = processes_[node].life;
+  const RunnerId id = order.target.runner;
+  const std::string address = order.target.address;
+  const auto reply = [this, node, life](Duration after, Answer body) {
+    At(now_ + after, [this, node, life, body] { Deliver(node, life, body); });
+  };
+  const auto arrive = [this, id, address, carry_out, answer](bool* heard) {
+    Answer body = answer;
+    const auto at = runner_at_.find(address);
+    *heard = at != runner_at_.end() && Reaches(id) && Reaches(at->second);
+    if (*heard) body = carry_out(FindRunner(at->second));
+    body.runner = id;
+    return body;
+  };
+  if (Happens(faults_.orders_lost)) {
+    const auto late = static_cast<std::int64_t>(
+        Chance() * static_cast<double>(faults_.late_order.ms()));
+    At(now_ + Duration(late), [arrive] {
+      bool heard = false;
+      arrive(&heard);
+    });
+    reply(kOrderTimeout, answer);
+    return;
+  }
+  At(now_ + options_.network, [this, arrive, reply, answer] {
+    bool heard = false;
+    const Answer body = arrive(&heard);
+    if (heard) {
+      reply(options_.network, body);
+    } else {
+      reply(kOrderTimeout, answer);
+    }
+  });
+}
+
+void EmulatedSystem::Perform(int node, const dispatch::StartRun& start) {
+  dispatch::StartAnswered answer{start.target.runner, start.target.epoch,
+                                 start.task,          start.run,
+                                 OrderOutcome::kLost, 0};
+  SendOrder<dispatch::StartAnswered>(
+      node, start, answer, [this, start](EmulatedRunner* runner) {
+        dispatch::StartAnswered done = runner->Start(start);
+        if (done.outcome == OrderOutcome::kDone) CheckStart(*runner, start);
+        return done;
+      });
+}
+
+void EmulatedSystem::Perform(int node, const dispatch::StopRun& stop) {
+  dispatch::StopAnswered answer{stop.target.runner,  stop.target.epoch,
+                                stop.task,           stop.run,
+                                OrderOutcome::kLost, 0};
+  SendOrder<dispatch::StopAnswered>(
+      node, stop, answer,
+      [stop](EmulatedRunner* runner) { return runner->Stop(stop); });
+}
+
+}  // namespace limeledge::emulator
