Leave a start that may still be carried out alone

Cause: a start that got no answer, at a runner that then fell silent, was taken for over when the runner's lease was; a runner that counts a late order's lease from its arrival could begin it afterwards, beside the task's next run. A start was also sent to a runner that had begun to drain, or had fallen silent, while the decision was being stored. Change: such a start holds its task for 12.5 s; a start is not sent to a runner that drains or does not answer; bare factors are options; the emulator can count leases from arrival and tells the count of waiting jobs.

--- a/src/dispatch/planner_room.cc
+++ b/src/dispatch/planner_room.cc
@@ -17,6 +17,8 @@
 
 constexpr std::int64_t kPercent = 100;
 constexpr std::int64_t kMillisPerCore = 1000;
+// Runners save progress every second or two: more is not lost by a stop.
+constexpr Duration kUnsavedProgress{1000};
 
 Duration RemainingOf(const Run& run, TimePoint now) {
   if (run.phase != RunPhase::kRunning) return run.expected;
@@ -75,7 +77,7 @@
       run.need.accelerators * options_.cores_per_accelerator * kMillisPerCore;
   Duration lost =
       run.phase == RunPhase::kRunning ? now_ - run.started_at : Duration(0);
-  if (spec.saves_progress) lost = std::min(lost, Duration(kMillisPerCore));
+  if (spec.saves_progress) lost = std::min(lost, kUnsavedProgress);
   const int members = spec.gang ? spec.count : 1;
   const bool urgent = PolicyOf(*job, catalog_).priority == 0;
   const std::int64_t weight = urgent ? options_.urgent_victim_weight : 1;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -44,8 +44,16 @@
   /// A stop that showed no effect is sent again after this; longer than a
   /// runner takes to stop.
   Duration stop_patience{1500};
+  /// An order without an answer may be carried out for so long, whatever end
+  /// of the lease it names: twelve seconds at most, and some for the clocks.
+  Duration late_order{12500};
   /// A run whose progress stands still for this long is moved elsewhere.
   Duration stall_patience{3000};
+  /// More patience for long runs: the expected time of so many percent, since
+  /// a slow runner takes six times as long for each.
+  int stall_percents = 8;
+  /// Rest of a runner on which a run stands still.
+  Duration stall_pause{4000};
   /// Progress over at least this time tells a run's pace.
   Duration pace_interval{600};
   /// A run that is this much slower than expected, on a runner that seems this
@@ -123,6 +131,9 @@
   void StopGang(Context& ctx, const TaskName& name);
   void EndRun(Context& ctx, Runner* runner, const TaskName& name, RunEnd end,
               const std::string& checkpoint);
+  /// All that ran on a silent runner is over, but for starts that may still
+  /// be carried out there.
+  void EndLapsed(Context& ctx, Runner* runner);
   /// All that ran on the runner is over.
   void EndAll(Context& ctx, Runner* runner, const char* reason);
 
--- a/src/dispatch/scheduler_pace.cc
+++ b/src/dispatch/scheduler_pace.cc
@@ -94,7 +94,7 @@
     if (runner->runs().empty()) continue;
     const bool silent = !runner->reachable();
     if (silent && ctx.now() >= runner->lease_over_at()) {
-      EndAll(ctx, runner.get(), "its lease is over");
+      EndLapsed(ctx, runner.get());
       continue;
     }
     std::vector<TaskName> names;
@@ -116,12 +116,13 @@
   if (job == nullptr || job->step_spec(name.step).long_running) return;
   // A percent of a slow run takes its time.
   const Duration percent = run->expected / kAllDone;
-  const Duration patience = options_.stall_patience + percent * 8;
+  const Duration patience =
+      options_.stall_patience + percent * options_.stall_percents;
   if (ctx.now() - run->progressed_at < patience) return;
   ctx.Log(LogId::kRunStalled, {{"task", ToString(name)},
                                {"runner", runner->id().value()},
                                {"percent", std::to_string(run->percent)}});
-  Avoid(ctx, runner, options_.unwell_pause * 2, "a run stands still");
+  Avoid(ctx, runner, options_.stall_pause, "a run stands still");
   AskStop(ctx, runner, name);
 }
 
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -77,6 +77,12 @@
     StopGang(ctx, name);
     return;
   }
+  if (runner->drains_since().has_value() || !runner->reachable()) {
+    // It began to leave, or fell silent, while the decision was being stored.
+    EndRun(ctx, runner, name, RunEnd::kRejected, "");
+    StopGang(ctx, name);
+    return;
+  }
   run->phase = RunPhase::kStarting;
   StartRun start;
   start.target = Fleet::TargetOf(*runner, writer_.epoch());
@@ -245,6 +251,24 @@
   }
 }
 
+void Scheduler::EndLapsed(Context& ctx, Runner* runner) {
+  std::vector<TaskName> lapsed;
+  for (const auto& [name, run] : runner->runs()) {
+    const bool may_still_come =
+        run.phase == RunPhase::kUnsure &&
+        ctx.now() - run.answered_at < options_.late_order;
+    if (!may_still_come) lapsed.push_back(name);
+  }
+  if (lapsed.empty()) return;
+  ctx.Log(LogId::kRunnerLost, {{"runner", runner->id().value()},
+                               {"reason", "its lease is over"},
+                               {"runs", std::to_string(lapsed.size())}});
+  for (const TaskName& name : lapsed) {
+    EndRun(ctx, runner, name, RunEnd::kLapsed, "");
+    StopGang(ctx, name);
+  }
+}
+
 Scheduler::Verdict Scheduler::Take(Context& ctx, const RunnerLooked& answer) {
   Runner* runner = fleet_.Find(answer.runner);
   if (runner == nullptr || answer.epoch != writer_.epoch()) {
--- a/src/emulator/emulated_callers.cc
+++ b/src/emulator/emulated_callers.cc
@@ -103,6 +103,21 @@
   SendCall(call, [](const dispatch::AnswerCall*) {});
 }
 
+std::int64_t EmulatedSystem::Waiting() {
+  constexpr int kOrdinaryPriority = 1;
+  dispatch::CallArrived call;
+  call.kind = dispatch::CallKind::kQuery;
+  call.path = PrefixOf(kOrdinaryPriority);
+  std::int64_t waiting = -1;
+  bool answered = false;
+  SendCall(call, [&](const dispatch::AnswerCall* answer) {
+    answered = true;
+    if (answer != nullptr) waiting = answer->waiting;
+  });
+  while (!answered) Run(Duration(50));
+  return waiting;
+}
+
 std::string EmulatedSystem::StateOf(const JobId& job) {
   dispatch::CallArrived call;
   call.kind = dispatch::CallKind::kQuery;
--- a/src/emulator/emulated_runner.cc
+++ b/src/emulator/emulated_runner.cc
@@ -165,6 +165,9 @@
 
 void EmulatedRunner::Grant(std::int64_t until_ms) {
   const std::int64_t longest = clock_ms() + bounds_.longest_lease.ms();
+  if (bounds_.lease_from_arrival > Duration(0)) {
+    until_ms = clock_ms() + bounds_.lease_from_arrival.ms();
+  }
   NoteLapse();
   lease_until_ms_ = std::max(lease_until_ms_, std::min(until_ms, longest));
   NoteLapse();
@@ -184,7 +187,8 @@
 OrderOutcome EmulatedRunner::TakeStart(const dispatch::StartRun& order) {
   if (order.target.runner != info_.id) return OrderOutcome::kOtherLife;
   if (!Obeys(order.target.epoch)) return OrderOutcome::kFenced;
-  const bool too_late = order.until_ms <= clock_ms();
+  const bool too_late =
+      order.until_ms <= clock_ms() && bounds_.lease_from_arrival == Duration(0);
   Grant(order.until_ms);
   const auto active = runs_.find(order.task);
   if (active != runs_.end()) {
--- a/src/emulator/emulated_runner.h
+++ b/src/emulator/emulated_runner.h
@@ -34,6 +34,9 @@
   Duration stop_time{300};
   Duration gang_wait{3000};
   Duration save_interval{1000};
+  /// If not 0, a lease counts for this long from when its order arrives,
+  /// whatever end the order names.
+  Duration lease_from_arrival;
 };
 
 /// What runners share: the truth of tasks, and who is there of each gang.
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -84,6 +84,8 @@
   /// final answer.
   JobId Submit(dispatch::JobSpec spec, std::vector<TaskTruth> truths);
   void Cancel(const JobId& job);
+  /// Waiting jobs of the ordinary queue as a node tells; -1 for no answer.
+  std::int64_t Waiting();
   /// The state that a node tells; empty while it does not answer.
   std::string StateOf(const JobId& job);
 
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -193,6 +193,44 @@
   CheckNoViolation();
 }
 
+// Some runners count a late order's lease from its arrival: a start that got no
+// answer may then begin long after the lease that it names.
+TEST(Scheduler, StartThatMayStillBeCarriedOutIsNotMadeElsewhere) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    SystemOptions options;
+    options.seed = seed;
+    options.bounds.lease_from_arrival = Duration(5000);
+    EmulatedSystem late(options);
+    late.Run(Duration(3000));
+    dispatch::JobSpec spec;
+    spec.steps = {Step(6, 1, Duration(20000))};
+    spec.policy.priority = 1;
+    TaskTruth truth;
+    truth.work = Duration(20000);
+    late.Submit(spec, {truth});
+    late.faults().orders_lost = 1;
+    late.faults().late_order = Duration(12000);
+    late.Run(Duration(300));
+    // The starts are on their way; now their runners fall silent.
+    for (const RunnerId& id : late.RunnerIds()) {
+      if (id.value() >= "i-4") late.faults().unreachable_runners.insert(id);
+    }
+    late.faults().orders_lost = 0;
+    late.Run(Duration(7500));
+    late.faults().unreachable_runners.clear();
+    late.Run(Duration(12000));
+    for (const std::string& what : late.violations()) FAIL(what.c_str());
+  }
+}
+
+TEST(Scheduler, CountOfWaitingJobsIsTold) {
+  Submit(Step(64, 1, Duration(30000)));
+  system.Run(Duration(2500));
+  Submit(Step(2, 8, Duration(1000)));
+  system.Run(Duration(1000));
+  LONGS_EQUAL(1, system.Waiting());
+}
+
 TEST(Scheduler, DrainingRunnerGetsNoNewWork) {
   const RunnerId leaving = system.RunnerIds().front();
   system.DrainRunner(leaving, Duration(10000));
