Decode a runner's rack in the adapter

Cause: the dispatcher looked for a dash to tell the rack among a runner's labels, which only the platform's side can know. No change of behaviour on the sites: their labels are the kind and then the rack.

--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -9,8 +9,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include "absl/strings/match.h"
-
 namespace limeledge::dispatch {
 
 namespace {
@@ -37,14 +35,6 @@
 
 }  // namespace
 
-std::string Runner::rack() const {
-  // Labels are the runner's kind and its rack; racks hold a dash.
-  for (const std::string& label : info_.labels) {
-    if (absl::StrContains(label, "-")) return label;
-  }
-  return "";
-}
-
 void Runner::Update(const RunnerInfo& info, TimePoint now) {
   listed_ = true;
   slowness_ = std::pow(slowness_, kSuspicionKept);
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -28,7 +28,9 @@
   std::string address;
   HallId hall;
   Resources room;
+  /// All labels, the rack's among them.
   std::set<std::string> labels;
+  std::string rack;
   bool draining = false;
   /// While it drains: the least time until it leaves.
   Duration leaves_in;
@@ -82,7 +84,7 @@
 
   const RunnerInfo& info() const { return info_; }
   const RunnerId& id() const { return info_.id; }
-  std::string rack() const;
+  const std::string& rack() const { return info_.rack; }
 
   /// Takes over what the list says now.
   void Update(const RunnerInfo& info, TimePoint now);
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -147,7 +147,8 @@
   info.service = dispatch::ServiceId("compute");
   info.address = absl::StrCat("10.0.0.", index, ":80");
   info.room = options_.room;
-  info.labels = {"a", absl::StrCat("r1-", index / options_.runners_per_rack)};
+  info.rack = absl::StrCat("r1-", index / options_.runners_per_rack);
+  info.labels = {"a", info.rack};
   runner_at_[info.address] = info.id;
   runners_[info.id] = std::make_unique<EmulatedRunner>(
       info, options_.bounds,
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -29,6 +29,7 @@
     info.id = RunnerId(id);
     info.service = ServiceId("compute");
     info.room = {64000, 262144, accelerators};
+    info.rack = rack;
     info.labels = {"a", rack};
     runners.push_back(std::make_unique<Runner>(info));
   }
--- a/test/wire-test.cc
+++ b/test/wire-test.cc
@@ -93,6 +93,20 @@
   CHECK_FALSE(DecodeLook(R"({"clock-ms":1,"running":[5]})", &looked).ok());
 }
 
+TEST(Wire, RunnerTellsItsRoomAndItsRack) {
+  const auto info = DecodeRunner(
+      RunnerId("i-1"),
+      R"({"service":"s","addr":"10.0.0.1:80","zone":"h","state":"draining",)"
+      R"("remaining-ms":900,"room":{"cpu":500,"mem-mb":64,"gpu":8},)"
+      R"("labels":["a","r1-3"]})");
+  CHECK_TRUE(info.ok());
+  STRCMP_EQUAL("r1-3", info->rack.c_str());
+  LONGS_EQUAL(2, info->labels.size());
+  CHECK_TRUE(info->draining);
+  LONGS_EQUAL(900, info->leaves_in.ms());
+  CHECK_TRUE((info->room == dispatch::Resources{500, 64, 8}));
+}
+
 TEST(Wire, LookListsRunsAndEnds) {
   dispatch::RunnerLooked looked;
   const auto status = DecodeLook(
