Leave what was inherited alone for longer

Cause: the last scheduler may renew for 10 s after its last write, and a lease may last 5.3 s by a slow clock; 14 s from the take-over left no margin. Change: 15.8 s. Conclusion: only runners that a new scheduler can not reach are affected.

--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -40,8 +40,10 @@
   /// so long: longer than usual outages of the store.
   Duration longest_unconfirmed{10000};
   /// A new scheduler leaves alone for so long what it can neither reach nor
-  /// rule out: what the last one may still renew, plus a lease.
-  Duration inherited_lease{14000};
+  /// rule out: the last one may renew for `longest_unconfirmed` after its last
+  /// write, a lease on a slow clock lasts 5.3 s, and an order under way half a
+  /// second more. The 1.3 s that the take-over waited are a margin.
+  Duration inherited_lease{15800};
   /// Runners that are looked at for the first time at once: a new scheduler
   /// that opened hundreds of connections together would not come to renew its
   /// own lease on a small machine.
