--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -26,7 +26,9 @@
     runner->Unlist(now);
   }
   if (!runner->heard()) {
-    runner->LeaseMayLastUntil(now + options_.inherited_lease);
+    runner->LeaseMayLastUntil(now + (runner->listed()
+                                         ? options_.inherited_lease
+                                         : options_.inherited_lease_unlisted));
   }
   return runner;
 }
@@ -54,6 +56,11 @@
       ctx.Log(LogId::kRunnerListed,
               {{"runner", info.id.value()}, {"address", info.address}});
     }
+    // It lives after all.
+    const bool came_back = !runner->listed() && !runner->heard();
+    if (came_back) {
+      runner->LeaseMayLastUntil(ctx.now() + options_.inherited_lease);
+    }
     const bool drained = runner->drains_since().has_value();
     runner->Update(info, ctx.now());
     if (!drained && info.draining) {
@@ -124,7 +131,7 @@
 }
 
 TimePoint Fleet::next_at() const {
-  TimePoint next = list_under_way_ ? kNever : next_list_at_;
+  TimePoint next = next_list_at();
   const bool first_looks_wait = FirstLooksUnderWay() >= options_.first_looks;
   for (const auto& [id, runner] : runners_) {
     const bool quiet = runner->look_in_flight || runner->ended ||
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -44,6 +44,9 @@
   /// write, a lease on a slow clock lasts 5.3 s, and an order under way half a
   /// second more. The 1.3 s that the take-over waited are a margin.
   Duration inherited_lease{15800};
+  /// The same for a runner that is not even listed, which counts as gone: a
+  /// lease on a slow clock, and an order under way.
+  Duration inherited_lease_unlisted{6500};
   /// Runners that are looked at for the first time at once: a new scheduler
   /// that opened hundreds of connections together would not come to renew its
   /// own lease on a small machine.
@@ -71,6 +74,10 @@
   void List(Context& ctx);
   void Take(Context& ctx, const RunnersListed& answer);
   bool listed_once() const { return listed_once_; }
+  /// When `List` has something to do next.
+  TimePoint next_list_at() const {
+    return list_under_way_ ? kNever : next_list_at_;
+  }
 
   /// Sends every look that is due. `may_renew`: this node's right to schedule
   /// is fresh enough to renew leases.
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -196,7 +196,8 @@
 void Scheduler::Work(Context& ctx, const Catalog& catalog) {
   catalog_ = &catalog;
   fleet_.List(ctx);
-  book_.Work(ctx);
+  // What was running where is only judged with the list of runners at hand.
+  if (fleet_.listed_once()) book_.Work(ctx);
   const bool may_renew =
       ctx.now() - writer_.confirmed_at() < options_.fleet.longest_unconfirmed;
   if (ctx.now() >= next_check_) {
@@ -227,9 +228,10 @@
 }
 
 TimePoint Scheduler::next_at() const {
-  TimePoint next = std::min(writer_.next_at(), book_.next_at());
-  next = std::min(next, next_check_);
-  if (book_.loaded()) next = std::min(next, fleet_.next_at());
+  TimePoint next = std::min(writer_.next_at(), next_check_);
+  next =
+      std::min(next, book_.loaded() ? fleet_.next_at() : fleet_.next_list_at());
+  if (fleet_.listed_once()) next = std::min(next, book_.next_at());
   // A pass that can not be made now is made when the store answers.
   if (!book_.loaded() || releasing_ || !writer_.store_answers()) return next;
   if (plan_due_) next = std::min(next, next_pass_);
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -146,6 +146,24 @@
   CheckNoViolation();
 }
 
+// A job waited for 16 s for a runner that was gone when its scheduler was lost.
+TEST(Scheduler, RunsOfAGoneRunnerStartAgainSoonAfterATakeOver) {
+  const JobId job = Submit(Step(1, 8, Duration(4000)));
+  system.Run(Duration(1000));
+  RunnerId gone;
+  for (const RunnerId& id : system.RunnerIds()) {
+    system.FindRunner(id)->ForEachRun(
+        [&](const dispatch::TaskName&, int) { gone = id; });
+  }
+  system.KillRunner(gone, Duration(60000));
+  system.KillNode(system.leader(), Duration(60000));
+  system.Run(Duration(10000));
+  LONGS_EQUAL(2, Watch(job).starts.begin()->second);
+  system.Run(Duration(6000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
 TEST(Scheduler, StoppedSchedulerHandsOverWithinASecond) {
   system.StopNode(system.leader());
   system.Run(Duration(700));
