--- a/test/state-writer-test.cc
+++ b/test/state-writer-test.cc
@@ -28,8 +28,7 @@
   }
 
   void Mark(const char* value) {
-    const std::string text = value;
-    writer.Mark(key, [text] { return text; });
+    writer.Mark(key, [text = std::string(value)] { return text; });
   }
 
   /// The transaction that is sent now; null if none is.
