Keep in touch with runners while jobs are read again

Cause: when the store forgot its history, jobs were read again, and until that was done no runner was looked at and nothing was planned; had the store gone away just then, every lease would have run out. Change: the job book stays loaded once it was.

--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -71,6 +71,7 @@
   if (jobs) {
     seen_ = page_newest_;
     stage_ = Stage::kFollow;
+    loaded_ = true;
     progress_.clear();
   } else {
     stage_ = Stage::kReadJobs;
--- a/src/dispatch/job_book.h
+++ b/src/dispatch/job_book.h
@@ -43,8 +43,9 @@
   /// Sends the next call when it is due.
   void Work(Context& ctx);
   TimePoint next_at() const { return under_way_ ? kNever : next_at_; }
-  /// True once everything was read a first time.
-  bool loaded() const { return stage_ == Stage::kFollow; }
+  /// True once everything was read a first time, also while jobs are read again
+  /// because the store forgot its history.
+  bool loaded() const { return loaded_; }
 
   bool Owns(Ticket ticket) const { return under_way_ && call_ == ticket; }
   /// Takes in an answer; returns the jobs that are new or to be cancelled.
@@ -73,6 +74,7 @@
 
   JobBookOptions options_;
   Stage stage_ = Stage::kReadProgress;
+  bool loaded_ = false;
   bool under_way_ = false;
   Ticket call_;
   TimePoint next_at_;
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -192,6 +192,28 @@
   CheckNoViolation();
 }
 
+// While the jobs were read again, runners were not looked at: their leases ran
+// out if the store went away just then.
+TEST(Scheduler, BookThatReadsItsJobsAgainStaysLoaded) {
+  dispatch::JobBook book;
+  dispatch::Ticket tickets;
+  dispatch::Effects effects;
+  dispatch::Context ctx(TimePoint(1000), 0, &tickets, &effects);
+  dispatch::RowsAnswered empty;
+  empty.outcome = dispatch::StoreOutcome::kDone;
+  book.Work(ctx);
+  book.Take(ctx, empty);
+  CHECK_FALSE(book.loaded());
+  book.Work(ctx);
+  book.Take(ctx, empty);
+  CHECK_TRUE(book.loaded());
+  book.Work(ctx);
+  dispatch::ChangesAnswered gone;
+  gone.outcome = dispatch::StoreOutcome::kHistoryGone;
+  book.Take(ctx, gone);
+  CHECK_TRUE(book.loaded());
+}
+
 TEST(Scheduler, TasksOfARunnerThatIsCutOffStartElsewhereAfterItsLease) {
   const JobId job = Submit(Step(1, 8, Duration(4000)));
   system.Run(Duration(1000));
