--- a/src/emulator/emulated_callers.cc
+++ b/src/emulator/emulated_callers.cc
@@ -64,10 +64,7 @@
 JobId EmulatedSystem::Submit(dispatch::JobSpec spec,
                              std::vector<TaskTruth> truths) {
   spec.id = JobId(absl::StrFormat("%016x", ++last_job_));
-  JobWatch watch;
-  watch.spec = spec;
-  watch.truths = std::move(truths);
-  jobs_[spec.id] = std::move(watch);
+  oracle_.Watch(spec, std::move(truths));
   SendSubmit(spec.id);
   return spec.id;
 }
@@ -75,12 +72,12 @@
 void EmulatedSystem::SendSubmit(const JobId& job) {
   dispatch::CallArrived call;
   call.kind = dispatch::CallKind::kSubmit;
-  const JobWatch& watch = jobs_[job];
-  call.path =
-      absl::StrCat(PrefixOf(jobs_[job].spec.policy.priority), job.value());
+  const JobWatch& watch = *oracle_.Find(job);
+  call.path = absl::StrCat(PrefixOf(oracle_.Find(job)->spec.policy.priority),
+                           job.value());
   call.spec = watch.spec;
   SendCall(call, [this, job](const dispatch::AnswerCall* answer) {
-    JobWatch& submitted = jobs_[job];
+    JobWatch& submitted = *oracle_.Find(job);
     if (answer != nullptr && answer->result == CallResult::kDone) {
       submitted.accepted = true;
       submitted.may_be_taken = true;
@@ -96,10 +93,10 @@
 void EmulatedSystem::Cancel(const JobId& job) {
   dispatch::CallArrived call;
   call.kind = dispatch::CallKind::kCancel;
-  JobWatch& watch = jobs_[job];
+  JobWatch& watch = *oracle_.Find(job);
   watch.cancel_sent = true;
-  call.path =
-      absl::StrCat(PrefixOf(jobs_[job].spec.policy.priority), job.value());
+  call.path = absl::StrCat(PrefixOf(oracle_.Find(job)->spec.policy.priority),
+                           job.value());
   SendCall(call, [](const dispatch::AnswerCall*) {});
 }
 
@@ -121,8 +118,8 @@
 std::string EmulatedSystem::StateOf(const JobId& job) {
   dispatch::CallArrived call;
   call.kind = dispatch::CallKind::kQuery;
-  call.path =
-      absl::StrCat(PrefixOf(jobs_[job].spec.policy.priority), job.value());
+  call.path = absl::StrCat(PrefixOf(oracle_.Find(job)->spec.policy.priority),
+                           job.value());
   std::string state;
   bool answered = false;
   SendCall(call, [&](const dispatch::AnswerCall* answer) {
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -211,7 +211,10 @@
     });
     return;
   }
-  NoteEnds(look, answer);
+  oracle_.NoteLook(look, answer, [runner, &look](std::int64_t end) {
+    const bool same_life = runner->info().id == look.target.runner;
+    return same_life && !runner->LapsedSince(end);
+  });
   answer.runner = id;
   At(now_ + options_.network,
      [this, node, life, answer] { Deliver(node, life, answer); });
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -25,7 +25,10 @@
 }  // namespace
 
 EmulatedSystem::EmulatedSystem(SystemOptions options)
-    : options_(options), random_(options.seed), catalog_(MakeCatalog()) {
+    : options_(options),
+      random_(options.seed),
+      catalog_(MakeCatalog()),
+      oracle_(kMaxAttempts) {
   for (int i = 0; i < options_.runners; ++i) AddRunner(i, 1);
   processes_.resize(options_.nodes);
   for (int i = 0; i < options_.nodes; ++i) StartNode(i);
@@ -152,7 +155,7 @@
   runner_at_[info.address] = info.id;
   runners_[info.id] = std::make_unique<EmulatedRunner>(
       info, options_.bounds,
-      [this](const TaskName& name) { return TruthOf(name); }, &board_);
+      [this](const TaskName& name) { return oracle_.TruthOf(name); }, &board_);
   runners_[info.id]->AdvanceTo(now_);
 }
 
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -20,6 +20,7 @@
 #include "dispatch/node.h"
 #include "emulator/emulated_runner.h"
 #include "emulator/emulated_store.h"
+#include "emulator/promise_oracle.h"
 
 namespace limeledge::emulator {
 
@@ -50,23 +51,6 @@
   std::set<RunnerId> unreachable_runners;
 };
 
-/// A job as its caller knows it, and what the oracle saw of it.
-struct JobWatch {
-  dispatch::JobSpec spec;
-  std::vector<TaskTruth> truths;
-  bool accepted = false;
-  /// An attempt to hand it in was not answered by a refusal.
-  bool may_be_taken = false;
-  bool cancel_sent = false;
-  std::string final_state;
-  std::map<dispatch::TaskName, int> starts;
-  /// Runs whose end was taken note of, by how they ended.
-  std::map<dispatch::TaskName, int> failures;
-  std::set<dispatch::TaskName> done;
-  /// Tasks that a runner has listed as done; a gang's members by any of them.
-  std::set<dispatch::TaskName> listed_done;
-};
-
 /// A whole system in one thread. What breaks a promise is collected in
 /// `violations`.
 ///
@@ -96,8 +80,10 @@
 
   Faults& faults() { return faults_; }
   EmulatedStore& store() { return store_; }
-  const std::vector<std::string>& violations() const { return violations_; }
-  const std::map<JobId, JobWatch>& jobs() const { return jobs_; }
+  const std::vector<std::string>& violations() const {
+    return oracle_.violations();
+  }
+  const std::map<JobId, JobWatch>& jobs() const { return oracle_.jobs(); }
   /// The node that leads now; -1 for none.
   int leader() const;
 
@@ -178,16 +164,10 @@
 
   void AddRunner(int index, int life);
   bool Reaches(const RunnerId& runner) const;
+  /// Has the oracle check a start that a runner carried out.
   void CheckStart(const EmulatedRunner& runner,
                   const dispatch::StartRun& order);
-  /// All tasks of the steps before must be done.
-  void CheckOrder(const JobWatch& watch, const dispatch::TaskName& task);
-  void NoteEnds(const dispatch::LookAtRunner& look,
-                const dispatch::RunnerLooked& answer);
-  void CheckTwice();
-  void Violate(const std::string& what);
   void Trace(const std::string& what);
-  TaskTruth TruthOf(const dispatch::TaskName& name) const;
 
   SystemOptions options_;
   std::mt19937_64 random_;
@@ -201,12 +181,9 @@
   std::vector<Process> processes_;
   std::map<RunnerId, std::unique_ptr<EmulatedRunner>> runners_;
   std::map<std::string, RunnerId> runner_at_;
-  std::map<JobId, JobWatch> jobs_;
+  PromiseOracle oracle_;
   CallId last_call_;
   std::map<CallId, std::function<void(const dispatch::AnswerCall*)>> calls_;
-  /// Ends that each runner has listed, until they are taken note of.
-  std::map<RunnerId, std::map<std::int64_t, dispatch::ListedEnd>> listed_;
-  std::vector<std::string> violations_;
   std::function<void(const std::string&)> trace_;
   std::int64_t last_job_ = 0;
 };
--- /dev/null
+++ b/src/emulator/promise_oracle.cc
@@ -0,0 +1,118 @@
+/// @file
+/// The checks of the oracle.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "emulator/promise_oracle.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace limeledge::emulator {
+
+using dispatch::ListedEnd;
+using dispatch::RunEnd;
+using dispatch::TaskName;
+
+JobWatch& PromiseOracle::Watch(const dispatch::JobSpec& spec,
+                               std::vector<TaskTruth> truths) {
+  JobWatch watch;
+  watch.spec = spec;
+  watch.truths = std::move(truths);
+  return jobs_[spec.id] = std::move(watch);
+}
+
+JobWatch* PromiseOracle::Find(const JobId& job) {
+  const auto found = jobs_.find(job);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+TaskTruth PromiseOracle::TruthOf(const TaskName& name) const {
+  const auto found = jobs_.find(name.job);
+  if (found == jobs_.end()) return TaskTruth();
+  const JobWatch& watch = found->second;
+  TaskTruth truth = watch.truths[name.step];
+  const dispatch::StepSpec& step = watch.spec.steps[name.step];
+  truth.need = step.need;
+  truth.saves_progress = step.saves_progress;
+  truth.gang_size = step.gang ? step.count : 0;
+  return truth;
+}
+
+void PromiseOracle::NoteStart(const dispatch::StartRun& order) {
+  const std::string task = ToString(order.task);
+  JobWatch* watch = Find(order.task.job);
+  if (watch == nullptr) {
+    Violate(absl::StrCat("start of ", task, ", which nobody handed in"));
+    return;
+  }
+  ++watch->starts[order.task];
+  if (watch->done.count(order.task) != 0) {
+    Violate(
+        absl::StrCat("start of ", task, " after its end was noted as done"));
+  }
+  if (watch->failures[order.task] >= max_attempts_) {
+    Violate(absl::StrCat("start of ", task, " after all of its attempts"));
+  }
+  CheckOrder(*watch, order.task);
+}
+
+void PromiseOracle::CheckOrder(const JobWatch& watch, const TaskName& task) {
+  for (const int before : watch.spec.steps[task.step].after) {
+    const dispatch::StepSpec& step = watch.spec.steps[before];
+    for (int i = 0; i < step.count; ++i) {
+      const TaskName earlier{task.job, task.occurrence, before, i};
+      if (watch.listed_done.count(earlier) == 0) {
+        Violate(absl::StrCat("start of ", ToString(task), " out of order"));
+      }
+    }
+  }
+}
+
+void PromiseOracle::CheckRunning(const std::vector<TaskName>& running) {
+  std::set<TaskName> seen;
+  for (const TaskName& name : running) {
+    if (seen.insert(name).second) continue;
+    Violate(absl::StrCat("two runs of ", ToString(name), " at a time"));
+  }
+}
+
+void PromiseOracle::NoteLook(const dispatch::LookAtRunner& look,
+                             const dispatch::RunnerLooked& answer,
+                             const std::function<bool(std::int64_t)>& stands) {
+  auto& listed = listed_[look.target.runner];
+  // What the look tells as known is taken note of.
+  while (!listed.empty() && listed.begin()->first <= look.acknowledged_end) {
+    const ListedEnd end = listed.begin()->second;
+    listed.erase(listed.begin());
+    // Its lease was over meanwhile, so that the task may run elsewhere.
+    if (stands(end.number)) NoteEnd(end);
+  }
+  for (const ListedEnd& end : answer.ended) {
+    listed.emplace(end.number, end);
+    ListEnd(end);
+  }
+}
+
+void PromiseOracle::NoteEnd(const ListedEnd& end) {
+  JobWatch* watch = Find(end.task.job);
+  if (watch == nullptr) return;
+  if (end.end == RunEnd::kDone) watch->done.insert(end.task);
+  if (end.end == RunEnd::kFailed) ++watch->failures[end.task];
+}
+
+void PromiseOracle::ListEnd(const ListedEnd& end) {
+  JobWatch* watch = Find(end.task.job);
+  if (watch == nullptr || end.end != RunEnd::kDone) return;
+  const dispatch::StepSpec& step = watch->spec.steps[end.task.step];
+  TaskName member = end.task;
+  watch->listed_done.insert(member);
+  for (int i = 0; step.gang && i < step.count; ++i) {
+    member.index = i;
+    watch->listed_done.insert(member);
+  }
+}
+
+}  // namespace limeledge::emulator
--- /dev/null
+++ b/src/emulator/promise_oracle.h
@@ -0,0 +1,85 @@
+/// @file
+/// Checks what runners carry out against what was promised to callers.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_EMULATOR_PROMISE_ORACLE_H_
+#define LIMELEDGE_SRC_EMULATOR_PROMISE_ORACLE_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dispatch/effect.h"
+#include "dispatch/event.h"
+#include "emulator/emulated_runner.h"
+
+namespace limeledge::emulator {
+
+/// A job as its caller knows it, and what the oracle saw of it.
+struct JobWatch {
+  dispatch::JobSpec spec;
+  std::vector<TaskTruth> truths;
+  bool accepted = false;
+  /// An attempt to hand it in was not answered by a refusal.
+  bool may_be_taken = false;
+  bool cancel_sent = false;
+  std::string final_state;
+  std::map<dispatch::TaskName, int> starts;
+  /// Runs whose end was taken note of, by how they ended.
+  std::map<dispatch::TaskName, int> failures;
+  std::set<dispatch::TaskName> done;
+  /// Tasks that a runner has listed as done; a gang's members by any of them.
+  std::set<dispatch::TaskName> listed_done;
+};
+
+/// Holds every start and every noted end against the promises: nothing runs
+/// that nobody handed in, twice at a time, after its end was noted, out of
+/// order, or beyond its attempts.
+///
+/// Thread safety: none; callers lock.
+class PromiseOracle {
+ public:
+  /// Runs of a task that may fail.
+  explicit PromiseOracle(int max_attempts) : max_attempts_(max_attempts) {}
+
+  /// Begins to watch a job. Precondition: one truth for each of its steps.
+  JobWatch& Watch(const dispatch::JobSpec& spec, std::vector<TaskTruth> truths);
+  /// Null if the job is not watched.
+  JobWatch* Find(const JobId& job);
+  const std::map<JobId, JobWatch>& jobs() const { return jobs_; }
+  /// How the task really behaves, with what its step asks for.
+  TaskTruth TruthOf(const dispatch::TaskName& name) const;
+
+  /// A runner carried a start out.
+  void NoteStart(const dispatch::StartRun& order);
+  /// A runner answered a look. `stands`: the runner's lease has not run out
+  /// since it listed the end of that number.
+  void NoteLook(const dispatch::LookAtRunner& look,
+                const dispatch::RunnerLooked& answer,
+                const std::function<bool(std::int64_t)>& stands);
+  /// All tasks that run now, one entry a run.
+  void CheckRunning(const std::vector<dispatch::TaskName>& running);
+
+  void Violate(const std::string& what) { violations_.push_back(what); }
+  const std::vector<std::string>& violations() const { return violations_; }
+
+ private:
+  /// All tasks of the steps before must be done.
+  void CheckOrder(const JobWatch& watch, const dispatch::TaskName& task);
+  void NoteEnd(const dispatch::ListedEnd& end);
+  void ListEnd(const dispatch::ListedEnd& end);
+
+  int max_attempts_;
+  std::map<JobId, JobWatch> jobs_;
+  /// Ends that each runner has listed, until they are taken note of.
+  std::map<RunnerId, std::map<std::int64_t, dispatch::ListedEnd>> listed_;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace limeledge::emulator
+
+#endif  // LIMELEDGE_SRC_EMULATOR_PROMISE_ORACLE_H_
