--- /dev/null
+++ b/soak/experiment.cc
@@ -0,0 +1,193 @@
+/// @file
+/// Experiments and their plans of faults.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "soak/experiment.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace limeledge::soak {
+
+namespace {
+
+struct KindName {
+  FaultKind kind;
+  const char* name;
+};
+
+constexpr std::array<KindName, 20> kKindNames = {{
+    {FaultKind::kKillNode, "kill-node"},
+    {FaultKind::kStopNode, "stop-node"},
+    {FaultKind::kPauseNode, "pause-node"},
+    {FaultKind::kReloadNode, "reload-node"},
+    {FaultKind::kCutStore, "cut-store"},
+    {FaultKind::kResetStore, "reset-store"},
+    {FaultKind::kStoreDown, "store-down"},
+    {FaultKind::kStoreSlow, "store-slow"},
+    {FaultKind::kStoreAnswersLost, "store-answers-lost"},
+    {FaultKind::kStoreForgets, "store-forgets"},
+    {FaultKind::kKillRunner, "kill-runner"},
+    {FaultKind::kDrainRunner, "drain-runner"},
+    {FaultKind::kCutRunner, "cut-runner"},
+    {FaultKind::kHoldAnswers, "hold-answers"},
+    {FaultKind::kDelayRunner, "delay-runner"},
+    {FaultKind::kSlowRunner, "slow-runner"},
+    {FaultKind::kFailingRunner, "failing-runner"},
+    {FaultKind::kResetCallers, "reset-callers"},
+    {FaultKind::kDelayCallers, "delay-callers"},
+    {FaultKind::kChangeConfig, "change-config"},
+}};
+
+constexpr Duration kShortestFault{300};
+// In a series, the next fault of the kind comes this soon.
+constexpr double kSeriesShare = 0.2;
+constexpr Duration kSeriesGap{250};
+
+bool StrikesNode(FaultKind kind) {
+  switch (kind) {
+    case FaultKind::kKillNode:
+    case FaultKind::kStopNode:
+    case FaultKind::kPauseNode:
+    case FaultKind::kReloadNode:
+    case FaultKind::kCutStore:
+    case FaultKind::kResetStore:
+    case FaultKind::kResetCallers:
+    case FaultKind::kDelayCallers:
+      return true;
+    default:
+      return false;
+  }
+}
+
+template <typename Value>
+void ReadField(const YAML::Node& root, const char* name, Value* value,
+               Findings* findings) {
+  if (!root[name]) return;
+  try {
+    *value = root[name].as<Value>();
+  } catch (const YAML::Exception&) {
+    findings->Add(name, "has a value of another type");
+  }
+}
+
+void ReadDuration(const YAML::Node& root, const char* name, Duration* value,
+                  Findings* findings) {
+  std::int64_t ms = value->ms();
+  ReadField(root, name, &ms, findings);
+  if (ms < 0) findings->Add(name, "must not be negative");
+  *value = Duration(ms);
+}
+
+void ReadKinds(const YAML::Node& root, std::vector<FaultKind>* kinds,
+               Findings* findings) {
+  if (!root["faults"]) return;
+  kinds->clear();
+  for (const YAML::Node& entry : root["faults"]) {
+    const std::string name = entry.as<std::string>("");
+    const auto found =
+        std::find_if(kKindNames.begin(), kKindNames.end(),
+                     [&name](const KindName& k) { return name == k.name; });
+    if (found == kKindNames.end()) {
+      findings->Add("faults", absl::StrCat("'", name, "' is no kind of fault"));
+    } else {
+      kinds->push_back(found->kind);
+    }
+  }
+}
+
+void CheckAtLeastOne(const char* name, int value, Findings* findings) {
+  if (value < 1) findings->Add(name, "must be at least 1");
+}
+
+}  // namespace
+
+const char* ToString(FaultKind kind) {
+  for (const KindName& entry : kKindNames) {
+    if (entry.kind == kind) return entry.name;
+  }
+  return "";
+}
+
+const std::vector<FaultKind>& AllFaultKinds() {
+  static const std::vector<FaultKind>* const kinds = [] {
+    auto* all = new std::vector<FaultKind>;
+    for (const KindName& entry : kKindNames) all->push_back(entry.kind);
+    return all;
+  }();
+  return *kinds;
+}
+
+Experiment ReadExperiment(const std::string& text, Findings* findings) {
+  Experiment experiment;
+  YAML::Node root;
+  try {
+    root = YAML::Load(text);
+  } catch (const YAML::Exception& error) {
+    findings->Add("", error.what());
+    return experiment;
+  }
+  ReadField(root, "nodes", &experiment.nodes, findings);
+  ReadField(root, "runners", &experiment.runners, findings);
+  ReadField(root, "callers", &experiment.callers, findings);
+  ReadField(root, "jobs_per_caller", &experiment.jobs_per_caller, findings);
+  ReadField(root, "gang_share", &experiment.gang_share, findings);
+  ReadField(root, "urgent_share", &experiment.urgent_share, findings);
+  ReadField(root, "failing_share", &experiment.failing_share, findings);
+  ReadField(root, "cancelled_share", &experiment.cancelled_share, findings);
+  ReadDuration(root, "length_ms", &experiment.length, findings);
+  ReadDuration(root, "fault_interval_ms", &experiment.fault_interval, findings);
+  ReadDuration(root, "longest_fault_ms", &experiment.longest_fault, findings);
+  ReadKinds(root, &experiment.faults, findings);
+  CheckAtLeastOne("nodes", experiment.nodes, findings);
+  CheckAtLeastOne("runners", experiment.runners, findings);
+  CheckAtLeastOne("callers", experiment.callers, findings);
+  if (experiment.jobs_per_caller <= 0) {
+    findings->Add("jobs_per_caller", "must be above 0");
+  }
+  return experiment;
+}
+
+std::vector<Fault> PlanFaults(const Experiment& experiment,
+                              std::uint64_t seed) {
+  std::vector<Fault> plan;
+  if (experiment.fault_interval == Duration(0) || experiment.faults.empty()) {
+    return plan;
+  }
+  std::mt19937_64 random(seed);
+  const auto pick = [&random](std::int64_t least, std::int64_t most) {
+    return std::uniform_int_distribution<std::int64_t>(least, most)(random);
+  };
+  const auto chance = [&random] {
+    return std::uniform_real_distribution<>()(random);
+  };
+  Fault fault;
+  while (fault.at < experiment.length) {
+    const bool series = !plan.empty() && chance() < kSeriesShare;
+    fault.at = fault.at +
+               Duration(series ? pick(0, kSeriesGap.ms())
+                               : pick(1, experiment.fault_interval.ms() * 2));
+    if (!series) {
+      const auto last = static_cast<std::int64_t>(experiment.faults.size()) - 1;
+      fault.kind = experiment.faults[pick(0, last)];
+    }
+    const int things =
+        StrikesNode(fault.kind) ? experiment.nodes : experiment.runners;
+    fault.target = static_cast<int>(pick(0, things - 1));
+    fault.length = Duration(
+        pick(kShortestFault.ms(),
+             std::max(kShortestFault.ms(), experiment.longest_fault.ms())));
+    plan.push_back(fault);
+  }
+  return plan;
+}
+
+}  // namespace limeledge::soak
--- /dev/null
+++ b/soak/experiment.h
@@ -0,0 +1,88 @@
+/// @file
+/// What a soak consists of: sizes, load and faults, from a file.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SOAK_EXPERIMENT_H_
+#define LIMELEDGE_SOAK_EXPERIMENT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "limeledge/clock.h"
+#include "limeledge/finding.h"
+
+namespace limeledge::soak {
+
+/// Troubles that a soak can make. Names in files are those of `ToString`.
+enum class FaultKind {
+  kKillNode,
+  kStopNode,
+  kPauseNode,
+  kReloadNode,
+  kCutStore,
+  kResetStore,
+  kStoreDown,
+  kStoreSlow,
+  kStoreAnswersLost,
+  kStoreForgets,
+  kKillRunner,
+  kDrainRunner,
+  kCutRunner,
+  kHoldAnswers,
+  kDelayRunner,
+  kSlowRunner,
+  kFailingRunner,
+  kResetCallers,
+  kDelayCallers,
+  kChangeConfig,
+};
+
+const char* ToString(FaultKind kind);
+/// All kinds there are.
+const std::vector<FaultKind>& AllFaultKinds();
+
+/// Sizes and load of a run.
+struct Experiment {
+  int nodes = 4;
+  int runners = 8;
+  int callers = 6;
+  /// Jobs that each caller hands in a second, at most.
+  double jobs_per_caller = 1;
+  /// Time under load and faults.
+  Duration length{30000};
+  /// Mean time between two faults; 0 for none.
+  Duration fault_interval{700};
+  /// Largest length of a fault.
+  Duration longest_fault{6000};
+  std::vector<FaultKind> faults = AllFaultKinds();
+  /// Shares of jobs of each sort.
+  double gang_share = 0.25;
+  double urgent_share = 0.25;
+  double failing_share = 0.05;
+  double cancelled_share = 0.15;
+};
+
+/// Reads an experiment (YAML); fields that are left out keep their value. What
+/// is wrong with it is added to `findings`. Safe from any thread.
+Experiment ReadExperiment(const std::string& text, Findings* findings);
+
+/// One trouble of a run.
+struct Fault {
+  /// From the begin of the load.
+  Duration at;
+  FaultKind kind = FaultKind::kKillNode;
+  /// Which node or runner; meaningless for troubles of the store.
+  int target = 0;
+  Duration length;
+};
+
+/// All troubles of a run, in order of time: alone, overlapping and in series.
+/// The same seed gives the same plan. Safe from any thread.
+std::vector<Fault> PlanFaults(const Experiment& experiment, std::uint64_t seed);
+
+}  // namespace limeledge::soak
+
+#endif  // LIMELEDGE_SOAK_EXPERIMENT_H_
--- /dev/null
+++ b/soak/fault_driver.cc
@@ -0,0 +1,274 @@
+/// @file
+/// Troubles, one kind at a time.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "soak/fault_driver.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <thread>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace limeledge::soak {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{20};
+// A process that ended is started again after this.
+constexpr Duration kRestartPause{500};
+// A stop takes at most the grace of the settings (6 s), and some on a machine
+// that is busy with other processes.
+constexpr Duration kLongestStop{8000};
+constexpr Duration kStoreDelay{400};
+constexpr Duration kLinkDelay{300};
+constexpr double kAnswersLost = 0.3;
+constexpr double kSlowness = 5;
+constexpr int kUnavailable = 503;
+
+}  // namespace
+
+FaultDriver::FaultDriver(SoakPlatform* platform, Callers::Nodes* nodes,
+                         FaultLog* log)
+    : platform_(platform), nodes_(nodes), log_(log) {}
+
+void FaultDriver::Violate(const std::string& what) {
+  platform_->WithOracle(
+      [&what](emulator::PromiseOracle& oracle) { oracle.Violate(what); });
+}
+
+void FaultDriver::At(TimePoint at, std::function<void()> run) {
+  actions_.emplace(at, std::move(run));
+}
+
+void FaultDriver::During(const Fault& fault, TimePoint at,
+                         const std::string& subject,
+                         std::function<void()> begin,
+                         std::function<void()> end) {
+  const Duration length = fault.length;
+  At(at, [this, subject, begin = std::move(begin), length] {
+    // What comes late by the load of the machine lasts longer, too.
+    const TimePoint now = clock_.Now();
+    log_->Note(subject, now, now + length + length);
+    begin();
+  });
+  At(at + length, std::move(end));
+}
+
+void FaultDriver::Run(const std::vector<Fault>& plan, Duration length) {
+  const TimePoint begin = clock_.Now();
+  for (const Fault& fault : plan) Schedule(fault, begin);
+  const TimePoint end = begin + length;
+  while (clock_.Now() < end) {
+    while (!actions_.empty() && actions_.begin()->first <= clock_.Now()) {
+      const std::function<void()> run = std::move(actions_.begin()->second);
+      actions_.erase(actions_.begin());
+      run();
+    }
+    TendNodes();
+    std::this_thread::sleep_for(kTick);
+  }
+}
+
+void FaultDriver::Schedule(const Fault& fault, TimePoint begin) {
+  const TimePoint at = begin + fault.at;
+  if (fault.kind == FaultKind::kChangeConfig) {
+    At(at, [this] { platform_->WriteConfig(); });
+    return;
+  }
+  if (ScheduleNode(fault, at) || ScheduleStore(fault, at)) return;
+  ScheduleRunner(fault, at);
+}
+
+bool FaultDriver::ScheduleNode(const Fault& fault, TimePoint at) {
+  NodeProcess* node = (*nodes_)[fault.target % nodes_->size()].get();
+  const auto link = [&](TcpProxy* proxy, const LinkFault& trouble,
+                        const std::string& subject) {
+    During(
+        fault, at, subject, [proxy, trouble] { proxy->SetFault(trouble); },
+        [proxy] { proxy->SetFault({}); });
+  };
+  LinkFault trouble;
+  switch (fault.kind) {
+    case FaultKind::kKillNode:
+      During(
+          fault, at, node->name(), [node] { node->Kill(); }, [] {});
+      return true;
+    case FaultKind::kStopNode:
+      At(at, [node] { node->Signal(SIGTERM); });
+      return true;
+    case FaultKind::kPauseNode:
+      During(
+          fault, at, node->name(), [node] { node->Signal(SIGSTOP); },
+          [node] { node->Signal(SIGCONT); });
+      return true;
+    case FaultKind::kReloadNode:
+      At(at, [node] { node->Signal(SIGHUP); });
+      return true;
+    case FaultKind::kCutStore:
+      trouble.holds_requests = trouble.holds_answers = true;
+      link(&node->store_link(), trouble, StoreLinkOf(node->name()));
+      return true;
+    case FaultKind::kResetStore:
+      trouble.refuses = true;
+      link(&node->store_link(), trouble, StoreLinkOf(node->name()));
+      At(at, [node] { node->store_link().ResetAll(); });
+      return true;
+    case FaultKind::kDelayCallers:
+      trouble.delay = kLinkDelay;
+      link(&node->front_link(), trouble, node->name());
+      return true;
+    case FaultKind::kResetCallers:
+      At(at, [this, node] {
+        log_->Note(node->name(), clock_.Now(), clock_.Now());
+        node->front_link().ResetAll();
+      });
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool FaultDriver::ScheduleStore(const Fault& fault, TimePoint at) {
+  standin::StoreFaults trouble;
+  switch (fault.kind) {
+    case FaultKind::kStoreDown:
+      trouble.refuse_with = kUnavailable;
+      break;
+    case FaultKind::kStoreSlow:
+      trouble.delay = kStoreDelay;
+      break;
+    case FaultKind::kStoreAnswersLost:
+      trouble.answers_lost = kAnswersLost;
+      break;
+    case FaultKind::kStoreForgets:
+      At(at, [this] { platform_->store().ForgetHistory(); });
+      return true;
+    default:
+      return false;
+  }
+  standin::StoreServer* store = &platform_->store();
+  During(
+      fault, at, kStoreSubject, [store, trouble] { store->SetFaults(trouble); },
+      [store] { store->SetFaults({}); });
+  return true;
+}
+
+void FaultDriver::ScheduleRunner(const Fault& fault, TimePoint at) {
+  SoakPlatform* platform = platform_;
+  const int place = fault.target % platform->runners();
+  const std::string subject = RunnerSubject(place);
+  const auto link = [&](const LinkFault& trouble) {
+    During(
+        fault, at, subject,
+        [platform, place, trouble] {
+          platform->runner_link(place).SetFault(trouble);
+        },
+        [platform, place] { platform->runner_link(place).SetFault({}); });
+  };
+  LinkFault trouble;
+  switch (fault.kind) {
+    case FaultKind::kCutRunner:
+      trouble.holds_requests = trouble.holds_answers = true;
+      link(trouble);
+      return;
+    case FaultKind::kHoldAnswers:
+      trouble.holds_answers = true;
+      link(trouble);
+      return;
+    case FaultKind::kDelayRunner:
+      trouble.delay = kLinkDelay;
+      link(trouble);
+      return;
+    case FaultKind::kDrainRunner:
+      // It serves on for a while, ends, and another life comes.
+      At(at, [platform, place, fault] {
+        platform->DrainRunner(place, fault.length);
+      });
+      At(at + fault.length + kRestartPause, [this, platform, place, subject] {
+        log_->Note(subject, clock_.Now(), clock_.Now());
+        platform->KillRunner(place);
+      });
+      At(at + fault.length + kRestartPause * 2,
+         [platform, place] { platform->ReviveRunner(place); });
+      return;
+    case FaultKind::kKillRunner:
+      During(
+          fault, at, subject,
+          [platform, place] { platform->KillRunner(place); },
+          [platform, place] { platform->ReviveRunner(place); });
+      return;
+    case FaultKind::kSlowRunner:
+      During(
+          fault, at, subject,
+          [platform, place] { platform->SetSlowness(place, kSlowness); },
+          [platform, place] { platform->SetSlowness(place, 1); });
+      return;
+    case FaultKind::kFailingRunner:
+      During(
+          fault, at, subject,
+          [platform, place] { platform->SetFailing(place, true); },
+          [platform, place] { platform->SetFailing(place, false); });
+      return;
+    default:
+      return;
+  }
+}
+
+void FaultDriver::TendNodes() {
+  for (const auto& node : *nodes_) {
+    const bool lives = node->Lives();
+    const NodeLife life = node->lives().back();
+    if (!lives) {
+      CheckEnd(node.get());
+      const bool due = clock_.Now() > *life.ended_at + kRestartPause;
+      if (due) node->Restart();
+      continue;
+    }
+    const bool overdue = life.stop_asked_at.has_value() &&
+                         clock_.Now() > *life.stop_asked_at + kLongestStop;
+    if (!overdue) continue;
+    if (log_->IsCalm(node->name(), *life.stop_asked_at, clock_.Now())) {
+      Violate(absl::StrCat(node->name(), " did not end when it was asked to"));
+    }
+    node->Kill();
+  }
+}
+
+void FaultDriver::CheckEnd(NodeProcess* node) {
+  const std::vector<NodeLife> lives = node->lives();
+  std::size_t& checked = checked_[node->name()];
+  if (checked == lives.size()) return;
+  checked = lives.size();
+  const NodeLife& life = lives.back();
+  if (life.killed) return;
+  const bool planned =
+      life.stop_asked_at.has_value() && node->last_status() == 0;
+  if (!planned) {
+    Violate(absl::StrCat(node->name(), " ended by itself with ",
+                         node->last_status()));
+  }
+}
+
+void FaultDriver::Heal() {
+  actions_.clear();
+  platform_->store().SetFaults({});
+  for (int i = 0; i < platform_->runners(); ++i) {
+    platform_->runner_link(i).SetFault({});
+    platform_->ReviveRunner(i);
+    platform_->SetSlowness(i, 1);
+    platform_->SetFailing(i, false);
+  }
+  for (const auto& node : *nodes_) {
+    node->store_link().SetFault({});
+    node->front_link().SetFault({});
+    node->Signal(SIGCONT);
+  }
+  TendNodes();
+}
+
+}  // namespace limeledge::soak
--- /dev/null
+++ b/soak/fault_driver.h
@@ -0,0 +1,63 @@
+/// @file
+/// Carries a plan of faults out, and restarts what ended.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SOAK_FAULT_DRIVER_H_
+#define LIMELEDGE_SOAK_FAULT_DRIVER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "soak/callers.h"
+#include "soak/experiment.h"
+#include "soak/fault_log.h"
+#include "soak/node_process.h"
+#include "soak/soak_platform.h"
+
+namespace limeledge::soak {
+
+/// Makes the troubles of a plan, from outside of the nodes.
+///
+/// Thread safety: none; use it from one thread.
+class FaultDriver {
+ public:
+  /// All that is given outlives this object.
+  FaultDriver(SoakPlatform* platform, Callers::Nodes* nodes, FaultLog* log);
+
+  /// Makes all troubles of the plan; returns after `length`.
+  void Run(const std::vector<Fault>& plan, Duration length);
+  /// Ends all troubles, and starts again what is down.
+  void Heal();
+  /// Restarts nodes that ended and are due again; checks how they ended.
+  void TendNodes();
+
+ private:
+  void Schedule(const Fault& fault, TimePoint begin);
+  /// Troubles of a node; of the store; of a runner; false for other kinds.
+  bool ScheduleNode(const Fault& fault, TimePoint at);
+  bool ScheduleStore(const Fault& fault, TimePoint at);
+  void ScheduleRunner(const Fault& fault, TimePoint at);
+  void At(TimePoint at, std::function<void()> run);
+  /// Begins a trouble now and ends it after the fault's length.
+  void During(const Fault& fault, TimePoint at, const std::string& subject,
+              std::function<void()> begin, std::function<void()> end);
+  void CheckEnd(NodeProcess* node);
+  void Violate(const std::string& what);
+
+  SoakPlatform* platform_;
+  Callers::Nodes* nodes_;
+  FaultLog* log_;
+  SteadyClock clock_;
+  std::multimap<TimePoint, std::function<void()>> actions_;
+  /// Lives of each node whose end was checked.
+  std::map<std::string, std::size_t> checked_;
+};
+
+}  // namespace limeledge::soak
+
+#endif  // LIMELEDGE_SOAK_FAULT_DRIVER_H_
--- /dev/null
+++ b/soak/node_process.cc
@@ -0,0 +1,156 @@
+/// @file
+/// Processes of nodes.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "soak/node_process.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <utility>
+
+namespace limeledge::soak {
+
+namespace {
+
+constexpr int kSignalledBase = 128;
+constexpr int kExecFailed = 127;
+constexpr int kLogMode = 0644;
+
+std::string Loopback(int port) { return fmt::format("127.0.0.1:{}", port); }
+
+}  // namespace
+
+int FreePort() {
+  const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  int port = 0;
+  if (bind(probe, generic, length) == 0 &&
+      getsockname(probe, generic, &length) == 0) {
+    port = ntohs(address.sin_port);
+  }
+  close(probe);
+  return port;
+}
+
+NodeProcess::NodeProcess(int number, std::string program, std::string directory)
+    : name_(fmt::format("node-{}", number)),
+      program_(std::move(program)),
+      directory_(std::move(directory)) {}
+
+NodeProcess::~NodeProcess() { Kill(); }
+
+std::string NodeProcess::log_path() const {
+  return fmt::format("{}/{}.log", directory_, name_);
+}
+
+absl::Status NodeProcess::Start(const Endpoint& store) {
+  absl::Status status = store_link_.Start(store);
+  if (!status.ok()) return status;
+  const int port = FreePort();
+  status = front_link_.Start({"127.0.0.1", port});
+  if (!status.ok()) return status;
+  ready_ = Loopback(FreePort());
+  metrics_ = Loopback(FreePort());
+  WriteSettings(Loopback(port));
+  Restart();
+  return absl::OkStatus();
+}
+
+void NodeProcess::WriteSettings(const std::string& front) const {
+  std::ofstream file(fmt::format("{}/{}.yaml", directory_, name_));
+  file << fmt::format(
+      "node: \"{}\"\nzone: \"soak\"\nlisten:\n  front: \"{}\"\n"
+      "  ready: \"{}\"\n  control: \"{}\"\n"
+      "limits:\n  cpu-share: 1\n  cores: 1\n"
+      "bounds:\n  hold-max-ms: 10000\n  grace-s: 6\n"
+      "platform:\n  addr: \"{}\"\n",
+      name_, front, ready_, metrics_, store_link_.address());
+}
+
+void NodeProcess::Restart() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Reap(false);
+  if (pid_ < 0) Spawn();
+}
+
+void NodeProcess::Spawn() {
+  const std::string settings = fmt::format("{}/{}.yaml", directory_, name_);
+  const std::string log = log_path();
+  const pid_t pid = fork();
+  if (pid == 0) {
+    const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+    dup2(out, STDOUT_FILENO);
+    dup2(out, STDERR_FILENO);
+    // The soak's own sockets must not outlive it in here.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    execl(program_.c_str(), program_.c_str(), "--settings", settings.c_str(),
+          static_cast<char*>(nullptr));
+    _exit(kExecFailed);
+  }
+  pid_ = pid;
+  NodeLife life;
+  life.started_at = clock_.Now();
+  lives_.push_back(life);
+}
+
+void NodeProcess::Reap(bool wait) {
+  if (pid_ < 0) return;
+  int status = 0;
+  if (waitpid(pid_, &status, wait ? 0 : WNOHANG) != pid_) return;
+  pid_ = -1;
+  lives_.back().ended_at = clock_.Now();
+  if (lives_.back().killed) return;
+  last_status_ = WIFEXITED(status) ? WEXITSTATUS(status)
+                                   : kSignalledBase + WTERMSIG(status);
+}
+
+void NodeProcess::Kill() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Reap(false);
+  if (pid_ < 0) return;
+  lives_.back().killed = true;
+  kill(pid_, SIGKILL);
+  Reap(true);
+}
+
+void NodeProcess::Signal(int signal) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Reap(false);
+  if (pid_ < 0) return;
+  if (signal == SIGTERM && !lives_.back().stop_asked_at.has_value()) {
+    lives_.back().stop_asked_at = clock_.Now();
+  }
+  kill(pid_, signal);
+}
+
+bool NodeProcess::Lives() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Reap(false);
+  return pid_ >= 0;
+}
+
+int NodeProcess::last_status() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return last_status_;
+}
+
+std::vector<NodeLife> NodeProcess::lives() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return lives_;
+}
+
+}  // namespace limeledge::soak
--- /dev/null
+++ b/soak/soak_platform.cc
@@ -0,0 +1,250 @@
+/// @file
+/// Store, operator and runners of a soak.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "soak/soak_platform.h"
+
+#include <json/json.h>
+
+#include <chrono>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "codec/json.h"
+#include "soak/node_process.h"
+
+namespace limeledge::soak {
+
+namespace {
+
+constexpr char kService[] = "compute";
+constexpr int kRunnersPerRack = 4;
+constexpr std::chrono::milliseconds kBeat{300};
+// The entry of a runner that ended without a word goes after three beats.
+constexpr Duration kEntryLife{900};
+// Every other runner's clock is as slow as clocks may be.
+constexpr double kSlowClock = 0.98;
+// The scheduler reads the list once a second, stores each decision, and may be
+// a process that waits for the processor on a busy machine.
+constexpr Duration kDrainBound{2000};
+constexpr Duration kDrainSlack{2500};
+/// Trouble this long before a start excuses it.
+constexpr Duration kTroubleEcho{4000};
+
+Json::Value Route(const std::string& name, const std::string& prefix,
+                  int priority) {
+  Json::Value route;
+  route["name"] = name;
+  route["host"] = kHost;
+  route["path-prefix"] = prefix;
+  route["service"] = kService;
+  route["priority"] = priority;
+  route["attempts"] = kMaxAttempts;
+  route["stretch"] = priority == 0 ? 1.5 : 3.0;
+  route["slo-ms"] = priority == 0 ? 250 : 1000;
+  return route;
+}
+
+}  // namespace
+
+std::string ProbePrefix(std::int64_t version) {
+  return absl::StrCat("/probe-", version, "/");
+}
+
+SoakPlatform::SoakPlatform(int runners, const FaultLog* faults)
+    : faults_(faults),
+      store_endpoint_{"127.0.0.1", FreePort()},
+      store_(store_endpoint_),
+      oracle_(kMaxAttempts) {
+  shed_.observer = this;
+  for (int i = 0; i < runners; ++i)
+    places_.push_back(std::make_unique<Place>());
+}
+
+SoakPlatform::~SoakPlatform() { Stop(); }
+
+absl::Status SoakPlatform::Start() {
+  absl::Status status = store_.Start();
+  if (!status.ok()) return status;
+  WriteConfig();
+  for (int i = 0; i < runners(); ++i) {
+    places_[i]->port = FreePort();
+    status = places_[i]->link.Start({"127.0.0.1", places_[i]->port});
+    if (!status.ok()) return status;
+    StartLife(i);
+  }
+  beats_ = std::thread([this] {
+    while (!stopping_) {
+      Beat();
+      std::this_thread::sleep_for(kBeat);
+    }
+  });
+  return absl::OkStatus();
+}
+
+void SoakPlatform::Stop() {
+  stopping_ = true;
+  if (beats_.joinable()) beats_.join();
+  for (const auto& place : places_) {
+    place->link.Stop();
+    if (place->server != nullptr) place->server->Stop();
+  }
+  store_.Stop();
+}
+
+void SoakPlatform::StartLife(int index) {
+  Place& place = *places_[index];
+  ++place.life;
+  dispatch::RunnerInfo info;
+  info.id = RunnerId(absl::StrCat("i-", index, "-", place.life));
+  info.service = dispatch::ServiceId(kService);
+  info.hall = HallId("soak");
+  info.room = {64000, 262144, 8};
+  info.rack = absl::StrCat("r1-", index / kRunnersPerRack);
+  info.labels = {"a", info.rack};
+  auto server = std::make_unique<standin::RunnerServer>(
+      info, Endpoint{"127.0.0.1", place.port}, &shed_,
+      index % 2 == 0 ? 1.0 : kSlowClock);
+  // The address was free a moment ago; if it is taken, the runner stays away.
+  if (!server->Start().ok()) return;
+  server->Advertise(place.link.address());
+  const std::lock_guard<std::mutex> lock(shed_.mutex);
+  place.server = std::move(server);
+}
+
+void SoakPlatform::Beat() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const auto& place : places_) {
+    if (place->server == nullptr) continue;
+    store_.Put("servers", place->server->id().value(), place->server->Entry());
+  }
+  const TimePoint before = clock_.Now() - kEntryLife;
+  while (!silent_.empty() && silent_.front().since < before) {
+    store_.Remove("servers", silent_.front().id.value());
+    silent_.erase(silent_.begin());
+  }
+}
+
+std::string SoakPlatform::EncodeConfig(std::int64_t version) const {
+  Json::Value config;
+  config["version"] = Json::Int64(version);
+  config["routes"].append(Route("recompute", kOrdinaryPrefix, 1));
+  config["routes"].append(Route("validate", kUrgentPrefix, 0));
+  for (std::int64_t probe : {version - 1, version}) {
+    config["routes"].append(
+        Route(absl::StrCat("probe-", probe), ProbePrefix(probe), 1));
+  }
+  Json::Value service;
+  service["name"] = kService;
+  service["enforces-capacity"] = true;
+  config["services"].append(std::move(service));
+  config["limits"]["max-body-bytes"] = 262144;
+  Json::Value tenant;
+  tenant["name"] = "bridges";
+  tenant["api-keys"].append(kKey);
+  tenant["guaranteed"]["gpu"] = kGuaranteedAccelerators;
+  config["tenants"].append(std::move(tenant));
+  return WriteJson(config);
+}
+
+void SoakPlatform::WriteConfig() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++newest_config_.version;
+  store_.Put("op", "config", EncodeConfig(newest_config_.version));
+  newest_config_.at = clock_.Now();
+}
+
+ConfigWrite SoakPlatform::newest_config() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return newest_config_;
+}
+
+void SoakPlatform::KillRunner(int index) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Place& place = *places_[index];
+  if (place.server == nullptr) return;
+  LinkFault down;
+  down.refuses = true;
+  place.link.SetFault(down);
+  place.link.ResetAll();
+  place.server->Stop();
+  silent_.push_back({place.server->id(), clock_.Now()});
+  const std::lock_guard<std::mutex> shed(shed_.mutex);
+  place.server = nullptr;
+}
+
+void SoakPlatform::ReviveRunner(int index) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (places_[index]->server != nullptr) return;
+  places_[index]->link.SetFault({});
+  StartLife(index);
+}
+
+void SoakPlatform::DrainRunner(int index, Duration leaves_in) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Place& place = *places_[index];
+  if (place.server == nullptr) return;
+  place.server->Drain(leaves_in);
+  store_.Put("servers", place.server->id().value(), place.server->Entry());
+  const std::lock_guard<std::mutex> shed(shed_.mutex);
+  draining_[place.server->id()] = clock_.Now();
+}
+
+void SoakPlatform::SetSlowness(int index, double factor) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Place& place = *places_[index];
+  if (place.server != nullptr) place.server->SetSlowness(factor);
+}
+
+void SoakPlatform::SetFailing(int index, bool failing) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Place& place = *places_[index];
+  if (place.server != nullptr) place.server->SetFailing(failing);
+}
+
+void SoakPlatform::Watch(const dispatch::JobSpec& spec,
+                         const std::vector<emulator::TaskTruth>& truths) {
+  const std::lock_guard<std::mutex> lock(shed_.mutex);
+  oracle_.Watch(spec, truths);
+}
+
+TimePoint SoakPlatform::FirstStart(const JobId& job) {
+  const std::lock_guard<std::mutex> lock(shed_.mutex);
+  const auto found = first_starts_.find(job);
+  return found == first_starts_.end() ? TimePoint() : found->second;
+}
+
+void SoakPlatform::OnStart(const emulator::EmulatedRunner& runner,
+                           const dispatch::StartRun& order) {
+  ++starts_;
+  const TimePoint now = clock_.Now();
+  oracle_.NoteStart(order);
+  first_starts_.emplace(order.task.job, now);
+  // Runners come and go under the shed's lock, which is held here.
+  std::vector<dispatch::TaskName> running;
+  for (const auto& place : places_) {
+    if (place->server != nullptr) place->server->AddRunning(&running);
+  }
+  oracle_.CheckRunning(running);
+  const auto drain = draining_.find(runner.info().id);
+  if (drain == draining_.end()) return;
+  const bool late = now - drain->second > kDrainBound + kDrainSlack;
+  if (late && faults_->AllCalm(drain->second - kTroubleEcho, now)) {
+    oracle_.Violate(absl::StrCat("start of ", ToString(order.task), " on ",
+                                 runner.info().id.value(),
+                                 ", which had said that it leaves"));
+  }
+}
+
+void SoakPlatform::OnLook(const emulator::EmulatedRunner& runner,
+                          const dispatch::LookAtRunner& look,
+                          const dispatch::RunnerLooked& answer) {
+  oracle_.NoteLook(look, answer, [&](std::int64_t end) {
+    const bool same_life = runner.info().id == look.target.runner;
+    return same_life && !runner.LapsedSince(end);
+  });
+}
+
+}  // namespace limeledge::soak
--- /dev/null
+++ b/soak/soak_platform.h
@@ -0,0 +1,138 @@
+/// @file
+/// The platform of a soak: store, operator and runners in this process.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SOAK_SOAK_PLATFORM_H_
+#define LIMELEDGE_SOAK_SOAK_PLATFORM_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "emulator/promise_oracle.h"
+#include "platform/standin/runner_server.h"
+#include "platform/standin/store_server.h"
+#include "soak/fault_log.h"
+#include "soak/tcp_proxy.h"
+
+namespace limeledge::soak {
+
+/// Attempts that every queue gives a task.
+inline constexpr int kMaxAttempts = 3;
+/// What all calls name, and the key that always holds.
+inline constexpr char kHost[] = "soak.example";
+inline constexpr char kKey[] = "standing-key";
+/// Prefixes of the queues of ordinary and urgent jobs.
+inline constexpr char kOrdinaryPrefix[] = "/recompute/";
+inline constexpr char kUrgentPrefix[] = "/validate/";
+/// Accelerators that belong to the one workspace for urgent jobs.
+inline constexpr int kGuaranteedAccelerators = 16;
+
+/// The route that a version of the configuration brings; the version after the
+/// next one drops it.
+std::string ProbePrefix(std::int64_t version);
+
+/// When a version of the configuration was written.
+struct ConfigWrite {
+  std::int64_t version = 0;
+  TimePoint at;
+};
+
+/// Sees all that runners are told, through the oracle.
+///
+/// Thread safety: all methods from any thread but for `Start` and `Stop`.
+class SoakPlatform : public standin::RunnerObserver {
+ public:
+  /// `faults` outlives this object.
+  SoakPlatform(int runners, const FaultLog* faults);
+  ~SoakPlatform() override;
+
+  /// Begins to serve. Fails with `kUnavailable`.
+  absl::Status Start();
+  void Stop();
+  Endpoint store_endpoint() const { return store_endpoint_; }
+  standin::StoreServer& store() { return store_; }
+
+  // The operator.
+  /// Writes the next version of the configuration.
+  void WriteConfig();
+  ConfigWrite newest_config() const;
+
+  // Runners, by their place from 0.
+  int runners() const { return static_cast<int>(places_.size()); }
+  TcpProxy& runner_link(int place) { return places_[place]->link; }
+  /// The runner ends without a word; nothing answers until `ReviveRunner`.
+  void KillRunner(int place);
+  /// Another life comes at the same address.
+  void ReviveRunner(int place);
+  void DrainRunner(int place, Duration leaves_in);
+  void SetSlowness(int place, double factor);
+  void SetFailing(int place, bool failing);
+
+  // Jobs.
+  /// Begins to watch a job before it is sent.
+  void Watch(const dispatch::JobSpec& spec,
+             const std::vector<emulator::TaskTruth>& truths);
+  /// Calls `use` with the oracle under its lock.
+  template <typename Use>
+  auto WithOracle(Use use) {
+    const std::lock_guard<std::mutex> lock(shed_.mutex);
+    return use(oracle_);
+  }
+  /// When the first task of a job started; 0 if none did.
+  TimePoint FirstStart(const JobId& job);
+  int starts() const { return starts_; }
+
+  void OnStart(const emulator::EmulatedRunner& runner,
+               const dispatch::StartRun& order) override;
+  void OnLook(const emulator::EmulatedRunner& runner,
+              const dispatch::LookAtRunner& look,
+              const dispatch::RunnerLooked& answer) override;
+
+ private:
+  /// A machine: its runner's present life, and the link to it.
+  struct Place {
+    TcpProxy link;
+    int port = 0;
+    int life = 0;
+    /// Null while the runner is down.
+    std::unique_ptr<standin::RunnerServer> server;
+  };
+  /// A life that ended without a word: its entry goes a while later.
+  struct Silent {
+    RunnerId id;
+    TimePoint since;
+  };
+
+  void StartLife(int place);
+  void Beat();
+  std::string EncodeConfig(std::int64_t version) const;
+
+  const FaultLog* faults_;
+  Endpoint store_endpoint_;
+  standin::StoreServer store_;
+  standin::RunnerShed shed_;
+  emulator::PromiseOracle oracle_;
+  SteadyClock clock_;
+  /// Guards the places and the configuration; taken before the shed's lock.
+  mutable std::mutex mutex_;
+  std::vector<std::unique_ptr<Place>> places_;
+  std::vector<Silent> silent_;
+  ConfigWrite newest_config_;
+  /// Runners that said that they leave, and when; under the shed's lock.
+  std::map<RunnerId, TimePoint> draining_;
+  std::map<JobId, TimePoint> first_starts_;
+  std::atomic<int> starts_ = 0;
+  std::atomic<bool> stopping_ = false;
+  std::thread beats_;
+};
+
+}  // namespace limeledge::soak
+
+#endif  // LIMELEDGE_SOAK_SOAK_PLATFORM_H_
--- /dev/null
+++ b/soak/tcp_proxy.cc
@@ -0,0 +1,213 @@
+/// @file
+/// The proxy's loop over its connections.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "soak/tcp_proxy.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace limeledge::soak {
+
+namespace {
+
+constexpr int kBacklog = 128;
+constexpr int kPollMs = 2;
+constexpr int kIdlePollMs = 10;
+constexpr std::size_t kChunkBytes = 16384;
+// A receiver that does not read holds the sender up.
+constexpr std::size_t kMostChunks = 64;
+
+sockaddr_in LoopbackAddress(int port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  return address;
+}
+
+void Prepare(int socket) {
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  fcntl(socket, F_SETFL, fcntl(socket, F_GETFL) | O_NONBLOCK);
+  fcntl(socket, F_SETFD, FD_CLOEXEC);
+}
+
+/// Closes with a reset in place of an orderly end.
+void Reset(int socket) {
+  const linger now = {1, 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  close(socket);
+}
+
+bool WouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
+
+}  // namespace
+
+TcpProxy::~TcpProxy() { Stop(); }
+
+absl::Status TcpProxy::Start(const Endpoint& server) {
+  server_ = server;
+  listener_ = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = LoopbackAddress(0);
+  socklen_t length = sizeof(address);
+  auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  const bool listens = listener_ >= 0 &&
+                       bind(listener_, generic, length) == 0 &&
+                       listen(listener_, kBacklog) == 0 &&
+                       getsockname(listener_, generic, &length) == 0;
+  if (!listens) return absl::UnavailableError("a proxy cannot listen");
+  port_ = ntohs(address.sin_port);
+  Prepare(listener_);
+  thread_ = std::thread([this] { Loop(); });
+  return absl::OkStatus();
+}
+
+void TcpProxy::Stop() {
+  stopping_ = true;
+  if (thread_.joinable()) thread_.join();
+  if (listener_ >= 0) close(listener_);
+  listener_ = -1;
+}
+
+std::string TcpProxy::address() const {
+  return absl::StrCat("127.0.0.1:", port_);
+}
+
+void TcpProxy::SetFault(const LinkFault& fault) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  fault_ = fault;
+}
+
+void TcpProxy::ResetAll() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  reset_asked_ = true;
+}
+
+void TcpProxy::Loop() {
+  while (!stopping_) {
+    mutex_.lock();
+    const LinkFault fault = fault_;
+    const bool reset = reset_asked_;
+    reset_asked_ = false;
+    mutex_.unlock();
+    std::vector<pollfd> waits = {{listener_, POLLIN, 0}};
+    bool pending = false;
+    for (Link& link : links_) {
+      if (reset) link.broken = true;
+      for (const Flow* flow : {&link.requests, &link.answers}) {
+        pending = pending || !flow->chunks.empty();
+        if (!flow->ended) waits.push_back({flow->from, POLLIN, 0});
+      }
+    }
+    poll(waits.data(), waits.size(), pending ? kPollMs : kIdlePollMs);
+    Accept(fault);
+    for (auto link = links_.begin(); link != links_.end();) {
+      if (!link->broken) Serve(&*link, fault);
+      const bool over = link->requests.closed && link->answers.closed;
+      if (!link->broken && !over) {
+        ++link;
+        continue;
+      }
+      Close(&*link, link->broken);
+      link = links_.erase(link);
+    }
+  }
+  for (Link& link : links_) Close(&link, true);
+  links_.clear();
+}
+
+void TcpProxy::Accept(const LinkFault& fault) {
+  for (;;) {
+    const int caller = accept(listener_, nullptr, nullptr);
+    if (caller < 0) return;
+    const int server = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in address = LoopbackAddress(server_.port);
+    // A connection on loopback is made or refused at once.
+    const bool connected =
+        !fault.refuses &&
+        connect(server, reinterpret_cast<const sockaddr*>(&address),
+                sizeof(address)) == 0;
+    if (!connected) {
+      if (server >= 0) close(server);
+      Reset(caller);
+      continue;
+    }
+    Prepare(caller);
+    Prepare(server);
+    Link link;
+    link.requests.from = caller;
+    link.requests.to = server;
+    link.answers.from = server;
+    link.answers.to = caller;
+    links_.push_back(std::move(link));
+  }
+}
+
+void TcpProxy::Serve(Link* link, const LinkFault& fault) {
+  if (!Receive(&link->requests, fault.delay) ||
+      !Receive(&link->answers, fault.delay)) {
+    link->broken = true;
+    return;
+  }
+  if (!fault.holds_requests && !Deliver(&link->requests)) link->broken = true;
+  if (!fault.holds_answers && !Deliver(&link->answers)) link->broken = true;
+}
+
+bool TcpProxy::Receive(Flow* flow, Duration delay) {
+  std::array<char, kChunkBytes> buffer{};
+  while (!flow->ended && flow->chunks.size() < kMostChunks) {
+    const ssize_t got = recv(flow->from, buffer.data(), buffer.size(), 0);
+    if (got < 0) return WouldBlock();
+    if (got == 0) {
+      flow->ended = true;
+      return true;
+    }
+    Chunk chunk;
+    chunk.due = clock_.Now() + delay;
+    chunk.bytes.assign(buffer.data(), static_cast<std::size_t>(got));
+    flow->chunks.push_back(std::move(chunk));
+  }
+  return true;
+}
+
+bool TcpProxy::Deliver(Flow* flow) {
+  while (!flow->chunks.empty() && flow->chunks.front().due <= clock_.Now()) {
+    Chunk& chunk = flow->chunks.front();
+    const ssize_t sent = send(flow->to, chunk.bytes.data() + chunk.sent,
+                              chunk.bytes.size() - chunk.sent, MSG_NOSIGNAL);
+    if (sent < 0) return WouldBlock();
+    chunk.sent += static_cast<std::size_t>(sent);
+    if (chunk.sent == chunk.bytes.size()) flow->chunks.pop_front();
+  }
+  if (flow->ended && flow->chunks.empty() && !flow->closed) {
+    flow->closed = true;
+    shutdown(flow->to, SHUT_WR);
+  }
+  return true;
+}
+
+void TcpProxy::Close(Link* link, bool reset) {
+  for (const int socket : {link->requests.from, link->requests.to}) {
+    if (reset) {
+      Reset(socket);
+    } else {
+      close(socket);
+    }
+  }
+}
+
+}  // namespace limeledge::soak
--- /dev/null
+++ b/soak/tcp_proxy.h
@@ -0,0 +1,99 @@
+/// @file
+/// A TCP proxy on loopback that delays, holds, refuses or resets connections.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SOAK_TCP_PROXY_H_
+#define LIMELEDGE_SOAK_TCP_PROXY_H_
+
+#include <atomic>
+#include <cstddef>
+#include <deque>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "absl/status/status.h"
+#include "limeledge/clock.h"
+#include "net/http_server.h"
+
+namespace limeledge::soak {
+
+/// What is wrong with a link.
+struct LinkFault {
+  /// Added to the way of each chunk of bytes, in both directions.
+  Duration delay;
+  /// Bytes towards the server, or back, are held until the fault ends.
+  bool holds_requests = false;
+  bool holds_answers = false;
+  /// New connections are reset at once.
+  bool refuses = false;
+};
+
+/// Passes connections on to one server.
+///
+/// Thread safety: `Start` once and `Stop` from one thread; the rest from any.
+class TcpProxy {
+ public:
+  TcpProxy() = default;
+  ~TcpProxy();
+  TcpProxy(const TcpProxy&) = delete;
+  TcpProxy& operator=(const TcpProxy&) = delete;
+
+  /// Listens on a free port. Fails with `kUnavailable`.
+  absl::Status Start(const Endpoint& server);
+  void Stop();
+  std::string address() const;
+
+  void SetFault(const LinkFault& fault);
+  /// Resets all connections that are open now.
+  void ResetAll();
+
+ private:
+  /// Bytes on their way, and when they may arrive.
+  struct Chunk {
+    TimePoint due;
+    std::string bytes;
+    std::size_t sent = 0;
+  };
+  /// One direction of a connection.
+  struct Flow {
+    int from = -1;
+    int to = -1;
+    std::deque<Chunk> chunks;
+    /// The sender has closed its side, and the receiver was told.
+    bool ended = false;
+    bool closed = false;
+  };
+  struct Link {
+    Flow requests;
+    Flow answers;
+    bool broken = false;
+  };
+
+  void Loop();
+  void Accept(const LinkFault& fault);
+  void Serve(Link* link, const LinkFault& fault);
+  /// Takes in what came. Returns false if the connection broke.
+  bool Receive(Flow* flow, Duration delay);
+  /// Sends what is due. Returns false if the connection broke.
+  bool Deliver(Flow* flow);
+  static void Close(Link* link, bool reset);
+
+  Endpoint server_;
+  int listener_ = -1;
+  int port_ = 0;
+  SteadyClock clock_;
+  std::thread thread_;
+  std::atomic<bool> stopping_ = false;
+  std::mutex mutex_;
+  LinkFault fault_;
+  bool reset_asked_ = false;
+  std::list<Link> links_;
+};
+
+}  // namespace limeledge::soak
+
+#endif  // LIMELEDGE_SOAK_TCP_PROXY_H_
--- /dev/null
+++ b/soak/verdict.cc
@@ -0,0 +1,126 @@
+/// @file
+/// Final states against what runners did.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "soak/verdict.h"
+
+#include <chrono>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+
+namespace limeledge::soak {
+
+namespace {
+
+// The longest job, all of its attempts, one after the other on one rack, and
+// what an earlier scheduler may have left behind (16 s).
+constexpr Duration kLongestSettling{90000};
+constexpr std::chrono::milliseconds kPause{100};
+// Urgent work starts within this at the size that limeledge is built for.
+constexpr Duration kUrgentBound{5900};
+constexpr int kGangMembers = 2;
+constexpr int kGangAccelerators = 8;
+constexpr int kFillerTasks = 4;
+constexpr int kFillerAccelerators = 8;
+constexpr Duration kFillerWork{8000};
+// Lets the fillers start everywhere.
+constexpr std::chrono::milliseconds kFilling{2500};
+
+bool IsFinalState(const std::string& state) {
+  return state == "done" || state == "failed" || state == "cancelled" ||
+         state == "gone";
+}
+
+std::string Complaint(const emulator::JobWatch& watch,
+                      const std::string& state) {
+  const bool started = !watch.starts.empty();
+  if (!watch.may_be_taken && started) return "ran, though it was refused";
+  if (!watch.accepted) return "";
+  if (state.empty()) return "is not answered for";
+  if (state == "gone") return "was accepted and is not known";
+  if (!IsFinalState(state)) return absl::StrCat("is still ", state);
+  if (state == "cancelled" && !watch.cancel_sent) {
+    return "was cancelled by nobody";
+  }
+  if (state == "failed" && watch.listed_failures < kMaxAttempts) {
+    return absl::StrCat("failed after ", watch.listed_failures, " attempts");
+  }
+  if (state != "done") return "";
+  std::size_t tasks = 0;
+  for (const dispatch::StepSpec& step : watch.spec.steps) tasks += step.count;
+  if (watch.listed_done.size() == tasks) return "";
+  return absl::StrCat("is done with ", watch.listed_done.size(), " of ", tasks,
+                      " tasks");
+}
+
+void Settle(SoakPlatform* platform, Callers* callers, FaultDriver* driver,
+            Verdict* verdict) {
+  SteadyClock clock;
+  const TimePoint begin = clock.Now();
+  std::map<JobId, std::string> states;
+  for (bool open = true; open;) {
+    open = false;
+    driver->TendNodes();
+    for (const auto& [id, path] : callers->paths()) {
+      std::string& state = states[id];
+      if (IsFinalState(state)) continue;
+      state = callers->StateOf(path);
+      open = open || !IsFinalState(state);
+    }
+    if (clock.Now() - begin > kLongestSettling) break;
+    if (open) std::this_thread::sleep_for(kPause);
+  }
+  verdict->settled_after = clock.Now() - begin;
+  platform->WithOracle([&](emulator::PromiseOracle& oracle) {
+    for (const auto& [id, state] : states) {
+      ++verdict->jobs_by_state[state.empty() ? "unknown" : state];
+      const std::string complaint = Complaint(*oracle.Find(id), state);
+      if (complaint.empty()) continue;
+      oracle.Violate(absl::StrCat("job ", id.value(), " ", complaint));
+    }
+  });
+}
+
+void Reclaim(SoakPlatform* platform, Callers* callers, JobMaker* maker,
+             Verdict* verdict) {
+  const auto violate = [platform](const std::string& what) {
+    platform->WithOracle(
+        [&what](emulator::PromiseOracle& oracle) { oracle.Violate(what); });
+  };
+  SteadyClock clock;
+  for (int i = 0; i * kFillerTasks < platform->runners(); ++i) {
+    callers->Submit(
+        maker->MakeFiller(kFillerTasks, kFillerAccelerators, kFillerWork));
+  }
+  std::this_thread::sleep_for(kFilling);
+  const DraftJob urgent =
+      maker->MakeUrgentGang(kGangMembers, kGangAccelerators);
+  const TimePoint handed_in = clock.Now();
+  if (!callers->Submit(urgent)) {
+    violate("an urgent job was not taken though all is calm");
+    return;
+  }
+  while (platform->FirstStart(urgent.spec.id) == TimePoint() &&
+         clock.Now() - handed_in < kUrgentBound) {
+    std::this_thread::sleep_for(kPause / 10);
+  }
+  verdict->urgent_start = clock.Now() - handed_in;
+  if (verdict->urgent_start < kUrgentBound) return;
+  violate(absl::StrCat("urgent job ", urgent.spec.id.value(),
+                       " within its guarantee did not start in time"));
+}
+
+}  // namespace
+
+Verdict Judge(SoakPlatform* platform, Callers* callers, FaultDriver* driver,
+              JobMaker* maker) {
+  Verdict verdict;
+  Settle(platform, callers, driver, &verdict);
+  Reclaim(platform, callers, maker, &verdict);
+  return verdict;
+}
+
+}  // namespace limeledge::soak
--- a/src/emulator/promise_oracle.cc
+++ b/src/emulator/promise_oracle.cc
@@ -91,8 +91,7 @@
     if (stands(end.number)) NoteEnd(end);
   }
   for (const ListedEnd& end : answer.ended) {
-    listed.emplace(end.number, end);
-    ListEnd(end);
+    if (listed.emplace(end.number, end).second) ListEnd(end);
   }
 }
 
@@ -105,7 +104,9 @@
 
 void PromiseOracle::ListEnd(const ListedEnd& end) {
   JobWatch* watch = Find(end.task.job);
-  if (watch == nullptr || end.end != RunEnd::kDone) return;
+  if (watch == nullptr) return;
+  if (end.end == RunEnd::kFailed) ++watch->listed_failures;
+  if (end.end != RunEnd::kDone) return;
   const dispatch::StepSpec& step = watch->spec.steps[end.task.step];
   TaskName member = end.task;
   watch->listed_done.insert(member);
--- a/src/emulator/promise_oracle.h
+++ b/src/emulator/promise_oracle.h
@@ -34,6 +34,8 @@
   std::set<dispatch::TaskName> done;
   /// Tasks that a runner has listed as done; a gang's members by any of them.
   std::set<dispatch::TaskName> listed_done;
+  /// Runs of its tasks that a runner has listed as failed.
+  int listed_failures = 0;
 };
 
 /// Holds every start and every noted end against the promises: nothing runs
