--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -44,6 +44,9 @@
   next_list_at_ = ctx.now() + options_.list_interval;
   // An unreadable list says nothing of any runner.
   if (!answer.ok) return;
+  const bool was_away = ctx.now() - last_listed_at_ > options_.longest_list_gap;
+  if (was_away) store_back_at_ = ctx.now();
+  last_listed_at_ = ctx.now();
   listed_once_ = true;
   std::set<RunnerId> listed;
   for (const RunnerInfo& info : answer.runners) {
@@ -70,10 +73,23 @@
     }
   }
   for (auto& [id, runner] : runners_) {
-    if (listed.count(id) != 0 || !runner->listed()) continue;
+    if (listed.count(id) == 0) Unlist(ctx, runner.get());
+  }
+}
+
+bool Fleet::MayHaveLapsed(TimePoint now) const {
+  return now - store_back_at_ < options_.unlisted_grace;
+}
+
+void Fleet::Unlist(Context& ctx, Runner* runner) {
+  const bool lapsed = MayHaveLapsed(ctx.now());
+  if (runner->listed()) {
     runner->Unlist(ctx.now());
-    ctx.Log(LogId::kRunnerUnlisted, {{"runner", id.value()}});
+    ctx.Log(LogId::kRunnerUnlisted,
+            {{"runner", runner->id().value()},
+             {"taken_for", lapsed ? "lapsed" : "leaving"}});
   }
+  if (!lapsed) runner->TakeForLeaving(ctx.now(), options_.unannounced_stay);
 }
 
 Duration Fleet::WaitFor(const Runner& runner) const {
@@ -150,8 +166,7 @@
   if (runner.ended || !runner.reachable()) return false;
   if (runner.drains_since().has_value()) return false;
   if (now < runner.avoid_until) return false;
-  return runner.listed() ||
-         now - runner.unlisted_at() < options_.unlisted_grace;
+  return runner.listed() || MayHaveLapsed(now);
 }
 
 std::vector<Seat> Fleet::Seats(TimePoint now) const {
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -33,9 +33,15 @@
   /// First pause after a look that got no answer; doubles up to the second.
   Duration retry_pause{200};
   Duration longest_retry_pause{1000};
-  /// A runner that is not listed is still given work for this long, since
-  /// entries lapse while the store is away and come back within 2 s.
+  /// A runner whose entry lapsed while the store was away is still given work
+  /// for this long after the store's return: such entries come back within 2 s.
   Duration unlisted_grace{2500};
+  /// The store was away when the list could not be read for this long; less
+  /// than the three heartbeats of 1.5 s after which an entry lapses.
+  Duration longest_list_gap{2500};
+  /// A runner whose entry goes while the store is there leaves without having
+  /// said so: it serves on for the drain time (2 s or more) and then ends.
+  Duration unannounced_stay{2000};
   /// Leases are not renewed when this node's own right was not confirmed for
   /// so long: longer than usual outages of the store.
   Duration longest_unconfirmed{10000};
@@ -93,6 +99,10 @@
   void DropGone(Context& ctx);
 
  private:
+  /// True if entries that are missing may only have lapsed.
+  bool MayHaveLapsed(TimePoint now) const;
+  /// Takes in that a runner's entry is gone.
+  void Unlist(Context& ctx, Runner* runner);
   int FirstLooksUnderWay() const;
   bool MayWork(const Runner& runner, TimePoint now) const;
   TimePoint LookDueAt(const Runner& runner) const;
@@ -103,6 +113,9 @@
   TimePoint next_list_at_;
   bool list_under_way_ = false;
   bool listed_once_ = false;
+  TimePoint last_listed_at_;
+  /// When the list was read again after the store had been away.
+  TimePoint store_back_at_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -43,11 +43,10 @@
     free_room_ -= info_.room;
   }
   info_ = info;
-  if (!info.draining) {
+  if (info.draining) {
+    TakeForLeaving(now, info.leaves_in);
+  } else {
     drains_since_.reset();
-  } else if (!drains_since_.has_value()) {
-    drains_since_ = now;
-    leaves_at = now + info.leaves_in;
   }
 }
 
@@ -56,6 +55,12 @@
   unlisted_at_ = now;
 }
 
+void Runner::TakeForLeaving(TimePoint now, Duration leaves_in) {
+  if (drains_since_.has_value()) return;
+  drains_since_ = now;
+  leaves_at = now + leaves_in;
+}
+
 void Runner::NotePace(double ratio) {
   const double bounded = std::clamp(ratio, kLeastPace, kMostPace);
   slowness_ =
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -92,7 +92,10 @@
   void Unlist(TimePoint now);
   bool listed() const { return listed_; }
   TimePoint unlisted_at() const { return unlisted_at_; }
-  /// When the runner was first seen to drain; nothing while it does not.
+  /// Notes that the runner leaves, `leaves_in` from now at the earliest,
+  /// though its entry did not say so.
+  void TakeForLeaving(TimePoint now, Duration leaves_in);
+  /// When the runner was first seen to leave; nothing while it does not.
   std::optional<TimePoint> drains_since() const { return drains_since_; }
 
   std::map<TaskName, Run>& runs() { return runs_; }
