--- a/src/dispatch/job_spec.h
+++ b/src/dispatch/job_spec.h
@@ -46,6 +46,24 @@
   }
 };
 
+/// How a task shares its runner's processors with the others there. Fillers and
+/// serving tasks disturb each other by amounts that nobody can foresee.
+enum class Sharing {
+  /// Takes what it asked for.
+  kNone,
+  /// Takes only what the others leave unused.
+  kFills,
+  /// Serves users of its own, within a bound on the tail of answer times.
+  kServes,
+};
+
+/// The other kind of task that must not be beside one of this kind; `kNone` if
+/// any may be.
+inline Sharing KeptApart(Sharing sharing) {
+  if (sharing == Sharing::kFills) return Sharing::kServes;
+  return sharing == Sharing::kServes ? Sharing::kFills : Sharing::kNone;
+}
+
 /// Tasks of one shape.
 struct StepSpec {
   int count = 1;
@@ -77,6 +95,18 @@
   bool filler = false;
   /// Tasks that may be away at once by the system's doing; -1 for no limit.
   int may_be_away = -1;
+
+  Sharing sharing() const {
+    if (filler) return Sharing::kFills;
+    return tail_target > Duration(0) ? Sharing::kServes : Sharing::kNone;
+  }
+  /// What a task takes of a runner's room: of the processors, a filler takes
+  /// nothing that others could have.
+  Resources room() const {
+    Resources taken = need;
+    if (filler) taken.cpu_millis = 0;
+    return taken;
+  }
 };
 
 /// A job that repeats at a fixed interval of wall-clock time.
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -84,6 +84,7 @@
       info.labels.count(step.data_rack) == 0) {
     return false;
   }
+  if (seat.CountSharing(KeptApart(step.sharing())) > 0) return false;
   return LimitPerSeat(request, seat) > 0;
 }
 
@@ -93,14 +94,16 @@
   }
 }
 
-void Seating::Take(Seat* seat, const Resources& need) {
-  seat->room -= need;
-  rack_room_[seat->rack] -= need.accelerators;
+void Seating::Take(Seat* seat, const StepSpec& step) {
+  seat->room -= step.room();
+  rack_room_[seat->rack] -= step.need.accelerators;
+  if (step.sharing() == Sharing::kFills) ++seat->fillers;
+  if (step.sharing() == Sharing::kServes) ++seat->serving;
 }
 
 Seat* Seating::PlaceOne(const PlacementRequest& request) {
   Seat* best = nullptr;
-  const Resources& need = request.step->need;
+  const Resources need = request.step->room();
   for (Seat& seat : seats_) {
     if (!need.Fits(seat.room) || !Suits(seat, request)) continue;
     if (best == nullptr) {
@@ -117,13 +120,13 @@
                         WasteOf(*best, request, rack_room_[best->rack]);
     if (better) best = &seat;
   }
-  if (best != nullptr) Take(best, need);
+  if (best != nullptr) Take(best, *request.step);
   return best;
 }
 
 std::vector<Seat*> Seating::PlaceAmong(const PlacementRequest& request,
                                        std::vector<Seat*> seats) {
-  const Resources& need = request.step->need;
+  const Resources need = request.step->room();
   std::sort(seats.begin(), seats.end(),
             [this, &request](const Seat* a, const Seat* b) {
               return WasteOf(*a, request, rack_room_[a->rack]) <
@@ -169,7 +172,7 @@
   }
   const bool one_rack_only = request.step->same_rack && !request.anywhere;
   if (best.empty() && !one_rack_only) best = PlaceAmong(request, all);
-  for (Seat* seat : best) Take(seat, request.step->need);
+  for (Seat* seat : best) Take(seat, *request.step);
   return best;
 }
 
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -25,6 +25,15 @@
   Resources room;
   /// Room that runs which are being stopped, or end soon, will give back.
   Resources coming;
+  /// Runs there that share the processors in some way, with those that this
+  /// pass decided on.
+  int fillers = 0;
+  int serving = 0;
+
+  int CountSharing(Sharing sharing) const {
+    if (sharing == Sharing::kFills) return fillers;
+    return sharing == Sharing::kServes ? serving : 0;
+  }
 };
 
 /// What is looked for.
@@ -68,7 +77,7 @@
  private:
   std::vector<Seat*> PlaceAmong(const PlacementRequest& request,
                                 std::vector<Seat*> seats);
-  void Take(Seat* seat, const Resources& need);
+  void Take(Seat* seat, const StepSpec& step);
 
   std::vector<Seat> seats_;
   /// Free accelerators of each rack.
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -97,6 +97,8 @@
       const Unit& unit, const PlacementRequest& request);
   /// Displaces what costs least, if that makes room for the whole step.
   void Displace(const Unit& unit, const PlacementRequest& request);
+  /// Stops the fillers on runners that a serving step needs.
+  void ClearOfFillers(const Unit& unit, const PlacementRequest& request);
   /// Stops the victims, and claims their room for the step.
   void TakeOpenings(const Unit& unit, const std::vector<Opening>& openings);
   /// Keeps the runners free that have room for the gang soonest.
--- a/src/dispatch/planner_places.cc
+++ b/src/dispatch/planner_places.cc
@@ -85,7 +85,7 @@
   std::vector<RunnerId> full;
   for (const Seat& seat : seating_.seats()) {
     if (!Seating::Suits(seat, request)) continue;
-    const bool fits = unit.spec->need.Fits(seat.room);
+    const bool fits = unit.spec->room().Fits(seat.room);
     (fits ? wish.runners : full).push_back(seat.runner->id());
   }
   wish.runners.insert(wish.runners.end(), full.begin(), full.end());
@@ -113,7 +113,7 @@
   const auto found = fit_nowhere_.find(unit.policy.service);
   if (found == fit_nowhere_.end()) return false;
   for (const Resources& need : found->second) {
-    if (need.Fits(unit.spec->need)) return true;
+    if (need.Fits(unit.spec->room())) return true;
   }
   return false;
 }
@@ -137,9 +137,10 @@
   const bool plain = request->allowed == nullptr && request->anywhere &&
                      request->closed_racks == nullptr &&
                      unit->spec->required_label.empty() &&
+                     unit->spec->sharing() == Sharing::kNone &&
                      unit->spec->max_per_runner == 0;
   if (placed == 0 && plain) {
-    fit_nowhere_[unit->policy.service].push_back(unit->spec->need);
+    fit_nowhere_[unit->policy.service].push_back(unit->spec->room());
   }
   if (request->count == 0) {
     planner_.claims_.erase(unit->key);
--- a/src/dispatch/planner_room.cc
+++ b/src/dispatch/planner_room.cc
@@ -43,7 +43,9 @@
     }
     planner_.claims_.erase(claim);
   }
-  if (MayDisplaceOthers(unit)) {
+  if (unit.spec->sharing() == Sharing::kServes) {
+    ClearOfFillers(unit, request);
+  } else if (MayDisplaceOthers(unit)) {
     Displace(unit, request);
   } else if (unit.spec->gang) {
     KeepForGang(unit, request);
@@ -71,7 +73,7 @@
                          const std::vector<RunnerId>& runners) {
   for (const RunnerId& id : runners) {
     for (Seat& seat : seating_.seats()) {
-      if (seat.runner->id() == id) seat.room -= unit.spec->need;
+      if (seat.runner->id() == id) seat.room -= unit.spec->room();
     }
   }
 }
@@ -105,7 +107,7 @@
 std::vector<Planner::Pass::Opening> Planner::Pass::OpeningsOn(const Unit& unit,
                                                               Seat* seat,
                                                               int limit) {
-  const Resources& need = unit.spec->need;
+  const Resources need = unit.spec->room();
   std::vector<std::pair<std::int64_t, TaskName>> victims;
   for (const auto& [name, run] : seat->runner->runs()) {
     if (!MayDisplace(unit, name, run)) continue;
@@ -182,6 +184,28 @@
   if (!best.empty()) TakeOpenings(unit, best);
 }
 
+void Planner::Pass::ClearOfFillers(const Unit& unit,
+                                   const PlacementRequest& request) {
+  std::vector<Opening> openings;
+  for (Seat& seat : seating_.seats()) {
+    if (static_cast<int>(openings.size()) == request.count) break;
+    Seat cleared = seat;
+    cleared.fillers = 0;
+    if (seat.fillers == 0 || !Seating::Suits(cleared, request)) continue;
+    Opening opening;
+    opening.seat = &seat;
+    for (const auto& [name, run] : seat.runner->runs()) {
+      if (run.sharing != Sharing::kFills || run.stopping) continue;
+      cleared.room += run.need;
+      opening.victims.push_back(name);
+    }
+    if (unit.spec->room().Fits(cleared.room)) {
+      openings.push_back(std::move(opening));
+    }
+  }
+  if (!openings.empty()) TakeOpenings(unit, openings);
+}
+
 void Planner::Pass::TakeOpenings(const Unit& unit,
                                  const std::vector<Opening>& openings) {
   Claim claim;
@@ -221,7 +245,7 @@
       [](const auto& a, const auto& b) { return a.first < b.first; });
   ++kept_;
   for (int i = 0; i < request.count; ++i) {
-    places[i].second->room -= unit.spec->need;
+    places[i].second->room -= unit.spec->room();
   }
 }
 
@@ -238,8 +262,8 @@
   Duration at;
   std::size_t next = 0;
   for (int found = 0; found < request.count;) {
-    if (request.step->need.Fits(room)) {
-      room -= request.step->need;
+    if (request.step->room().Fits(room)) {
+      room -= request.step->room();
       places->emplace_back(at, seat);
       ++found;
     } else if (next < ends.size()) {
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -77,15 +77,22 @@
 void Runner::Add(const TaskName& name, const Run& run) {
   runs_[name] = run;
   free_room_ -= run.need;
+  ++sharing_[run.sharing];
 }
 
 void Runner::Remove(const TaskName& name) {
   const auto found = runs_.find(name);
   if (found == runs_.end()) return;
   free_room_ += found->second.need;
+  --sharing_[found->second.sharing];
   runs_.erase(found);
 }
 
+int Runner::CountSharing(Sharing sharing) const {
+  const auto found = sharing_.find(sharing);
+  return found == sharing_.end() ? 0 : found->second;
+}
+
 void Runner::Heard(TimePoint now, std::int64_t clock_ms) {
   heard_ = true;
   misses_ = 0;
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -73,6 +73,8 @@
   int pace_percent = 0;
   /// The run began from nothing, near its data: its time can be learnt from.
   bool learns = false;
+  /// What the run shares its runner's processors with, and how.
+  Sharing sharing = Sharing::kNone;
 };
 
 /// A runner. Pure bookkeeping: it sends nothing.
@@ -102,6 +104,8 @@
   const std::map<TaskName, Run>& runs() const { return runs_; }
   void Add(const TaskName& name, const Run& run);
   void Remove(const TaskName& name);
+  /// Runs here that share the processors in that way.
+  int CountSharing(Sharing sharing) const;
   /// Room that no run takes; may be negative after a wrong guess.
   const Resources& free_room() const { return free_room_; }
 
@@ -161,6 +165,7 @@
   std::optional<TimePoint> drains_since_;
   std::map<TaskName, Run> runs_;
   Resources free_room_ = info_.room;
+  std::map<Sharing, int> sharing_;
   double slowness_ = 1;
   /// Logarithm of the usual pace.
   double usual_pace_ = 0;
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -90,7 +90,8 @@
         if (runner->runs().count(name) != 0) continue;
         Run run;
         run.number = task.run;
-        run.need = job->step_spec(name.step).need;
+        run.need = job->step_spec(name.step).room();
+        run.sharing = job->step_spec(name.step).sharing();
         run.phase = RunPhase::kInherited;
         run.expected = job->step_spec(name.step).estimate;
         run.started_at = ctx.now();
@@ -176,7 +177,8 @@
     job->Assign(name, assignment.run, runner, ctx.now());
     Run run;
     run.number = assignment.run;
-    run.need = job->step_spec(name.step).need;
+    run.need = job->step_spec(name.step).room();
+    run.sharing = job->step_spec(name.step).sharing();
     run.expected = assignment.expected;
     run.learns = assignment.near && job->Find(name)->checkpoint.empty();
     assignment.runner->Add(name, run);
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -37,8 +37,11 @@
   Seating Seats() {
     std::vector<Seat> seats;
     for (const auto& runner : runners) {
-      seats.push_back(
-          {runner.get(), runner->rack(), runner->free_room(), Resources()});
+      Seat seat;
+      seat.runner = runner.get();
+      seat.rack = runner->rack();
+      seat.room = runner->free_room();
+      seats.push_back(std::move(seat));
     }
     return Seating(std::move(seats));
   }
@@ -127,4 +130,34 @@
   STRCMP_EQUAL("fast", seating.PlaceOne(request)->runner->id().value().c_str());
 }
 
+// A filler takes of the processors only what others leave.
+TEST(Placement, FillerFitsWhereAllProcessorsAreTaken) {
+  Add("i-1", "r1-1", 8);
+  Run run;
+  run.need = {64000, 1024, 1};
+  runners[0]->Add({JobId("a"), 0, 0, 0}, run);
+  Seating seating = Seats();
+  CHECK_TRUE(seating.PlaceOne(Request(1)) == nullptr);
+  step.filler = true;
+  CHECK_TRUE(seating.PlaceOne(Request(1)) != nullptr);
+}
+
+TEST(Placement, FillersAndServingTasksAreKeptApart) {
+  Add("i-1", "r1-1", 8);
+  Add("i-2", "r1-1", 8);
+  StepSpec filler = step;
+  filler.filler = true;
+  StepSpec serving = step;
+  serving.tail_target = Duration(50);
+  Seating seating = Seats();
+  PlacementRequest request = Request(1);
+  request.step = &filler;
+  const Seat* first = seating.PlaceOne(request);
+  request.step = &serving;
+  const Seat* second = seating.PlaceOne(request);
+  CHECK_TRUE(first != nullptr && second != nullptr && first != second);
+  request.step = &filler;
+  CHECK_TRUE(seating.PlaceOne(request) == first);
+}
+
 }  // namespace limeledge::dispatch
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -281,4 +281,20 @@
       [](const dispatch::TaskName&, int) { FAIL("runs on a leaving runner"); });
 }
 
+// Fillers on every runner would keep a serving task out for ever.
+TEST(Scheduler, FillersMakeWayForAServingTask) {
+  dispatch::StepSpec filler = Step(16, 1, Duration(60000));
+  filler.filler = true;
+  filler.saves_progress = true;
+  filler.max_per_runner = 2;
+  Submit(filler);
+  system.Run(Duration(1000));
+  dispatch::StepSpec serving = Step(1, 1, Duration(500));
+  serving.tail_target = Duration(50);
+  const JobId job = Submit(serving);
+  system.Run(Duration(3000));
+  LONGS_EQUAL(1, Watch(job).starts.size());
+  CheckNoViolation();
+}
+
 }  // namespace limeledge::emulator
