--- a/src/dispatch/effect.h
+++ b/src/dispatch/effect.h
@@ -28,11 +28,12 @@
   Duration timeout;
 };
 
-/// Reads the rows of a table from `from` to before `to`.
+/// Reads the rows of a part of a table from `from` to before `to`.
 struct ReadRows {
   Ticket ticket;
   StoreLane lane = StoreLane::kCallers;
   std::string table;
+  std::string part;
   std::string from;
   std::string to;
   int limit = 500;
--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -6,6 +6,7 @@
 
 #include "dispatch/job_book.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/match.h"
@@ -14,46 +15,75 @@
 
 namespace limeledge::dispatch {
 
-void JobBook::Retry(TimePoint now) {
-  under_way_ = false;
-  next_at_ = now + options_.retry_pause;
+bool JobBook::Owns(Ticket ticket) const {
+  if (under_way_ && call_ == ticket) return true;
+  return std::any_of(readings_.begin(), readings_.end(),
+                     [ticket](const Reading& reading) {
+                       return reading.under_way && reading.call == ticket;
+                     });
 }
 
-void JobBook::Read(Context& ctx, const std::string& table) {
-  ctx.Emit(ReadRows{call_, StoreLane::kJobFeed, table, next_key_, "",
-                    options_.page_rows, options_.read_timeout});
+TimePoint JobBook::next_at() const {
+  if (stage_ == Stage::kFollow) return under_way_ ? kNever : next_at_;
+  TimePoint next = kNever;
+  for (const Reading& reading : readings_) {
+    if (!reading.under_way) next = std::min(next, reading.next_at);
+  }
+  return next;
 }
 
-void JobBook::Work(Context& ctx) {
-  if (under_way_ || ctx.now() < next_at_) return;
+void JobBook::BeginReading(Stage stage) {
+  stage_ = stage;
+  readings_.clear();
+  for (const std::string& part : AllJobParts()) {
+    Reading reading;
+    reading.part = part;
+    readings_.push_back(std::move(reading));
+  }
+}
+
+void JobBook::Read(Context& ctx, Reading* reading) {
+  reading->under_way = true;
+  reading->call = ctx.NewTicket();
+  const char* table =
+      stage_ == Stage::kReadProgress ? kProgressTable : kJobTable;
+  ctx.Emit(ReadRows{reading->call, StoreLane::kCallers, table, reading->part,
+                    reading->next_key, "", options_.page_rows,
+                    options_.read_timeout});
+}
+
+void JobBook::Follow(Context& ctx) {
   under_way_ = true;
   call_ = ctx.NewTicket();
-  switch (stage_) {
-    // Progress first: a job's row is there before its progress, so that no
-    // progress is read for a job that is then taken for a new one.
-    case Stage::kReadProgress:
-      Read(ctx, kProgressTable);
-      break;
-    case Stage::kReadJobs:
-      Read(ctx, kJobTable);
-      break;
-    case Stage::kFollow:
-      ctx.Emit(AwaitChanges{call_, kJobTable, seen_, options_.follow_wait});
-      break;
+  ctx.Emit(AwaitChanges{call_, kJobTable, seen_, options_.follow_wait});
+}
+
+void JobBook::Work(Context& ctx) {
+  if (stage_ == Stage::kFollow) {
+    if (!under_way_ && ctx.now() >= next_at_) Follow(ctx);
+    return;
+  }
+  for (Reading& reading : readings_) {
+    const bool due = !reading.under_way && ctx.now() >= reading.next_at;
+    if (due) Read(ctx, &reading);
   }
 }
 
 std::vector<JobId> JobBook::Take(Context& ctx, const RowsAnswered& answer) {
   std::vector<JobId> changed;
+  const auto reading = std::find_if(
+      readings_.begin(), readings_.end(),
+      [&answer](const Reading& r) { return r.call == answer.ticket; });
+  reading->under_way = false;
   if (answer.outcome != StoreOutcome::kDone) {
-    Retry(ctx.now());
+    reading->next_at = ctx.now() + options_.retry_pause;
     return changed;
   }
-  under_way_ = false;
   const bool jobs = stage_ == Stage::kReadJobs;
-  // What changes after the first page was read is followed.
-  if (jobs && first_page_) page_newest_ = answer.newest;
-  first_page_ = false;
+  // What changes after the first page of any part was read is followed.
+  const bool oldest = seen_ == Revision() || answer.newest < seen_;
+  if (jobs && reading->first_page && oldest) seen_ = answer.newest;
+  reading->first_page = false;
   for (const Row& row : answer.rows) {
     if (jobs) {
       Store(ctx, row, &changed);
@@ -63,32 +93,44 @@
   }
   if (answer.more && !answer.rows.empty()) {
     // Keys hold no blanks, so that this is the smallest one behind the last.
-    next_key_ = absl::StrCat(answer.rows.back().key.key, " ");
+    reading->next_key = absl::StrCat(answer.rows.back().key.key, " ");
     return changed;
   }
-  next_key_.clear();
-  first_page_ = true;
-  if (jobs) {
-    seen_ = page_newest_;
-    stage_ = Stage::kFollow;
-    loaded_ = true;
-    progress_.clear();
-  } else {
-    stage_ = Stage::kReadJobs;
-  }
+  readings_.erase(reading);
+  if (readings_.empty()) FinishReading();
   return changed;
 }
 
+void JobBook::FinishReading() {
+  // Progress first: a job's row is there before its progress, so that no
+  // progress is read for a job that is then taken for a new one.
+  if (stage_ == Stage::kReadProgress) {
+    seen_ = Revision();
+    BeginReading(Stage::kReadJobs);
+    return;
+  }
+  stage_ = Stage::kFollow;
+  loaded_ = true;
+  for (const auto& [id, progress] : progress_) orphans_.push_back(id);
+  progress_.clear();
+}
+
+std::vector<JobId> JobBook::TakeOrphans() {
+  return std::exchange(orphans_, {});
+}
+
 std::vector<JobId> JobBook::Take(Context& ctx, const ChangesAnswered& answer) {
   std::vector<JobId> changed;
   if (answer.outcome == StoreOutcome::kHistoryGone) {
     // Progress is this node's own by now; only the jobs are read again.
-    stage_ = Stage::kReadJobs;
     under_way_ = false;
+    seen_ = Revision();
+    BeginReading(Stage::kReadJobs);
     return changed;
   }
   if (answer.outcome != StoreOutcome::kDone) {
-    Retry(ctx.now());
+    under_way_ = false;
+    next_at_ = ctx.now() + options_.retry_pause;
     return changed;
   }
   under_way_ = false;
@@ -150,17 +192,12 @@
   closed_[id] = now;
 }
 
-std::vector<JobId> JobBook::ForgetClosedBefore(TimePoint moment) {
-  std::vector<JobId> forgotten;
-  for (auto it = closed_.begin(); it != closed_.end();) {
-    if (it->second < moment) {
-      forgotten.push_back(it->first);
-      it = closed_.erase(it);
-    } else {
-      ++it;
-    }
+std::vector<JobId> JobBook::ClosedBefore(TimePoint moment) const {
+  std::vector<JobId> closed;
+  for (const auto& [id, at] : closed_) {
+    if (at < moment) closed.push_back(id);
   }
-  return forgotten;
+  return closed;
 }
 
 WaitingCounts JobBook::CountWaiting() const {
--- a/src/dispatch/job_book.h
+++ b/src/dispatch/job_book.h
@@ -42,12 +42,12 @@
 
   /// Sends the next call when it is due.
   void Work(Context& ctx);
-  TimePoint next_at() const { return under_way_ ? kNever : next_at_; }
+  TimePoint next_at() const;
   /// True once everything was read a first time, also while jobs are read again
   /// because the store forgot its history.
   bool loaded() const { return loaded_; }
 
-  bool Owns(Ticket ticket) const { return under_way_ && call_ == ticket; }
+  bool Owns(Ticket ticket) const;
   /// Takes in an answer; returns the jobs that are new or to be cancelled.
   std::vector<JobId> Take(Context& ctx, const RowsAnswered& answer);
   std::vector<JobId> Take(Context& ctx, const ChangesAnswered& answer);
@@ -58,31 +58,50 @@
   const std::set<JobId>& active() const { return active_; }
   /// Notes that the job is final; its tasks are forgotten.
   void Close(const JobId& id, TimePoint now);
-  /// Jobs that became final before `moment`; they are forgotten.
-  std::vector<JobId> ForgetClosedBefore(TimePoint moment);
+  /// Jobs that became final before `moment`.
+  std::vector<JobId> ClosedBefore(TimePoint moment) const;
+  /// Forgets a final job. Precondition: its row is removed, or it would be
+  /// taken for a new one.
+  void Forget(const JobId& id) { closed_.erase(id); }
+  /// Jobs with progress but without a row of their own; told once.
+  std::vector<JobId> TakeOrphans();
 
   /// Jobs without recurrence none of whose tasks has begun, by queue.
   WaitingCounts CountWaiting() const;
 
  private:
   enum class Stage { kReadProgress, kReadJobs, kFollow };
+  /// The reading of one part of a table, page by page.
+  struct Reading {
+    std::string part;
+    std::string next_key;
+    bool first_page = true;
+    bool under_way = false;
+    Ticket call;
+    TimePoint next_at;
+  };
 
-  void Read(Context& ctx, const std::string& table);
-  void Retry(TimePoint now);
+  /// Reads all parts of the stage's table at once.
+  void BeginReading(Stage stage);
+  void Read(Context& ctx, Reading* reading);
+  /// All parts of the stage's table are read.
+  void FinishReading();
+  void Follow(Context& ctx);
   void Store(Context& ctx, const Row& row, std::vector<JobId>* changed);
   void StoreCancel(const JobId& id, std::vector<JobId>* changed);
 
   JobBookOptions options_;
   Stage stage_ = Stage::kReadProgress;
   bool loaded_ = false;
+  /// What is still to be read in this stage.
+  std::vector<Reading> readings_ = {Reading()};
+  // The following call.
   bool under_way_ = false;
   Ticket call_;
   TimePoint next_at_;
-  std::string next_key_;
   /// Changes after this revision were not seen yet.
   Revision seen_;
-  bool first_page_ = true;
-  Revision page_newest_;
+  std::vector<JobId> orphans_;
   /// Progress of jobs whose own row was not read yet.
   std::map<JobId, std::string> progress_;
   std::map<JobId, std::unique_ptr<Job>> jobs_;
--- a/src/dispatch/leadership.cc
+++ b/src/dispatch/leadership.cc
@@ -38,7 +38,7 @@
   call_ = ctx.NewTicket();
   read_sent_at_ = ctx.now();
   const std::string after_key = absl::StrCat(kLeaderKey, "/");
-  ctx.Emit(ReadRows{call_, StoreLane::kLeader, kLeadershipTable, kLeaderKey,
+  ctx.Emit(ReadRows{call_, StoreLane::kLeader, kLeadershipTable, "", kLeaderKey,
                     after_key, 1, options_.call_timeout});
 }
 
--- a/src/dispatch/rows.h
+++ b/src/dispatch/rows.h
@@ -45,8 +45,11 @@
   std::string value;
 };
 
-/// Changes that are made all together or not at all.
+/// Changes that are made all together or not at all, to rows of one part. The
+/// store carries out the transactions of a part one after the other.
 struct RowTransaction {
+  /// Empty for the part that holds the scheduler's rows.
+  std::string part;
   std::vector<RowCondition> conditions;
   std::vector<RowWrite> puts;
   std::vector<RowKey> removes;
@@ -74,6 +77,14 @@
 inline constexpr char kLeaderKey[] = "scheduler";
 /// Key of the row with the numbers of waiting jobs.
 inline constexpr char kWaitingKey[] = "waiting";
+/// Parts of the table of jobs. Callers' writes to it do not wait for each other
+/// nor for the scheduler's when the store is eighty times as slow as usual: a
+/// part then takes 2.5 of them a second, and callers send up to ten.
+inline constexpr int kJobParts = 8;
+/// The part that holds a job's rows. Safe from any thread.
+std::string JobPart(const std::string& job);
+/// All of them. Safe from any thread.
+std::vector<std::string> AllJobParts();
 /// Behind a job's key: the row that asks for its cancelling.
 inline constexpr char kCancelSuffix[] = ".cancel";
 
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -41,7 +41,8 @@
       planner_(options.planner) {}
 
 bool Scheduler::Owns(Ticket ticket) const {
-  return writer_.Owns(ticket) || book_.Owns(ticket);
+  return writer_.Owns(ticket) || book_.Owns(ticket) ||
+         removals_.count(ticket) != 0;
 }
 
 void Scheduler::Release() {
@@ -51,7 +52,13 @@
 
 Scheduler::Verdict Scheduler::Take(Context& ctx,
                                    const TransactionAnswered& answer) {
-  return VerdictOf(writer_.Take(ctx, answer));
+  const auto removal = removals_.extract(answer.ticket);
+  if (removal.empty()) return VerdictOf(writer_.Take(ctx, answer));
+  if (answer.outcome == StoreOutcome::kDone) {
+    book_.Forget(removal.mapped());
+    writer_.Remove({kProgressTable, removal.mapped().value()});
+  }
+  return Verdict::kGoesOn;
 }
 
 void Scheduler::Take(Context& ctx, const RowsAnswered& answer) {
@@ -141,15 +148,26 @@
 }
 
 void Scheduler::ForgetFinal(Context& ctx) {
-  const TimePoint before = ctx.now() - options_.keep_final;
-  for (const JobId& id : book_.ForgetClosedBefore(before)) {
-    const std::string cancel = absl::StrCat(id.value(), kCancelSuffix);
-    for (const RowKey& key :
-         {RowKey{kProgressTable, id.value()}, RowKey{kJobTable, id.value()},
-          RowKey{kJobTable, cancel}}) {
-      writer_.Remove(key);
-    }
+  for (const JobId& id : book_.TakeOrphans()) {
+    writer_.Remove({kProgressTable, id.value()});
   }
+  if (!removals_.empty()) return;
+  const TimePoint before = ctx.now() - options_.keep_final;
+  for (const JobId& id : book_.ClosedBefore(before)) RemoveJob(ctx, id);
+}
+
+void Scheduler::RemoveJob(Context& ctx, const JobId& id) {
+  // Without a condition: a job that is final stays so, whoever schedules. Its
+  // progress goes after it, or the job would be taken for a new one.
+  CommitRows commit;
+  commit.ticket = ctx.NewTicket();
+  commit.transaction.part = JobPart(id.value());
+  commit.transaction.removes = {
+      {kJobTable, id.value()},
+      {kJobTable, absl::StrCat(id.value(), kCancelSuffix)}};
+  commit.timeout = options_.writer.call_timeout;
+  removals_[commit.ticket] = id;
+  ctx.Emit(std::move(commit));
 }
 
 void Scheduler::Take(Context& ctx, const AdviceAnswered& answer) {
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -10,6 +10,7 @@
 
 #include <json/json.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -117,6 +118,8 @@
   int MaxAttempts(const Job& job) const;
   void WriteWaiting(Context& ctx);
   void ForgetFinal(Context& ctx);
+  /// Removes the rows of a final job that are not the scheduler's own.
+  void RemoveJob(Context& ctx, const JobId& id);
 
   // Runs.
   void Apply(Context& ctx, const Plan& plan);
@@ -177,6 +180,8 @@
   TimePoint last_waiting_;
   TimePoint next_check_;
   std::string written_waiting_;
+  /// Final jobs whose rows are being removed.
+  std::map<Ticket, JobId> removals_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -23,6 +23,8 @@
 constexpr Duration kReadTimeout{1000};
 constexpr Duration kAdviceTime{100};
 constexpr Duration kTicketTime{3000};
+// With more waiting at a part, the store refuses.
+constexpr Duration kLongestQueue{1000};
 
 }  // namespace
 
@@ -61,13 +63,14 @@
 
 template <typename Answer>
 void EmulatedSystem::CallStore(int node, Duration timeout,
-                               std::function<Answer()> carry_out, Answer lost) {
+                               std::function<Answer()> carry_out, Answer lost,
+                               Duration queued) {
   const int life = processes_[node].life;
   const TimePoint sent = now_;
   const auto give_up = [this, node, life, lost](TimePoint at) {
     At(at, [this, node, life, lost] { Deliver(node, life, lost); });
   };
-  const Duration work = options_.store_time * faults_.store_slowness;
+  const Duration work = options_.store_time * faults_.store_slowness + queued;
   At(now_ + options_.network + work, [=] {
     const bool away = IsCutOffFromStore(node);
     if (away) {
@@ -88,6 +91,17 @@
 void EmulatedSystem::Perform(int node, const dispatch::CommitRows& commit) {
   dispatch::TransactionAnswered lost;
   lost.ticket = commit.ticket;
+  // A part carries its transactions out one after the other.
+  TimePoint& free_at = part_free_at_[commit.transaction.part];
+  free_at = std::max(free_at, now_);
+  if (free_at - now_ > kLongestQueue) {
+    lost.outcome = StoreOutcome::kNotDone;
+    At(now_ + options_.network * 2, [this, node, life = processes_[node].life,
+                                     lost] { Deliver(node, life, lost); });
+    return;
+  }
+  free_at = free_at + options_.transaction_time * faults_.store_slowness;
+  const Duration queued = free_at - now_;
   CallStore<dispatch::TransactionAnswered>(
       node, commit.timeout,
       [this, commit] {
@@ -96,7 +110,7 @@
         answer.ticket = commit.ticket;
         return answer;
       },
-      lost);
+      lost, queued);
 }
 
 void EmulatedSystem::Perform(int node, const dispatch::ReadRows& read) {
@@ -107,7 +121,7 @@
       node, read.timeout,
       [this, read] {
         dispatch::RowsAnswered answer =
-            store_.Read(read.table, read.from, read.to, read.limit);
+            store_.Read(read.table, read.part, read.from, read.to, read.limit);
         answer.ticket = read.ticket;
         return answer;
       },
--- a/src/emulator/emulated_store.cc
+++ b/src/emulator/emulated_store.cc
@@ -14,7 +14,7 @@
 
 dispatch::Row EmulatedStore::RowOf(const Key& key, const Cell& cell) {
   dispatch::Row row;
-  row.key = {key.first, key.second};
+  row.key = {std::get<0>(key), std::get<2>(key)};
   row.value = cell.value;
   row.revision = cell.gone ? Revision() : cell.revision;
   row.gone = cell.gone;
@@ -26,7 +26,7 @@
   dispatch::TransactionAnswered answer;
   answer.outcome = StoreOutcome::kDone;
   for (const dispatch::RowCondition& condition : transaction.conditions) {
-    const Key key{condition.key.table, condition.key.key};
+    const Key key{condition.key.table, transaction.part, condition.key.key};
     const auto found = cells_.find(key);
     const Cell cell =
         found == cells_.end() ? Cell{"", Revision(), true} : found->second;
@@ -41,24 +41,28 @@
   revision_ = revision_.Next();
   answer.revision = revision_;
   for (const dispatch::RowWrite& put : transaction.puts) {
-    cells_[{put.key.table, put.key.key}] = {put.value, revision_, false};
+    cells_[{put.key.table, transaction.part, put.key.key}] = {put.value,
+                                                              revision_, false};
   }
   for (const dispatch::RowKey& key : transaction.removes) {
-    cells_[{key.table, key.key}] = {"", revision_, true};
+    cells_[{key.table, transaction.part, key.key}] = {"", revision_, true};
   }
   return answer;
 }
 
 dispatch::RowsAnswered EmulatedStore::Read(const std::string& table,
+                                           const std::string& part,
                                            const std::string& from,
                                            const std::string& to,
                                            int limit) const {
   dispatch::RowsAnswered answer;
   answer.outcome = StoreOutcome::kDone;
   answer.newest = revision_;
-  for (auto it = cells_.lower_bound({table, from});
-       it != cells_.end() && it->first.first == table; ++it) {
-    if (!to.empty() && it->first.second >= to) break;
+  for (auto it = cells_.lower_bound({table, part, from});
+       it != cells_.end() && std::get<0>(it->first) == table &&
+       std::get<1>(it->first) == part;
+       ++it) {
+    if (!to.empty() && std::get<2>(it->first) >= to) break;
     if (it->second.gone) continue;
     if (static_cast<int>(answer.rows.size()) == limit) {
       answer.more = true;
@@ -79,8 +83,8 @@
   answer.outcome = StoreOutcome::kDone;
   answer.newest = revision_;
   std::vector<std::pair<Revision, dispatch::Row>> rows;
-  for (auto it = cells_.lower_bound({table, ""});
-       it != cells_.end() && it->first.first == table; ++it) {
+  for (auto it = cells_.lower_bound({table, "", ""});
+       it != cells_.end() && std::get<0>(it->first) == table; ++it) {
     if (it->second.revision <= after) continue;
     rows.emplace_back(it->second.revision, RowOf(it->first, it->second));
   }
--- a/src/emulator/emulated_store.h
+++ b/src/emulator/emulated_store.h
@@ -9,7 +9,7 @@
 
 #include <map>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 #include "dispatch/event.h"
@@ -25,10 +25,12 @@
   /// Does all of it or nothing. The ticket of the answer is not set.
   dispatch::TransactionAnswered Commit(
       const dispatch::RowTransaction& transaction);
-  /// Rows of a table with keys from `from` to before `to` (empty: the last).
-  dispatch::RowsAnswered Read(const std::string& table, const std::string& from,
-                              const std::string& to, int limit) const;
-  /// Changes of a table after a revision, each row once, in order.
+  /// Rows of a part of a table with keys from `from` to before `to` (empty: the
+  /// last).
+  dispatch::RowsAnswered Read(const std::string& table, const std::string& part,
+                              const std::string& from, const std::string& to,
+                              int limit) const;
+  /// Changes of all parts of a table after a revision, each row once, in order.
   dispatch::ChangesAnswered Changes(const std::string& table,
                                     Revision after) const;
   /// Changes up to now can not be asked for any more.
@@ -37,7 +39,8 @@
   Revision revision() const { return revision_; }
 
  private:
-  using Key = std::pair<std::string, std::string>;
+  /// Table, part and key.
+  using Key = std::tuple<std::string, std::string, std::string>;
   struct Cell {
     std::string value;
     Revision revision;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -37,6 +37,8 @@
   /// One way between any two parties.
   Duration network{1};
   Duration store_time{4};
+  /// What a transaction takes of its part, beside that.
+  Duration transaction_time{5};
 };
 
 /// Faults that are on at the moment.
@@ -149,7 +151,7 @@
   /// Carries a call to the store out; the answer comes later or never.
   template <typename Answer>
   void CallStore(int node, Duration timeout, std::function<Answer()> carry_out,
-                 Answer lost);
+                 Answer lost, Duration queued = Duration(0));
   void Follow(int node, int life, const dispatch::AwaitChanges& effect,
               TimePoint until);
   /// The whole catalog, or the news that nothing changed.
@@ -178,6 +180,7 @@
   std::priority_queue<Action> actions_;
   Faults faults_;
   EmulatedStore store_;
+  std::map<std::string, TimePoint> part_free_at_;
   GangBoard board_;
   dispatch::Catalog catalog_;
   std::vector<Process> processes_;
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -199,13 +199,25 @@
   dispatch::Ticket tickets;
   dispatch::Effects effects;
   dispatch::Context ctx(TimePoint(1000), 0, &tickets, &effects);
-  dispatch::RowsAnswered empty;
-  empty.outcome = dispatch::StoreOutcome::kDone;
-  book.Work(ctx);
-  book.Take(ctx, empty);
+  // Answers every reading that the book asks for: there is nothing.
+  const auto read_nothing = [&] {
+    effects.clear();
+    book.Work(ctx);
+    const dispatch::Effects asked = effects;
+    for (const dispatch::Effect& effect : asked) {
+      dispatch::RowsAnswered empty;
+      empty.outcome = dispatch::StoreOutcome::kDone;
+      empty.ticket = std::get<dispatch::ReadRows>(effect).ticket;
+      CHECK_TRUE(book.Owns(empty.ticket));
+      CHECK_FALSE(book.loaded());
+      book.Take(ctx, empty);
+    }
+    return asked.size();
+  };
+  // Progress lies in one part, jobs in several.
+  LONGS_EQUAL(1, read_nothing());
   CHECK_FALSE(book.loaded());
-  book.Work(ctx);
-  book.Take(ctx, empty);
+  LONGS_EQUAL(dispatch::kJobParts, read_nothing());
   CHECK_TRUE(book.loaded());
   book.Work(ctx);
   dispatch::ChangesAnswered gone;
@@ -297,4 +309,45 @@
   CheckNoViolation();
 }
 
+// All rows lay in one part, whose transactions wait for each other: of a store
+// that was eighty times as slow, callers got refusals for seconds.
+TEST(Scheduler, CallersAreServedByASlowStore) {
+  constexpr int kJobs = 12;
+  system.faults().store_slowness = 80;
+  system.Run(Duration(2000));
+  std::vector<JobId> jobs;
+  for (int i = 0; i < kJobs; ++i) {
+    jobs.push_back(Submit(Step(1, 1, Duration(500))));
+    system.Run(Duration(200));
+  }
+  system.Run(Duration(1500));
+  int accepted = 0;
+  for (const JobId& job : jobs) accepted += Watch(job).accepted ? 1 : 0;
+  LONGS_EQUAL(kJobs, accepted);
+  CheckNoViolation();
+}
+
+// A final job's rows are removed, its progress last: a scheduler that comes
+// between must not take it for a new one.
+TEST(Scheduler, FinalJobsAreForgottenForGood) {
+  const JobId job = Submit(Step(2, 1, Duration(500)));
+  system.Run(Duration(3000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  system.Run(Duration(181000));
+  system.KillNode(system.leader(), Duration(500));
+  system.Run(Duration(10000));
+  STRCMP_EQUAL("gone", system.StateOf(job).c_str());
+  for (const std::string& part : dispatch::AllJobParts()) {
+    LONGS_EQUAL(
+        0,
+        system.store().Read(dispatch::kJobTable, part, "", "", 10).rows.size());
+  }
+  LONGS_EQUAL(0, system.store()
+                     .Read(dispatch::kProgressTable, "", "", "", 10)
+                     .rows.size());
+  LONGS_EQUAL(2, Watch(job).starts.size());
+  for (const auto& [task, starts] : Watch(job).starts) LONGS_EQUAL(1, starts);
+  CheckNoViolation();
+}
+
 }  // namespace limeledge::emulator
