--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -23,17 +23,24 @@
                      });
 }
 
+bool JobBook::Knows(const JobId& id) const {
+  return parts_read_.count(JobPart(id.value())) != 0;
+}
+
 TimePoint JobBook::next_at() const {
-  if (stage_ == Stage::kFollow) return under_way_ ? kNever : next_at_;
-  TimePoint next = kNever;
+  TimePoint next = MayFollow() && !under_way_ ? next_at_ : kNever;
   for (const Reading& reading : readings_) {
     if (!reading.under_way) next = std::min(next, reading.next_at);
   }
-  return next;
+  const bool waits_for_parts = stage_ == Stage::kReadJobs && !loaded_;
+  if (!waits_for_parts) return next;
+  return std::min(next, jobs_asked_at_ + options_.part_patience);
 }
 
-void JobBook::BeginReading(Stage stage) {
-  stage_ = stage;
+void JobBook::BeginReadingJobs(TimePoint now) {
+  stage_ = Stage::kReadJobs;
+  jobs_asked_at_ = now;
+  seen_ = Revision();
   readings_.clear();
   for (const std::string& part : AllJobParts()) {
     Reading reading;
@@ -59,14 +66,16 @@
 }
 
 void JobBook::Work(Context& ctx) {
-  if (stage_ == Stage::kFollow) {
-    if (!under_way_ && ctx.now() >= next_at_) Follow(ctx);
-    return;
-  }
   for (Reading& reading : readings_) {
     const bool due = !reading.under_way && ctx.now() >= reading.next_at;
     if (due) Read(ctx, &reading);
   }
+  // Runs of the jobs that are known must not lapse for a part that is away.
+  const bool waited = stage_ == Stage::kReadJobs && !parts_read_.empty() &&
+                      ctx.now() - jobs_asked_at_ >= options_.part_patience;
+  loaded_ = loaded_ || waited;
+  const bool follows = MayFollow() && !under_way_ && ctx.now() >= next_at_;
+  if (follows) Follow(ctx);
 }
 
 std::vector<JobId> JobBook::Take(Context& ctx, const RowsAnswered& answer) {
@@ -96,20 +105,19 @@
     reading->next_key = absl::StrCat(answer.rows.back().key.key, " ");
     return changed;
   }
+  if (jobs) parts_read_.insert(reading->part);
   readings_.erase(reading);
-  if (readings_.empty()) FinishReading();
+  if (readings_.empty()) FinishReading(ctx.now());
   return changed;
 }
 
-void JobBook::FinishReading() {
+void JobBook::FinishReading(TimePoint now) {
   // Progress first: a job's row is there before its progress, so that no
   // progress is read for a job that is then taken for a new one.
   if (stage_ == Stage::kReadProgress) {
-    seen_ = Revision();
-    BeginReading(Stage::kReadJobs);
+    BeginReadingJobs(now);
     return;
   }
-  stage_ = Stage::kFollow;
   loaded_ = true;
   for (const auto& [id, progress] : progress_) orphans_.push_back(id);
   progress_.clear();
@@ -124,8 +132,7 @@
   if (answer.outcome == StoreOutcome::kHistoryGone) {
     // Progress is this node's own by now; only the jobs are read again.
     under_way_ = false;
-    seen_ = Revision();
-    BeginReading(Stage::kReadJobs);
+    BeginReadingJobs(ctx.now());
     return changed;
   }
   if (answer.outcome != StoreOutcome::kDone) {
--- a/src/dispatch/job_book.h
+++ b/src/dispatch/job_book.h
@@ -27,6 +27,10 @@
   Duration follow_wait{2000};
   /// Pause after a call that failed.
   Duration retry_pause{200};
+  /// Scheduling goes on without a part that can not be read for so long: a few
+  /// readings of an ordinary store, and less than what is left of the runs'
+  /// leases after a take-over.
+  Duration part_patience{700};
   /// Rows of one reading; the store's own limit.
   int page_rows = 500;
 };
@@ -44,8 +48,12 @@
   void Work(Context& ctx);
   TimePoint next_at() const;
   /// True once everything was read a first time, also while jobs are read again
-  /// because the store forgot its history.
+  /// because the store forgot its history, or while a part of the store is
+  /// away.
   bool loaded() const { return loaded_; }
+  /// False while the part that holds the job was never read: nothing can be
+  /// said of it.
+  bool Knows(const JobId& id) const;
 
   bool Owns(Ticket ticket) const;
   /// Takes in an answer; returns the jobs that are new or to be cancelled.
@@ -70,7 +78,7 @@
   WaitingCounts CountWaiting() const;
 
  private:
-  enum class Stage { kReadProgress, kReadJobs, kFollow };
+  enum class Stage { kReadProgress, kReadJobs };
   /// The reading of one part of a table, page by page.
   struct Reading {
     std::string part;
@@ -81,11 +89,12 @@
     TimePoint next_at;
   };
 
-  /// Reads all parts of the stage's table at once.
-  void BeginReading(Stage stage);
+  /// Reads all parts of the table of jobs at once.
+  void BeginReadingJobs(TimePoint now);
   void Read(Context& ctx, Reading* reading);
   /// All parts of the stage's table are read.
-  void FinishReading();
+  void FinishReading(TimePoint now);
+  bool MayFollow() const { return loaded_ && seen_ > Revision(); }
   void Follow(Context& ctx);
   void Store(Context& ctx, const Row& row, std::vector<JobId>* changed);
   void StoreCancel(const JobId& id, std::vector<JobId>* changed);
@@ -95,6 +104,8 @@
   bool loaded_ = false;
   /// What is still to be read in this stage.
   std::vector<Reading> readings_ = {Reading()};
+  TimePoint jobs_asked_at_;
+  std::set<std::string> parts_read_;
   // The following call.
   bool under_way_ = false;
   Ticket call_;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -141,6 +141,10 @@
   void EndAll(Context& ctx, Runner* runner, const char* reason);
 
   // Runners.
+  /// Takes ends in up to the first of a job that is not known yet; the runner
+  /// lists the others again. Returns true if all were taken in.
+  bool TakeEnds(Context& ctx, Runner* runner,
+                const std::vector<ListedEnd>& ends);
   void TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end);
   void TakeRunning(Context& ctx, Runner* runner, const ListedRun& listed);
   /// Measures a run's pace by its progress, and learns from it.
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -291,12 +291,27 @@
   }
   runner->Heard(ctx.now(), answer.clock_ms);
   runner->next_look_at = ctx.now();
-  for (const ListedEnd& end : answer.ended) TakeEnd(ctx, runner, end);
+  const bool all_taken = TakeEnds(ctx, runner, answer.ended) &&
+                         answer.ended.size() < kMostListedEnds;
   for (const ListedRun& run : answer.running) TakeRunning(ctx, runner, run);
-  if (answer.ended.size() < kMostListedEnds) TakeAbsent(ctx, runner, answer);
+  // What is not listed as running may be among the ends that are left.
+  if (all_taken) TakeAbsent(ctx, runner, answer);
   return Verdict::kGoesOn;
 }
 
+bool Scheduler::TakeEnds(Context& ctx, Runner* runner,
+                         const std::vector<ListedEnd>& ends) {
+  for (const ListedEnd& end : ends) {
+    if (!book_.Knows(end.task.job)) {
+      // An end that is not told as known would be answered at once again.
+      runner->next_look_at = ctx.now() + options_.fleet.store_patience;
+      return false;
+    }
+    TakeEnd(ctx, runner, end);
+  }
+  return true;
+}
+
 void Scheduler::TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end) {
   if (end.number <= runner->newest_end) return;
   runner->newest_end = end.number;
@@ -316,6 +331,7 @@
 void Scheduler::TakeRunning(Context& ctx, Runner* runner,
                             const ListedRun& listed) {
   Run* run = FindRun(runner, listed.task, listed.run);
+  if (run == nullptr && !book_.Knows(listed.task.job)) return;
   if (run == nullptr) {
     // Nobody waits for it any more.
     ctx.Emit(StopRun{Fleet::TargetOf(*runner, writer_.epoch()), listed.task,
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -94,7 +94,9 @@
   // A part carries its transactions out one after the other.
   TimePoint& free_at = part_free_at_[commit.transaction.part];
   free_at = std::max(free_at, now_);
-  if (free_at - now_ > kLongestQueue) {
+  const bool refused =
+      IsAway(commit.transaction.part) || free_at - now_ > kLongestQueue;
+  if (refused) {
     lost.outcome = StoreOutcome::kNotDone;
     At(now_ + options_.network * 2, [this, node, life = processes_[node].life,
                                      lost] { Deliver(node, life, lost); });
@@ -120,8 +122,12 @@
   CallStore<dispatch::RowsAnswered>(
       node, read.timeout,
       [this, read] {
-        dispatch::RowsAnswered answer =
-            store_.Read(read.table, read.part, read.from, read.to, read.limit);
+        dispatch::RowsAnswered answer;
+        answer.outcome = StoreOutcome::kNotDone;
+        if (!IsAway(read.part)) {
+          answer = store_.Read(read.table, read.part, read.from, read.to,
+                               read.limit);
+        }
         answer.ticket = read.ticket;
         return answer;
       },
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -52,6 +52,8 @@
   /// The store takes so many times as long.
   int store_slowness = 1;
   std::set<int> nodes_without_store;
+  /// Parts of the store that are away while the others are there.
+  std::set<std::string> parts_down;
   std::set<RunnerId> unreachable_runners;
 };
 
@@ -148,6 +150,9 @@
   void Perform(int node, const dispatch::Exit&);
   /// True while the node's calls don't reach the store.
   bool IsCutOffFromStore(int node) const;
+  bool IsAway(const std::string& part) const {
+    return faults_.parts_down.count(part) != 0;
+  }
   /// Carries a call to the store out; the answer comes later or never.
   template <typename Answer>
   void CallStore(int node, Duration timeout, std::function<Answer()> carry_out,
--- a/test/dispatch-fuzz-test.cc
+++ b/test/dispatch-fuzz-test.cc
@@ -176,6 +176,9 @@
         break;
       default:
         Heal();
+        if (OneIn(2)) break;
+        faults.parts_down = {
+            dispatch::AllJobParts()[Pick(0, dispatch::kJobParts - 1)]};
     }
   }
 
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -350,4 +350,41 @@
   CheckNoViolation();
 }
 
+// A take-over waited for every part of the store; meanwhile all leases ran out.
+TEST(Scheduler, RunsGoOnThroughATakeOverWithAPartOfTheStoreAway) {
+  std::vector<JobId> jobs;
+  for (int i = 0; i < 12; ++i) {
+    jobs.push_back(Submit(Step(1, 1, Duration(9000))));
+  }
+  system.Run(Duration(1000));
+  system.faults().parts_down = {dispatch::JobPart(jobs[0].value())};
+  system.KillNode(system.leader(), Duration(500));
+  system.Run(Duration(8000));
+  system.faults().parts_down.clear();
+  system.Run(Duration(6000));
+  for (const JobId& job : jobs) {
+    STRCMP_EQUAL("done", system.StateOf(job).c_str());
+    for (const auto& [task, starts] : Watch(job).starts) LONGS_EQUAL(1, starts);
+  }
+  CheckNoViolation();
+}
+
+// New jobs are seen while a part is away.
+TEST(Scheduler, JobsOfOtherPartsStartWhileAPartOfTheStoreIsAway) {
+  system.faults().parts_down = {dispatch::AllJobParts()[0]};
+  system.KillNode(system.leader(), Duration(500));
+  system.Run(Duration(5000));
+  std::vector<JobId> jobs;
+  for (int i = 0; i < 8; ++i) {
+    jobs.push_back(Submit(Step(1, 1, Duration(300))));
+  }
+  system.Run(Duration(3000));
+  for (const JobId& job : jobs) {
+    const bool away =
+        dispatch::JobPart(job.value()) == dispatch::AllJobParts()[0];
+    STRCMP_EQUAL(away ? "" : "done", system.StateOf(job).c_str());
+  }
+  CheckNoViolation();
+}
+
 }  // namespace limeledge::emulator
