--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -49,10 +49,6 @@
   /// about what it needs on an ordinary day, so that it need not wait for
   /// others to be stopped.
   double urgent_share = 0.3;
-  /// The share grows with the accelerators that urgent work uses now, so many
-  /// times over, up to the second: a burst of it has then room to come.
-  double urgent_headroom = 1.5;
-  double most_urgent_share = 0.7;
   /// Other work goes there too, once its patience is over, while less than
   /// this share of all accelerators is in use.
   double idle_share = 0.5;
--- a/src/dispatch/planner_units.cc
+++ b/src/dispatch/planner_units.cc
@@ -29,23 +29,15 @@
   std::int64_t runners = 0;
   std::int64_t all = 0;
   std::int64_t free = 0;
-  std::int64_t urgent = 0;
   for (const Seat& seat : seating_.seats()) {
     ++size_of_rack[seat.rack];
     ++runners;
     all += seat.runner->info().room.accelerators;
     free += seat.room.accelerators;
-    for (const auto& [name, run] : seat.runner->runs()) {
-      if (run.urgent) urgent += run.need.accelerators;
-    }
   }
   const double used = static_cast<double>(all - free);
-  const double wanted = options_.urgent_headroom * static_cast<double>(urgent) /
-                        static_cast<double>(std::max<std::int64_t>(1, all));
-  const double share = std::clamp(wanted, options_.urgent_share,
-                                  options_.most_urgent_share);
   idle_ = used < options_.idle_share * static_cast<double>(all);
-  double left = share * static_cast<double>(runners);
+  double left = options_.urgent_share * static_cast<double>(runners);
   for (const auto& [rack, size] : size_of_rack) {
     left -= static_cast<double>(size);
     // Rounded to the nearest number of racks.
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -73,8 +73,6 @@
   int pace_percent = 0;
   /// The run began from nothing, near its data: its time can be learnt from.
   bool learns = false;
-  /// Of a queue of priority 0 when it was decided on.
-  bool urgent = false;
   /// What the run shares its runner's processors with, and how.
   Sharing sharing = Sharing::kNone;
 };
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -99,7 +99,6 @@
         run.number = task.run;
         run.need = job->step_spec(name.step).room();
         run.sharing = job->step_spec(name.step).sharing();
-        run.urgent = job->spec().policy.priority == 0;
         run.phase = RunPhase::kInherited;
         run.expected = job->step_spec(name.step).estimate;
         run.started_at = ctx.now();
@@ -198,7 +197,6 @@
     run.number = assignment.run;
     run.need = job->step_spec(name.step).room();
     run.sharing = job->step_spec(name.step).sharing();
-    run.urgent = PolicyOf(*job, *catalog_).priority == 0;
     run.expected = assignment.expected;
     run.learns = assignment.near && job->Find(name)->checkpoint.empty();
     assignment.runner->Add(name, run);
