--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -177,6 +177,7 @@
     seat.runner = runner.get();
     seat.rack = runner->rack();
     seat.room = runner->free_room();
+    seat.suspect = now < runner->suspect_until;
     seat.fillers = runner->CountSharing(Sharing::kFills);
     seat.serving = runner->CountSharing(Sharing::kServes);
     for (const auto& [name, run] : runner->runs()) {
--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -155,7 +155,10 @@
   if (task == nullptr) return false;
   if (task->phase != TaskPhase::kAssigned || task->run != run) return false;
   const StepSpec& step = spec_.steps[name.step];
-  if (end == RunEnd::kFailed) task->failed_on = task->runner;
+  if (end == RunEnd::kFailed) {
+    Step& failed = occurrences_[name.occurrence].steps[name.step];
+    failed.failed_on.insert(task->runner);
+  }
   task->runner = RunnerId();
   task->phase = TaskPhase::kWaiting;
   if (step.gang) {
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,8 +64,6 @@
   /// Last seen progress of the present run in percent.
   int percent = 0;
   TimePoint assigned_at;
-  /// Where the last run failed; another runner is tried first.
-  RunnerId failed_on;
 };
 
 /// Tasks of one step in one occurrence.
@@ -78,6 +77,8 @@
   bool ready = false;
   /// The length of one of its runs was learnt; the others are much alike.
   bool learnt = false;
+  /// Runners on which a run of one of its tasks failed; others are tried first.
+  std::set<RunnerId> failed_on;
   /// The shortest length that runs on each runner were seen to have: what is
   /// long everywhere is no runner's fault.
   std::map<RunnerId, Duration> seen_lengths;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -39,19 +39,23 @@
 using Waste = std::tuple<int, std::int64_t, std::int64_t, std::int64_t>;
 
 /// 0 for the runners that are taken first.
-int PaceRank(const Seat& seat, bool prefers_fast) {
+int TrustRank(const Seat& seat, const PlacementRequest& request) {
+  const RunnerId& id = seat.runner->id();
+  const bool avoided =
+      request.avoided != nullptr && request.avoided->count(id) != 0;
+  if (avoided) return 4;
+  if (seat.suspect) return 3;
   if (IsSlow(seat)) return 2;
   const bool leisurely =
-      prefers_fast && seat.runner->usual_pace() >= kLeisurelyRunner;
+      request.prefers_fast && seat.runner->usual_pace() >= kLeisurelyRunner;
   return leisurely ? 1 : 0;
 }
 
 Waste WasteOf(const Seat& seat, const PlacementRequest& request,
               std::int64_t rack_room) {
   const Resources& need = request.step->need;
-  return {PaceRank(seat, request.prefers_fast),
-          seat.room.accelerators - need.accelerators, rack_room,
-          seat.room.cpu_millis - need.cpu_millis};
+  return {TrustRank(seat, request), seat.room.accelerators - need.accelerators,
+          rack_room, seat.room.cpu_millis - need.cpu_millis};
 }
 
 }  // namespace
@@ -110,12 +114,6 @@
       best = &seat;
       continue;
     }
-    const bool avoided = seat.runner->id() == request.avoid;
-    const bool best_avoided = best->runner->id() == request.avoid;
-    if (avoided != best_avoided) {
-      if (best_avoided) best = &seat;
-      continue;
-    }
     const bool better = WasteOf(seat, request, rack_room_[seat.rack]) <
                         WasteOf(*best, request, rack_room_[best->rack]);
     if (better) best = &seat;
@@ -152,19 +150,19 @@
     all.push_back(&seat);
   }
   std::vector<Seat*> best;
-  // The fewest slow runners, then the fullest rack that fits, so that emptier
+  // The most trusted runners, then the fullest rack that fits, so that emptier
   // ones stay whole.
   std::tuple<int, bool, std::int64_t> best_cost;
   for (const auto& [rack, seats] : racks) {
     std::vector<Seat*> chosen = PlaceAmong(request, seats);
     if (chosen.empty()) continue;
-    // A gang is as slow as its slowest member.
-    int pace = 0;
+    // A gang is as slow as its slowest member, and fails with any of them.
+    int trust = 0;
     for (const Seat* seat : chosen) {
-      pace = std::max(pace, PaceRank(*seat, request.prefers_fast));
+      trust = std::max(trust, TrustRank(*seat, request));
     }
     const bool preferred = Holds(request.preferred_racks, rack);
-    const std::tuple<int, bool, std::int64_t> cost = {pace, !preferred,
+    const std::tuple<int, bool, std::int64_t> cost = {trust, !preferred,
                                                       rack_room_[rack]};
     if (!best.empty() && cost >= best_cost) continue;
     best = std::move(chosen);
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -25,6 +25,8 @@
   Resources room;
   /// Room that runs which are being stopped, or end soon, will give back.
   Resources coming;
+  /// A run failed there lately, and none was done since.
+  bool suspect = false;
   /// Runs there that share the processors in some way, with those that this
   /// pass decided on.
   int fillers = 0;
@@ -43,8 +45,8 @@
   int count = 1;
   /// Runners of the step's tasks now, for the limit on each.
   std::map<RunnerId, int> used;
-  /// A runner to pass over while there are others.
-  RunnerId avoid;
+  /// Runners to pass over while there are others; null for none.
+  const std::set<RunnerId>* avoided = nullptr;
   /// Runners outside the rack with the data, or in several racks, are taken
   /// too.
   bool anywhere = false;
--- a/src/dispatch/planner_places.cc
+++ b/src/dispatch/planner_places.cc
@@ -33,6 +33,7 @@
   const TimePoint end = unit.step->ready_since + PatienceOf(unit);
   request.anywhere = now_ >= end;
   WakeAt(end);
+  request.avoided = &unit.step->failed_on;
   for (const Task& task : unit.step->tasks) {
     if (task.phase == TaskPhase::kAssigned) ++request.used[task.runner];
   }
@@ -125,7 +126,6 @@
   }
   std::size_t placed = 0;
   for (const int index : unit->waiting) {
-    request->avoid = unit->step->tasks[index].failed_on;
     Seat* seat = seating_.PlaceOne(*request);
     if (seat == nullptr) break;
     ++request->used[seat->runner->id()];
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -141,6 +141,9 @@
   bool EndsAreStored() const { return unstored_ends.empty(); }
   /// Nothing is placed here before this moment.
   TimePoint avoid_until;
+  /// A run failed here, and none was done since: others are used first until
+  /// then.
+  TimePoint suspect_until;
   /// Runs that failed one after the other, of different jobs.
   int failures_in_a_row = 0;
   JobId last_failed_job;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -48,6 +48,9 @@
   /// An order without an answer may be carried out for so long, whatever end
   /// of the lease it names: twelve seconds at most, and some for the clocks.
   Duration late_order{12500};
+  /// Others are used first for so long after a run failed on a runner: longer
+  /// than runners that fail all they start usually do so.
+  Duration suspicion{8000};
   /// A run whose progress stands still for this long is moved elsewhere.
   Duration stall_patience{3000};
   /// More patience for long runs: the expected time of so many percent, since
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -386,9 +386,11 @@
                       RunEnd end) {
   if (end == RunEnd::kDone) {
     runner->failures_in_a_row = 0;
+    runner->suspect_until = TimePoint();
     return;
   }
   if (end != RunEnd::kFailed) return;
+  runner->suspect_until = ctx.now() + options_.suspicion;
   // One job that fails again and again says nothing of the runner.
   if (runner->last_failed_job == job) return;
   runner->last_failed_job = job;
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -387,4 +387,33 @@
   CheckNoViolation();
 }
 
+// A gang was placed again where it had failed, until its attempts were used up.
+TEST(Scheduler, GangIsNotPlacedAgainWhereOneOfItsRunsFailed) {
+  for (const char* id : {"i-4-1", "i-5-1"}) {
+    system.FindRunner(RunnerId(id))->SetFailing(true);
+  }
+  dispatch::StepSpec gang = Step(2, 8, Duration(500));
+  gang.gang = true;
+  gang.same_rack = true;
+  const JobId job = Submit(gang);
+  system.Run(Duration(6000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
+// What one job found out spares the next one.
+TEST(Scheduler, RunnerThatFailedARunIsUsedLast) {
+  system.FindRunner(RunnerId("i-4-1"))->SetFailing(true);
+  const JobId first = Submit(Step(1, 1, Duration(300)));
+  system.Run(Duration(2000));
+  STRCMP_EQUAL("done", system.StateOf(first).c_str());
+  LONGS_EQUAL(2, Watch(first).starts.begin()->second);
+  const JobId second = Submit(Step(4, 1, Duration(300)));
+  system.Run(Duration(2000));
+  for (const auto& [task, starts] : Watch(second).starts) {
+    LONGS_EQUAL(1, starts);
+  }
+  CheckNoViolation();
+}
+
 }  // namespace limeledge::emulator
