--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -15,6 +15,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <fstream>
 #include <utility>
 
@@ -25,25 +26,30 @@
 constexpr int kSignalledBase = 128;
 constexpr int kExecFailed = 127;
 constexpr int kLogMode = 0644;
+// Below the ports from which connections are made: one of those may take the
+// port of a process that is being restarted.
+constexpr int kFirstPort = 12000;
+constexpr int kPortCount = 18000;
 
 std::string Loopback(int port) { return fmt::format("127.0.0.1:{}", port); }
 
 }  // namespace
 
 int FreePort() {
-  const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(address);
-  auto* const generic = reinterpret_cast<sockaddr*>(&address);
-  int port = 0;
-  if (bind(probe, generic, length) == 0 &&
-      getsockname(probe, generic, &length) == 0) {
-    port = ntohs(address.sin_port);
+  static std::atomic<int> next{getpid() % kPortCount};
+  for (int tries = 0; tries < kPortCount; ++tries) {
+    const int port = kFirstPort + next++ % kPortCount;
+    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    const auto* const generic = reinterpret_cast<const sockaddr*>(&address);
+    const bool free = bind(probe, generic, sizeof(address)) == 0;
+    close(probe);
+    if (free) return port;
   }
-  close(probe);
-  return port;
+  return 0;
 }
 
 NodeProcess::NodeProcess(int number, std::string program, std::string directory)
