--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -134,6 +134,8 @@
       {LogId::kRunnerAvoidedFor, kWarning, "runner_avoided_for",
        "A runner gets no new work for a while; the fields say why and how "
        "long."},
+      {LogId::kRunnerUnreadable, kWarning, "runner_unreadable",
+       "A runner's entry in the store can not be read; it gets no work."},
       {LogId::kLeaderClaimed, kInfo, "leader_claimed",
        "This process schedules from now on."},
       {LogId::kLeaderLost, kWarning, "leader_lost",
@@ -141,8 +143,8 @@
       {LogId::kCatalogInForce, kInfo, "catalog_in_force",
        "A newer configuration is in force."},
       {LogId::kCatalogStale, kWarning, "catalog_stale",
-       "The configuration can not be followed; the last version stays in "
-       "force."},
+       "The configuration can not be followed, or its newest version not be "
+       "read (`error`); the last version stays in force."},
       {LogId::kCatalogFollowed, kInfo, "catalog_followed",
        "The configuration is followed, or followed again."},
       {LogId::kSettingsReloaded, kInfo, "settings_reloaded",
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -76,6 +76,7 @@
   kRunnerLost = 925,
   kRunnerGone = 926,
   kRunnerAvoidedFor = 927,
+  kRunnerUnreadable = 928,
   kLeaderClaimed = 930,
   kLeaderLost = 931,
   kCatalogInForce = 940,
--- a/src/dispatch/catalog_follower.cc
+++ b/src/dispatch/catalog_follower.cc
@@ -25,7 +25,8 @@
   next_at_ = ctx.now();
   const bool answered = answer.outcome == StoreOutcome::kDone;
   if (answered != answers_) {
-    ctx.Log(answered ? LogId::kCatalogFollowed : LogId::kCatalogStale, {});
+    ctx.Log(answered ? LogId::kCatalogFollowed : LogId::kCatalogStale,
+            {{"error", answer.error}});
   }
   answers_ = answered;
   // Changes may have been missed unless the wait ended well.
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -61,6 +61,8 @@
   StoreOutcome outcome = StoreOutcome::kUnknown;
   /// The configuration, if the answer holds one.
   std::optional<Catalog> catalog;
+  /// Why a configuration that is there could not be read; empty if it could.
+  std::string error;
   Revision newest;
 };
 
@@ -68,6 +70,8 @@
 struct RunnersListed {
   bool ok = false;
   std::vector<RunnerInfo> runners;
+  /// Runners whose entries could not be read; they get no work.
+  std::vector<RunnerId> unreadable;
 };
 
 struct ListedRun {
--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -48,6 +48,10 @@
   if (was_away) store_back_at_ = ctx.now();
   last_listed_at_ = ctx.now();
   listed_once_ = true;
+  for (const RunnerId& id : answer.unreadable) {
+    if (!unreadable_.insert(id).second) continue;
+    ctx.Log(LogId::kRunnerUnreadable, {{"runner", id.value()}});
+  }
   std::set<RunnerId> listed;
   for (const RunnerInfo& info : answer.runners) {
     listed.insert(info.id);
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "dispatch/context.h"
@@ -114,6 +115,8 @@
   bool list_under_way_ = false;
   bool listed_once_ = false;
   TimePoint last_listed_at_;
+  /// Runners whose unreadable entries were told of.
+  std::set<RunnerId> unreadable_;
   /// When the list was read again after the store had been away.
   TimePoint store_back_at_;
 };
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -14,14 +14,9 @@
 
 namespace {
 
-// A runner that takes this much longer than expected is passed over while
-// others have room.
-constexpr double kSlowRunner = 2.2;
 // Urgent work passes over runners that usually take this much longer.
 constexpr double kLeisurelyRunner = 1.07;
 
-bool IsSlow(const Seat& seat) { return seat.runner->slowness() >= kSlowRunner; }
-
 int LimitPerSeat(const PlacementRequest& request, const Seat& seat) {
   const int limit = request.step->max_per_runner;
   if (limit <= 0) return std::numeric_limits<int>::max();
@@ -45,7 +40,7 @@
       request.avoided != nullptr && request.avoided->count(id) != 0;
   if (avoided) return 4;
   if (seat.suspect) return 3;
-  if (IsSlow(seat)) return 2;
+  if (seat.runner->IsSlow()) return 2;
   const bool leisurely =
       request.prefers_fast && seat.runner->usual_pace() >= kLeisurelyRunner;
   return leisurely ? 1 : 0;
--- a/src/dispatch/planner_room.cc
+++ b/src/dispatch/planner_room.cc
@@ -15,20 +15,10 @@
 
 namespace {
 
-constexpr std::int64_t kPercent = 100;
 constexpr std::int64_t kMillisPerCore = 1000;
 // Runners save progress every second or two: more is not lost by a stop.
 constexpr Duration kUnsavedProgress{1000};
 
-Duration RemainingOf(const Run& run, TimePoint now) {
-  if (run.phase != RunPhase::kRunning) return run.expected;
-  const Duration elapsed = now - run.started_at;
-  if (run.percent <= 0) {
-    return std::max(run.expected - elapsed, run.expected / 4);
-  }
-  return elapsed * (kPercent - run.percent) / run.percent;
-}
-
 }  // namespace
 
 void Planner::Pass::MakeRoom(const Unit& unit,
@@ -254,7 +244,7 @@
     std::vector<std::pair<Duration, Seat*>>* places) {
   std::vector<std::pair<Duration, Resources>> ends;
   for (const auto& [name, run] : seat->runner->runs()) {
-    ends.emplace_back(RemainingOf(run, now_), run.need);
+    ends.emplace_back(TimeLeft(run, now_), run.need);
   }
   std::sort(ends.begin(), ends.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -29,12 +29,24 @@
 // that a runner that gets no work is tried again after some seconds.
 constexpr double kSuspicionKept = 0.93;
 
+constexpr int kAllDone = 100;
+// A run without progress is never expected to end sooner than in this part of
+// its whole time.
+constexpr int kLeastShareLeft = 4;
+
 Duration OnSlowClock(std::int64_t ms) {
   return Duration(ms * kSlowClockPercent / 100) + kLapseMargin;
 }
 
 }  // namespace
 
+Duration TimeLeft(const Run& run, TimePoint now) {
+  if (run.phase != RunPhase::kRunning) return run.expected;
+  const Duration elapsed = now - run.started_at;
+  if (run.percent > 0) return elapsed * (kAllDone - run.percent) / run.percent;
+  return std::max(run.expected - elapsed, run.expected / kLeastShareLeft);
+}
+
 void Runner::Update(const RunnerInfo& info, TimePoint now) {
   listed_ = true;
   slowness_ = std::pow(slowness_, kSuspicionKept);
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -77,6 +77,15 @@
   Sharing sharing = Sharing::kNone;
 };
 
+/// A runner that takes this much longer than expected counts as slow: tasks of
+/// a step differ by a factor of two, runners that turn slow take four times as
+/// long and more.
+inline constexpr double kSlowRunner = 2.2;
+
+/// How long the run will still take, by its progress where it shows any. Safe
+/// from any thread.
+Duration TimeLeft(const Run& run, TimePoint now);
+
 /// A runner. Pure bookkeeping: it sends nothing.
 ///
 /// Thread safety: none; use it from one thread.
@@ -153,6 +162,7 @@
   void NotePace(double ratio);
   /// Time of runs here against their expected time; 1 for as expected.
   double slowness() const { return slowness_; }
+  bool IsSlow() const { return slowness_ >= kSlowRunner; }
   /// Takes in that a run here takes `ratio` times as long as its step's runs
   /// elsewhere.
   void NoteUsualPace(double ratio);
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -60,12 +60,10 @@
   Duration stall_pause{4000};
   /// Progress over at least this time tells a run's pace.
   Duration pace_interval{600};
-  /// A run that is this much slower than expected, on a runner that seems this
-  /// much slower than others, is moved if it would go on for this many times
-  /// its whole expected time, and a stop more. Tasks of a step differ by a
-  /// factor of two; runners that turn slow take four times as long and more.
+  /// A run that is this much slower than expected, on a runner that counts as
+  /// slow, is moved if it would go on for this many times its whole expected
+  /// time, and a stop more.
   double slow_run = 3.0;
-  double slow_runner = 2.2;
   double move_gain = 1.5;
   Duration move_cost{500};
   /// Runs of a task after which it is not moved any more.
--- a/src/dispatch/scheduler_pace.cc
+++ b/src/dispatch/scheduler_pace.cc
@@ -76,7 +76,7 @@
 
 void Scheduler::MoveFromSlow(Context& ctx, Runner* runner, const TaskName& name,
                              const Run& run, Duration left, Duration expected) {
-  if (run.stopping || runner->slowness() < options_.slow_runner) return;
+  if (run.stopping || !runner->IsSlow()) return;
   if (run.number > options_.most_moves) return;
   const double anew = options_.move_gain * static_cast<double>(expected.ms());
   if (left < Duration(std::llround(anew)) + options_.move_cost) return;
@@ -132,11 +132,7 @@
   if (run.phase != RunPhase::kRunning) return;
   const Job* job = book_.Find(name.job);
   if (job == nullptr || !job->step_spec(name.step).saves_progress) return;
-  const Duration elapsed = ctx.now() - run.started_at;
-  const Duration left = run.percent > 0
-                            ? elapsed * (kAllDone - run.percent) / run.percent
-                            : run.expected - elapsed;
-  if (ctx.now() + left < runner->leaves_at) return;
+  if (ctx.now() + TimeLeft(run, ctx.now()) < runner->leaves_at) return;
   AskStop(ctx, runner, name);
 }
 
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -184,4 +184,16 @@
   CHECK_TRUE(runner->listed());
 }
 
+TEST(Fleet, UnreadableEntryIsToldOnce) {
+  RunnersListed listed;
+  listed.ok = true;
+  listed.unreadable = {RunnerId("i-9")};
+  Context first = NewContext();
+  fleet.Take(first, listed);
+  LONGS_EQUAL(1, effects.size());
+  Context second = NewContext();
+  fleet.Take(second, listed);
+  LONGS_EQUAL(0, effects.size());
+}
+
 }  // namespace limeledge::dispatch
--- a/test/wire-test.cc
+++ b/test/wire-test.cc
@@ -133,4 +133,10 @@
       EncodeTransaction(transaction).c_str());
 }
 
+TEST(Wire, RowWhoseValueIsNotBase64IsAnError) {
+  CHECK_FALSE(DecodeRows("{\"rows\":[{\"table\":\"t\",\"part\":\"\",\"key\":"
+                         "\"k\",\"value\":\"***\",\"ver\":3}],\"ver\":3}")
+                  .ok());
+}
+
 }  // namespace limeledge::platform
