--- /dev/null
+++ b/src/net/elastic_pool.cc
@@ -0,0 +1,77 @@
+/// @file
+/// A pool whose threads come and go.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "net/elastic_pool.h"
+
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace limeledge {
+
+ElasticPool::ElasticPool(std::size_t most_threads, Duration idle)
+    : most_threads_(most_threads), idle_(idle) {}
+
+ElasticPool::~ElasticPool() { shutdown(); }
+
+void ElasticPool::enqueue(std::function<void()> task) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  JoinEnded();
+  tasks_.push_back(std::move(task));
+  const bool needs_thread = tasks_.size() > waiting_;
+  if (needs_thread && threads_.size() < most_threads_) {
+    threads_.emplace_back();
+    const auto self = std::prev(threads_.end());
+    *self = std::thread([this, self] { Serve(self); });
+  }
+  changed_.notify_one();
+}
+
+void ElasticPool::Serve(Threads::iterator self) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  const std::chrono::milliseconds idle(idle_.ms());
+  for (;;) {
+    ++waiting_;
+    const bool woken = changed_.wait_for(
+        lock, idle, [this] { return stopping_ || !tasks_.empty(); });
+    --waiting_;
+    if (tasks_.empty()) {
+      if (!woken || stopping_) break;
+      continue;
+    }
+    const std::function<void()> task = std::move(tasks_.front());
+    tasks_.pop_front();
+    lock.unlock();
+    task();
+    lock.lock();
+  }
+  // The one who joins it waits only for its last instructions.
+  ended_.splice(ended_.end(), threads_, self);
+  changed_.notify_all();
+}
+
+void ElasticPool::JoinEnded() {
+  for (std::thread& thread : ended_) thread.join();
+  ended_.clear();
+}
+
+void ElasticPool::shutdown() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  stopping_ = true;
+  changed_.notify_all();
+  changed_.wait(lock, [this] { return threads_.empty(); });
+  Threads ended = std::move(ended_);
+  ended_.clear();
+  lock.unlock();
+  for (std::thread& thread : ended) thread.join();
+}
+
+std::size_t ElasticPool::threads() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return threads_.size();
+}
+
+}  // namespace limeledge
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -12,6 +12,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "net/elastic_pool.h"
 
 namespace limeledge {
 
@@ -41,9 +42,7 @@
 HttpServer::HttpServer(HttpServerOptions options)
     : options_(std::move(options)) {
   const std::size_t threads = options_.connections;
-  server_.new_task_queue = [threads] {
-    return new httplib::ThreadPool(threads);
-  };
+  server_.new_task_queue = [threads] { return new ElasticPool(threads); };
   server_.set_payload_max_length(options_.max_body_bytes);
   server_.set_read_timeout(ToChrono(options_.read_timeout));
   server_.set_keep_alive_max_count(options_.requests_per_connection);
--- /dev/null
+++ b/test/elastic-pool-test.cc
@@ -0,0 +1,64 @@
+/// @file
+/// Tests of the pool whose threads come and go.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <thread>
+#include <vector>
+
+#include "net/elastic_pool.h"
+
+namespace limeledge {
+
+TEST_GROUP(ElasticPool){
+    /// Waits until the pool has so many threads.
+    static void AwaitThreads(ElasticPool * pool, std::size_t wanted){
+        while (pool->threads() != wanted){
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+}
+}
+}
+;
+
+TEST(ElasticPool, TasksThatWaitForEachOtherAllRun) {
+  ElasticPool pool(4);
+  std::promise<void> opened;
+  std::shared_future<void> gate = opened.get_future().share();
+  std::atomic<int> done = 0;
+  for (int i = 0; i < 3; ++i) {
+    pool.enqueue([gate, &done] {
+      gate.wait();
+      ++done;
+    });
+  }
+  pool.enqueue([&opened] { opened.set_value(); });
+  pool.shutdown();
+  LONGS_EQUAL(4, done + 1);
+}
+
+TEST(ElasticPool, MoreTasksThanThreadsWaitForTheirTurn) {
+  ElasticPool pool(2);
+  std::atomic<int> done = 0;
+  for (int i = 0; i < 50; ++i) pool.enqueue([&done] { ++done; });
+  pool.shutdown();
+  LONGS_EQUAL(50, done);
+}
+
+TEST(ElasticPool, ThreadsEndWithoutWorkAndComeAgain) {
+  ElasticPool pool(8, Duration(20));
+  LONGS_EQUAL(0, pool.threads());
+  std::atomic<int> done = 0;
+  pool.enqueue([&done] { ++done; });
+  AwaitThreads(&pool, 0);
+  pool.enqueue([&done] { ++done; });
+  pool.shutdown();
+  LONGS_EQUAL(2, done);
+}
+
+}  // namespace limeledge
