--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -58,6 +58,11 @@
   /// that opened hundreds of connections together would not come to renew its
   /// own lease on a small machine.
   int first_looks = 24;
+  /// After quick failures on two runners within this, runners are used first on
+  /// which something that began within `proof_age` goes on; for as long as
+  /// runners that fail all they start usually do so.
+  Duration unrest{8000};
+  Duration proof_age{4000};
   /// How often the list of runners is read.
   Duration list_interval{1000};
 };
@@ -96,6 +101,8 @@
   static OrderTarget TargetOf(const Runner& runner, Epoch epoch);
   /// Runners that may be given work now.
   std::vector<Seat> Seats(TimePoint now) const;
+  /// Takes in that a run failed on the runner as soon as it had begun.
+  void NoteQuickFailure(const RunnerId& runner, TimePoint now);
   /// Drops runners that are gone and hold nothing.
   void DropGone(Context& ctx);
 
@@ -114,6 +121,10 @@
   TimePoint next_list_at_;
   bool list_under_way_ = false;
   bool listed_once_ = false;
+  // Quick failures.
+  RunnerId last_quick_failure_on_;
+  TimePoint last_quick_failure_at_;
+  TimePoint unrest_until_;
   TimePoint last_listed_at_;
   /// Runners whose unreadable entries were told of.
   std::set<RunnerId> unreadable_;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -40,7 +40,7 @@
       request.avoided != nullptr && request.avoided->count(id) != 0;
   if (avoided) return 4;
   if (seat.suspect) return 3;
-  if (seat.runner->IsSlow()) return 2;
+  if (seat.runner->IsSlow() || seat.unproven) return 2;
   const bool leisurely =
       request.prefers_fast && seat.runner->usual_pace() >= kLeisurelyRunner;
   return leisurely ? 1 : 0;
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -153,7 +153,11 @@
   /// A run failed here, and none was done since: others are used first until
   /// then.
   TimePoint suspect_until;
-  /// Runs that failed one after the other, of different jobs.
+  /// When the newest run that failed here ended.
+  TimePoint failed_at;
+  /// When the newest run began that is known to have outlasted a quick failure.
+  TimePoint proven_from;
+  /// Runs that failed one after the other: quickly, or of different jobs.
   int failures_in_a_row = 0;
   JobId last_failed_job;
   /// When the runner leaves at the earliest, while it drains.
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -48,6 +48,11 @@
   /// An order without an answer may be carried out for so long, whatever end
   /// of the lease it names: twelve seconds at most, and some for the clocks.
   Duration late_order{12500};
+  /// A run that fails within this, or within such a part of its time, tells of
+  /// its runner: jobs that can not be done fail at any time of their run,
+  /// broken runners at once.
+  Duration quick_failure{400};
+  int quick_failure_percent = 5;
   /// Others are used first for so long after a run failed on a runner: longer
   /// than runners that fail all they start usually do so.
   Duration suspicion{8000};
@@ -161,7 +166,11 @@
   void MoveFromSlow(Context& ctx, Runner* runner, const TaskName& name,
                     const Run& run, Duration left, Duration expected);
   void TakeAbsent(Context& ctx, Runner* runner, const RunnerLooked& answer);
-  void Judge(Context& ctx, Runner* runner, const JobId& job, RunEnd end);
+  /// Takes in what a run's end tells of its runner.
+  void Judge(Context& ctx, Runner* runner, const ListedEnd& end,
+             const Run& run);
+  /// Rests a runner for its failures in a row.
+  void Rest(Context& ctx, Runner* runner, const char* reason);
   void Avoid(Context& ctx, Runner* runner, Duration pause, const char* reason);
   void MissAnswer(Context& ctx, Runner* runner);
   void CheckRuns(Context& ctx);
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -19,6 +19,7 @@
 constexpr std::size_t kMostListedEnds = 500;
 constexpr int kFailuresBeforeRest = 2;
 constexpr int kMostDoublings = 4;
+constexpr int kHundred = 100;
 
 /// The runner's run of that number of the task; null if it holds none.
 Run* FindRun(Runner* runner, const TaskName& name, int number) {
@@ -315,8 +316,9 @@
 void Scheduler::TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end) {
   if (end.number <= runner->newest_end) return;
   runner->newest_end = end.number;
-  if (FindRun(runner, end.task, end.run) == nullptr) return;
-  Judge(ctx, runner, end.task.job, end.end);
+  const Run* run = FindRun(runner, end.task, end.run);
+  if (run == nullptr) return;
+  Judge(ctx, runner, end, *run);
   EndRun(ctx, runner, end.task, end.end, end.checkpoint);
   // Also a job that was closed just now may not be stored yet.
   const RowKey key{kProgressTable, end.task.job.value()};
@@ -350,6 +352,9 @@
     return;
   }
   if (run->stopping) AskStop(ctx, runner, listed.task);
+  if (ctx.now() - run->started_at > options_.quick_failure) {
+    runner->proven_from = std::max(runner->proven_from, run->started_at);
+  }
   MeasurePace(ctx, runner, job, listed.task, run);
   if (listed.checkpoint.empty()) return;
   job->SaveProgress(listed.task, listed.checkpoint);
@@ -382,25 +387,49 @@
   }
 }
 
-void Scheduler::Judge(Context& ctx, Runner* runner, const JobId& job,
-                      RunEnd end) {
-  if (end == RunEnd::kDone) {
+void Scheduler::Judge(Context& ctx, Runner* runner, const ListedEnd& end,
+                      const Run& run) {
+  const Duration lasted = ctx.now() - run.started_at;
+  const Duration quick =
+      std::max(options_.quick_failure,
+               run.expected * options_.quick_failure_percent / kHundred);
+  if (end.end == RunEnd::kDone) {
+    // What began before the last failure says nothing of what begins now.
+    if (run.started_at < runner->failed_at) return;
     runner->failures_in_a_row = 0;
     runner->suspect_until = TimePoint();
+    if (lasted > quick) {
+      runner->proven_from = std::max(runner->proven_from, run.started_at);
+    }
     return;
   }
-  if (end != RunEnd::kFailed) return;
+  if (end.end != RunEnd::kFailed) return;
   runner->suspect_until = ctx.now() + options_.suspicion;
+  runner->failed_at = ctx.now();
+  // The end may be listed before the start's own answer comes.
+  const bool at_once = run.phase == RunPhase::kStarting ||
+                       (run.phase == RunPhase::kRunning && lasted < quick);
+  if (at_once) {
+    fleet_.NoteQuickFailure(runner->id(), ctx.now());
+    // Others that began with it tell nothing more.
+    if (ctx.now() >= runner->avoid_until) ++runner->failures_in_a_row;
+    Rest(ctx, runner, "a run failed as soon as it had begun");
+    return;
+  }
   // One job that fails again and again says nothing of the runner.
-  if (runner->last_failed_job == job) return;
-  runner->last_failed_job = job;
+  if (runner->last_failed_job == end.task.job) return;
+  runner->last_failed_job = end.task.job;
   ++runner->failures_in_a_row;
   if (runner->failures_in_a_row < kFailuresBeforeRest) return;
-  const int doublings =
-      std::min(runner->failures_in_a_row - kFailuresBeforeRest, kMostDoublings);
+  Rest(ctx, runner, "failed runs of several jobs");
+}
+
+void Scheduler::Rest(Context& ctx, Runner* runner, const char* reason) {
+  const int doublings = std::clamp(
+      runner->failures_in_a_row - kFailuresBeforeRest, 0, kMostDoublings);
   const Duration pause = std::min(options_.unwell_pause * (1 << doublings),
                                   options_.longest_unwell_pause);
-  Avoid(ctx, runner, pause, "failed runs of several jobs");
+  Avoid(ctx, runner, pause, reason);
 }
 
 void Scheduler::Avoid(Context& ctx, Runner* runner, Duration pause,
--- a/src/emulator/emulated_runner.cc
+++ b/src/emulator/emulated_runner.cc
@@ -99,6 +99,10 @@
     if (now_ - run->started_at >= bounds_.gang_wait) End(name, RunEnd::kAlone);
     return;
   }
+  if (run->broken) {
+    End(name, RunEnd::kFailed);
+    return;
+  }
   run->worked_ms += static_cast<double>(step.ms()) / slowness_;
   const auto save_ms = static_cast<double>(bounds_.save_interval.ms());
   if (truth.saves_progress && run->worked_ms - run->saved_ms >= save_ms) {
@@ -130,6 +134,10 @@
       next = std::min(next, run.started_at + bounds_.gang_wait);
       continue;
     }
+    if (run.broken) {
+      next = std::min(next, now_ + Duration(1));
+      continue;
+    }
     const double left =
         (static_cast<double>(run.truth.work.ms()) - run.worked_ms) * slowness_;
     next = std::min(
@@ -211,6 +219,7 @@
   ActiveRun run;
   run.truth = truth;
   run.number = order.run;
+  run.broken = broken_;
   run.started_at = now_;
   run.checkpoint = order.checkpoint;
   std::int64_t saved = 0;
--- a/src/emulator/emulated_runner.h
+++ b/src/emulator/emulated_runner.h
@@ -75,8 +75,10 @@
 
   /// Tasks take so many times as long from now on.
   void SetSlowness(double factor) { slowness_ = factor; }
-  /// Every run fails from now on.
+  /// Every run fails from now on, once its work is done.
   void SetFailing(bool failing) { failing_ = failing; }
+  /// Every run that begins from now on fails at once.
+  void SetBroken(bool broken) { broken_ = broken; }
 
   /// Calls `visit` for each run that has not ended.
   void ForEachRun(
@@ -93,6 +95,8 @@
     double worked_ms = 0;
     std::string checkpoint;
     double saved_ms = 0;
+    /// It fails as soon as it works.
+    bool broken = false;
     /// The run is being stopped and ends then.
     bool stopping = false;
     TimePoint stops_at;
@@ -119,6 +123,7 @@
   std::int64_t lease_until_ms_ = 0;
   double slowness_ = 1;
   bool failing_ = false;
+  bool broken_ = false;
   std::int64_t last_end_ = 0;
   std::map<dispatch::TaskName, ActiveRun> runs_;
   /// The newest run of each task that ended here or may not begin any more.
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -160,4 +160,20 @@
   CHECK_TRUE(seating.PlaceOne(request) == first);
 }
 
+TEST(Placement, RunnersAreTakenByHowFarTheyAreTrusted) {
+  const std::vector<const char*> ids = {"avoided", "suspect", "unproven",
+                                        "trusted"};
+  for (const char* id : ids) Add(id, "r1-1", 1);
+  Seating seating = Seats();
+  seating.seats()[1].suspect = true;
+  seating.seats()[2].unproven = true;
+  const std::set<RunnerId> avoided = {RunnerId("avoided")};
+  PlacementRequest request = Request(1);
+  request.avoided = &avoided;
+  for (std::size_t i = ids.size(); i-- > 0;) {
+    STRCMP_EQUAL(ids[i],
+                 seating.PlaceOne(request)->runner->id().value().c_str());
+  }
+}
+
 }  // namespace limeledge::dispatch
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -416,4 +416,23 @@
   CheckNoViolation();
 }
 
+// Runs that had begun before a runner broke ended well and cleared it, and it
+// was rested only after two jobs had failed there: attempts went by in seconds.
+TEST(Scheduler, RunnerThatBreaksIsRestedAtItsFirstQuickFailure) {
+  const JobId before = Submit(Step(2, 1, Duration(3000)));
+  system.Run(Duration(500));
+  system.FindRunner(RunnerId("i-4-1"))->SetBroken(true);
+  const JobId first = Submit(Step(1, 1, Duration(4000)));
+  system.Run(Duration(1000));
+  LONGS_EQUAL(2, Watch(first).starts.begin()->second);
+  system.Run(Duration(1800));
+  STRCMP_EQUAL("done", system.StateOf(before).c_str());
+  const JobId second = Submit(Step(20, 1, Duration(4000)));
+  system.Run(Duration(1500));
+  for (const auto& [task, starts] : Watch(second).starts) {
+    LONGS_EQUAL(1, starts);
+  }
+  CheckNoViolation();
+}
+
 }  // namespace limeledge::emulator
