--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -30,13 +30,17 @@
 // port of a process that is being restarted.
 constexpr int kFirstPort = 12000;
 constexpr int kPortCount = 18000;
+// Soaks that run side by side begin so many ports apart for each process id
+// between them: more than one of them uses.
+constexpr int kPortsOfASoak = 97;
 
 std::string Loopback(int port) { return fmt::format("127.0.0.1:{}", port); }
 
 }  // namespace
 
 int FreePort() {
-  static std::atomic<int> next{getpid() % kPortCount};
+  static std::atomic<int> next{getpid() % kPortCount * kPortsOfASoak %
+                               kPortCount};
   for (int tries = 0; tries < kPortCount; ++tries) {
     const int port = kFirstPort + next++ % kPortCount;
     const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
