--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -48,39 +48,50 @@
   if (was_away) store_back_at_ = ctx.now();
   last_listed_at_ = ctx.now();
   listed_once_ = true;
-  for (const RunnerId& id : answer.unreadable) {
-    if (!unreadable_.insert(id).second) continue;
-    ctx.Log(LogId::kRunnerUnreadable, {{"runner", id.value()}});
-  }
+  NoteUnreadable(ctx, answer.unreadable);
   std::set<RunnerId> listed;
   for (const RunnerInfo& info : answer.runners) {
     listed.insert(info.id);
-    Runner* runner = Find(info.id);
-    if (runner == nullptr) {
-      auto added = std::make_unique<Runner>(info);
-      runner = added.get();
-      runners_[info.id] = std::move(added);
-      ctx.Log(LogId::kRunnerListed,
-              {{"runner", info.id.value()}, {"address", info.address}});
-    }
-    // It lives after all.
-    const bool came_back = !runner->listed() && !runner->heard();
-    if (came_back) {
-      runner->LeaseMayLastUntil(ctx.now() + options_.inherited_lease);
-    }
-    const bool drained = runner->drains_since().has_value();
-    runner->Update(info, ctx.now());
-    if (!drained && info.draining) {
-      ctx.Log(LogId::kRunnerDrains,
-              {{"runner", info.id.value()},
-               {"leaves_in_ms", std::to_string(info.leaves_in.ms())}});
-    }
+    TakeEntry(ctx, info);
   }
   for (auto& [id, runner] : runners_) {
     if (listed.count(id) == 0) Unlist(ctx, runner.get());
   }
 }
 
+void Fleet::NoteUnreadable(Context& ctx, const std::vector<RunnerId>& ids) {
+  for (const RunnerId& id : ids) {
+    if (!unreadable_.insert(id).second) continue;
+    ctx.Log(LogId::kRunnerUnreadable, {{"runner", id.value()}});
+  }
+}
+
+Runner* Fleet::FindOrAdd(Context& ctx, const RunnerInfo& info) {
+  Runner* known = Find(info.id);
+  if (known != nullptr) return known;
+  auto added = std::make_unique<Runner>(info);
+  Runner* runner = added.get();
+  runners_[info.id] = std::move(added);
+  ctx.Log(LogId::kRunnerListed,
+          {{"runner", info.id.value()}, {"address", info.address}});
+  return runner;
+}
+
+void Fleet::TakeEntry(Context& ctx, const RunnerInfo& info) {
+  Runner* runner = FindOrAdd(ctx, info);
+  // It lives after all.
+  const bool came_back = !runner->listed() && !runner->heard();
+  if (came_back) {
+    runner->LeaseMayLastUntil(ctx.now() + options_.inherited_lease);
+  }
+  const bool drained = runner->drains_since().has_value();
+  runner->Update(info, ctx.now());
+  if (drained || !info.draining) return;
+  ctx.Log(LogId::kRunnerDrains,
+          {{"runner", info.id.value()},
+           {"leaves_in_ms", std::to_string(info.leaves_in.ms())}});
+}
+
 bool Fleet::MayHaveLapsed(TimePoint now) const {
   return now - store_back_at_ < options_.unlisted_grace;
 }
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -84,7 +84,9 @@
 
   /// Reads the list of runners when that is due.
   void List(Context& ctx);
+  /// Takes in the list; one that could not be read changes nothing.
   void Take(Context& ctx, const RunnersListed& answer);
+  /// True once a list was read.
   bool listed_once() const { return listed_once_; }
   /// When `List` has something to do next.
   TimePoint next_list_at() const {
@@ -109,6 +111,12 @@
  private:
   /// True if entries that are missing may only have lapsed.
   bool MayHaveLapsed(TimePoint now) const;
+  /// Logs entries that cannot be read, each runner once.
+  void NoteUnreadable(Context& ctx, const std::vector<RunnerId>& ids);
+  /// Takes in one entry of the list.
+  void TakeEntry(Context& ctx, const RunnerInfo& info);
+  /// Finds the runner of an entry, or adds it.
+  Runner* FindOrAdd(Context& ctx, const RunnerInfo& info);
   /// Takes in that a runner's entry is gone.
   void Unlist(Context& ctx, Runner* runner);
   int FirstLooksUnderWay() const;
@@ -121,11 +129,11 @@
   TimePoint next_list_at_;
   bool list_under_way_ = false;
   bool listed_once_ = false;
+  TimePoint last_listed_at_;
   // Quick failures.
   RunnerId last_quick_failure_on_;
   TimePoint last_quick_failure_at_;
   TimePoint unrest_until_;
-  TimePoint last_listed_at_;
   /// Runners whose unreadable entries were told of.
   std::set<RunnerId> unreadable_;
   /// When the list was read again after the store had been away.
