--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -18,6 +18,8 @@
 
 // How often runs are checked for runners that went silent.
 constexpr Duration kCheckInterval{100};
+// Steps to which `pass_interval_per_hundred` refers.
+constexpr int kHundred = 100;
 
 Scheduler::Verdict VerdictOf(StateWriter::Verdict verdict) {
   switch (verdict) {
@@ -180,39 +182,73 @@
     advice_.Ask(ctx, wish.step, wish.runners);
   }
   for (const Displacement& displaced : plan.displacements) {
-    Runner* runner = fleet_.Find(displaced.runner);
-    if (runner == nullptr) continue;
-    ctx.Log(LogId::kRunDisplaced, {{"task", ToString(displaced.task)},
-                                   {"runner", displaced.runner.value()},
-                                   {"for", displaced.beneficiary.value()}});
-    AskStop(ctx, runner, displaced.task);
-    StopGang(ctx, displaced.task);
+    Displace(ctx, displaced);
   }
   for (const Assignment& assignment : plan.assignments) {
-    const TaskName& name = assignment.task;
-    Job* job = book_.Find(name.job);
-    const RunnerId runner = assignment.runner->id();
-    job->Assign(name, assignment.run, runner, ctx.now());
-    Run run;
-    run.number = assignment.run;
-    run.need = job->step_spec(name.step).room();
-    run.sharing = job->step_spec(name.step).sharing();
-    run.expected = assignment.expected;
-    run.learns = assignment.near && job->Find(name)->checkpoint.empty();
-    assignment.runner->Add(name, run);
-    ctx.Log(LogId::kRunAssigned,
-            {{"task", ToString(name)},
-             {"run", std::to_string(run.number)},
-             {"runner", runner.value()},
-             {"expected_ms", std::to_string(run.expected.ms())}});
-    Mark(name.job);
-    writer_.After({kProgressTable, name.job.value()},
-                  [this, name, number = run.number, runner](Context& later) {
-                    SendStart(later, name, number, runner);
-                  });
+    Assign(ctx, assignment);
   }
 }
 
+void Scheduler::Displace(Context& ctx, const Displacement& displaced) {
+  Runner* runner = fleet_.Find(displaced.runner);
+  if (runner == nullptr) return;
+  ctx.Log(LogId::kRunDisplaced, {{"task", ToString(displaced.task)},
+                                 {"runner", displaced.runner.value()},
+                                 {"for", displaced.beneficiary.value()}});
+  AskStop(ctx, runner, displaced.task);
+  StopGang(ctx, displaced.task);
+}
+
+void Scheduler::Assign(Context& ctx, const Assignment& assignment) {
+  const TaskName& name = assignment.task;
+  Job* job = book_.Find(name.job);
+  const RunnerId runner = assignment.runner->id();
+  job->Assign(name, assignment.run, runner, ctx.now());
+  Run run;
+  run.number = assignment.run;
+  run.need = job->step_spec(name.step).room();
+  run.sharing = job->step_spec(name.step).sharing();
+  run.expected = assignment.expected;
+  run.learns = assignment.near && job->Find(name)->checkpoint.empty();
+  assignment.runner->Add(name, run);
+  ctx.Log(LogId::kRunAssigned,
+          {{"task", ToString(name)},
+           {"run", std::to_string(run.number)},
+           {"runner", runner.value()},
+           {"expected_ms", std::to_string(run.expected.ms())}});
+  Mark(name.job);
+  writer_.After({kProgressTable, name.job.value()},
+                [this, name, number = run.number, runner](Context& later) {
+                  SendStart(later, name, number, runner);
+                });
+}
+
+void Scheduler::CheckWhenDue(Context& ctx) {
+  if (ctx.now() < next_check_) return;
+  next_check_ = ctx.now() + kCheckInterval;
+  CheckRuns(ctx);
+  fleet_.DropGone(ctx);
+  ForgetFinal(ctx);
+}
+
+bool Scheduler::IsPassDue(TimePoint now) const {
+  if (!book_.loaded() || releasing_ || !writer_.store_answers()) return false;
+  if (now < next_pass_) return false;
+  return plan_due_ || now >= planner_.next_at() ||
+         now - last_pass_ >= options_.longest_pass_interval;
+}
+
+void Scheduler::MakePass(Context& ctx) {
+  plan_due_ = false;
+  last_pass_ = ctx.now();
+  const Plan plan = planner_.Decide(ctx.now(), ctx.wall_ms(), *catalog_, times_,
+                                    advice_, &book_, &fleet_);
+  next_pass_ = ctx.now() + options_.pass_interval +
+               options_.pass_interval_per_hundred * plan.steps_tried / kHundred;
+  Apply(ctx, plan);
+  WriteWaiting(ctx);
+}
+
 void Scheduler::Work(Context& ctx, const Catalog& catalog) {
   catalog_ = &catalog;
   fleet_.List(ctx);
@@ -220,28 +256,8 @@
   if (fleet_.listed_once()) book_.Work(ctx);
   const bool may_renew =
       ctx.now() - writer_.confirmed_at() < options_.fleet.longest_unconfirmed;
-  if (ctx.now() >= next_check_) {
-    next_check_ = ctx.now() + kCheckInterval;
-    CheckRuns(ctx);
-    fleet_.DropGone(ctx);
-    ForgetFinal(ctx);
-  }
-  const bool waited = ctx.now() >= next_pass_;
-  const bool due = plan_due_ || ctx.now() >= planner_.next_at() ||
-                   ctx.now() - last_pass_ >= options_.longest_pass_interval;
-  if (book_.loaded() && !releasing_ && due && waited &&
-      writer_.store_answers()) {
-    plan_due_ = false;
-    last_pass_ = ctx.now();
-    const Plan plan = planner_.Decide(ctx.now(), ctx.wall_ms(), catalog, times_,
-                                      advice_, &book_, &fleet_);
-    constexpr int kHundred = 100;
-    next_pass_ =
-        ctx.now() + options_.pass_interval +
-        options_.pass_interval_per_hundred * plan.steps_tried / kHundred;
-    Apply(ctx, plan);
-    WriteWaiting(ctx);
-  }
+  CheckWhenDue(ctx);
+  if (IsPassDue(ctx.now())) MakePass(ctx);
   // The runners are only known by what is assigned to them once all is read.
   if (book_.loaded()) fleet_.Look(ctx, writer_.epoch(), may_renew);
   writer_.Flush(ctx);
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -128,7 +128,15 @@
   void RemoveJob(Context& ctx, const JobId& id);
 
   // Runs.
+  /// True if a planning pass is due and can be made now.
+  bool IsPassDue(TimePoint now) const;
+  /// Plans, and applies what was decided.
+  void MakePass(Context& ctx);
   void Apply(Context& ctx, const Plan& plan);
+  /// Stops a run, with its gang, in favour of an urgent job.
+  void Displace(Context& ctx, const Displacement& displaced);
+  /// Takes an assignment in; the start is sent once it is stored.
+  void Assign(Context& ctx, const Assignment& assignment);
   void SendStart(Context& ctx, const TaskName& name, int run,
                  const RunnerId& runner);
   /// A start that was refused, or whose outcome is not known.
@@ -169,10 +177,18 @@
   /// Takes in what a run's end tells of its runner.
   void Judge(Context& ctx, Runner* runner, const ListedEnd& end,
              const Run& run);
+  /// Takes in a run that is done; one that `proves` its runner lasted longer
+  /// than a quick failure does.
+  void JudgeDone(Runner* runner, const Run& run, bool proves);
+  /// Takes in a run of `job` that failed, perhaps as soon as it had begun.
+  void JudgeFailed(Context& ctx, Runner* runner, const JobId& job,
+                   bool at_once);
   /// Rests a runner for its failures in a row.
   void Rest(Context& ctx, Runner* runner, const char* reason);
   void Avoid(Context& ctx, Runner* runner, Duration pause, const char* reason);
   void MissAnswer(Context& ctx, Runner* runner);
+  /// Checks runs and removes what is over, every `kCheckInterval`.
+  void CheckWhenDue(Context& ctx);
   void CheckRuns(Context& ctx);
   void CheckStall(Context& ctx, Runner* runner, const TaskName& name, Run* run);
   void CheckLeaving(Context& ctx, Runner* runner, const TaskName& name,
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -72,14 +72,12 @@
   }
   const std::string ticket =
       advice_.TicketFor({name.job, name.occurrence, name.step}, id, ctx.now());
-  if (ticket.empty() && PolicyOf(*job, *catalog_).needs_advice) {
-    // It ran out while the decision was being stored.
-    EndRun(ctx, runner, name, RunEnd::kRejected, "");
-    StopGang(ctx, name);
-    return;
-  }
-  if (runner->drains_since().has_value() || !runner->reachable()) {
-    // It began to leave, or fell silent, while the decision was being stored.
+  // Either may have come while the decision was being stored.
+  const bool ticket_ran_out =
+      ticket.empty() && PolicyOf(*job, *catalog_).needs_advice;
+  const bool leaves_or_silent =
+      runner->drains_since().has_value() || !runner->reachable();
+  if (ticket_ran_out || leaves_or_silent) {
     EndRun(ctx, runner, name, RunEnd::kRejected, "");
     StopGang(ctx, name);
     return;
@@ -394,21 +392,28 @@
       std::max(options_.quick_failure,
                run.expected * options_.quick_failure_percent / kHundred);
   if (end.end == RunEnd::kDone) {
-    // What began before the last failure says nothing of what begins now.
-    if (run.started_at < runner->failed_at) return;
-    runner->failures_in_a_row = 0;
-    runner->suspect_until = TimePoint();
-    if (lasted > quick) {
-      runner->proven_from = std::max(runner->proven_from, run.started_at);
-    }
-    return;
+    JudgeDone(runner, run, lasted > quick);
+  } else if (end.end == RunEnd::kFailed) {
+    // The end may be listed before the start's own answer comes.
+    const bool at_once = run.phase == RunPhase::kStarting ||
+                         (run.phase == RunPhase::kRunning && lasted < quick);
+    JudgeFailed(ctx, runner, end.task.job, at_once);
   }
-  if (end.end != RunEnd::kFailed) return;
+}
+
+void Scheduler::JudgeDone(Runner* runner, const Run& run, bool proves) {
+  // What began before the last failure says nothing of what begins now.
+  if (run.started_at < runner->failed_at) return;
+  runner->failures_in_a_row = 0;
+  runner->suspect_until = TimePoint();
+  if (!proves) return;
+  runner->proven_from = std::max(runner->proven_from, run.started_at);
+}
+
+void Scheduler::JudgeFailed(Context& ctx, Runner* runner, const JobId& job,
+                            bool at_once) {
   runner->suspect_until = ctx.now() + options_.suspicion;
   runner->failed_at = ctx.now();
-  // The end may be listed before the start's own answer comes.
-  const bool at_once = run.phase == RunPhase::kStarting ||
-                       (run.phase == RunPhase::kRunning && lasted < quick);
   if (at_once) {
     fleet_.NoteQuickFailure(runner->id(), ctx.now());
     // Others that began with it tell nothing more.
@@ -417,8 +422,8 @@
     return;
   }
   // One job that fails again and again says nothing of the runner.
-  if (runner->last_failed_job == end.task.job) return;
-  runner->last_failed_job = end.task.job;
+  if (runner->last_failed_job == job) return;
+  runner->last_failed_job = job;
   ++runner->failures_in_a_row;
   if (runner->failures_in_a_row < kFailuresBeforeRest) return;
   Rest(ctx, runner, "failed runs of several jobs");
