--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -16,7 +16,7 @@
 namespace limeledge::dispatch {
 
 bool JobBook::Owns(Ticket ticket) const {
-  if (under_way_ && call_ == ticket) return true;
+  if (follow_under_way_ && follow_call_ == ticket) return true;
   return std::any_of(readings_.begin(), readings_.end(),
                      [ticket](const Reading& reading) {
                        return reading.under_way && reading.call == ticket;
@@ -28,7 +28,7 @@
 }
 
 TimePoint JobBook::next_at() const {
-  TimePoint next = MayFollow() && !under_way_ ? next_at_ : kNever;
+  TimePoint next = MayFollow() && !follow_under_way_ ? follow_at_ : kNever;
   for (const Reading& reading : readings_) {
     if (!reading.under_way) next = std::min(next, reading.next_at);
   }
@@ -60,9 +60,9 @@
 }
 
 void JobBook::Follow(Context& ctx) {
-  under_way_ = true;
-  call_ = ctx.NewTicket();
-  ctx.Emit(AwaitChanges{call_, kJobTable, seen_, options_.follow_wait});
+  follow_under_way_ = true;
+  follow_call_ = ctx.NewTicket();
+  ctx.Emit(AwaitChanges{follow_call_, kJobTable, seen_, options_.follow_wait});
 }
 
 void JobBook::Work(Context& ctx) {
@@ -74,7 +74,8 @@
   const bool waited = stage_ == Stage::kReadJobs && !parts_read_.empty() &&
                       ctx.now() - jobs_asked_at_ >= options_.part_patience;
   loaded_ = loaded_ || waited;
-  const bool follows = MayFollow() && !under_way_ && ctx.now() >= next_at_;
+  const bool follows =
+      MayFollow() && !follow_under_way_ && ctx.now() >= follow_at_;
   if (follows) Follow(ctx);
 }
 
@@ -128,19 +129,17 @@
 }
 
 std::vector<JobId> JobBook::Take(Context& ctx, const ChangesAnswered& answer) {
+  follow_under_way_ = false;
   std::vector<JobId> changed;
   if (answer.outcome == StoreOutcome::kHistoryGone) {
     // Progress is this node's own by now; only the jobs are read again.
-    under_way_ = false;
     BeginReadingJobs(ctx.now());
     return changed;
   }
   if (answer.outcome != StoreOutcome::kDone) {
-    under_way_ = false;
-    next_at_ = ctx.now() + options_.retry_pause;
+    follow_at_ = ctx.now() + options_.retry_pause;
     return changed;
   }
-  under_way_ = false;
   for (const Row& row : answer.rows) {
     if (!row.gone) Store(ctx, row, &changed);
   }
@@ -163,15 +162,7 @@
     return;
   }
   auto job = std::make_unique<Job>(*std::move(spec));
-  const auto progress = progress_.find(id);
-  if (progress != progress_.end()) {
-    const absl::Status status = DecodeProgress(progress->second, job.get());
-    if (!status.ok()) {
-      ctx.Log(LogId::kRowUnreadable,
-              {{"row", id.value()}, {"error", status.ToString()}});
-    }
-    progress_.erase(progress);
-  }
+  ReadProgress(ctx, id, job.get());
   if (IsFinal(job->state())) {
     closed_[id] = ctx.now();
     return;
@@ -181,6 +172,17 @@
   changed->push_back(id);
 }
 
+void JobBook::ReadProgress(Context& ctx, const JobId& id, Job* job) {
+  const auto progress = progress_.find(id);
+  if (progress == progress_.end()) return;
+  const absl::Status status = DecodeProgress(progress->second, job);
+  if (!status.ok()) {
+    ctx.Log(LogId::kRowUnreadable,
+            {{"row", id.value()}, {"error", status.ToString()}});
+  }
+  progress_.erase(progress);
+}
+
 void JobBook::StoreCancel(const JobId& id, std::vector<JobId>* changed) {
   Job* job = Find(id);
   if (job == nullptr || job->cancel_asked()) return;
--- a/src/dispatch/job_book.h
+++ b/src/dispatch/job_book.h
@@ -96,7 +96,10 @@
   void FinishReading(TimePoint now);
   bool MayFollow() const { return loaded_ && seen_ > Revision(); }
   void Follow(Context& ctx);
+  /// Takes in a row of the table of jobs: a job, or the wish to cancel one.
   void Store(Context& ctx, const Row& row, std::vector<JobId>* changed);
+  /// Gives a new job the progress that was read for it, if any.
+  void ReadProgress(Context& ctx, const JobId& id, Job* job);
   void StoreCancel(const JobId& id, std::vector<JobId>* changed);
 
   JobBookOptions options_;
@@ -107,9 +110,9 @@
   TimePoint jobs_asked_at_;
   std::set<std::string> parts_read_;
   // The following call.
-  bool under_way_ = false;
-  Ticket call_;
-  TimePoint next_at_;
+  bool follow_under_way_ = false;
+  Ticket follow_call_;
+  TimePoint follow_at_;
   /// Changes after this revision were not seen yet.
   Revision seen_;
   std::vector<JobId> orphans_;
