--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -29,27 +29,39 @@
   return racks != nullptr && racks->count(rack) != 0;
 }
 
-/// Smaller is better: a sound runner, then the one that is left with the least
-/// room, in the fullest rack, so that gangs find whole runners of one rack.
-using Waste = std::tuple<int, std::int64_t, std::int64_t, std::int64_t>;
+/// How far a runner is trusted; those named first are taken first.
+enum class Trust { kSound, kLeisurely, kSlowOrUnproven, kSuspect, kAvoided };
 
-/// 0 for the runners that are taken first.
-int TrustRank(const Seat& seat, const PlacementRequest& request) {
+Trust TrustOf(const Seat& seat, const PlacementRequest& request) {
   const RunnerId& id = seat.runner->id();
   const bool avoided =
       request.avoided != nullptr && request.avoided->count(id) != 0;
-  if (avoided) return 4;
-  if (seat.suspect) return 3;
-  if (seat.runner->IsSlow() || seat.unproven) return 2;
+  if (avoided) return Trust::kAvoided;
+  if (seat.suspect) return Trust::kSuspect;
+  if (seat.runner->IsSlow() || seat.unproven) return Trust::kSlowOrUnproven;
   const bool leisurely =
       request.prefers_fast && seat.runner->usual_pace() >= kLeisurelyRunner;
-  return leisurely ? 1 : 0;
+  return leisurely ? Trust::kLeisurely : Trust::kSound;
+}
+
+/// The least trusted of the seats.
+Trust LeastTrustOf(const std::vector<Seat*>& seats,
+                   const PlacementRequest& request) {
+  Trust least = Trust::kSound;
+  for (const Seat* seat : seats) {
+    least = std::max(least, TrustOf(*seat, request));
+  }
+  return least;
 }
 
+/// Smaller is better: a sound runner, then the one that is left with the least
+/// room, in the fullest rack, so that gangs find whole runners of one rack.
+using Waste = std::tuple<Trust, std::int64_t, std::int64_t, std::int64_t>;
+
 Waste WasteOf(const Seat& seat, const PlacementRequest& request,
               std::int64_t rack_room) {
   const Resources& need = request.step->need;
-  return {TrustRank(seat, request), seat.room.accelerators - need.accelerators,
+  return {TrustOf(seat, request), seat.room.accelerators - need.accelerators,
           rack_room, seat.room.cpu_millis - need.cpu_millis};
 }
 
@@ -147,18 +159,15 @@
   std::vector<Seat*> best;
   // The most trusted runners, then the fullest rack that fits, so that emptier
   // ones stay whole.
-  std::tuple<int, bool, std::int64_t> best_cost;
+  std::tuple<Trust, bool, std::int64_t> best_cost;
   for (const auto& [rack, seats] : racks) {
     std::vector<Seat*> chosen = PlaceAmong(request, seats);
     if (chosen.empty()) continue;
     // A gang is as slow as its slowest member, and fails with any of them.
-    int trust = 0;
-    for (const Seat* seat : chosen) {
-      trust = std::max(trust, TrustRank(*seat, request));
-    }
+    const Trust trust = LeastTrustOf(chosen, request);
     const bool preferred = Holds(request.preferred_racks, rack);
-    const std::tuple<int, bool, std::int64_t> cost = {trust, !preferred,
-                                                      rack_room_[rack]};
+    const std::tuple<Trust, bool, std::int64_t> cost = {trust, !preferred,
+                                                        rack_room_[rack]};
     if (!best.empty() && cost >= best_cost) continue;
     best = std::move(chosen);
     best_cost = cost;
--- a/src/dispatch/planner_room.cc
+++ b/src/dispatch/planner_room.cc
@@ -220,9 +220,8 @@
     WakeAt(from);
     return;
   }
-  if (unit.rank.hopeless ||
-      kept_ >= options_.policy->KeptGangs(options_.kept_gangs))
-    return;
+  const int most_kept = options_.policy->KeptGangs(options_.kept_gangs);
+  if (unit.rank.hopeless || kept_ >= most_kept) return;
   std::vector<std::pair<Duration, Seat*>> places;
   for (Seat& seat : seating_.seats()) {
     if (Seating::Suits(seat, request)) {
