--- a/src/emulator/promise_oracle.h
+++ b/src/emulator/promise_oracle.h
@@ -27,9 +27,10 @@
   /// An attempt to hand it in was not answered by a refusal.
   bool may_be_taken = false;
   bool cancel_sent = false;
-  std::string final_state;
+  /// Starts of each task that runners carried out.
   std::map<dispatch::TaskName, int> starts;
-  /// Runs whose end was taken note of, by how they ended.
+  /// Runs whose end was taken note of: how often each task failed, and the
+  /// tasks that are done.
   std::map<dispatch::TaskName, int> failures;
   std::set<dispatch::TaskName> done;
   /// Tasks that a runner has listed as done; a gang's members by any of them.
@@ -66,6 +67,7 @@
   /// All tasks that run now, one entry a run.
   void CheckRunning(const std::vector<dispatch::TaskName>& running);
 
+  /// Adds a promise that was broken.
   void Violate(const std::string& what) { violations_.push_back(what); }
   const std::vector<std::string>& violations() const { return violations_; }
 
