--- a/soak/callers.h
+++ b/soak/callers.h
@@ -9,14 +9,15 @@
 
 #include <atomic>
 #include <map>
-#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "net/http_client.h"
+#include "soak/balancer.h"
+#include "soak/config_prober.h"
 #include "soak/job_maker.h"
+#include "soak/node_client.h"
 #include "soak/node_process.h"
 #include "soak/soak_platform.h"
 
@@ -44,7 +45,6 @@
 /// Thread safety: `Start` and `Stop` from one thread; the rest from any.
 class Callers {
  public:
-  using Nodes = std::vector<std::unique_ptr<NodeProcess>>;
   /// All that is given outlives this object.
   Callers(const Experiment& experiment, std::uint64_t seed,
           SoakPlatform* platform, Nodes* nodes, const FaultLog* faults);
@@ -66,54 +66,43 @@
   std::vector<SubmitTiming> timings();
 
  private:
-  /// Outcome of a call at one node.
-  struct Reply {
-    HttpReply http;
-    NodeProcess* node = nullptr;
-    TimePoint sent_at;
-  };
-
+  // What the threads do until `Stop`.
   void Balance();
+  void ProbeConfig();
   void MakeLoad(std::uint64_t seed);
   /// Opens connections, and sends on them only after a while.
   void HoldConnections(std::uint64_t seed);
-  /// Asks all nodes for routes that came and went with the configuration.
-  void ProbeConfig();
-  void ProbeNode(NodeProcess* node, std::size_t index);
+
+  /// Hands a job in, and does with it what its caller may do.
   void Live(const DraftJob& job, JobMaker* maker);
   void Cancel(const DraftJob& job);
+  /// Sends a call with a key that never held.
   void CheckKey(JobMaker* maker);
-
-  NodeProcess* PickNode();
-  Reply Call(NodeProcess* node, const std::string& method,
-             const std::string& path, const std::string& body,
-             const std::string& key);
-  /// A call that the node should have answered, and did not.
-  void CheckCut(NodeProcess* node, TimePoint sent_at, const std::string& what);
-  void Violate(const std::string& what);
+  /// Hands an accepted job in again.
+  void CheckSentAgain(const DraftJob& job);
+
+  /// Notes a job that is about to be sent.
+  void NoteSent(const DraftJob& job);
+  /// Notes an answer that accepted a job.
+  void NoteAccepted(TimePoint sent_at);
+  /// Calls the node that the balancer picks.
+  NodeReply Call(const std::string& method, const std::string& path,
+                 const std::string& body, const std::string& key);
   void Sleep(Duration time);
 
   Experiment experiment_;
   std::uint64_t seed_;
   SoakPlatform* platform_;
-  Nodes* nodes_;
-  const FaultLog* faults_;
-  HttpClient http_;
+  NodeClient client_;
+  Balancer balancer_;
+  ConfigProber prober_;
   SteadyClock clock_;
   std::atomic<bool> stopping_ = false;
   CallerCounts counts_;
+  /// Guards the paths and the timings.
   std::mutex mutex_;
-  std::vector<NodeProcess*> ready_;
-  std::size_t next_node_ = 0;
   std::map<JobId, std::string> paths_;
   std::vector<SubmitTiming> timings_;
-  /// What the prober saw of each node.
-  struct Seen {
-    std::size_t life = 0;
-    std::int64_t version = 0;
-    TimePoint at;
-  };
-  std::vector<Seen> seen_;
   std::vector<std::thread> threads_;
 };
 
--- /dev/null
+++ b/soak/config_prober.cc
@@ -0,0 +1,73 @@
+/// @file
+/// Probes of the configuration's routes.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "soak/config_prober.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace limeledge::soak {
+
+namespace {
+
+// A configuration is in force everywhere within this.
+constexpr Duration kConfigBound{10000};
+// A node that was seen to know a version does not act by an older one after
+// this: some calls are under way while it learns.
+constexpr Duration kRegressSlack{2000};
+
+}  // namespace
+
+ConfigProber::ConfigProber(SoakPlatform* platform, const Nodes* nodes,
+                           const FaultLog* faults, NodeClient* client)
+    : platform_(platform),
+      nodes_(nodes),
+      faults_(faults),
+      client_(client),
+      seen_(nodes->size()) {}
+
+void ConfigProber::ProbeAll() {
+  for (std::size_t i = 0; i < nodes_->size(); ++i) {
+    Probe((*nodes_)[i].get(), &seen_[i]);
+  }
+}
+
+void ConfigProber::Probe(NodeProcess* node, Seen* seen) {
+  const ConfigWrite newest = platform_->newest_config();
+  const std::size_t life = node->lives().size();
+  if (seen->life != life) *seen = {life, 0, TimePoint()};
+  const NodeReply reply =
+      client_->Call(node, "GET", ProbePrefix(newest.version), "", kKey);
+  if (reply.Is(kStatusOk) && seen->version < newest.version) {
+    *seen = {life, newest.version, clock_.Now()};
+  }
+  if (!reply.Is(kStatusNoRoute) || node->lives().size() != life) return;
+  // Versions that came during the call may have dropped the route again.
+  if (platform_->newest_config().version > newest.version + 1) return;
+  const bool reverted = seen->version >= newest.version &&
+                        reply.sent_at > seen->at + kRegressSlack;
+  if (reverted) {
+    platform_->Violate(absl::StrCat(node->name(), " went back behind version ",
+                                    newest.version, " of the configuration"));
+  }
+  CheckOverdue(node, newest, reply.sent_at);
+}
+
+void ConfigProber::CheckOverdue(NodeProcess* node, const ConfigWrite& newest,
+                                TimePoint sent_at) {
+  const TimePoint since = std::max(newest.at, node->lives().back().started_at);
+  if (sent_at <= since + kConfigBound) return;
+  const TimePoint now = clock_.Now();
+  const bool calm = faults_->IsCalm(node->name(), since, now) &&
+                    faults_->IsCalm(StoreLinkOf(node->name()), since, now) &&
+                    faults_->IsCalm(kStoreSubject, since, now);
+  if (!calm) return;
+  platform_->Violate(absl::StrCat(node->name(), " does not know version ",
+                                  newest.version, " of the configuration"));
+}
+
+}  // namespace limeledge::soak
--- a/soak/fault_driver.cc
+++ b/soak/fault_driver.cc
@@ -32,8 +32,7 @@
 
 }  // namespace
 
-FaultDriver::FaultDriver(SoakPlatform* platform, Callers::Nodes* nodes,
-                         FaultLog* log)
+FaultDriver::FaultDriver(SoakPlatform* platform, Nodes* nodes, FaultLog* log)
     : platform_(platform), nodes_(nodes), log_(log) {}
 
 void FaultDriver::Violate(const std::string& what) {
--- a/soak/fault_driver.h
+++ b/soak/fault_driver.h
@@ -27,7 +27,7 @@
 class FaultDriver {
  public:
   /// All that is given outlives this object.
-  FaultDriver(SoakPlatform* platform, Callers::Nodes* nodes, FaultLog* log);
+  FaultDriver(SoakPlatform* platform, Nodes* nodes, FaultLog* log);
 
   /// Makes all troubles of the plan; returns after `length`.
   void Run(const std::vector<Fault>& plan, Duration length);
@@ -50,7 +50,7 @@
   void Violate(const std::string& what);
 
   SoakPlatform* platform_;
-  Callers::Nodes* nodes_;
+  Nodes* nodes_;
   FaultLog* log_;
   SteadyClock clock_;
   std::multimap<TimePoint, std::function<void()>> actions_;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -50,7 +50,7 @@
   SoakPlatform platform(experiment, &faults);
   absl::Status status = platform.Start();
   if (!status.ok()) return status;
-  Callers::Nodes nodes;
+  Nodes nodes;
   for (int i = 1; i <= experiment.nodes; ++i) {
     nodes.push_back(
         std::make_unique<NodeProcess>(i, options.program, options.directory));
--- /dev/null
+++ b/soak/node_client.cc
@@ -0,0 +1,64 @@
+/// @file
+/// Calls at nodes.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "soak/node_client.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace limeledge::soak {
+
+namespace {
+
+// A process that was just started does not listen yet.
+constexpr Duration kStartTime{4000};
+// What reaches a process this late before its end may not have been read.
+constexpr Duration kLastMoments{200};
+// A fault is held to explain lost answers for so long after its end.
+constexpr Duration kTroubleEcho{4000};
+
+}  // namespace
+
+NodeReply NodeClient::Call(NodeProcess* node, const std::string& method,
+                           const std::string& path, const std::string& body,
+                           const std::string& key) {
+  HttpCall call;
+  call.address = node->front();
+  call.method = method;
+  call.path = path;
+  call.body = body;
+  call.token = key;
+  call.headers = {{"Host", kHost}};
+  call.timeout = kCallTimeout;
+  NodeReply reply;
+  reply.sent_at = clock_.Now();
+  reply.http = http_.Call(call);
+  if (reply.http.outcome == HttpOutcome::kLost) {
+    CheckCut(node, reply.sent_at, absl::StrCat(method, " ", path));
+  }
+  return reply;
+}
+
+void NodeClient::CheckCut(NodeProcess* node, TimePoint sent_at,
+                          const std::string& what) {
+  const TimePoint now = clock_.Now();
+  if (!faults_->IsCalm(node->name(), sent_at - kTroubleEcho, now)) return;
+  for (const NodeLife& life : node->lives()) {
+    const bool served = life.started_at + kStartTime <= sent_at &&
+                        (!life.ended_at.has_value() ||
+                         sent_at + kLastMoments <= *life.ended_at);
+    if (!served || life.killed) continue;
+    // Its end may not have been noted yet.
+    const bool ends =
+        life.stop_asked_at.has_value() && now - sent_at <= kLastMoments;
+    if (ends) continue;
+    platform_->Violate(
+        absl::StrCat(node->name(), " cut ", what, " off, sent ",
+                     (now - sent_at).ms(), " ms before",
+                     life.stop_asked_at.has_value() ? ", while stopping" : ""));
+  }
+}
+
+}  // namespace limeledge::soak
--- a/soak/node_process.h
+++ b/soak/node_process.h
@@ -85,6 +85,9 @@
   std::vector<NodeLife> lives_;
 };
 
+/// All nodes of a run.
+using Nodes = std::vector<std::unique_ptr<NodeProcess>>;
+
 /// A port of loopback that is free now.
 int FreePort();
 
--- a/soak/soak_platform.cc
+++ b/soak/soak_platform.cc
@@ -212,6 +212,11 @@
   oracle_.Watch(spec, truths);
 }
 
+void SoakPlatform::Violate(const std::string& what) {
+  const std::lock_guard<std::mutex> lock(shed_.mutex);
+  oracle_.Violate(what);
+}
+
 TimePoint SoakPlatform::FirstStart(const JobId& job) {
   const std::lock_guard<std::mutex> lock(shed_.mutex);
   const auto found = first_starts_.find(job);
--- a/soak/soak_platform.h
+++ b/soak/soak_platform.h
@@ -86,6 +86,8 @@
     const std::lock_guard<std::mutex> lock(shed_.mutex);
     return use(oracle_);
   }
+  /// Adds a promise that was broken, for the report.
+  void Violate(const std::string& what);
   /// When the first task of a job started; 0 if none did.
   TimePoint FirstStart(const JobId& job);
   int starts() const { return starts_; }
--- a/soak/verdict.cc
+++ b/soak/verdict.cc
@@ -86,10 +86,6 @@
 
 void Reclaim(SoakPlatform* platform, Callers* callers, JobMaker* maker,
              Verdict* verdict) {
-  const auto violate = [platform](const std::string& what) {
-    platform->WithOracle(
-        [&what](emulator::PromiseOracle& oracle) { oracle.Violate(what); });
-  };
   SteadyClock clock;
   for (int i = 0; i * kFillerTasks < platform->runners(); ++i) {
     callers->Submit(
@@ -100,7 +96,7 @@
       maker->MakeUrgentGang(kGangMembers, kGangAccelerators);
   const TimePoint handed_in = clock.Now();
   if (!callers->Submit(urgent)) {
-    violate("an urgent job was not taken though all is calm");
+    platform->Violate("an urgent job was not taken though all is calm");
     return;
   }
   while (platform->FirstStart(urgent.spec.id) == TimePoint() &&
@@ -109,8 +105,9 @@
   }
   verdict->urgent_start = clock.Now() - handed_in;
   if (verdict->urgent_start < kUrgentBound) return;
-  violate(absl::StrCat("urgent job ", urgent.spec.id.value(),
-                       " within its guarantee did not start in time"));
+  platform->Violate(
+      absl::StrCat("urgent job ", urgent.spec.id.value(),
+                   " within its guarantee did not start in time"));
 }
 
 }  // namespace
