--- a/soak/fault_driver.cc
+++ b/soak/fault_driver.cc
@@ -24,22 +24,45 @@
 // A stop takes at most the grace of the settings (6 s), and some on a machine
 // that is busy with other processes.
 constexpr Duration kLongestStop{8000};
+// How hard the troubles are: enough to be felt, and less than what calls wait.
 constexpr Duration kStoreDelay{400};
 constexpr Duration kLinkDelay{300};
+// Share of the store's writes whose answers are lost.
 constexpr double kAnswersLost = 0.3;
+// Tasks of a slow runner take so many times as long.
 constexpr double kSlowness = 5;
+// What a store that is down answers.
 constexpr int kUnavailable = 503;
 
+/// What a trouble of a link does to it.
+LinkFault LinkFaultOf(FaultKind kind) {
+  LinkFault trouble;
+  switch (kind) {
+    case FaultKind::kCutStore:
+    case FaultKind::kCutRunner:
+      trouble.holds_requests = trouble.holds_answers = true;
+      break;
+    case FaultKind::kHoldAnswers:
+      trouble.holds_answers = true;
+      break;
+    case FaultKind::kResetStore:
+      trouble.refuses = true;
+      break;
+    case FaultKind::kDelayCallers:
+    case FaultKind::kDelayRunner:
+      trouble.delay = kLinkDelay;
+      break;
+    default:
+      break;
+  }
+  return trouble;
+}
+
 }  // namespace
 
 FaultDriver::FaultDriver(SoakPlatform* platform, Nodes* nodes, FaultLog* log)
     : platform_(platform), nodes_(nodes), log_(log) {}
 
-void FaultDriver::Violate(const std::string& what) {
-  platform_->WithOracle(
-      [&what](emulator::PromiseOracle& oracle) { oracle.Violate(what); });
-}
-
 void FaultDriver::At(TimePoint at, std::function<void()> run) {
   actions_.emplace(at, std::move(run));
 }
@@ -58,6 +81,14 @@
   At(at + length, std::move(end));
 }
 
+void FaultDriver::DuringLink(const Fault& fault, TimePoint at,
+                             const std::string& subject, TcpProxy* link) {
+  const LinkFault trouble = LinkFaultOf(fault.kind);
+  During(
+      fault, at, subject, [link, trouble] { link->SetFault(trouble); },
+      [link] { link->SetFault({}); });
+}
+
 void FaultDriver::Run(const std::vector<Fault>& plan, Duration length) {
   const TimePoint begin = clock_.Now();
   for (const Fault& fault : plan) Schedule(fault, begin);
@@ -79,19 +110,17 @@
     At(at, [this] { platform_->WriteConfig(); });
     return;
   }
-  if (ScheduleNode(fault, at) || ScheduleStore(fault, at)) return;
+  if (ScheduleNode(fault, at) || ScheduleNodeLink(fault, at)) return;
+  if (ScheduleStore(fault, at) || ScheduleRunnerLink(fault, at)) return;
   ScheduleRunner(fault, at);
 }
 
+NodeProcess* FaultDriver::NodeOf(const Fault& fault) {
+  return (*nodes_)[fault.target % nodes_->size()].get();
+}
+
 bool FaultDriver::ScheduleNode(const Fault& fault, TimePoint at) {
-  NodeProcess* node = (*nodes_)[fault.target % nodes_->size()].get();
-  const auto link = [&](TcpProxy* proxy, const LinkFault& trouble,
-                        const std::string& subject) {
-    During(
-        fault, at, subject, [proxy, trouble] { proxy->SetFault(trouble); },
-        [proxy] { proxy->SetFault({}); });
-  };
-  LinkFault trouble;
+  NodeProcess* node = NodeOf(fault);
   switch (fault.kind) {
     case FaultKind::kKillNode:
       During(
@@ -108,18 +137,24 @@
     case FaultKind::kReloadNode:
       At(at, [node] { node->Signal(SIGHUP); });
       return true;
+    default:
+      return false;
+  }
+}
+
+bool FaultDriver::ScheduleNodeLink(const Fault& fault, TimePoint at) {
+  NodeProcess* node = NodeOf(fault);
+  const std::string store_link = StoreLinkOf(node->name());
+  switch (fault.kind) {
     case FaultKind::kCutStore:
-      trouble.holds_requests = trouble.holds_answers = true;
-      link(&node->store_link(), trouble, StoreLinkOf(node->name()));
+      DuringLink(fault, at, store_link, &node->store_link());
       return true;
     case FaultKind::kResetStore:
-      trouble.refuses = true;
-      link(&node->store_link(), trouble, StoreLinkOf(node->name()));
+      DuringLink(fault, at, store_link, &node->store_link());
       At(at, [node] { node->store_link().ResetAll(); });
       return true;
     case FaultKind::kDelayCallers:
-      trouble.delay = kLinkDelay;
-      link(&node->front_link(), trouble, node->name());
+      DuringLink(fault, at, node->name(), &node->front_link());
       return true;
     case FaultKind::kResetCallers:
       At(at, [this, node] {
@@ -157,43 +192,45 @@
   return true;
 }
 
-void FaultDriver::ScheduleRunner(const Fault& fault, TimePoint at) {
-  SoakPlatform* platform = platform_;
-  const int place = fault.target % platform->runners();
-  const std::string subject = RunnerSubject(place);
-  const auto link = [&](const LinkFault& trouble) {
-    During(
-        fault, at, subject,
-        [platform, place, trouble] {
-          platform->runner_link(place).SetFault(trouble);
-        },
-        [platform, place] { platform->runner_link(place).SetFault({}); });
-  };
-  LinkFault trouble;
+bool FaultDriver::ScheduleRunnerLink(const Fault& fault, TimePoint at) {
+  const int place = PlaceOf(fault);
   switch (fault.kind) {
     case FaultKind::kCutRunner:
-      trouble.holds_requests = trouble.holds_answers = true;
-      link(trouble);
-      return;
     case FaultKind::kHoldAnswers:
-      trouble.holds_answers = true;
-      link(trouble);
-      return;
     case FaultKind::kDelayRunner:
-      trouble.delay = kLinkDelay;
-      link(trouble);
-      return;
+      DuringLink(fault, at, RunnerSubject(place),
+                 &platform_->runner_link(place));
+      return true;
+    default:
+      return false;
+  }
+}
+
+void FaultDriver::ScheduleDrain(const Fault& fault, TimePoint at) {
+  SoakPlatform* platform = platform_;
+  const int place = PlaceOf(fault);
+  const Duration length = fault.length;
+  // It serves on for a while, ends, and another life comes.
+  At(at, [platform, place, length] { platform->DrainRunner(place, length); });
+  At(at + length + kRestartPause, [this, platform, place] {
+    log_->Note(RunnerSubject(place), clock_.Now(), clock_.Now());
+    platform->KillRunner(place);
+  });
+  At(at + length + kRestartPause * 2,
+     [platform, place] { platform->ReviveRunner(place); });
+}
+
+int FaultDriver::PlaceOf(const Fault& fault) const {
+  return fault.target % platform_->runners();
+}
+
+void FaultDriver::ScheduleRunner(const Fault& fault, TimePoint at) {
+  SoakPlatform* platform = platform_;
+  const int place = PlaceOf(fault);
+  const std::string subject = RunnerSubject(place);
+  switch (fault.kind) {
     case FaultKind::kDrainRunner:
-      // It serves on for a while, ends, and another life comes.
-      At(at, [platform, place, fault] {
-        platform->DrainRunner(place, fault.length);
-      });
-      At(at + fault.length + kRestartPause, [this, platform, place, subject] {
-        log_->Note(subject, clock_.Now(), clock_.Now());
-        platform->KillRunner(place);
-      });
-      At(at + fault.length + kRestartPause * 2,
-         [platform, place] { platform->ReviveRunner(place); });
+      ScheduleDrain(fault, at);
       return;
     case FaultKind::kKillRunner:
       During(
@@ -222,20 +259,25 @@
   for (const auto& node : *nodes_) {
     const bool lives = node->Lives();
     const NodeLife life = node->lives().back();
-    if (!lives) {
-      CheckEnd(node.get());
-      const bool due = clock_.Now() > *life.ended_at + kRestartPause;
-      if (due) node->Restart();
+    if (lives) {
+      EndOverdue(node.get(), life);
       continue;
     }
-    const bool overdue = life.stop_asked_at.has_value() &&
-                         clock_.Now() > *life.stop_asked_at + kLongestStop;
-    if (!overdue) continue;
-    if (log_->IsCalm(node->name(), *life.stop_asked_at, clock_.Now())) {
-      Violate(absl::StrCat(node->name(), " did not end when it was asked to"));
-    }
-    node->Kill();
+    CheckEnd(node.get());
+    const bool due = clock_.Now() > *life.ended_at + kRestartPause;
+    if (due) node->Restart();
+  }
+}
+
+void FaultDriver::EndOverdue(NodeProcess* node, const NodeLife& life) {
+  const bool overdue = life.stop_asked_at.has_value() &&
+                       clock_.Now() > *life.stop_asked_at + kLongestStop;
+  if (!overdue) return;
+  if (log_->IsCalm(node->name(), *life.stop_asked_at, clock_.Now())) {
+    platform_->Violate(
+        absl::StrCat(node->name(), " did not end when it was asked to"));
   }
+  node->Kill();
 }
 
 void FaultDriver::CheckEnd(NodeProcess* node) {
@@ -248,8 +290,8 @@
   const bool planned =
       life.stop_asked_at.has_value() && node->last_status() == 0;
   if (!planned) {
-    Violate(absl::StrCat(node->name(), " ended by itself with ",
-                         node->last_status()));
+    platform_->Violate(absl::StrCat(node->name(), " ended by itself with ",
+                                    node->last_status()));
   }
 }
 
--- a/soak/fault_driver.h
+++ b/soak/fault_driver.h
@@ -13,7 +13,6 @@
 #include <string>
 #include <vector>
 
-#include "soak/callers.h"
 #include "soak/experiment.h"
 #include "soak/fault_log.h"
 #include "soak/node_process.h"
@@ -38,16 +37,28 @@
 
  private:
   void Schedule(const Fault& fault, TimePoint begin);
-  /// Troubles of a node; of the store; of a runner; false for other kinds.
+  // Each plans the troubles of one sort, and returns false for other kinds.
   bool ScheduleNode(const Fault& fault, TimePoint at);
+  bool ScheduleNodeLink(const Fault& fault, TimePoint at);
   bool ScheduleStore(const Fault& fault, TimePoint at);
+  bool ScheduleRunnerLink(const Fault& fault, TimePoint at);
+  /// Plans the troubles of a runner itself; nothing for other kinds.
   void ScheduleRunner(const Fault& fault, TimePoint at);
+  void ScheduleDrain(const Fault& fault, TimePoint at);
+  /// The node, and the runner's place, that a trouble is meant for.
+  NodeProcess* NodeOf(const Fault& fault);
+  int PlaceOf(const Fault& fault) const;
   void At(TimePoint at, std::function<void()> run);
   /// Begins a trouble now and ends it after the fault's length.
   void During(const Fault& fault, TimePoint at, const std::string& subject,
               std::function<void()> begin, std::function<void()> end);
+  /// The same for a trouble of a link.
+  void DuringLink(const Fault& fault, TimePoint at, const std::string& subject,
+                  TcpProxy* link);
+  /// Reports a life that ended by itself; once for each life.
   void CheckEnd(NodeProcess* node);
-  void Violate(const std::string& what);
+  /// Kills and reports a node that was asked to stop and does not.
+  void EndOverdue(NodeProcess* node, const NodeLife& life);
 
   SoakPlatform* platform_;
   Nodes* nodes_;
