--- a/soak/main.cc
+++ b/soak/main.cc
@@ -30,6 +30,8 @@
 constexpr std::int64_t kMsPerSecond = 1000;
 /// Until the nodes serve and one of them schedules.
 constexpr std::int64_t kWarmUpMs = 4000;
+/// Added to the seed for the jobs of the verdict.
+constexpr std::uint64_t kLastJobsSeed = 1000;
 
 struct RunOptions {
   std::string program;
@@ -42,43 +44,56 @@
   std::ofstream(path) << text;
 }
 
-/// Plays one seed.
-absl::StatusOr<RunSummary> Play(const RunOptions& options) {
-  const Experiment& experiment = options.experiment;
-  std::filesystem::create_directories(options.directory);
-  FaultLog faults;
-  SoakPlatform platform(experiment, &faults);
-  absl::Status status = platform.Start();
-  if (!status.ok()) return status;
+/// Starts as many nodes as the experiment has.
+absl::StatusOr<Nodes> StartNodes(const RunOptions& options,
+                                 const limeledge::Endpoint& store) {
   Nodes nodes;
-  for (int i = 1; i <= experiment.nodes; ++i) {
+  for (int i = 1; i <= options.experiment.nodes; ++i) {
     nodes.push_back(
         std::make_unique<NodeProcess>(i, options.program, options.directory));
-    status = nodes.back()->Start(platform.store_endpoint());
+    const absl::Status status = nodes.back()->Start(store);
     if (!status.ok()) return status;
   }
-  RunSummary run;
-  run.seed = options.seed;
-  run.experiment = experiment;
-  run.plan = PlanFaults(experiment, options.seed);
-  FaultDriver driver(&platform, &nodes, &faults);
+  return nodes;
+}
+
+/// Plays the plan under load, and judges what became of the jobs.
+void PlayPlan(const RunOptions& options, SoakPlatform* platform, Nodes* nodes,
+              FaultLog* faults, RunSummary* run) {
+  const Experiment& experiment = options.experiment;
+  FaultDriver driver(platform, nodes, faults);
   driver.Run({}, Duration(kWarmUpMs));
-  limeledge::SteadyClock clock;
-  run.began_at = clock.Now();
-  Callers callers(experiment, options.seed, &platform, &nodes, &faults);
+  run->began_at = limeledge::SteadyClock().Now();
+  Callers callers(experiment, options.seed, platform, nodes, faults);
   callers.Start();
-  driver.Run(run.plan, experiment.length);
+  driver.Run(run->plan, experiment.length);
   driver.Heal();
   callers.Stop();
-  JobMaker maker(experiment, options.seed + kMsPerSecond);
-  run.verdict = Judge(experiment, &platform, &callers, &driver, &maker);
-  run.timings = callers.timings();
-  run.submitted = callers.counts().submitted;
-  run.accepted = callers.counts().accepted;
-  run.refused = callers.counts().refused;
-  run.unknown = callers.counts().unknown;
+  JobMaker maker(experiment, options.seed + kLastJobsSeed);
+  run->verdict = Judge(experiment, platform, &callers, &driver, &maker);
+  run->timings = callers.timings();
+  run->submitted = callers.counts().submitted;
+  run->accepted = callers.counts().accepted;
+  run->refused = callers.counts().refused;
+  run->unknown = callers.counts().unknown;
+}
+
+/// Plays one seed.
+absl::StatusOr<RunSummary> Play(const RunOptions& options) {
+  std::filesystem::create_directories(options.directory);
+  FaultLog faults;
+  SoakPlatform platform(options.experiment, &faults);
+  const absl::Status status = platform.Start();
+  if (!status.ok()) return status;
+  absl::StatusOr<Nodes> nodes = StartNodes(options, platform.store_endpoint());
+  if (!nodes.ok()) return nodes.status();
+  RunSummary run;
+  run.seed = options.seed;
+  run.experiment = options.experiment;
+  run.plan = PlanFaults(options.experiment, options.seed);
+  PlayPlan(options, &platform, &*nodes, &faults, &run);
   run.starts = platform.starts();
-  for (const auto& node : nodes) node->Kill();
+  for (const auto& node : *nodes) node->Kill();
   platform.Stop();
   run.violations =
       platform.WithOracle([](limeledge::emulator::PromiseOracle& oracle) {
