--- a/soak/report.cc
+++ b/soak/report.cc
@@ -14,10 +14,15 @@
 
 namespace {
 
+// Sizes in the plot, in pixels.
 constexpr int kWidth = 900;
 constexpr int kHeight = 320;
 constexpr int kMargin = 40;
+constexpr int kTitleBase = 15;
+constexpr int kFirstFault = 20;
 constexpr int kFaultHeight = 4;
+constexpr int kFaultGap = 1;
+constexpr int kMsPerSecond = 1000;
 constexpr int kPercent = 100;
 constexpr int kHighPercentile = 95;
 
@@ -41,6 +46,58 @@
   return text;
 }
 
+/// Maps times of a run to pixels.
+class Scale {
+ public:
+  explicit Scale(const RunSummary& run)
+      : length_ms_(std::max<std::int64_t>(1, run.experiment.length.ms())),
+        slowest_ms_(
+            std::max<std::int64_t>(1, Percentile(Times(run), kPercent).ms())) {}
+
+  std::int64_t length_ms() const { return length_ms_; }
+  std::int64_t slowest_ms() const { return slowest_ms_; }
+  /// Pixels that a part of the run is wide.
+  std::int64_t Width(Duration part) const {
+    return (kWidth - 2 * kMargin) * part.ms() / length_ms_;
+  }
+  /// Where a moment of the run lies.
+  std::int64_t X(Duration since_begin) const {
+    return kMargin + Width(since_begin);
+  }
+  /// Where a call that took so long lies.
+  std::int64_t Y(Duration took) const {
+    return kHeight - kMargin -
+           (kHeight - 2 * kMargin) * took.ms() / slowest_ms_;
+  }
+
+ private:
+  std::int64_t length_ms_;
+  std::int64_t slowest_ms_;
+};
+
+std::string PlotHead(const Scale& scale) {
+  return fmt::format(
+      "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{}\" height=\"{}\" "
+      "font-family=\"sans-serif\" font-size=\"11\">\n"
+      "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
+      "<text x=\"{}\" y=\"{}\">Time of accepted submits, up to {} ms, over {} "
+      "s; bars are faults</text>\n",
+      kWidth, kHeight, kMargin, kTitleBase, scale.slowest_ms(),
+      scale.length_ms() / kMsPerSecond);
+}
+
+/// The bar of a fault; `index` is its place in the plan, which tells its line.
+std::string FaultBar(const Scale& scale, const Fault& fault,
+                     std::size_t index) {
+  return fmt::format(
+      "<rect x=\"{}\" y=\"{}\" width=\"{}\" height=\"{}\" fill=\"#d9a\" "
+      "opacity=\"0.5\"><title>{} {}</title></rect>\n",
+      scale.X(fault.at),
+      kFirstFault + index * (kFaultHeight + kFaultGap) % (kHeight - kMargin),
+      scale.Width(fault.length) + 1, kFaultHeight, ToString(fault.kind),
+      fault.target);
+}
+
 }  // namespace
 
 std::string TableHead() {
@@ -84,36 +141,15 @@
 }
 
 std::string Plot(const RunSummary& run) {
-  const std::int64_t width =
-      std::max<std::int64_t>(1, run.experiment.length.ms());
-  const std::int64_t most =
-      std::max<std::int64_t>(1, Percentile(Times(run), kPercent).ms());
-  const auto x = [width](std::int64_t ms) {
-    return kMargin + (kWidth - 2 * kMargin) * ms / width;
-  };
-  const auto y = [most](std::int64_t ms) {
-    return kHeight - kMargin - (kHeight - 2 * kMargin) * ms / most;
-  };
-  std::string plot = fmt::format(
-      "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{}\" height=\"{}\" "
-      "font-family=\"sans-serif\" font-size=\"11\">\n"
-      "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
-      "<text x=\"{}\" y=\"15\">Time of accepted submits, up to {} ms, over {} "
-      "s; bars are faults</text>\n",
-      kWidth, kHeight, kMargin, most, width / 1000);
+  const Scale scale(run);
+  std::string plot = PlotHead(scale);
   for (std::size_t i = 0; i < run.plan.size(); ++i) {
-    const Fault& fault = run.plan[i];
-    plot += fmt::format(
-        "<rect x=\"{}\" y=\"{}\" width=\"{}\" height=\"{}\" fill=\"#d9a\" "
-        "opacity=\"0.5\"><title>{} {}</title></rect>\n",
-        x(fault.at.ms()), 20 + i * (kFaultHeight + 1) % (kHeight - kMargin),
-        x(fault.length.ms()) - kMargin + 1, kFaultHeight, ToString(fault.kind),
-        fault.target);
+    plot += FaultBar(scale, run.plan[i], i);
   }
   for (const SubmitTiming& timing : run.timings) {
     plot +=
         fmt::format("<circle cx=\"{}\" cy=\"{}\" r=\"2\" fill=\"#247\"/>\n",
-                    x((timing.at - run.began_at).ms()), y(timing.took.ms()));
+                    scale.X(timing.at - run.began_at), scale.Y(timing.took));
   }
   return plot + "</svg>\n";
 }
