--- a/src/cli/log_story.cc
+++ b/src/cli/log_story.cc
@@ -122,6 +122,71 @@
   return true;
 }
 
+/// What a job's lines come to. Moments are 0 when no line tells them.
+struct JobSummary {
+  std::string state = "not settled";
+  std::int64_t accepted_ms = 0;
+  std::int64_t begun_ms = 0;
+  std::int64_t settled_ms = 0;
+  int refusals = 0;
+  int displaced = 0;
+  /// Numbers of runs, by how they ended.
+  std::map<std::string, int> ends;
+};
+
+void AddSubmit(const LogEntry& line, JobSummary* job) {
+  if (line.Field("result") != "done") {
+    ++job->refusals;
+  } else if (job->accepted_ms == 0) {
+    job->accepted_ms = line.wall_ms;
+  }
+}
+
+void AddLine(const LogEntry& line, JobSummary* job) {
+  if (line.event == "call_answered" && line.Field("call") == "submit") {
+    AddSubmit(line, job);
+  } else if (line.event == "run_assigned") {
+    if (job->begun_ms == 0) job->begun_ms = line.wall_ms;
+  } else if (line.event == "run_ended") {
+    ++job->ends[line.Field("end")];
+  } else if (line.event == "run_displaced") {
+    ++job->displaced;
+  } else if (line.event == "job_settled") {
+    job->state = line.Field("state");
+    job->settled_ms = line.wall_ms;
+  }
+}
+
+/// How long the job waited and took, as far as its lines tell.
+std::string TimesInWords(const JobSummary& job) {
+  if (job.accepted_ms == 0) return "; no accepted submit is logged";
+  std::string text;
+  if (job.begun_ms != 0) {
+    absl::StrAppend(&text, "; it waited ",
+                    std::max<std::int64_t>(0, job.begun_ms - job.accepted_ms),
+                    " ms for its first run");
+  }
+  if (job.settled_ms != 0) {
+    absl::StrAppend(&text, " and took ", job.settled_ms - job.accepted_ms,
+                    " ms in all");
+  }
+  return text;
+}
+
+std::string InWords(const JobSummary& job) {
+  std::string text = absl::StrCat("The job is ", job.state, TimesInWords(job));
+  if (job.refusals > 0) {
+    absl::StrAppend(&text, "; ", job.refusals, " submits were not taken");
+  }
+  for (const auto& [end, count] : job.ends) {
+    absl::StrAppend(&text, "; ", count, " runs ", end);
+  }
+  if (job.displaced > 0) {
+    absl::StrAppend(&text, "; ", job.displaced, " made way for urgent work");
+  }
+  return text + ".";
+}
+
 }  // namespace
 
 const std::string& LogEntry::Field(const std::string& name) const {
@@ -201,46 +266,9 @@
 }
 
 std::string SumUp(const std::vector<LogEntry>& lines) {
-  std::map<std::string, int> ends;
-  std::int64_t accepted = 0;
-  std::int64_t begun = 0;
-  std::int64_t settled = 0;
-  int refusals = 0;
-  int displaced = 0;
-  std::string state = "not settled";
-  for (const LogEntry& line : lines) {
-    const bool submit =
-        line.event == "call_answered" && line.Field("call") == "submit";
-    const bool taken = line.Field("result") == "done";
-    if (submit && taken && accepted == 0) accepted = line.wall_ms;
-    if (submit && !taken) ++refusals;
-    if (line.event == "run_assigned" && begun == 0) begun = line.wall_ms;
-    if (line.event == "run_ended") ++ends[line.Field("end")];
-    if (line.event == "run_displaced") ++displaced;
-    if (line.event != "job_settled") continue;
-    state = line.Field("state");
-    settled = line.wall_ms;
-  }
-  std::string text = absl::StrCat("The job is ", state);
-  if (accepted == 0) absl::StrAppend(&text, "; no accepted submit is logged");
-  if (accepted != 0 && begun != 0) {
-    absl::StrAppend(&text, "; it waited ",
-                    std::max<std::int64_t>(0, begun - accepted),
-                    " ms for its first run");
-  }
-  if (accepted != 0 && settled != 0) {
-    absl::StrAppend(&text, " and took ", settled - accepted, " ms in all");
-  }
-  if (refusals > 0) {
-    absl::StrAppend(&text, "; ", refusals, " submits were not taken");
-  }
-  for (const auto& [end, count] : ends) {
-    absl::StrAppend(&text, "; ", count, " runs ", end);
-  }
-  if (displaced > 0) {
-    absl::StrAppend(&text, "; ", displaced, " made way for urgent work");
-  }
-  return text + ".";
+  JobSummary job;
+  for (const LogEntry& line : lines) AddLine(line, &job);
+  return InWords(job);
 }
 
 }  // namespace limeledge
--- a/src/cli/node_commands.cc
+++ b/src/cli/node_commands.cc
@@ -78,37 +78,42 @@
   return value.asBool() ? "yes" : "no";
 }
 
+/// What nodes told of themselves, without what the scheduler tells.
+Json::Value ToJson(const std::vector<NodeState>& nodes) {
+  Json::Value json(Json::arrayValue);
+  for (const NodeState& node : nodes) {
+    Json::Value entry = node.state;
+    entry["address"] = node.address;
+    if (!node.error.empty()) entry["error"] = node.error;
+    entry.removeMember("scheduler");
+    json.append(std::move(entry));
+  }
+  return json;
+}
+
+void PrintNode(const NodeState& node) {
+  if (!node.error.empty()) {
+    fmt::print("{:<24} {:<20} {}\n", "-", node.address, node.error);
+    return;
+  }
+  fmt::print(
+      "{:<24} {:<20} {:<10} {:<6} {:<6} {}\n", node.state["name"].asString(),
+      node.address, YesNo(node.state["leads"]), YesNo(node.state["ready"]),
+      YesNo(node.state["store_answers"]), node.state["catalog"].asInt64());
+}
+
 int ListNodes(const Target& target, const cxxopts::ParseResult&,
               const std::vector<std::string>& arguments) {
   const std::vector<NodeState> nodes = ReadNodes(target, arguments);
   const bool all_told =
       std::all_of(nodes.begin(), nodes.end(),
                   [](const NodeState& node) { return node.error.empty(); });
-  if (target.json) {
-    Json::Value json(Json::arrayValue);
-    for (const NodeState& node : nodes) {
-      Json::Value entry = node.state;
-      entry["address"] = node.address;
-      if (!node.error.empty()) entry["error"] = node.error;
-      entry.removeMember("scheduler");
-      json.append(std::move(entry));
-    }
-    fmt::print("{}\n", WriteJson(json));
-    return all_told ? kExitDone : kExitFailed;
-  }
+  const int exit_status = all_told ? kExitDone : kExitFailed;
+  if (PrintedAsJson(target, WriteJson(ToJson(nodes)))) return exit_status;
   fmt::print("{:<24} {:<20} {:<10} {:<6} {:<6} {}\n", "NODE", "ADDRESS",
              "SCHEDULES", "READY", "STORE", "CONFIGURATION");
-  for (const NodeState& node : nodes) {
-    if (!node.error.empty()) {
-      fmt::print("{:<24} {:<20} {}\n", "-", node.address, node.error);
-      continue;
-    }
-    fmt::print(
-        "{:<24} {:<20} {:<10} {:<6} {:<6} {}\n", node.state["name"].asString(),
-        node.address, YesNo(node.state["leads"]), YesNo(node.state["ready"]),
-        YesNo(node.state["store_answers"]), node.state["catalog"].asInt64());
-  }
-  return all_told ? kExitDone : kExitFailed;
+  for (const NodeState& node : nodes) PrintNode(node);
+  return exit_status;
 }
 
 int ListJobs(const Target& target, const cxxopts::ParseResult&,
@@ -148,6 +153,16 @@
   return queues;
 }
 
+Json::Value ToJson(const std::map<std::string, QueueCount>& queues) {
+  Json::Value json(Json::objectValue);
+  for (const auto& [name, count] : queues) {
+    json[name]["jobs"] = count.jobs;
+    json[name]["tasks_waiting"] = count.waiting;
+    json[name]["tasks_running"] = count.running;
+  }
+  return json;
+}
+
 int ListQueues(const Target& target, const cxxopts::ParseResult&,
                const std::vector<std::string>& arguments) {
   const std::vector<NodeState> nodes = ReadNodes(target, arguments);
@@ -155,16 +170,7 @@
   if (scheduler == nullptr) return ReportNobody();
   const std::map<std::string, QueueCount> queues =
       CountQueues((*scheduler)["jobs"]);
-  if (target.json) {
-    Json::Value json(Json::objectValue);
-    for (const auto& [name, count] : queues) {
-      json[name]["jobs"] = count.jobs;
-      json[name]["tasks_waiting"] = count.waiting;
-      json[name]["tasks_running"] = count.running;
-    }
-    fmt::print("{}\n", WriteJson(json));
-    return kExitDone;
-  }
+  if (PrintedAsJson(target, WriteJson(ToJson(queues)))) return kExitDone;
   fmt::print("{:<20} {:>6} {:>14} {:>14}\n", "QUEUE", "JOBS", "TASKS WAITING",
              "TASKS RUNNING");
   for (const auto& [name, count] : queues) {
