--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -42,7 +42,7 @@
       platform_(platform),
       client_(platform, faults),
       balancer_(nodes),
-      prober_(platform, nodes, faults, &client_) {}
+      prober_(experiment, platform, nodes, faults, &client_) {}
 
 Callers::~Callers() { Stop(); }
 
@@ -112,6 +112,7 @@
     });
     if (accepted) return true;
     if (refused) ++counts_.refused;
+    if (refused && job.gives_up) return false;
     if (sent && !refused) ++counts_.unknown;
     Sleep(kRetryPause);
   }
--- a/soak/config_prober.cc
+++ b/soak/config_prober.cc
@@ -22,9 +22,11 @@
 
 }  // namespace
 
-ConfigProber::ConfigProber(SoakPlatform* platform, const Nodes* nodes,
-                           const FaultLog* faults, NodeClient* client)
-    : platform_(platform),
+ConfigProber::ConfigProber(const Experiment& experiment, SoakPlatform* platform,
+                           const Nodes* nodes, const FaultLog* faults,
+                           NodeClient* client)
+    : checks_times_(experiment.checks_times),
+      platform_(platform),
       nodes_(nodes),
       faults_(faults),
       client_(client),
@@ -46,6 +48,7 @@
     *seen = {life, newest.version, clock_.Now()};
   }
   if (!reply.Is(kStatusNoRoute) || node->lives().size() != life) return;
+  if (!checks_times_) return;
   // Versions that came during the call may have dropped the route again.
   if (platform_->newest_config().version > newest.version + 1) return;
   const bool reverted = seen->version >= newest.version &&
--- a/soak/config_prober.h
+++ b/soak/config_prober.h
@@ -25,8 +25,8 @@
 class ConfigProber {
  public:
   /// All that is given outlives this object; `nodes` does not change.
-  ConfigProber(SoakPlatform* platform, const Nodes* nodes,
-               const FaultLog* faults, NodeClient* client);
+  ConfigProber(const Experiment& experiment, SoakPlatform* platform,
+               const Nodes* nodes, const FaultLog* faults, NodeClient* client);
 
   /// Asks each node once.
   void ProbeAll();
@@ -47,6 +47,7 @@
   void CheckOverdue(NodeProcess* node, const ConfigWrite& newest,
                     TimePoint sent_at);
 
+  bool checks_times_;
   SoakPlatform* platform_;
   const Nodes* nodes_;
   const FaultLog* faults_;
--- a/soak/job_maker.cc
+++ b/soak/job_maker.cc
@@ -23,6 +23,7 @@
 constexpr std::int64_t kMemoryMb = 1024;
 constexpr double kSeveralStepsShare = 0.3;
 constexpr double kSavingShare = 0.4;
+constexpr double kGivingUpShare = 0.3;
 
 Json::Value EncodeStep(const dispatch::StepSpec& step) {
   Json::Value json;
@@ -84,7 +85,9 @@
   step.need.accelerators = Pick(1, std::min<std::int64_t>(8, most));
   step.saves_progress = Chance(kSavingShare);
   const bool several = !step.gang && Chance(kSeveralStepsShare);
-  return Finish(std::move(step), truth, several ? 2 : 1, urgent);
+  DraftJob job = Finish(std::move(step), truth, several ? 2 : 1, urgent);
+  job.gives_up = Chance(kGivingUpShare);
+  return job;
 }
 
 DraftJob JobMaker::MakeUrgentGang(int members, int accelerators) {
--- a/soak/job_maker.h
+++ b/soak/job_maker.h
@@ -26,6 +26,9 @@
   std::string path;
   std::string body;
   bool urgent = false;
+  /// Its caller goes away at the first refusal, and never comes back: it must
+  /// not run then.
+  bool gives_up = false;
 };
 
 /// Makes jobs: the same seed gives the same jobs.
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace limeledge::dispatch {
 
@@ -114,31 +115,32 @@
 
 Seat* Seating::PlaceOne(const PlacementRequest& request) {
   Seat* best = nullptr;
+  Waste best_waste;
   const Resources need = request.step->room();
   for (Seat& seat : seats_) {
     if (!need.Fits(seat.room) || !Suits(seat, request)) continue;
-    if (best == nullptr) {
-      best = &seat;
-      continue;
-    }
-    const bool better = WasteOf(seat, request, rack_room_[seat.rack]) <
-                        WasteOf(*best, request, rack_room_[best->rack]);
-    if (better) best = &seat;
+    const Waste waste = WasteOf(seat, request, rack_room_[seat.rack]);
+    if (best != nullptr && !(waste < best_waste)) continue;
+    best = &seat;
+    best_waste = waste;
   }
   if (best != nullptr) Take(best, *request.step);
   return best;
 }
 
 std::vector<Seat*> Seating::PlaceAmong(const PlacementRequest& request,
-                                       std::vector<Seat*> seats) {
+                                       const std::vector<Seat*>& seats) {
   const Resources need = request.step->room();
-  std::sort(seats.begin(), seats.end(),
-            [this, &request](const Seat* a, const Seat* b) {
-              return WasteOf(*a, request, rack_room_[a->rack]) <
-                     WasteOf(*b, request, rack_room_[b->rack]);
-            });
-  std::vector<Seat*> chosen;
+  // A seat's place in the order is worked out once, which is most of the cost.
+  std::vector<std::pair<Waste, Seat*>> order;
   for (Seat* seat : seats) {
+    if (!need.Fits(seat->room)) continue;
+    order.emplace_back(WasteOf(*seat, request, rack_room_[seat->rack]), seat);
+  }
+  std::sort(order.begin(), order.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<Seat*> chosen;
+  for (const auto& [waste, seat] : order) {
     const int left = request.count - static_cast<int>(chosen.size());
     const int limit = std::min(left, LimitPerSeat(request, *seat));
     const int fitting = CountFitting(need, seat->room, limit);
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -81,7 +81,7 @@
 
  private:
   std::vector<Seat*> PlaceAmong(const PlacementRequest& request,
-                                std::vector<Seat*> seats);
+                                const std::vector<Seat*>& seats);
   void Take(Seat* seat, const StepSpec& step);
 
   std::vector<Seat> seats_;
