--- a/src/cli/log_story.cc
+++ b/src/cli/log_story.cc
@@ -190,9 +190,9 @@
 }  // namespace
 
 const std::string& LogEntry::Field(const std::string& name) const {
-  static const std::string* const kNothing = new std::string;
+  static const std::string* const nothing = new std::string;
   const auto found = fields.find(name);
-  return found == fields.end() ? *kNothing : found->second;
+  return found == fields.end() ? *nothing : found->second;
 }
 
 int LogStory::Add(const std::string& text) {
@@ -229,7 +229,7 @@
 
 std::vector<LogEntry> LogStory::LinesAround(const std::string& id) const {
   const std::vector<LogEntry> own = LinesOf(id);
-  if (own.empty()) return own;
+  if (own.empty()) return {};
   std::vector<LogEntry> lines;
   // Runners that hold one of its runs at the moment, with their number.
   std::map<std::string, int> runners;
