--- a/soak/main.cc
+++ b/soak/main.cc
@@ -18,11 +18,9 @@
 #include "soak/report.h"
 #include "soak/verdict.h"
 
-namespace {
+namespace limeledge::soak {
 
-using namespace limeledge::soak;  // NOLINT: the program's own namespace.
-using limeledge::Duration;
-using limeledge::Findings;
+namespace {
 
 constexpr int kExitDone = 0;
 constexpr int kExitViolated = 1;
@@ -46,7 +44,7 @@
 
 /// Starts as many nodes as the experiment has.
 absl::StatusOr<Nodes> StartNodes(const RunOptions& options,
-                                 const limeledge::Endpoint& store) {
+                                 const Endpoint& store) {
   Nodes nodes;
   for (int i = 1; i <= options.experiment.nodes; ++i) {
     nodes.push_back(
@@ -63,7 +61,7 @@
   const Experiment& experiment = options.experiment;
   FaultDriver driver(platform, nodes, faults);
   driver.Run({}, Duration(kWarmUpMs));
-  run->began_at = limeledge::SteadyClock().Now();
+  run->began_at = SteadyClock().Now();
   Callers callers(experiment, options.seed, platform, nodes, faults);
   callers.Start();
   driver.Run(run->plan, experiment.length);
@@ -95,10 +93,8 @@
   run.starts = platform.starts();
   for (const auto& node : *nodes) node->Kill();
   platform.Stop();
-  run.violations =
-      platform.WithOracle([](limeledge::emulator::PromiseOracle& oracle) {
-        return oracle.violations();
-      });
+  run.violations = platform.WithOracle(
+      [](emulator::PromiseOracle& oracle) { return oracle.violations(); });
   return run;
 }
 
@@ -129,8 +125,8 @@
   } else {
     findings.Add("", "cannot be read");
   }
-  for (const limeledge::Finding& finding : findings.all()) {
-    fmt::print(stderr, "{}\n", limeledge::ToString(finding));
+  for (const Finding& finding : findings.all()) {
+    fmt::print(stderr, "{}\n", ToString(finding));
   }
   return findings.empty();
 }
@@ -159,9 +155,7 @@
   return worst;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int Main(int argc, char** argv) {
   cxxopts::Options options(
       "limeledge-soak",
       "Runs nodes as processes under random faults and checks what callers and "
@@ -199,3 +193,9 @@
     return kExitUsage;
   }
 }
+
+}  // namespace
+
+}  // namespace limeledge::soak
+
+int main(int argc, char** argv) { return limeledge::soak::Main(argc, argv); }
