--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -61,6 +61,7 @@
 
 void JobBook::Follow(Context& ctx) {
   follow_under_way_ = true;
+  follow_from_ = seen_;
   follow_call_ = ctx.NewTicket();
   ctx.Emit(AwaitChanges{follow_call_, kJobTable, seen_, options_.follow_wait});
 }
@@ -143,7 +144,10 @@
   for (const Row& row : answer.rows) {
     if (!row.gone) Store(ctx, row, &changed);
   }
-  if (answer.newest > seen_) seen_ = answer.newest;
+  // A part that was read meanwhile, as it was before that, must be followed
+  // from there.
+  const bool goes_on = seen_ == follow_from_;
+  if (goes_on && answer.newest > seen_) seen_ = answer.newest;
   return changed;
 }
 
--- a/src/dispatch/job_book.h
+++ b/src/dispatch/job_book.h
@@ -113,6 +113,8 @@
   // The following call.
   bool follow_under_way_ = false;
   Ticket follow_call_;
+  /// What the call under way follows from.
+  Revision follow_from_;
   TimePoint follow_at_;
   /// Changes after this revision were not seen yet.
   Revision seen_;
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -435,4 +435,42 @@
   CheckNoViolation();
 }
 
+// A part's rows came late, as they had been before a following call began: jobs
+// of that part that were handed in between were never seen.
+TEST(Scheduler, PartThatIsReadLateIsFollowedFromWhereItWasRead) {
+  dispatch::JobBook book;
+  dispatch::Ticket tickets;
+  dispatch::Effects effects;
+  TimePoint now(1000);
+  const auto work = [&] {
+    effects.clear();
+    dispatch::Context ctx(now, 0, &tickets, &effects);
+    book.Work(ctx);
+    return effects;
+  };
+  const auto answer = [&](const dispatch::Effect& read, int newest) {
+    dispatch::RowsAnswered rows;
+    rows.outcome = dispatch::StoreOutcome::kDone;
+    rows.ticket = std::get<dispatch::ReadRows>(read).ticket;
+    rows.newest = Revision(newest);
+    dispatch::Context ctx(now, 0, &tickets, &effects);
+    book.Take(ctx, rows);
+  };
+  answer(work().front(), 10);
+  const dispatch::Effects reads = work();
+  for (std::size_t i = 1; i < reads.size(); ++i) answer(reads[i], 100);
+  now = now + dispatch::JobBookOptions().part_patience;
+  const auto first = std::get<dispatch::AwaitChanges>(work().front());
+  LONGS_EQUAL(100, first.after.value());
+  answer(reads[0], 50);
+  dispatch::ChangesAnswered changes;
+  changes.outcome = dispatch::StoreOutcome::kDone;
+  changes.ticket = first.ticket;
+  changes.newest = Revision(120);
+  dispatch::Context ctx(now, 0, &tickets, &effects);
+  book.Take(ctx, changes);
+  const auto second = std::get<dispatch::AwaitChanges>(work().front());
+  LONGS_EQUAL(50, second.after.value());
+}
+
 }  // namespace limeledge::emulator
