--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -25,7 +25,9 @@
     runner = (runners_[id] = std::make_unique<Runner>(info)).get();
     runner->Unlist(now);
   }
-  if (!runner->heard()) {
+  if (runner->heard()) {
+    runner->NoteEarlierLease(options_.run_lease);
+  } else {
     runner->LeaseMayLastUntil(now + (runner->listed()
                                          ? options_.inherited_lease
                                          : options_.inherited_lease_unlisted));
@@ -132,7 +134,8 @@
   return under_way;
 }
 
-void Fleet::Look(Context& ctx, Epoch epoch, bool may_renew) {
+void Fleet::Look(Context& ctx, Epoch epoch, bool may_renew,
+                 bool all_runs_known) {
   int first_looks = FirstLooksUnderWay();
   for (auto& [id, runner] : runners_) {
     if (runner->look_in_flight || runner->info().address.empty()) continue;
@@ -148,7 +151,9 @@
     // off for ever the moment at which its runs are surely over.
     // An end that is told as known after the lease ran out is not taken as
     // told.
-    const bool leased = !runner->runs().empty() || !runner->EndsAreStored();
+    // A runner may hold runs that are not known yet: they must not lapse.
+    const bool leased =
+        !runner->runs().empty() || !runner->EndsAreStored() || !all_runs_known;
     const bool renew = may_renew && runner->reachable() && leased;
     if (renew) {
       look.until_ms = runner->GrantUntil(ctx.now(), options_.run_lease);
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -94,8 +94,9 @@
   }
 
   /// Sends every look that is due. `may_renew`: this node's right to schedule
-  /// is fresh enough to renew leases.
-  void Look(Context& ctx, Epoch epoch, bool may_renew);
+  /// is fresh enough to renew leases. `all_runs_known`: runners hold no other
+  /// runs than those that are noted.
+  void Look(Context& ctx, Epoch epoch, bool may_renew, bool all_runs_known);
   /// The next moment at which `List` or `Look` has something to do.
   TimePoint next_at() const;
 
--- a/src/dispatch/job_book.h
+++ b/src/dispatch/job_book.h
@@ -55,6 +55,8 @@
   /// False while the part that holds the job was never read: nothing can be
   /// said of it.
   bool Knows(const JobId& id) const;
+  /// True once every part was read.
+  bool KnowsAll() const { return parts_read_.size() == kJobParts; }
 
   bool Owns(Ticket ticket) const;
   /// Takes in an answer to a call of this book (`Owns`); returns the jobs that
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -106,6 +106,7 @@
 }
 
 void Runner::Heard(TimePoint now, std::int64_t clock_ms) {
+  if (!heard_) obeys_since_ = now;
   heard_ = true;
   misses_ = 0;
   heard_at_ = now;
@@ -114,6 +115,11 @@
 
 void Runner::Missed(TimePoint) { ++misses_; }
 
+void Runner::NoteEarlierLease(Duration length) {
+  lease_over_at_ =
+      std::max(lease_over_at_, obeys_since_ + OnSlowClock(length.ms()));
+}
+
 std::int64_t Runner::GrantUntil(TimePoint now, Duration length) {
   const std::int64_t until =
       heard_clock_ms_ + (now - heard_at_).ms() + length.ms();
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -132,6 +132,9 @@
   std::int64_t GrantUntil(TimePoint now, Duration length);
   /// From this moment no lease that was granted can last.
   TimePoint lease_over_at() const { return lease_over_at_; }
+  /// An earlier scheduler, which the runner obeyed until it was first heard,
+  /// may have granted a lease of `length` just before. Precondition: `heard()`.
+  void NoteEarlierLease(Duration length);
   /// An earlier scheduler may have granted a lease up to `at`.
   void LeaseMayLastUntil(TimePoint at) { lease_over_at_ = at; }
 
@@ -187,6 +190,8 @@
   /// Logarithm of the usual pace.
   double usual_pace_ = 0;
   bool heard_ = false;
+  /// When the runner was first heard, and so obeys no earlier scheduler.
+  TimePoint obeys_since_;
   int misses_ = 0;
   TimePoint heard_at_;
   std::int64_t heard_clock_ms_ = 0;
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -237,7 +237,9 @@
   CheckWhenDue(ctx);
   if (IsPassDue(ctx.now())) MakePass(ctx);
   // The runners are only known by what is assigned to them once all is read.
-  if (book_.loaded()) fleet_.Look(ctx, writer_.epoch(), may_renew);
+  if (book_.loaded()) {
+    fleet_.Look(ctx, writer_.epoch(), may_renew, book_.KnowsAll());
+  }
   writer_.Flush(ctx);
 }
 
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -55,7 +55,7 @@
 
   std::optional<LookAtRunner> Look() {
     Context ctx = NewContext();
-    fleet.Look(ctx, Epoch(1), true);
+    fleet.Look(ctx, Epoch(1), true, true);
     for (const Effect& effect : effects) {
       if (const auto* look = std::get_if<LookAtRunner>(&effect)) return *look;
     }
@@ -102,7 +102,7 @@
   Context ctx = NewContext();
   fleet.Take(ctx, listed);
   Context first = NewContext();
-  fleet.Look(first, Epoch(1), true);
+  fleet.Look(first, Epoch(1), true, true);
   LONGS_EQUAL(FleetOptions().first_looks, effects.size());
   CHECK_TRUE(fleet.next_at() > now);
   const auto* look = std::get_if<LookAtRunner>(&effects.front());
@@ -111,7 +111,7 @@
   answered->Heard(now, 1000);
   answered->next_look_at = now + Duration(500);
   Context second = NewContext();
-  fleet.Look(second, Epoch(1), true);
+  fleet.Look(second, Epoch(1), true, true);
   LONGS_EQUAL(1, effects.size());
 }
 
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -510,4 +510,43 @@
   CheckNoViolation();
 }
 
+// Leases were only renewed on runners with runs of jobs that were known.
+TEST(Scheduler, RunsOfAPartThatIsAwayKeepTheirLeases) {
+  const JobId job = Submit(Step(1, 8, Duration(12000)));
+  system.Run(Duration(1000));
+  system.faults().parts_down = {dispatch::JobPart(job.value())};
+  system.KillNode(system.leader(), Duration(500));
+  system.Run(Duration(9000));
+  system.faults().parts_down.clear();
+  system.Run(Duration(6000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  for (const auto& [task, starts] : Watch(job).starts) LONGS_EQUAL(1, starts);
+  CheckNoViolation();
+}
+
+// A runner that was heard and then cut off, with a run of a job that was only
+// read after that: its lease from the earlier scheduler was taken for over.
+TEST(Scheduler, RunThatIsLearntLateIsNotStartedElsewhereBesideItself) {
+  for (int cut_at = 2000; cut_at < 3600; cut_at += 100) {
+    EmulatedSystem late{SystemOptions()};
+    late.Run(Duration(3000));
+    dispatch::JobSpec spec;
+    spec.steps = {Step(1, 8, Duration(20000))};
+    spec.policy.priority = 1;
+    TaskTruth truth;
+    truth.work = Duration(20000);
+    const JobId job = late.Submit(spec, {truth});
+    late.Run(Duration(1000));
+    const RunnerId runner("i-4-1");
+    late.faults().parts_down = {dispatch::JobPart(job.value())};
+    late.KillNode(late.leader(), Duration(500));
+    late.Run(Duration(cut_at));
+    late.faults().unreachable_runners = {runner};
+    late.Run(Duration(100));
+    late.faults().parts_down.clear();
+    late.Run(Duration(9000));
+    for (const std::string& what : late.violations()) FAIL(what.c_str());
+  }
+}
+
 }  // namespace limeledge::emulator
