--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -53,6 +53,9 @@
   void SortUnits();
   void CollectOccurrence(Job* job, int number);
   void CollectStep(Job* job, int number, int index);
+  /// True while runners may hold runs that are not known yet, and do not refuse
+  /// by themselves what is too much for them.
+  bool MayOverfill(const ServiceId& service) const;
   void SetOrder(const Occurrence& occurrence, int step, Unit* unit);
 
   // Places for what fits.
--- a/src/dispatch/planner_units.cc
+++ b/src/dispatch/planner_units.cc
@@ -95,6 +95,12 @@
   }
 }
 
+bool Planner::Pass::MayOverfill(const ServiceId& service) const {
+  if (jobs_.KnowsAll()) return false;
+  const auto found = catalog_.services.find(service);
+  return found == catalog_.services.end() || !found->second.guards_capacity;
+}
+
 void Planner::Pass::CollectStep(Job* job, int number, int index) {
   Occurrence& occurrence = job->occurrences()[number];
   Step& step = occurrence.steps[index];
@@ -118,6 +124,7 @@
   // A gang starts anew only when the last of its old runs is over.
   if (unit.spec->gang && unit.waiting.size() != step.tasks.size()) return;
   unit.policy = PolicyOf(*job, catalog_);
+  if (MayOverfill(unit.policy.service)) return;
   SetOrder(occurrence, index, &unit);
   units_.push_back(std::move(unit));
 }
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -29,6 +29,9 @@
       random_(options.seed),
       catalog_(MakeCatalog()),
       oracle_(kMaxAttempts) {
+  for (auto& [id, service] : catalog_.services) {
+    service.guards_capacity = options.guards_capacity;
+  }
   for (int i = 0; i < options_.runners; ++i) AddRunner(i, 1);
   processes_.resize(options_.nodes);
   for (int i = 0; i < options_.nodes; ++i) StartNode(i);
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -32,6 +32,9 @@
   int runners_per_rack = 4;
   dispatch::Resources room{64000, 262144, 8};
   RunnerBounds bounds;
+  /// What the catalog says; emulated runners refuse what does not fit either
+  /// way.
+  bool guards_capacity = true;
   /// Of the scheduler of every node.
   dispatch::PlannerOptions planner;
   /// One way between any two parties.
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -549,4 +549,31 @@
   }
 }
 
+// A runner that does not refuse by itself would be filled over its room by runs
+// beside those that are not known yet.
+TEST(Scheduler, UnguardedRunnersGetNothingWhileRunsAreNotKnown) {
+  SystemOptions options;
+  options.guards_capacity = false;
+  EmulatedSystem open(options);
+  open.Run(Duration(3000));
+  const std::string away = dispatch::AllJobParts()[0];
+  open.faults().parts_down = {away};
+  open.KillNode(open.leader(), Duration(500));
+  open.Run(Duration(5000));
+  std::vector<JobId> jobs;
+  for (int i = 0; i < 4; ++i) {
+    dispatch::JobSpec spec;
+    spec.steps = {Step(1, 1, Duration(300))};
+    spec.policy.priority = 1;
+    jobs.push_back(open.Submit(spec, {TaskTruth()}));
+  }
+  open.Run(Duration(2000));
+  for (const JobId& job : jobs) CHECK_TRUE(open.jobs().at(job).starts.empty());
+  open.faults().parts_down.clear();
+  open.Run(Duration(5000));
+  for (const JobId& job : jobs) {
+    STRCMP_EQUAL("done", open.StateOf(job).c_str());
+  }
+}
+
 }  // namespace limeledge::emulator
