--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -32,7 +32,7 @@
   for (const Reading& reading : readings_) {
     if (!reading.under_way) next = std::min(next, reading.next_at);
   }
-  const bool waits_for_parts = stage_ == Stage::kReadJobs && !loaded_;
+  const bool waits_for_parts = !loaded_ && !parts_read_.empty();
   if (!waits_for_parts) return next;
   return std::min(next, jobs_asked_at_ + options_.part_patience);
 }
@@ -163,10 +163,12 @@
   if (!spec.ok() || spec->steps.empty()) {
     ctx.Log(LogId::kRowUnreadable,
             {{"row", id.value()}, {"error", spec.status().ToString()}});
+    // Its progress must stay: the row is there, and may be read one day.
+    progress_.erase(id);
     return;
   }
   auto job = std::make_unique<Job>(*std::move(spec));
-  ReadProgress(ctx, id, job.get());
+  if (!ReadProgress(ctx, id, job.get())) return;
   if (IsFinal(job->state())) {
     closed_[id] = ctx.now();
     return;
@@ -176,15 +178,15 @@
   changed->push_back(id);
 }
 
-void JobBook::ReadProgress(Context& ctx, const JobId& id, Job* job) {
+bool JobBook::ReadProgress(Context& ctx, const JobId& id, Job* job) {
   const auto progress = progress_.find(id);
-  if (progress == progress_.end()) return;
+  if (progress == progress_.end()) return true;
   const absl::Status status = DecodeProgress(progress->second, job);
-  if (!status.ok()) {
-    ctx.Log(LogId::kRowUnreadable,
-            {{"row", id.value()}, {"error", status.ToString()}});
-  }
   progress_.erase(progress);
+  if (status.ok()) return true;
+  ctx.Log(LogId::kRowUnreadable,
+          {{"row", id.value()}, {"error", status.ToString()}});
+  return false;
 }
 
 void JobBook::StoreCancel(const JobId& id, std::vector<JobId>* changed) {
--- a/src/dispatch/job_book.h
+++ b/src/dispatch/job_book.h
@@ -104,8 +104,10 @@
   void Follow(Context& ctx);
   /// Takes in a row of the table of jobs: a job, or the wish to cancel one.
   void Store(Context& ctx, const Row& row, std::vector<JobId>* changed);
-  /// Gives a new job the progress that was read for it, if any.
-  void ReadProgress(Context& ctx, const JobId& id, Job* job);
+  /// Gives a new job the progress that was read for it, if any. Returns false
+  /// if that is unreadable: the job must not begin anew then, since its tasks
+  /// may have run.
+  bool ReadProgress(Context& ctx, const JobId& id, Job* job);
   void StoreCancel(const JobId& id, std::vector<JobId>* changed);
 
   JobBookOptions options_;
--- /dev/null
+++ b/test/job-book-test.cc
@@ -0,0 +1,133 @@
+/// @file
+/// Tests of reading and following jobs.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "dispatch/job_book.h"
+
+namespace limeledge::dispatch {
+
+// A book whose calls are answered one by one.
+TEST_GROUP(JobBook) {
+  JobBook book;
+  Ticket tickets;
+  Effects effects;
+  TimePoint now{1000};
+  const std::string id = "00000000000000a1";
+
+  /// What the book asks for now.
+  Effects Work() {
+    effects.clear();
+    Context ctx(now, 0, &tickets, &effects);
+    book.Work(ctx);
+    return effects;
+  }
+
+  void Answer(const Effect& read, const std::vector<Row>& rows = {},
+              int newest = 10) {
+    RowsAnswered answer;
+    answer.outcome = StoreOutcome::kDone;
+    answer.ticket = std::get<ReadRows>(read).ticket;
+    answer.rows = rows;
+    answer.newest = Revision(newest);
+    Context ctx(now, 0, &tickets, &effects);
+    book.Take(ctx, answer);
+  }
+
+  void Refuse(const Effect& read) {
+    RowsAnswered answer;
+    answer.outcome = StoreOutcome::kNotDone;
+    answer.ticket = std::get<ReadRows>(read).ticket;
+    Context ctx(now, 0, &tickets, &effects);
+    book.Take(ctx, answer);
+  }
+
+  static Row MakeRow(const char* table, const std::string& key,
+                     const std::string& value) {
+    Row row;
+    row.key = {table, key};
+    row.value = value;
+    row.revision = Revision(1);
+    return row;
+  }
+
+  /// Reads progress and jobs whole: one job's rows.
+  void ReadJob(const std::string& progress, const std::string& job) {
+    Answer(Work().front(), {MakeRow(kProgressTable, id, progress)});
+    for (const Effect& read : Work()) {
+      const bool own = std::get<ReadRows>(read).part == JobPart(id);
+      Answer(read, own ? std::vector<Row>{MakeRow(kJobTable, id, job)}
+                       : std::vector<Row>{});
+    }
+    CHECK_TRUE(book.loaded());
+  }
+
+  static std::string EncodedJob() {
+    JobSpec spec;
+    spec.id = JobId("00000000000000a1");
+    spec.steps.resize(1);
+    return EncodeJobSpec(spec);
+  }
+};
+
+TEST(JobBook, JobsThatAreReadAreKnown) {
+  CHECK_FALSE(book.Knows(JobId(id)));
+  ReadJob(EncodeProgress(Job(*DecodeJobSpec(EncodedJob()))), EncodedJob());
+  CHECK_TRUE(book.Knows(JobId(id)));
+  CHECK_TRUE(book.KnowsAll());
+  CHECK_TRUE(book.Find(JobId(id)) != nullptr);
+  CHECK_TRUE(book.TakeOrphans().empty());
+}
+
+// With no part to be read, the book asked to be woken in the past: the process
+// did not sleep until the store was back.
+TEST(JobBook, BookThatCanReadNothingSleepsBetweenItsTries) {
+  Answer(Work().front());
+  for (int i = 0; i < 3; ++i) {
+    now = now + JobBookOptions().part_patience;
+    for (const Effect& read : Work()) Refuse(read);
+    CHECK_TRUE(book.next_at() > now);
+    CHECK_FALSE(book.loaded());
+  }
+}
+
+TEST(JobBook, ProgressWithoutAJobIsToldOnce) {
+  Answer(Work().front(), {MakeRow(kProgressTable, id, "{}")});
+  for (const Effect& read : Work()) Answer(read);
+  LONGS_EQUAL(1, book.TakeOrphans().size());
+  CHECK_TRUE(book.TakeOrphans().empty());
+}
+
+// The job's row is there; without its progress it would begin anew one day.
+TEST(JobBook, ProgressOfAJobThatCanNotBeReadIsKept) {
+  ReadJob("{}", "no job");
+  CHECK_TRUE(book.TakeOrphans().empty());
+  CHECK_TRUE(book.Find(JobId(id)) == nullptr);
+}
+
+// Its tasks may have run and must not run again.
+TEST(JobBook, JobWhoseProgressCanNotBeReadDoesNotBeginAnew) {
+  ReadJob("no progress", EncodedJob());
+  CHECK_TRUE(book.Find(JobId(id)) == nullptr);
+  CHECK_TRUE(book.active().empty());
+  CHECK_TRUE(book.TakeOrphans().empty());
+}
+
+TEST(JobBook, FinalJobIsClearedOnlyOnceItsStateIsStored) {
+  ReadJob(EncodeProgress(Job(*DecodeJobSpec(EncodedJob()))), EncodedJob());
+  book.Close(JobId(id));
+  CHECK_TRUE(book.StoredFinalBefore(now + Duration(1000000)).empty());
+  book.NoteFinalStored(JobId(id), now);
+  CHECK_TRUE(book.StoredFinalBefore(now).empty());
+  LONGS_EQUAL(1, book.StoredFinalBefore(now + Duration(1)).size());
+}
+
+}  // namespace limeledge::dispatch
