--- a/src/dispatch/job_spec.h
+++ b/src/dispatch/job_spec.h
@@ -96,6 +96,8 @@
   /// Tasks that may be away at once by the system's doing; -1 for no limit.
   int may_be_away = -1;
 
+  /// The system may not stop its tasks at will.
+  bool limits_absence() const { return may_be_away >= 0; }
   Sharing sharing() const {
     if (filler) return Sharing::kFills;
     return tail_target > Duration(0) ? Sharing::kServes : Sharing::kNone;
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -100,6 +100,9 @@
       const Unit& unit, const PlacementRequest& request);
   /// Displaces what costs least, if that makes room for the whole step.
   void Displace(const Unit& unit, const PlacementRequest& request);
+  /// The fillers on a seat that still go on; false if one of them may not be
+  /// stopped.
+  bool ListFillers(const Seat& seat, std::vector<TaskName>* fillers);
   /// Stops the fillers on runners that a serving step needs.
   void ClearOfFillers(const Unit& unit, const PlacementRequest& request);
   /// Stops the victims, and claims their room for the step.
--- a/src/dispatch/planner_room.cc
+++ b/src/dispatch/planner_room.cc
@@ -89,7 +89,8 @@
   if (run.stopping || displaced_.count(name) != 0) return false;
   Job* job = jobs_.Find(name.job);
   if (job == nullptr) return false;
-  if (job->step_spec(name.step).long_running) return false;
+  const StepSpec& step = job->step_spec(name.step);
+  if (step.long_running || step.limits_absence()) return false;
   if (unit.rank.entitled) return entitled_.count(name.job) == 0;
   return PolicyOf(*job, catalog_).priority > unit.policy.priority;
 }
@@ -174,6 +175,20 @@
   if (!best.empty()) TakeOpenings(unit, best);
 }
 
+bool Planner::Pass::ListFillers(const Seat& seat,
+                                std::vector<TaskName>* fillers) {
+  for (const auto& [name, run] : seat.runner->runs()) {
+    if (run.sharing != Sharing::kFills || run.stopping) continue;
+    if (displaced_.count(name) != 0) continue;
+    const Job* job = jobs_.Find(name.job);
+    const bool may_stop =
+        job != nullptr && !job->step_spec(name.step).limits_absence();
+    if (!may_stop) return false;
+    fillers->push_back(name);
+  }
+  return true;
+}
+
 void Planner::Pass::ClearOfFillers(const Unit& unit,
                                    const PlacementRequest& request) {
   std::vector<Opening> openings;
@@ -184,10 +199,9 @@
     if (seat.fillers == 0 || !Seating::Suits(cleared, request)) continue;
     Opening opening;
     opening.seat = &seat;
-    for (const auto& [name, run] : seat.runner->runs()) {
-      if (run.sharing != Sharing::kFills || run.stopping) continue;
-      cleared.room += run.need;
-      opening.victims.push_back(name);
+    if (!ListFillers(seat, &opening.victims)) continue;
+    for (const TaskName& name : opening.victims) {
+      cleared.room += seat.runner->runs().at(name).need;
     }
     if (unit.spec->room().Fits(cleared.room)) {
       openings.push_back(std::move(opening));
--- a/src/dispatch/scheduler_pace.cc
+++ b/src/dispatch/scheduler_pace.cc
@@ -132,6 +132,9 @@
   if (run.phase != RunPhase::kRunning) return;
   const Job* job = book_.Find(name.job);
   if (job == nullptr || !job->step_spec(name.step).saves_progress) return;
+  // A runner that only seems to leave is sound as far as anybody can tell.
+  const bool said_so = runner->info().draining;
+  if (!said_so && job->step_spec(name.step).limits_absence()) return;
   if (ctx.now() + TimeLeft(run, ctx.now()) < runner->leaves_at) return;
   AskStop(ctx, runner, name);
 }
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -190,7 +190,9 @@
         listed.ok = true;
         for (const auto& [id, runner] : runners_) {
           // A runner that is cut off can not renew its entry either.
-          if (Reaches(id)) listed.runners.push_back(runner->info());
+          const bool entered =
+              Reaches(id) && faults_.unlisted_runners.count(id) == 0;
+          if (entered) listed.runners.push_back(runner->info());
         }
         return listed;
       },
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -58,6 +58,8 @@
   /// Parts of the store that are away while the others are there.
   std::set<std::string> parts_down;
   std::set<RunnerId> unreachable_runners;
+  /// Runners that serve on without an entry in the list.
+  std::set<RunnerId> unlisted_runners;
 };
 
 /// A whole system in one thread. What breaks a promise is collected in
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -576,4 +576,39 @@
   }
 }
 
+// A bound on how many tasks may be away also holds for fillers, ...
+TEST(Scheduler, FillersWithABoundOnAbsenceMakeNoWay) {
+  dispatch::StepSpec filler = Step(16, 1, Duration(60000));
+  filler.filler = true;
+  filler.max_per_runner = 2;
+  filler.may_be_away = 1;
+  Submit(filler);
+  system.Run(Duration(1000));
+  dispatch::StepSpec serving = Step(1, 1, Duration(500));
+  serving.tail_target = Duration(50);
+  const JobId job = Submit(serving);
+  system.Run(Duration(5000));
+  CHECK_TRUE(Watch(job).starts.empty());
+  for (const auto& [id, watch] : system.jobs()) {
+    for (const auto& [task, starts] : watch.starts) LONGS_EQUAL(1, starts);
+  }
+  CheckNoViolation();
+}
+
+// ... and where a runner's entry is gone though it has not said that it leaves.
+TEST(Scheduler, TasksWithABoundOnAbsenceStayWhereAnEntryIsGone) {
+  dispatch::StepSpec step = Step(2, 1, Duration(9000));
+  step.saves_progress = true;
+  dispatch::StepSpec bound = step;
+  bound.may_be_away = 1;
+  const JobId free = Submit(step);
+  const JobId kept = Submit(bound);
+  system.Run(Duration(3000));
+  system.faults().unlisted_runners = {RunnerId("i-4-1")};
+  system.Run(Duration(4000));
+  for (const auto& [task, starts] : Watch(free).starts) LONGS_EQUAL(2, starts);
+  for (const auto& [task, starts] : Watch(kept).starts) LONGS_EQUAL(1, starts);
+  CheckNoViolation();
+}
+
 }  // namespace limeledge::emulator
