--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -63,9 +63,10 @@
 
 void Fleet::NoteUnreadable(Context& ctx, const std::vector<RunnerId>& ids) {
   for (const RunnerId& id : ids) {
-    if (!unreadable_.insert(id).second) continue;
+    if (unreadable_.count(id) != 0) continue;
     ctx.Log(LogId::kRunnerUnreadable, {{"runner", id.value()}});
   }
+  unreadable_ = std::set<RunnerId>(ids.begin(), ids.end());
 }
 
 Runner* Fleet::FindOrAdd(Context& ctx, const RunnerInfo& info) {
--- a/src/net/elastic_pool.cc
+++ b/src/net/elastic_pool.cc
@@ -7,43 +7,66 @@
 #include "net/elastic_pool.h"
 
 #include <chrono>
+#include <cstdio>
 #include <iterator>
+#include <system_error>
 #include <utility>
 
 namespace limeledge {
 
 ElasticPool::ElasticPool(std::size_t most_threads, Duration idle)
-    : most_threads_(most_threads), idle_(idle) {}
+    : most_threads_(most_threads), idle_(idle) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  AddThread();
+}
 
 ElasticPool::~ElasticPool() { shutdown(); }
 
+void ElasticPool::AddThread() {
+  threads_.emplace_back();
+  const auto self = std::prev(threads_.end());
+  try {
+    *self = std::thread([this, self] { Serve(self); });
+  } catch (const std::system_error&) {
+    threads_.erase(self);
+    throw;
+  }
+}
+
 void ElasticPool::enqueue(std::function<void()> task) {
   const std::lock_guard<std::mutex> lock(mutex_);
   JoinEnded();
   tasks_.push_back(std::move(task));
   const bool needs_thread = tasks_.size() > waiting_;
   if (needs_thread && threads_.size() < most_threads_) {
-    threads_.emplace_back();
-    const auto self = std::prev(threads_.end());
-    *self = std::thread([this, self] { Serve(self); });
+    try {
+      AddThread();
+    } catch (const std::system_error& error) {
+      // The task waits for one of the threads that are there.
+      std::fprintf(stderr, "no further thread for calls: %s\n", error.what());
+    }
   }
   changed_.notify_one();
 }
 
-void ElasticPool::Serve(Threads::iterator self) {
-  std::unique_lock<std::mutex> lock(mutex_);
+std::function<void()> ElasticPool::Next(std::unique_lock<std::mutex>* lock) {
   const std::chrono::milliseconds idle(idle_.ms());
-  for (;;) {
+  while (tasks_.empty()) {
+    if (stopping_) return nullptr;
     ++waiting_;
-    const bool woken = changed_.wait_for(
-        lock, idle, [this] { return stopping_ || !tasks_.empty(); });
+    const std::cv_status status = changed_.wait_for(*lock, idle);
     --waiting_;
-    if (tasks_.empty()) {
-      if (!woken || stopping_) break;
-      continue;
-    }
-    const std::function<void()> task = std::move(tasks_.front());
-    tasks_.pop_front();
+    const bool idled = status == std::cv_status::timeout && tasks_.empty();
+    if (idled && threads_.size() > 1) return nullptr;
+  }
+  std::function<void()> task = std::move(tasks_.front());
+  tasks_.pop_front();
+  return task;
+}
+
+void ElasticPool::Serve(Threads::iterator self) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (const std::function<void()> task = Next(&lock)) {
     lock.unlock();
     task();
     lock.lock();
--- a/src/net/elastic_pool.h
+++ b/src/net/elastic_pool.h
@@ -22,11 +22,13 @@
 namespace limeledge {
 
 /// Runs tasks on at most so many threads; a thread that finds nothing to do for
-/// a while ends. For servers whose calls wait long, but are few on most days.
+/// a while ends, but for one. For servers whose calls wait long, but are few on
+/// most days. Where no more threads are to be had, the others do the work.
 ///
 /// Thread safety: all methods from any thread; `shutdown` once.
 class ElasticPool : public httplib::TaskQueue {
  public:
+  /// Throws `std::system_error` if not even one thread is to be had.
   /// Precondition: `most_threads` is above 0.
   explicit ElasticPool(std::size_t most_threads,
                        Duration idle = Duration(10000));
@@ -45,7 +47,11 @@
  private:
   using Threads = std::list<std::thread>;
 
+  /// Precondition: the lock is held.
+  void AddThread();
   void Serve(Threads::iterator self);
+  /// Takes a task out, after a wait; nothing if this thread is to end.
+  std::function<void()> Next(std::unique_lock<std::mutex>* lock);
   /// Joins threads that have ended. Precondition: the lock is held.
   void JoinEnded();
 
