Account for open jobs in the report, and for accelerators over time

Change: open jobs are followed back from the last line, along the task that has had no run for longest or, if all have one, whose run began last. By queue: jobs settled and open, how often their runs made way, the longest time without a run; open jobs by age with tasks not done, causes, displacements and the worst jobs. Accelerators and cores in use and idle by slot of 2 s (--slot), by queue, with the open jobs. Dearest has its own file, and the tests' log lines are a fixture that three groups share.

--- a/src/cli/delays.cc
+++ b/src/cli/delays.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 
 #include "absl/strings/str_cat.h"
@@ -17,21 +18,38 @@
 
 namespace {
 
+// Stands for the index of any task that had no run yet.
+constexpr int kNeverStarted = -1;
+
 /// A task and its runs.
 using LoggedTask = std::map<TaskKey, std::vector<LoggedRun>>::value_type;
 
 /// Walks from a job's end to its beginning, along what decided its length.
 class DelayWalk {
  public:
-  DelayWalk(const JobHistory& job, const std::vector<Reign>& reigns)
-      : job_(job), reigns_(reigns), at_ms_(job.settled_ms) {}
+  /// From `end_ms` on, when the job settled or was still open.
+  DelayWalk(const JobHistory& job, const std::vector<Reign>& reigns,
+            std::int64_t end_ms)
+      : job_(job), reigns_(reigns), at_ms_(end_ms) {}
 
   std::vector<Delay> Walk();
+  std::vector<Delay> WalkOpen();
 
  private:
+  /// The task not done that has had no run for longest or, if all have one,
+  /// whose run began last.
+  std::optional<TaskKey> FurthestBehind() const;
+  /// From the end of the task that was done last.
+  std::vector<Delay> WalkDone();
+  /// From the end of a step's last task, and its causes, to the beginning.
+  /// `task`: null if there is none; `key`: what was walked before.
+  std::vector<Delay> FollowSteps(const LoggedTask* task, TaskKey key);
   /// The task of an earlier step, or of any, whose done run ended last, but not
   /// after `at_ms_`. Null if there is none.
   const LoggedTask* LastDone(const TaskKey* before) const;
+  /// Back to the run's beginning, for what its time went on.
+  void WalkRun(const LoggedRun& run);
+  /// Back along the runs that are over.
   void WalkRuns(const TaskKey& key, const std::vector<LoggedRun>& runs);
   /// Goes back to `from_ms`, for a cause.
   void Back(std::int64_t from_ms, const std::string& cause);
@@ -106,41 +124,99 @@
   return last;
 }
 
+void DelayWalk::WalkRun(const LoggedRun& run) {
+  const bool lost = run.fate != RunFate::kDone && run.fate != RunFate::kGoesOn;
+  if (lost) {
+    Back(run.begun_ms, absl::StrCat("lost run: ", ToString(run.fate)));
+    return;
+  }
+  Back(run.begun_ms + run.expected.ms(), kCauseLongRun);
+  Back(run.begun_ms + run.expected_near.ms(), kCauseFarRun);
+  Back(run.begun_ms, kCauseWork);
+}
+
 void DelayWalk::WalkRuns(const TaskKey& key,
                          const std::vector<LoggedRun>& runs) {
   for (auto run = runs.rbegin(); run != runs.rend(); ++run) {
     if (run->ended_ms == 0) continue;
     BackThroughWait(run->ended_ms, key);
-    if (run->fate == RunFate::kDone) {
-      Back(run->begun_ms + run->expected.ms(), kCauseLongRun);
-      Back(run->begun_ms + run->expected_near.ms(), kCauseFarRun);
-      Back(run->begun_ms, kCauseWork);
-    } else {
-      Back(run->begun_ms, absl::StrCat("lost run: ", ToString(run->fate)));
-    }
+    WalkRun(*run);
   }
 }
 
 std::vector<Delay> DelayWalk::Walk() {
   if (job_.accepted_ms == 0 || job_.settled_ms == 0) return {};
+  return WalkDone();
+}
+
+std::vector<Delay> DelayWalk::WalkDone() {
   const LoggedTask* task = LastDone(nullptr);
-  TaskKey first;
   if (task != nullptr) Back(task->second.back().ended_ms, kCauseSettling);
+  return FollowSteps(task, TaskKey());
+}
+
+std::vector<Delay> DelayWalk::FollowSteps(const LoggedTask* task, TaskKey key) {
   while (task != nullptr) {
-    first = task->first;
-    WalkRuns(first, task->second);
-    task = LastDone(&first);
+    key = task->first;
+    WalkRuns(key, task->second);
+    task = LastDone(&key);
   }
-  BackThroughWait(job_.accepted_ms, first);
+  BackThroughWait(job_.accepted_ms, key);
   Back(job_.asked_ms, kCauseNotAccepted);
   return std::move(delays_);
 }
 
+std::optional<TaskKey> DelayWalk::FurthestBehind() const {
+  for (const auto& [step, tasks] : CountTasks(job_)) {
+    if (tasks.known > tasks.started) {
+      return TaskKey{step.first, step.second, kNeverStarted};
+    }
+  }
+  std::optional<TaskKey> behind;
+  std::int64_t least_ms = 0;
+  for (const auto& [key, runs] : job_.tasks) {
+    if (runs.empty()) continue;
+    const LoggedRun& last = runs.back();
+    if (last.fate == RunFate::kDone) continue;
+    // Tasks that wait go before those that run, as their runs are over before
+    // `at_ms_`.
+    const std::int64_t rank_ms =
+        last.ended_ms != 0 ? last.ended_ms : at_ms_ + (at_ms_ - last.begun_ms);
+    if (behind && rank_ms >= least_ms) continue;
+    behind = key;
+    least_ms = rank_ms;
+  }
+  return behind;
+}
+
+std::vector<Delay> DelayWalk::WalkOpen() {
+  if (job_.accepted_ms == 0) return {};
+  const std::optional<TaskKey> behind = FurthestBehind();
+  if (!behind) return WalkDone();
+  const auto found = job_.tasks.find(*behind);
+  if (found != job_.tasks.end()) {
+    const std::vector<LoggedRun>& runs = found->second;
+    if (runs.back().ended_ms == 0) WalkRun(runs.back());
+    WalkRuns(*behind, runs);
+  }
+  const LoggedTask* before = LastDone(&*behind);
+  if (before != nullptr) {
+    BackThroughWait(before->second.back().ended_ms, *behind);
+  }
+  return FollowSteps(before, *behind);
+}
+
 }  // namespace
 
 std::vector<Delay> DelaysOf(const JobHistory& job,
                             const std::vector<Reign>& reigns) {
-  return DelayWalk(job, reigns).Walk();
+  return DelayWalk(job, reigns, job.settled_ms).Walk();
+}
+
+std::vector<Delay> DelaysUntil(const JobHistory& job,
+                               const std::vector<Reign>& reigns,
+                               std::int64_t until_ms) {
+  return DelayWalk(job, reigns, until_ms).WalkOpen();
 }
 
 }  // namespace limeledge
--- a/src/cli/delays.h
+++ b/src/cli/delays.h
@@ -7,6 +7,7 @@
 #ifndef LIMELEDGE_SRC_CLI_DELAYS_H_
 #define LIMELEDGE_SRC_CLI_DELAYS_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,14 @@
 std::vector<Delay> DelaysOf(const JobHistory& job,
                             const std::vector<Reign>& reigns);
 
+/// The same for a job that is open at `until_ms`, the last line's wall time:
+/// along the task not done that has had no run for longest or, if all have one,
+/// whose run began last. Empty if the logs do not tell its beginning. Safe from
+/// any thread.
+std::vector<Delay> DelaysUntil(const JobHistory& job,
+                               const std::vector<Reign>& reigns,
+                               std::int64_t until_ms);
+
 }  // namespace limeledge
 
 #endif  // LIMELEDGE_SRC_CLI_DELAYS_H_
--- a/src/cli/job_history.cc
+++ b/src/cli/job_history.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t kTaskParts = 4;
 constexpr std::size_t kStepParts = 3;
 
+constexpr char kUnknownGroup[] = "(not told)";
+
 std::int64_t NumberOf(const LogEntry& entry, const char* field) {
   std::int64_t number = 0;
   // A field that is missing, as in logs of older versions, counts as none.
@@ -132,6 +134,7 @@
   LoggedRun& run = task.runs->back();
   if (run.ended_ms != 0 || run.fate != RunFate::kGoesOn) return;
   run.fate = fate;
+  run.stopped_ms = entry.wall_ms;
   run.displaced_for = entry.Field("for");
 }
 
@@ -166,7 +169,8 @@
                      absl::SimpleAtoi(parts[2], &step);
   if (!whole) return;
   JobOf(parts[0])->waits[{occurrence, step}].push_back(
-      {entry.wall_ms, entry.Field("reason")});
+      {entry.wall_ms, entry.Field("reason"),
+       static_cast<int>(NumberOf(entry, "tasks"))});
 }
 
 void HistoryReader::AddSettled(const LogEntry& entry) {
@@ -254,6 +258,7 @@
       } else if (found != first.end()) {
         run.fate = found->second->fate;
         run.displaced_for = found->second->displaced_for;
+        run.stopped_ms = found->second->stopped_ms;
         run.with_its_gang = true;
       }
     }
@@ -269,6 +274,25 @@
   return std::move(histories_);
 }
 
+/// True if the task had ended as done, or had a run, at the moment.
+bool WasBusy(const std::vector<LoggedRun>& runs, std::int64_t at_ms) {
+  return std::any_of(runs.begin(), runs.end(), [at_ms](const LoggedRun& run) {
+    const bool over = run.ended_ms != 0 && run.ended_ms <= at_ms &&
+                      run.fate != RunFate::kDone;
+    return run.begun_ms <= at_ms && !over;
+  });
+}
+
+int BusyTasks(const JobHistory& job, StepKey step, std::int64_t at_ms) {
+  int busy = 0;
+  for (const auto& [key, runs] : job.tasks) {
+    const bool counts =
+        step == StepKey(key.occurrence, key.step) && WasBusy(runs, at_ms);
+    if (counts) ++busy;
+  }
+  return busy;
+}
+
 }  // namespace
 
 const char* ToString(RunFate fate) {
@@ -301,6 +325,29 @@
   return "";
 }
 
+std::map<StepKey, StepTasks> CountTasks(const JobHistory& job) {
+  std::map<StepKey, StepTasks> steps;
+  for (const auto& [key, runs] : job.tasks) {
+    StepTasks& step = steps[{key.occurrence, key.step}];
+    step.known = std::max(step.known, key.index + 1);
+    if (runs.empty()) continue;
+    ++step.started;
+    if (runs.back().fate == RunFate::kDone) ++step.done;
+  }
+  for (const auto& [key, waits] : job.waits) {
+    StepTasks& step = steps[key];
+    for (const LoggedWait& wait : waits) {
+      const int tasks = wait.tasks + BusyTasks(job, key, wait.from_ms);
+      step.known = std::max(step.known, tasks);
+    }
+  }
+  return steps;
+}
+
+std::string GroupName(const std::string& name) {
+  return name.empty() ? kUnknownGroup : name;
+}
+
 Histories ReadHistories(const std::vector<LogEntry>& entries) {
   HistoryReader reader;
   for (const LogEntry& entry : entries) reader.Add(entry);
--- a/src/cli/job_history.h
+++ b/src/cli/job_history.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "cli/log_story.h"
@@ -18,6 +19,9 @@
 
 namespace limeledge {
 
+/// Final state of a job that its caller took back.
+inline constexpr char kStateCancelled[] = "cancelled";
+
 /// Why the scheduler stopped a run, or how it ended otherwise.
 enum class RunFate {
   kGoesOn,
@@ -71,6 +75,8 @@
   RunFate fate = RunFate::kGoesOn;
   /// A checkpoint was left, from which the next run goes on.
   bool saved = false;
+  /// When the scheduler decided to stop it; 0 if no line tells that.
+  std::int64_t stopped_ms = 0;
   /// The urgent job it made way for.
   std::string displaced_for;
   /// Another member of its gang ended first; `fate` is that member's.
@@ -83,6 +89,21 @@
 struct LoggedWait {
   std::int64_t from_ms = 0;
   std::string reason;
+  /// How many of its tasks wait.
+  int tasks = 0;
+};
+
+/// Occurrence and step.
+using StepKey = std::pair<int, int>;
+
+/// Tasks of a step.
+struct StepTasks {
+  /// As far as the logs tell: a task that never ran is known by its index, or
+  /// from lines that tell how many wait.
+  int known = 0;
+  /// That had a run.
+  int started = 0;
+  int done = 0;
 };
 
 /// One job. Moments are milliseconds of wall time, 0 when no line tells them.
@@ -98,7 +119,7 @@
   /// Runs of each task, in order.
   std::map<TaskKey, std::vector<LoggedRun>> tasks;
   /// By occurrence and step, in order.
-  std::map<std::pair<int, int>, std::vector<LoggedWait>> waits;
+  std::map<StepKey, std::vector<LoggedWait>> waits;
 };
 
 /// A time in which one process scheduled.
@@ -119,6 +140,13 @@
 /// thread.
 Histories ReadHistories(const std::vector<LogEntry>& entries);
 
+/// Tasks of each step that began. Safe from any thread.
+std::map<StepKey, StepTasks> CountTasks(const JobHistory& job);
+
+/// The name of a queue or workspace, or what stands for one that no line tells.
+/// Safe from any thread.
+std::string GroupName(const std::string& name);
+
 }  // namespace limeledge
 
 #endif  // LIMELEDGE_SRC_CLI_JOB_HISTORY_H_
--- /dev/null
+++ b/src/cli/open_jobs.cc
@@ -0,0 +1,122 @@
+/// @file
+/// Summing up settled and open jobs by queue.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "cli/open_jobs.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "cli/delays.h"
+
+namespace limeledge {
+
+namespace {
+
+int TasksNotDone(const JobHistory& job) {
+  int tasks = 0;
+  for (const auto& [step, count] : CountTasks(job)) {
+    tasks += count.known - count.done;
+  }
+  return tasks;
+}
+
+void CountDisplaced(const JobHistory& job, DisplacedCounts* counts) {
+  ++(*counts)[std::min(TimesDisplaced(job), counts->size() - 1)];
+}
+
+AgeBand& BandOf(Duration age, QueueStanding* standing) {
+  std::size_t band = kAgeBandsMs.size() - 1;
+  while (band > 0 && age < Duration(kAgeBandsMs[band])) --band;
+  return standing->ages[band];
+}
+
+void AddOpenJob(const JobHistory& job, const std::vector<Reign>& reigns,
+                std::int64_t end_ms, QueueStanding* standing) {
+  AgeBand& band = BandOf(Duration(end_ms - job.asked_ms), standing);
+  ++standing->open;
+  ++band.jobs;
+  band.tasks_not_done += TasksNotDone(job);
+  CountDisplaced(job, &band.displaced);
+  Duration lost;
+  for (const Delay& delay : DelaysUntil(job, reigns, end_ms)) {
+    Duration& length = band.causes[delay.cause];
+    length = length + delay.length;
+    if (delay.cause != kCauseWork) lost = lost + delay.length;
+  }
+  band.worst.Add(static_cast<double>(lost.ms()), job.id);
+}
+
+void AddIdle(const JobHistory& job, std::int64_t end_ms,
+             QueueStanding* standing) {
+  const Duration idle = LongestIdle(job, end_ms);
+  if (idle <= standing->longest_idle) return;
+  standing->longest_idle = idle;
+  standing->longest_idle_job = job.id;
+}
+
+QueueStanding EmptyStanding() {
+  QueueStanding standing;
+  for (std::size_t band = 0; band < kAgeBandsMs.size(); ++band) {
+    standing.ages[band].from = Duration(kAgeBandsMs[band]);
+  }
+  return standing;
+}
+
+}  // namespace
+
+std::size_t TimesDisplaced(const JobHistory& job) {
+  std::set<std::int64_t> moments;
+  for (const auto& [key, runs] : job.tasks) {
+    for (const LoggedRun& run : runs) {
+      if (run.fate == RunFate::kDisplaced) moments.insert(run.stopped_ms);
+    }
+  }
+  return moments.size();
+}
+
+Duration LongestIdle(const JobHistory& job, std::int64_t end_ms) {
+  if (job.accepted_ms == 0) return Duration(0);
+  const std::int64_t over_ms = job.settled_ms == 0 ? end_ms : job.settled_ms;
+  std::vector<std::pair<std::int64_t, std::int64_t>> busy;
+  for (const auto& [key, runs] : job.tasks) {
+    for (const LoggedRun& run : runs) {
+      busy.emplace_back(run.begun_ms,
+                        run.ended_ms == 0 ? over_ms : run.ended_ms);
+    }
+  }
+  busy.emplace_back(over_ms, over_ms);
+  std::sort(busy.begin(), busy.end());
+  std::int64_t idle_from_ms = job.accepted_ms;
+  std::int64_t longest_ms = 0;
+  for (const auto& [from_ms, to_ms] : busy) {
+    longest_ms = std::max(longest_ms, from_ms - idle_from_ms);
+    idle_from_ms = std::max(idle_from_ms, to_ms);
+  }
+  return Duration(longest_ms);
+}
+
+std::map<std::string, QueueStanding> MakeStandings(const Histories& histories,
+                                                   std::int64_t end_ms) {
+  std::map<std::string, QueueStanding> standings;
+  for (const auto& [id, job] : histories.jobs) {
+    const bool counts = job.accepted_ms != 0 && job.state != kStateCancelled;
+    if (!counts) continue;
+    QueueStanding& standing =
+        standings.try_emplace(GroupName(job.queue), EmptyStanding())
+            .first->second;
+    if (job.settled_ms == 0) {
+      AddOpenJob(job, histories.reigns, end_ms, &standing);
+    } else {
+      ++standing.settled;
+    }
+    CountDisplaced(job, &standing.displaced);
+    AddIdle(job, end_ms, &standing);
+  }
+  return standings;
+}
+
+}  // namespace limeledge
--- a/src/cli/report_command.cc
+++ b/src/cli/report_command.cc
@@ -10,9 +10,10 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_join.h"
 #include "cli/command.h"
 #include "cli/log_story.h"
+#include "cli/report_values.h"
+#include "cli/starvation_tables.h"
 #include "cli/work_report.h"
 #include "codec/json.h"
 
@@ -21,26 +22,15 @@
 namespace {
 
 constexpr char kDefaultSeconds[] = "10";
-constexpr double kMillisPerSecond = 1000;
+constexpr std::int64_t kMillisPerSecond = 1000;
 constexpr double kPercent = 100;
 
-double Seconds(Duration length) {
-  return static_cast<double>(length.ms()) / kMillisPerSecond;
-}
-
 void AddReportOptions(cxxopts::OptionAdder& add) {
   add("seconds", "how many of the worst seconds to name",
       cxxopts::value<std::size_t>()->default_value(kDefaultSeconds));
-}
-
-std::string Names(const Dearest& dearest) {
-  return absl::StrJoin(dearest.jobs(), " ");
-}
-
-Json::Value ToJson(const Dearest& dearest) {
-  Json::Value json(Json::arrayValue);
-  for (const std::string& job : dearest.jobs()) json.append(job);
-  return json;
+  add("slot", "seconds of a slot in the use of accelerators over time",
+      cxxopts::value<int>()->default_value(
+          absl::StrCat(kDefaultSlot.ms() / kMillisPerSecond)));
 }
 
 Json::Value ToJson(const std::map<std::string, GroupTotal>& groups) {
@@ -53,7 +43,7 @@
       Json::Value& row = entry["causes"][cause];
       row["seconds"] = Seconds(total.length);
       row["jobs"] = total.jobs;
-      row["most"] = ToJson(total.dearest);
+      row["most"] = limeledge::ToJson(total.dearest);
     }
   }
   return json;
@@ -70,7 +60,7 @@
     for (const auto& [queue, runs] : total.runs_by_queue) {
       row["runs_by_queue"][queue] = runs;
     }
-    row["most"] = ToJson(total.dearest);
+    row["most"] = limeledge::ToJson(total.dearest);
   }
   return json;
 }
@@ -97,7 +87,7 @@
     row["jobs"] = total.jobs;
     row["lost_seconds"] = Seconds(total.lost);
     row["main_cause"] = total.main_cause;
-    row["most"] = ToJson(total.dearest);
+    row["most"] = limeledge::ToJson(total.dearest);
     json.append(std::move(row));
   }
   return json;
@@ -114,6 +104,8 @@
   json["thrown_away"] = ToJson(report.waste);
   json["displacing"] = ToJson(report.displacing);
   json["worst_seconds"] = ToJson(report.worst_seconds);
+  json["standings"] = limeledge::ToJson(report.standings);
+  json["accelerator_use"] = limeledge::ToJson(report.use);
   return json;
 }
 
@@ -189,15 +181,20 @@
   PrintWaste(report.waste);
   PrintDisplacing(report.displacing);
   PrintSeconds(report.worst_seconds);
+  PrintStandings(report.standings);
+  PrintUse(report.use);
 }
 
 int Report(const Target& target, const cxxopts::ParseResult& args,
            const std::vector<std::string>& arguments) {
+  const int slot = args["slot"].as<int>();
+  if (slot <= 0) return ReportUsage("--slot takes a number above zero");
   LogStory story;
   const absl::Status status = AddLogFiles(arguments, &story);
   if (!status.ok()) return ReportUsage(std::string(status.message()));
   const WorkReport report =
-      MakeWorkReport(story.Lines(), args["seconds"].as<std::size_t>());
+      MakeWorkReport(story.Lines(), args["seconds"].as<std::size_t>(),
+                     Duration(slot * kMillisPerSecond));
   if (target.json) {
     fmt::print("{}\n", WriteJson(ToJson(report)));
   } else {
--- /dev/null
+++ b/src/cli/report_values.cc
@@ -0,0 +1,33 @@
+/// @file
+/// Forming the report's values.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "cli/report_values.h"
+
+#include "absl/strings/str_join.h"
+
+namespace limeledge {
+
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+
+}  // namespace
+
+double Seconds(Duration length) {
+  return static_cast<double>(length.ms()) / kMillisPerSecond;
+}
+
+std::string Names(const Dearest& dearest) {
+  return absl::StrJoin(dearest.jobs(), " ");
+}
+
+Json::Value ToJson(const Dearest& dearest) {
+  Json::Value json(Json::arrayValue);
+  for (const std::string& job : dearest.jobs()) json.append(job);
+  return json;
+}
+
+}  // namespace limeledge
--- /dev/null
+++ b/src/cli/starvation_tables.cc
@@ -0,0 +1,194 @@
+/// @file
+/// Writing out standings of queues and the use of accelerators.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "cli/starvation_tables.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "cli/report_values.h"
+
+namespace limeledge {
+
+namespace {
+
+// Causes of an age band that the text names; the JSON has them all.
+constexpr std::size_t kMostCauses = 4;
+
+Json::Value ToJson(const DisplacedCounts& counts) {
+  Json::Value json(Json::arrayValue);
+  for (const int jobs : counts) json.append(jobs);
+  return json;
+}
+
+Json::Value ToJson(const Room& room) {
+  Json::Value json;
+  json["accelerators"] = room.accelerators;
+  json["cores"] = room.cores;
+  return json;
+}
+
+Json::Value ToJson(const AgeBand& band) {
+  Json::Value json;
+  json["from_seconds"] = Seconds(band.from);
+  json["jobs"] = band.jobs;
+  json["tasks_not_done"] = band.tasks_not_done;
+  json["seconds_by_cause"] = Json::Value(Json::objectValue);
+  for (const auto& [cause, length] : band.causes) {
+    json["seconds_by_cause"][cause] = Seconds(length);
+  }
+  json["jobs_by_times_displaced"] = ToJson(band.displaced);
+  json["worst"] = limeledge::ToJson(band.worst);
+  return json;
+}
+
+Json::Value ToJson(const QueueStanding& standing) {
+  Json::Value json;
+  json["settled_jobs"] = standing.settled;
+  json["open_jobs"] = standing.open;
+  json["jobs_by_times_displaced"] = ToJson(standing.displaced);
+  json["longest_idle_seconds"] = Seconds(standing.longest_idle);
+  json["longest_idle_job"] = standing.longest_idle_job;
+  json["open_by_age"] = Json::Value(Json::arrayValue);
+  for (const AgeBand& band : standing.ages) {
+    json["open_by_age"].append(ToJson(band));
+  }
+  return json;
+}
+
+/// Such as "5 to 10 s".
+std::string NameOfBand(const QueueStanding& standing, std::size_t band) {
+  const double from = Seconds(standing.ages[band].from);
+  if (band + 1 == standing.ages.size()) return fmt::format("over {} s", from);
+  const double to = Seconds(standing.ages[band + 1].from);
+  return fmt::format("{} to {} s", from, to);
+}
+
+/// The longest first.
+std::vector<std::pair<std::string, Duration>> MainCauses(const AgeBand& band) {
+  std::vector<std::pair<std::string, Duration>> causes(band.causes.begin(),
+                                                       band.causes.end());
+  std::stable_sort(
+      causes.begin(), causes.end(),
+      [](const auto& a, const auto& b) { return a.second > b.second; });
+  if (causes.size() > kMostCauses) causes.resize(kMostCauses);
+  return causes;
+}
+
+void PrintBand(const std::string& name, const AgeBand& band) {
+  const DisplacedCounts& displaced = band.displaced;
+  fmt::print("  {:<10} {:>5} {:>6}  {:>5} {:>4} {:>5} {:>8}  {}\n", name,
+             band.jobs, band.tasks_not_done, displaced[0], displaced[1],
+             displaced[2], displaced[3], Names(band.worst));
+  for (const auto& [cause, length] : MainCauses(band)) {
+    fmt::print("  {:>22.1f} s  {}\n", Seconds(length), cause);
+  }
+}
+
+void PrintOpenJobs(const std::string& queue, const QueueStanding& standing) {
+  if (standing.open == 0) return;
+  fmt::print("\nOpen jobs of queue {}, by age\n", queue);
+  fmt::print("  {:<10} {:>5} {:>6}  {:>5} {:>4} {:>5} {:>8}  {}\n", "AGE",
+             "JOBS", "TASKS", "NEVER", "ONCE", "TWICE", "3 TIMES+", "WORST");
+  for (std::size_t band = 0; band < standing.ages.size(); ++band) {
+    if (standing.ages[band].jobs == 0) continue;
+    PrintBand(NameOfBand(standing, band), standing.ages[band]);
+  }
+}
+
+void PrintQueues(const std::map<std::string, QueueStanding>& standings) {
+  fmt::print("\nJobs by how often their runs made way, and the longest wait\n");
+  fmt::print("  {:>7} {:>5}  {:>5} {:>4} {:>5} {:>8}  {:>9}  {:<20} {}\n",
+             "SETTLED", "OPEN", "NEVER", "ONCE", "TWICE", "3 TIMES+",
+             "NO RUN S", "OF JOB", "QUEUE");
+  for (const auto& [queue, standing] : standings) {
+    const DisplacedCounts& displaced = standing.displaced;
+    fmt::print("  {:>7} {:>5}  {:>5} {:>4} {:>5} {:>8}  {:>9.1f}  {:<20} {}\n",
+               standing.settled, standing.open, displaced[0], displaced[1],
+               displaced[2], displaced[3], Seconds(standing.longest_idle),
+               standing.longest_idle_job, queue);
+  }
+}
+
+std::set<std::string> QueuesOf(const std::vector<UseSlot>& use) {
+  std::set<std::string> queues;
+  for (const UseSlot& slot : use) {
+    for (const auto& [queue, used] : slot.used_by_queue) queues.insert(queue);
+    for (const auto& [queue, jobs] : slot.open_jobs) queues.insert(queue);
+  }
+  return queues;
+}
+
+template <typename Value>
+Value ValueOf(const std::map<std::string, Value>& values,
+              const std::string& queue) {
+  const auto found = values.find(queue);
+  return found == values.end() ? Value() : found->second;
+}
+
+void PrintSlot(const UseSlot& slot, const std::set<std::string>& queues) {
+  fmt::print("  {:>6.0f} {:>7.1f} {:>7.1f} {:>8.0f} {:>10.0f}",
+             Seconds(slot.begin), slot.used.accelerators,
+             slot.idle_at_least.accelerators, slot.used.cores,
+             slot.idle_at_least.cores);
+  for (const std::string& queue : queues) {
+    fmt::print("  {:>9.1f} {:>5}", ValueOf(slot.used_by_queue, queue),
+               ValueOf(slot.open_jobs, queue));
+  }
+  fmt::print("\n");
+}
+
+}  // namespace
+
+Json::Value ToJson(const std::map<std::string, QueueStanding>& standings) {
+  Json::Value json(Json::objectValue);
+  for (const auto& [queue, standing] : standings) {
+    json[queue] = ToJson(standing);
+  }
+  return json;
+}
+
+Json::Value ToJson(const std::vector<UseSlot>& use) {
+  Json::Value json(Json::arrayValue);
+  for (const UseSlot& slot : use) {
+    Json::Value row;
+    row["begin_seconds"] = Seconds(slot.begin);
+    row["used"] = ToJson(slot.used);
+    row["idle_at_least"] = ToJson(slot.idle_at_least);
+    for (const auto& [queue, used] : slot.used_by_queue) {
+      row["queues"][queue]["used"] = used;
+    }
+    for (const auto& [queue, jobs] : slot.open_jobs) {
+      row["queues"][queue]["open_jobs"] = jobs;
+    }
+    json.append(std::move(row));
+  }
+  return json;
+}
+
+void PrintStandings(const std::map<std::string, QueueStanding>& standings) {
+  if (standings.empty()) return;
+  PrintQueues(standings);
+  for (const auto& [queue, standing] : standings) {
+    PrintOpenJobs(queue, standing);
+  }
+}
+
+void PrintUse(const std::vector<UseSlot>& use) {
+  if (use.empty()) return;
+  const std::set<std::string> queues = QueuesOf(use);
+  fmt::print("\nAccelerators in use, and open jobs at each slot's beginning\n");
+  fmt::print("  {:>6} {:>7} {:>7} {:>8} {:>10}", "SECOND", "IN USE", "IDLE",
+             "CORES", "IDLE CORES");
+  for (const std::string& queue : queues) fmt::print("  {:>15}", queue);
+  fmt::print("\n");
+  for (const UseSlot& slot : use) PrintSlot(slot, queues);
+}
+
+}  // namespace limeledge
--- a/src/cli/work_report.cc
+++ b/src/cli/work_report.cc
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::int64_t kMillisPerSecond = 1000;
-constexpr char kUnknownGroup[] = "(not told)";
 
 /// The parts of one job that are for the same cause, as one.
 std::map<std::string, Duration> ByCause(const std::vector<Delay>& delays) {
@@ -37,10 +36,6 @@
   }
 }
 
-std::string GroupName(const std::string& name) {
-  return name.empty() ? kUnknownGroup : name;
-}
-
 /// Jobs that were handed in within one second.
 struct SecondDraft {
   SecondTotal total;
@@ -167,26 +162,8 @@
 
 }  // namespace
 
-void Dearest::Add(double cost, const std::string& job) {
-  jobs_.emplace_back(cost, job);
-  std::stable_sort(
-      jobs_.begin(), jobs_.end(),
-      [](const auto& a, const auto& b) { return a.first > b.first; });
-  if (jobs_.size() > most_) jobs_.pop_back();
-}
-
-std::vector<std::string> Dearest::jobs() const {
-  std::vector<std::string> names;
-  for (const auto& [cost, job] : jobs_) {
-    const bool named =
-        std::find(names.begin(), names.end(), job) != names.end();
-    if (!named) names.push_back(job);
-  }
-  return names;
-}
-
 WorkReport MakeWorkReport(const std::vector<LogEntry>& entries,
-                          std::size_t most_seconds) {
+                          std::size_t most_seconds, Duration slot) {
   WorkReport report;
   if (entries.empty()) return report;
   report.begin_ms = entries.front().wall_ms;
@@ -199,7 +176,7 @@
     const bool open = job.accepted_ms != 0 && job.settled_ms == 0;
     if (open) report.open_jobs.push_back(id);
     // A cancelled job's time is its caller's.
-    if (job.state == "cancelled") continue;
+    if (job.state == kStateCancelled) continue;
     const std::vector<Delay> delays = DelaysOf(job, histories.reigns);
     if (delays.empty()) continue;
     ++report.settled_jobs;
@@ -212,6 +189,8 @@
   }
   AddDisplacing(histories, &report);
   report.worst_seconds = WorstOf(seconds, most_seconds);
+  report.standings = MakeStandings(histories, entries.back().wall_ms);
+  report.use = MakeAcceleratorUse(entries, histories, slot);
   return report;
 }
 
--- a/src/cli/work_report.h
+++ b/src/cli/work_report.h
@@ -10,31 +10,16 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
+#include "cli/accelerator_use.h"
+#include "cli/dearest.h"
 #include "cli/delays.h"
 #include "cli/job_history.h"
+#include "cli/open_jobs.h"
 
 namespace limeledge {
 
-/// Jobs that something cost most, the dearest first.
-///
-/// Thread safety: none; use it from one thread.
-class Dearest {
- public:
-  explicit Dearest(std::size_t most = 3) : most_(most) {}
-
-  /// Notes what it cost a job, in any unit.
-  void Add(double cost, const std::string& job);
-  /// Each job once.
-  std::vector<std::string> jobs() const;
-
- private:
-  std::size_t most_;
-  std::vector<std::pair<double, std::string>> jobs_;
-};
-
 struct CauseTotal {
   Duration length;
   int jobs = 0;
@@ -92,12 +77,16 @@
   std::map<std::string, DisplacingTotal> displacing;
   /// The worst first.
   std::vector<SecondTotal> worst_seconds;
+  std::map<std::string, QueueStanding> standings;
+  std::vector<UseSlot> use;
 };
 
 /// Sums everything up. `entries`: in order of time; `most_seconds`: how many of
-/// the worst seconds to name. Safe from any thread.
+/// the worst seconds to name; `slot`: for the use over time, above zero. Safe
+/// from any thread.
 WorkReport MakeWorkReport(const std::vector<LogEntry>& entries,
-                          std::size_t most_seconds);
+                          std::size_t most_seconds,
+                          Duration slot = kDefaultSlot);
 
 }  // namespace limeledge
 
--- /dev/null
+++ b/test/open-jobs-test.cc
@@ -0,0 +1,215 @@
+/// @file
+/// Tests of telling from logs which jobs starve.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdint>
+#include <string>
+
+#include "cli/delays.h"
+#include "cli/open_jobs.h"
+#include "cli/work_report.h"
+#include "log-lines-fixture.h"
+
+namespace limeledge {
+
+// What the queue's standing tells of its jobs.
+class OpenJobsFixture : public LogLinesFixture {
+ public:
+  QueueStanding Standing() {
+    return MakeWorkReport(lines, 10).standings["sweep"];
+  }
+
+  /// The only band with jobs.
+  AgeBand Band() {
+    const QueueStanding standing = Standing();
+    for (const AgeBand& band : standing.ages) {
+      if (band.jobs > 0) return band;
+    }
+    return AgeBand();
+  }
+
+  std::int64_t CauseMs(const std::string& cause) {
+    const AgeBand band = Band();
+    const auto found = band.causes.find(cause);
+    return found == band.causes.end() ? 0 : found->second.ms();
+  }
+};
+
+TEST_GROUP_BASE(OpenJobs, OpenJobsFixture){};
+
+TEST(OpenJobs, JobWithoutAnEndIsToldApartFromSettledOnes) {
+  Submit(1000, "bb", "sweep", "roads");
+  Assign(1100, "bb.0.0.0", 1);
+  End(3000, "bb.0.0.0", 1, "done");
+  Settle(3000, "bb");
+  EndLogs(4000);
+  LONGS_EQUAL(1, Standing().settled);
+  LONGS_EQUAL(1, Standing().open);
+}
+
+TEST(OpenJobs, CancelledJobIsNotCounted) {
+  Settle(3000, "aa", "cancelled");
+  EndLogs(4000);
+  LONGS_EQUAL(0, MakeWorkReport(lines, 10).standings.size());
+}
+
+TEST(OpenJobs, JobIsInTheBandOfItsAgeAtTheLastLine) {
+  Submit(31000, "bb", "sweep", "roads");
+  Submit(36000, "cc", "sweep", "roads");
+  Submit(36001, "dd", "sweep", "roads");
+  EndLogs(41000);
+  const QueueStanding standing = Standing();
+  LONGS_EQUAL(1, standing.ages[0].jobs);
+  LONGS_EQUAL(1, standing.ages[1].jobs);
+  LONGS_EQUAL(1, standing.ages[2].jobs);
+  LONGS_EQUAL(0, standing.ages[3].jobs);
+  LONGS_EQUAL(1, standing.ages[4].jobs);
+  STRCMP_EQUAL("aa", standing.ages[4].worst.jobs().at(0).c_str());
+}
+
+TEST(OpenJobs, WaitThatTheLogsCutOffLastsToTheirLastLine) {
+  Wait(1200, "aa.0.0", 3);
+  EndLogs(9000);
+  LONGS_EQUAL(200, CauseMs(kCauseDeciding));
+  LONGS_EQUAL(7800, CauseMs("waits: no room"));
+  LONGS_EQUAL(3, Band().tasks_not_done);
+}
+
+TEST(OpenJobs, RunThatTheLogsCutOffIsWorkUpToItsExpectedLength) {
+  Assign(1500, "aa.0.0.0", 1);
+  EndLogs(4500);
+  LONGS_EQUAL(2000, CauseMs(kCauseWork));
+  LONGS_EQUAL(1000, CauseMs(kCauseLongRun));
+  LONGS_EQUAL(500, CauseMs(kCauseDeciding));
+}
+
+TEST(OpenJobs, TaskThatHasHadNoRunForLongestDecides) {
+  Assign(1000, "aa.0.0.0", 1);
+  Assign(1000, "aa.0.0.1", 1);
+  Displace(2000, "aa.0.0.1", "bb");
+  End(2000, "aa.0.0.1", 1, "stopped");
+  Wait(2000, "aa.0.0", 1);
+  EndLogs(6000);
+  LONGS_EQUAL(1000, CauseMs("lost run: made way for urgent work"));
+  LONGS_EQUAL(4000, CauseMs("waits: no room"));
+  LONGS_EQUAL(0, CauseMs(kCauseWork));
+}
+
+TEST(OpenJobs, RunThatBeganLastDecidesIfNoTaskWaits) {
+  Assign(1000, "aa.0.0.0", 1);
+  Assign(1800, "aa.0.0.1", 1);
+  EndLogs(2500);
+  LONGS_EQUAL(700, CauseMs(kCauseWork));
+  LONGS_EQUAL(800, CauseMs(kCauseDeciding));
+}
+
+TEST(OpenJobs, WaitAfterAnEarlierStepIsToldByItsOwnReason) {
+  Assign(1000, "aa.0.0.0", 1);
+  End(3000, "aa.0.0.0", 1, "done");
+  Wait(3000, "aa.0.1", 2, "others make way");
+  EndLogs(7000);
+  LONGS_EQUAL(2000, CauseMs(kCauseWork));
+  LONGS_EQUAL(4000, CauseMs("waits: others make way"));
+  LONGS_EQUAL(2, Band().tasks_not_done);
+}
+
+TEST(OpenJobs, DoneTasksAreNotCountedAmongThoseLeft) {
+  Assign(1000, "aa.0.0.0", 1);
+  Assign(1000, "aa.0.0.1", 1);
+  Wait(1000, "aa.0.0", 4);
+  End(3000, "aa.0.0.0", 1, "done");
+  EndLogs(4000);
+  LONGS_EQUAL(5, Band().tasks_not_done);
+}
+
+TEST(OpenJobs, PartsOfAnOpenJobsTimeAddUpToItsAge) {
+  Assign(1200, "aa.0.0.0", 1);
+  End(2500, "aa.0.0.0", 1, "failed");
+  Assign(2600, "aa.0.0.0", 2);
+  EndLogs(9500);
+  const AgeBand band = Band();
+  Duration sum;
+  for (const auto& [cause, length] : band.causes) sum = sum + length;
+  LONGS_EQUAL(8500, sum.ms());
+}
+
+TEST(OpenJobs, JobWhoseTasksAreAllDoneWaitsToBeSettled) {
+  Assign(1000, "aa.0.0.0", 1);
+  End(3000, "aa.0.0.0", 1, "done");
+  EndLogs(3600);
+  LONGS_EQUAL(600, CauseMs(kCauseSettling));
+}
+
+TEST(OpenJobs, RunsStoppedInOneMillisecondMadeWayOnce) {
+  Assign(1000, "aa.0.0.0", 1);
+  Assign(1000, "aa.0.0.1", 1);
+  Displace(2000, "aa.0.0.0", "bb");
+  Displace(2000, "aa.0.0.1", "bb");
+  EndLogs(2500);
+  LONGS_EQUAL(1, Band().displaced[1]);
+  LONGS_EQUAL(1, Standing().displaced[1]);
+}
+
+TEST(OpenJobs, MemberOfAGangThatMadeWayDoesNotCountAgain) {
+  Assign(1000, "aa.0.0.0", 1);
+  Assign(1000, "aa.0.0.1", 1);
+  Displace(2000, "aa.0.0.0", "bb");
+  End(2100, "aa.0.0.0", 1, "stopped");
+  End(2200, "aa.0.0.1", 1, "broken");
+  EndLogs(2500);
+  LONGS_EQUAL(1, Band().displaced[1]);
+}
+
+TEST(OpenJobs, DisplacementsBeyondTheThirdAreInTheLastClass) {
+  std::int64_t begun_ms = 1000;
+  for (int run = 1; run <= 4; ++run) {
+    Assign(begun_ms, "aa.0.0.0", run);
+    Displace(begun_ms + 500, "aa.0.0.0", "bb");
+    End(begun_ms + 600, "aa.0.0.0", run, "stopped");
+    begun_ms += 1000;
+  }
+  EndLogs(6000);
+  LONGS_EQUAL(0, Band().displaced[0]);
+  LONGS_EQUAL(1, Band().displaced[3]);
+}
+
+TEST(OpenJobs, SettledJobCountsAmongTheQueuesDisplacedOnes) {
+  Assign(1000, "aa.0.0.0", 1);
+  Displace(1500, "aa.0.0.0", "bb");
+  End(1600, "aa.0.0.0", 1, "stopped");
+  Assign(1700, "aa.0.0.0", 2);
+  End(3700, "aa.0.0.0", 2, "done");
+  Settle(3700, "aa");
+  LONGS_EQUAL(1, Standing().displaced[1]);
+  LONGS_EQUAL(0, Standing().open);
+}
+
+TEST(OpenJobs, LongestTimeWithoutARunSpansTasksAndTheLogsEnd) {
+  Assign(1300, "aa.0.0.0", 1);
+  Assign(2000, "aa.0.0.1", 1);
+  End(3300, "aa.0.0.0", 1, "failed");
+  End(4000, "aa.0.0.1", 1, "failed");
+  EndLogs(9000);
+  LONGS_EQUAL(5000, Standing().longest_idle.ms());
+  STRCMP_EQUAL("aa", Standing().longest_idle_job.c_str());
+}
+
+TEST(OpenJobs, RunThatTheLogsCutOffIsNoWait) {
+  Assign(1300, "aa.0.0.0", 1);
+  EndLogs(9000);
+  LONGS_EQUAL(300, Standing().longest_idle.ms());
+}
+
+TEST(OpenJobs, TimeAfterAJobSettledIsNoWait) {
+  Assign(1300, "aa.0.0.0", 1);
+  End(3300, "aa.0.0.0", 1, "done");
+  Settle(3300, "aa");
+  EndLogs(9000);
+  LONGS_EQUAL(300, Standing().longest_idle.ms());
+}
+
+}  // namespace limeledge
--- a/test/work-report-test.cc
+++ b/test/work-report-test.cc
@@ -6,69 +6,16 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <map>
 #include <string>
-#include <vector>
 
 #include "cli/work_report.h"
+#include "log-lines-fixture.h"
 
 namespace limeledge {
 
-// One process schedules from the beginning on; an urgent job and another one.
-TEST_GROUP(WorkReport) {
-  using Fields = std::map<std::string, std::string>;
-
-  std::vector<LogEntry> lines;
-
-  void setup() override {
-    Line(0, "leader_claimed", {{"epoch", "1"}});
-    Submit(1000, "aa", "sweep", "roads");
-  }
-
-  void Line(std::int64_t ms, const std::string& event, const Fields& fields,
-            const std::string& instance = "e1") {
-    LogEntry entry;
-    entry.wall_ms = ms;
-    entry.event = event;
-    entry.instance = instance;
-    entry.fields = fields;
-    lines.push_back(entry);
-  }
-
-  void Submit(std::int64_t ms, const std::string& job, const std::string& queue,
-              const std::string& workspace) {
-    Line(ms, "job_accepted",
-         {{"job", job}, {"queue", queue}, {"workspace", workspace}});
-    Line(ms, "call_answered",
-         {{"call", "submit"}, {"path", "/q/" + job}, {"result", "done"}});
-  }
-
-  void Assign(std::int64_t ms, const std::string& task, int run,
-              const std::string& runner = "i-1") {
-    Line(ms, "run_assigned",
-         {{"task", task},
-          {"run", std::to_string(run)},
-          {"runner", runner},
-          {"expected_ms", "2000"},
-          {"accelerators", "4"},
-          {"cpu_millis", "8000"}});
-  }
-
-  void End(std::int64_t ms, const std::string& task, int run,
-           const std::string& end, const std::string& saved = "") {
-    Line(ms, "run_ended",
-         {{"task", task},
-          {"run", std::to_string(run)},
-          {"runner", "i-1"},
-          {"end", end},
-          {"saved", saved}});
-  }
-
-  void Settle(std::int64_t ms, const std::string& job,
-              const std::string& state = "done") {
-    Line(ms, "job_settled", {{"job", job}, {"state", state}});
-  }
-
+// An urgent job and another one.
+class WorkReportFixture : public LogLinesFixture {
+ public:
   /// The job's time for a cause, in milliseconds.
   std::int64_t DelayOf(const std::string& cause) {
     const Histories histories = ReadHistories(lines);
@@ -97,6 +44,8 @@
   }
 };
 
+TEST_GROUP_BASE(WorkReport, WorkReportFixture){};
+
 TEST(WorkReport, RunLongerThanExpectedIsPartedIntoWorkAndTheRest) {
   Assign(1100, "aa.0.0.0", 1);
   End(3600, "aa.0.0.0", 1, "done");
