Tell what is idle while steps wait

Cause: logs tell why a step waits, but not what is idle meanwhile, so that racks set apart for urgent work, room kept for gangs and pieces too small for anything could not be told apart.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -146,6 +146,9 @@
        "long."},
       {LogId::kRunnerUnreadable, kWarning, "runner_unreadable",
        "A runner's entry in the store can not be read; it gets no work."},
+      {LogId::kIdleRoom, kInfo, "idle_room",
+       "Steps wait; the fields say how many accelerators are idle meanwhile, "
+       "and for whom."},
       {LogId::kLeaderClaimed, kInfo, "leader_claimed",
        "This process schedules from now on."},
       {LogId::kLeaderLost, kWarning, "leader_lost",
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -67,10 +67,33 @@
     }
   }
   DropOldClaims();
+  plan_.steps_waiting = static_cast<int>(waits_.size());
+  plan_.idle_room = MeasureIdleRoom();
   planner_.waits_ = std::move(waits_);
   return std::move(plan_);
 }
 
+IdleRoom Planner::Pass::MeasureIdleRoom() {
+  std::map<const Runner*, std::int64_t> assigned;
+  for (const Assignment& assignment : plan_.assignments) {
+    const Job* job = jobs_.Find(assignment.task.job);
+    assigned[assignment.runner] +=
+        job->step_spec(assignment.task.step).need.accelerators;
+  }
+  IdleRoom room;
+  for (const Seat& seat : seating_.seats()) {
+    const std::int64_t idle = std::max<std::int64_t>(
+        0, seat.runner->free_room().accelerators - assigned[seat.runner]);
+    const std::int64_t open =
+        std::clamp<std::int64_t>(seat.room.accelerators, 0, idle);
+    room.all += seat.runner->info().room.accelerators;
+    room.kept += idle - open;
+    const bool urgent = urgent_racks_.count(seat.rack) != 0;
+    (urgent ? room.urgent_racks : room.open) += open;
+  }
+  return room;
+}
+
 void Planner::Pass::NoteWait(const Unit& unit, WaitReason reason) {
   waits_[unit.key] = reason;
   const auto before = planner_.waits_.find(unit.key);
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -121,11 +121,25 @@
   int tasks = 0;
 };
 
+/// Accelerators of the runners that may be given work, after a pass.
+struct IdleRoom {
+  std::int64_t all = 0;
+  /// Not taken by any run, in racks that only urgent work is placed on.
+  std::int64_t urgent_racks = 0;
+  /// Not taken by any run, kept for gangs or for what others make way for.
+  std::int64_t kept = 0;
+  /// Not taken by any run, and free for whatever fits.
+  std::int64_t open = 0;
+};
+
 struct Plan {
   std::vector<Assignment> assignments;
   std::vector<Displacement> displacements;
   std::vector<StepWait> waits;
   std::vector<AdviceWish> advice_wishes;
+  IdleRoom idle_room;
+  /// Steps that wait, for whatever reason.
+  int steps_waiting = 0;
   /// Steps that were tried, as a measure of the pass's cost.
   int steps_tried = 0;
 };
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -65,6 +65,8 @@
   void NoteWait(const Unit& unit, WaitReason reason);
   /// Keeps the reason of a step that is not tried in this pass.
   void KeepWait(const Unit& unit);
+  /// What is idle after this pass, and for whom.
+  IdleRoom MeasureIdleRoom();
 
   // Units and their order.
   /// Chooses the racks that only urgent work is placed on: always the same
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -237,9 +237,22 @@
   next_pass_ = ctx.now() + options_.pass_interval +
                options_.pass_interval_per_hundred * plan.steps_tried / kHundred;
   Apply(ctx, plan);
+  TellIdleRoom(ctx, plan);
   WriteWaiting(ctx);
 }
 
+void Scheduler::TellIdleRoom(Context& ctx, const Plan& plan) {
+  if (plan.steps_waiting == 0 || ctx.now() < next_idle_room_) return;
+  next_idle_room_ = ctx.now() + options_.idle_room_interval;
+  const IdleRoom& room = plan.idle_room;
+  ctx.Log(LogId::kIdleRoom,
+          {{"steps", std::to_string(plan.steps_waiting)},
+           {"accelerators", std::to_string(room.all)},
+           {"urgent_racks", std::to_string(room.urgent_racks)},
+           {"kept", std::to_string(room.kept)},
+           {"open", std::to_string(room.open)}});
+}
+
 void Scheduler::Work(Context& ctx, const Catalog& catalog) {
   catalog_ = &catalog;
   fleet_.List(ctx, *patience_);
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -78,6 +78,9 @@
   int learn_percent = 20;
   /// Shortest time between two writes of the numbers of waiting jobs.
   Duration waiting_interval{300};
+  /// How often idle accelerators are told of while steps wait: a line a second
+  /// tells for whom they were idle, and costs little.
+  Duration idle_room_interval{1000};
 };
 
 /// Schedules while this node holds the lease.
@@ -130,6 +133,8 @@
   /// Plans, and applies what was decided.
   void MakePass(Context& ctx);
   void Apply(Context& ctx, const Plan& plan);
+  /// Logs what is idle while steps wait, and for whom.
+  void TellIdleRoom(Context& ctx, const Plan& plan);
   /// Stops a run, with its gang, in favour of an urgent job.
   void Displace(Context& ctx, const Displacement& displaced);
   /// Takes an assignment in; the start is sent once it is stored.
@@ -207,6 +212,7 @@
   TimePoint next_pass_;
   TimePoint last_waiting_;
   TimePoint next_check_;
+  TimePoint next_idle_room_;
   std::string written_waiting_;
 };
 
