--- /dev/null
+++ b/test/starvation-test.cc
@@ -0,0 +1,104 @@
+/// @file
+/// Tests of work that waits for long though it could be served.
+//
+// Seen: on days of much load, all but a sixth of the least urgent queue's jobs
+// were never done, and on others most gangs of the middle queue were late.
+// How: racks are set apart for urgent work. While all else was taken, up to a
+// third of all accelerators stood idle there, and steps waited for a minute. A
+// gang that had missed the last moment for its objective was no longer let
+// past work of lower priority, and waited behind it to the end.
+// Cause: nothing in the planner's rules grew with the time waited.
+// Proof: the log of idle accelerators, told by whom they were kept for, and the
+// same days played with these rules changed.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "emulator/emulated_catalog.h"
+#include "scheduler-fixture.h"
+
+namespace limeledge::emulator {
+
+namespace {
+
+constexpr Duration kLong{60000};
+constexpr int kRunnersInARack = 4;
+constexpr int kRoomOfARunner = 8;
+
+}  // namespace
+
+// The first of two racks is set apart for urgent work, the other one is full.
+class StarvationFixture : public SchedulerFixture {
+ public:
+  void setup() override {
+    SchedulerFixture::setup();
+    dispatch::StepSpec filling = Step(kRunnersInARack, kRoomOfARunner, kLong);
+    filling.data_rack = "r1-1";
+    Submit(filling);
+    system.Run(Duration(500));
+  }
+
+  std::size_t StartsOf(const JobId& job) { return Watch(job).starts.size(); }
+};
+
+TEST_GROUP_BASE(Starvation, StarvationFixture){};
+
+TEST(Starvation, StepThatFitsNowhereElseUsesIdleRacksOfUrgentWork) {
+  const JobId job = Submit(Step(1, 4, Duration(2000)));
+  system.Run(Duration(2500));
+  LONGS_EQUAL(1, StartsOf(job));
+  CheckNoViolation();
+}
+
+TEST(Starvation, OrdinaryStepsLeaveHeadroomForUrgentWork) {
+  const JobId job = Submit(Step(16, 1, Duration(20000)));
+  system.Run(Duration(5000));
+  LONGS_EQUAL(8, StartsOf(job));
+}
+
+TEST(Starvation, StepThatRunsOutOfTimeUsesMoreOfTheRacksOfUrgentWork) {
+  // Its objective is missed unless it starts within five seconds.
+  const JobId job = Submit(Step(16, 1, Duration(2000)));
+  system.Run(Duration(1000));
+  LONGS_EQUAL(0, StartsOf(job));
+  system.Run(Duration(3000));
+  LONGS_EQUAL(16, StartsOf(job));
+  CheckNoViolation();
+}
+
+TEST(Starvation, UrgentGangDisplacesWhatRunsInItsRacks) {
+  Submit(Step(8, 1, kLong));
+  system.Run(Duration(2500));
+  dispatch::StepSpec gang = Step(2, 8, Duration(1000));
+  gang.gang = true;
+  const JobId urgent = Submit(gang, 0);
+  system.Run(Duration(1500));
+  LONGS_EQUAL(2, StartsOf(urgent));
+  CheckNoViolation();
+}
+
+TEST(Starvation, GangThatMissedItsObjectiveDisplacesLowerPriorities) {
+  SystemOptions options;
+  options.runners = kRunnersInARack;
+  options.planner.urgent_share = 0;
+  EmulatedSystem own(options);
+  own.Run(Duration(3000));
+  dispatch::JobSpec spec;
+  spec.steps = {Step(kRunnersInARack, kRoomOfARunner, Duration(4000))};
+  spec.steps[0].gang = true;
+  spec.policy.priority = 1;
+  TaskTruth truth;
+  truth.work = Duration(12000);
+  const JobId gang = own.Submit(spec, {truth});
+  own.Run(Duration(1000));
+  SubmitTo(&own, Step(16, 1, kLong), kAdvisedPriority);
+  own.Run(Duration(9500));
+  // Its run is lost when it is late already, and others take its place.
+  const RunnerId lost = own.RunnerIds().front();
+  own.KillRunner(lost, Duration(300));
+  own.Run(Duration(8000));
+  LONGS_EQUAL(2, own.jobs().at(gang).starts.begin()->second);
+  for (const std::string& what : own.violations()) FAIL(what.c_str());
+}
+
+}  // namespace limeledge::emulator
