Let looks at emulated runners wait once old ends are forgotten

An emulated runner answered each look of a new scheduler at once if it had ever listed an end, also one that an earlier scheduler had taken note of, so that looks followed each other every 2 ms. It now compares with the ends that it still lists.

--- a/src/emulator/emulated_runner.cc
+++ b/src/emulator/emulated_runner.cc
@@ -261,7 +261,8 @@
 }
 
 bool EmulatedRunner::HasNewEnds(std::int64_t acknowledged) const {
-  return last_end_ > acknowledged;
+  // Ends that an earlier scheduler took note of are forgotten.
+  return !ended_.empty() && ended_.back().number > acknowledged;
 }
 
 dispatch::RunnerLooked EmulatedRunner::Look(
