Show that repeated stops hold up all orders to a runner

A test of a take-over: the runner still has four runs of a job that is closed, and a start on it got no answer. Each look sends further stops of the four, and looks follow each other at once, so that a job that is handed in after the faults does not even end within 3 s, and a stop would come as late.

--- a/test/take-over-test.cc
+++ b/test/take-over-test.cc
@@ -131,4 +131,33 @@
   }
 }
 
+// Each look that listed a run of a closed job sent another stop for it. Beside
+// a start without an answer looks follow each other at once, so that hundreds
+// of stops a second filled the queue of orders to that runner, and all later
+// orders, the stops of cancelled jobs among them, waited behind them. A count
+// of the orders in the queue, which grew with each look, proved it.
+TEST(TakeOver, StopsOfRunsThatNobodyWaitsForDoNotHoldUpOtherOrders) {
+  SystemOptions options;
+  options.runners = 1;
+  EmulatedSystem one(options);
+  one.Run(Duration(3000));
+  const JobId closed = SubmitTo(&one, Step(4, 0, Duration(60000)));
+  one.Run(Duration(1000));
+  LONGS_EQUAL(4, one.jobs().at(closed).starts.size());
+  // The stops of the first scheduler come to nothing, and so do all orders for
+  // a while after the take-over.
+  one.faults().orders_lost = 1;
+  one.faults().late_order = Duration(60000);
+  one.Cancel(closed);
+  one.Run(Duration(300));
+  one.RemoveNode(one.leader());
+  SubmitTo(&one, Step(1, 0, Duration(60000)));
+  one.Run(Duration(16000));
+  one.faults() = Faults();
+  const JobId next = SubmitTo(&one, Step(1, 0, Duration(500)));
+  one.Run(Duration(3000));
+  STRCMP_EQUAL("done", one.StateOf(next).c_str());
+  LONGS_EQUAL(0, RacksOf(&one, closed).size());
+}
+
 }  // namespace limeledge::emulator
