Send the stop of a run that nobody waits for once at a time

A look that lists a run of a closed job sent a stop each time, with no regard to one under way.

Conclusion: a way in which a cancelled job's task runs on in calm is closed.

--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -40,6 +40,21 @@
 
 }  // namespace
 
+bool StopRequest::IsDue(TimePoint now, Duration patience) const {
+  if (in_flight_) return false;
+  return !sent_at_.has_value() || now - *sent_at_ >= patience;
+}
+
+void StopRequest::Sent(TimePoint now) {
+  in_flight_ = true;
+  sent_at_ = now;
+}
+
+void StopRequest::Answered(bool obeyed) {
+  in_flight_ = false;
+  if (!obeyed) sent_at_.reset();
+}
+
 Duration TimeLeft(const Run& run, TimePoint now) {
   if (run.phase != RunPhase::kRunning) return run.expected;
   const Duration elapsed = now - run.started_at;
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "dispatch/job_spec.h"
@@ -49,6 +50,23 @@
   kRunning,
 };
 
+/// How often a run's stop was sent, so that it is not sent again in vain:
+/// orders to one runner wait for each other.
+class StopRequest {
+ public:
+  /// True if the stop may be sent, again after `patience` without effect.
+  bool IsDue(TimePoint now, Duration patience) const;
+  /// Notes that the stop is sent.
+  void Sent(TimePoint now);
+  /// Notes that the stop was answered. Without an answer it is due again.
+  void Answered(bool obeyed);
+  bool in_flight() const { return in_flight_; }
+
+ private:
+  bool in_flight_ = false;
+  std::optional<TimePoint> sent_at_;
+};
+
 /// A run that takes room on a runner.
 struct Run {
   int number = 0;
@@ -56,8 +74,7 @@
   RunPhase phase = RunPhase::kPlanned;
   /// The run shall end; its stop was or is still to be sent.
   bool stopping = false;
-  bool stop_in_flight = false;
-  TimePoint stop_sent_at;
+  StopRequest stop;
   /// The runner obeyed the stop: a run that was not there will not come.
   bool stop_answered = false;
   /// When the newest answer about the run came.
@@ -151,6 +168,9 @@
     return unstored_ends.empty() ? newest_end : *unstored_ends.begin() - 1;
   }
   bool EndsAreStored() const { return unstored_ends.empty(); }
+  /// Runs that the runner listed and that nobody waits for, by their numbers,
+  /// with their stops.
+  std::map<std::pair<TaskName, int>, StopRequest> unwanted;
   /// Nothing is placed here before this moment.
   TimePoint avoid_until;
   /// A run failed here, and none was done since: others are used first until
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -140,6 +140,9 @@
   void TakeFailedStart(Context& ctx, Runner* runner,
                        const StartAnswered& answer, Run* run);
   void AskStop(Context& ctx, Runner* runner, const TaskName& name);
+  /// Sends a run's stop if it is due.
+  void SendStop(Context& ctx, Runner* runner, const TaskName& name, int number,
+                StopRequest* stop);
   void StopAll(Context& ctx, const JobId& job);
   /// Stops the other members of a gang's run.
   void StopGang(Context& ctx, const TaskName& name);
@@ -158,6 +161,9 @@
                 const std::vector<ListedEnd>& ends);
   void TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end);
   void TakeRunning(Context& ctx, Runner* runner, const ListedRun& listed);
+  /// Forgets the stops of unwanted runs that are not there any more.
+  static void ForgetUnwanted(Runner* runner,
+                             const std::vector<ListedRun>& running);
   /// Measures a run's pace by its progress, and learns from it.
   void MeasurePace(Context& ctx, Runner* runner, Job* job, const TaskName& name,
                    Run* run);
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -5,6 +5,7 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 #include <vector>
@@ -155,15 +156,15 @@
   // stopped as soon as the start is answered.
   const bool too_early =
       run.phase == RunPhase::kPlanned || run.phase == RunPhase::kStarting;
-  if (too_early || run.stop_in_flight || runner->info().address.empty()) return;
-  const bool sent_lately =
-      run.stop_sent_at.ms() > 0 &&
-      ctx.now() - run.stop_sent_at < options_.stop_patience;
-  if (sent_lately) return;
-  run.stop_in_flight = true;
-  run.stop_sent_at = ctx.now();
-  ctx.Emit(
-      StopRun{Fleet::TargetOf(*runner, writer_.epoch()), name, run.number});
+  if (too_early || runner->info().address.empty()) return;
+  SendStop(ctx, runner, name, run.number, &run.stop);
+}
+
+void Scheduler::SendStop(Context& ctx, Runner* runner, const TaskName& name,
+                         int number, StopRequest* stop) {
+  if (!stop->IsDue(ctx.now(), options_.stop_patience)) return;
+  stop->Sent(ctx.now());
+  ctx.Emit(StopRun{Fleet::TargetOf(*runner, writer_.epoch()), name, number});
 }
 
 Scheduler::Verdict Scheduler::Take(Context& ctx, const StopAnswered& answer) {
@@ -176,16 +177,17 @@
     EndAll(ctx, runner, "another life answers at its address");
     return Verdict::kGoesOn;
   }
-  Run* run = FindRun(runner, answer.task, answer.run);
-  if (run == nullptr) return Verdict::kGoesOn;
-  run->stop_in_flight = false;
   const bool answered = answer.outcome == OrderOutcome::kDone ||
                         answer.outcome == OrderOutcome::kOldRun;
+  const auto unwanted = runner->unwanted.find({answer.task, answer.run});
+  if (unwanted != runner->unwanted.end()) unwanted->second.Answered(answered);
+  Run* run = FindRun(runner, answer.task, answer.run);
+  if (run == nullptr) return Verdict::kGoesOn;
+  run->stop.Answered(answered);
   if (answered) {
     run->answered_at = ctx.now();
     run->stop_answered = true;
   } else {
-    run->stop_sent_at = TimePoint();
     MissAnswer(ctx, runner);
   }
   return Verdict::kGoesOn;
@@ -294,6 +296,7 @@
   const bool all_taken = TakeEnds(ctx, runner, answer.ended) &&
                          answer.ended.size() < kMostListedEnds;
   for (const ListedRun& run : answer.running) TakeRunning(ctx, runner, run);
+  ForgetUnwanted(runner, answer.running);
   // What is not listed as running may be among the ends that are left.
   if (all_taken) TakeAbsent(ctx, runner, answer);
   return Verdict::kGoesOn;
@@ -334,9 +337,10 @@
   Run* run = FindRun(runner, listed.task, listed.run);
   if (run == nullptr && !book_.Knows(listed.task.job)) return;
   if (run == nullptr) {
-    // Nobody waits for it any more.
-    ctx.Emit(StopRun{Fleet::TargetOf(*runner, writer_.epoch()), listed.task,
-                     listed.run});
+    // Nobody waits for it any more. Looks may come hundreds of times a second;
+    // a stop with each would hold up all other orders to this runner.
+    SendStop(ctx, runner, listed.task, listed.run,
+             &runner->unwanted[{listed.task, listed.run}]);
     return;
   }
   const bool moved = listed.percent != run->percent;
@@ -356,6 +360,16 @@
   job->SaveProgress(listed.task, listed.checkpoint);
 }
 
+void Scheduler::ForgetUnwanted(Runner* runner,
+                               const std::vector<ListedRun>& running) {
+  std::set<std::pair<TaskName, int>> there;
+  for (const ListedRun& run : running) there.insert({run.task, run.run});
+  for (auto it = runner->unwanted.begin(); it != runner->unwanted.end();) {
+    const bool over = there.count(it->first) == 0 && !it->second.in_flight();
+    it = over ? runner->unwanted.erase(it) : std::next(it);
+  }
+}
+
 void Scheduler::TakeAbsent(Context& ctx, Runner* runner,
                            const RunnerLooked& answer) {
   std::set<TaskName> running;
