Show that a cancelling can be lost while jobs are read

A test of the book of jobs: the second page of a part is read by the store, then the job in it is cancelled and a following call tells of that, and only then the page is taken in. The next call follows from behind the cancelling.

--- a/test/job-book-test.cc
+++ b/test/job-book-test.cc
@@ -33,8 +33,9 @@
   }
 
   void Answer(const Effect& read, const std::vector<Row>& rows = {},
-              int newest = 10) {
+              int newest = 10, bool more = false) {
     RowsAnswered answer;
+    answer.more = more;
     answer.outcome = StoreOutcome::kDone;
     answer.ticket = std::get<ReadRows>(read).ticket;
     answer.rows = rows;
@@ -43,6 +44,18 @@
     book.Take(ctx, answer);
   }
 
+  /// The following call tells of changes.
+  void Tell(const AwaitChanges& follow, const std::vector<Row>& rows,
+            int newest) {
+    ChangesAnswered answer;
+    answer.outcome = StoreOutcome::kDone;
+    answer.ticket = follow.ticket;
+    answer.rows = rows;
+    answer.newest = Revision(newest);
+    Context ctx(now, 0, &tickets, &effects);
+    book.Take(ctx, answer);
+  }
+
   void Refuse(const Effect& read) {
     RowsAnswered answer;
     answer.outcome = StoreOutcome::kNotDone;
@@ -165,4 +178,32 @@
   LONGS_EQUAL(1, book.StoredFinalBefore(now + Duration(1)).size());
 }
 
+// A call that followed the table told of a cancelling before the second page of
+// its part, which held the job as it had been before, was taken in: the
+// cancelling was dropped as that of an unknown job, and never told again. The
+// revision from which the next call follows proved it.
+TEST(JobBook, CancellingThatIsFollowedBeforeItsJobIsReadIsNotLost) {
+  Answer(Work().front());
+  for (const Effect& read : Work()) {
+    const bool own = std::get<ReadRows>(read).part == JobPart(id);
+    if (own) {
+      const Row before = MakeRow(kJobTable, "00000000000000a0", EncodedJob());
+      Answer(read, {before}, 10, true);
+    } else {
+      Answer(read, {}, 10);
+    }
+  }
+  now = now + JobBookOptions().part_patience;
+  const Effects asked = Work();
+  LONGS_EQUAL(2, asked.size());
+  const Row cancel = MakeRow(kJobTable, id + kCancelSuffix, "{}");
+  Tell(std::get<AwaitChanges>(asked[1]), {cancel}, 30);
+  Answer(asked[0], {MakeRow(kJobTable, id, EncodedJob())}, 20);
+  CHECK_FALSE(book.Find(JobId(id))->cancel_asked());
+  const auto next = std::get<AwaitChanges>(Work().front());
+  LONGS_EQUAL(20, next.after.value());
+  Tell(next, {cancel}, 30);
+  CHECK_TRUE(book.Find(JobId(id))->cancel_asked());
+}
+
 }  // namespace limeledge::dispatch
