Follow jobs from the oldest page that was read

While jobs are read, a following call may tell of a cancelling before the page with its job is taken in; such a cancelling is dropped. What to follow from was only lowered to the first page of a part, so that behind a later page the cancelling was never told again, and the job ran until another scheduler took over. A part has several pages with more than 500 rows, two for a cancelled job.

The next call now follows from the oldest of all pages taken in since.

--- a/src/dispatch/job_book.cc
+++ b/src/dispatch/job_book.cc
@@ -99,10 +99,10 @@
   }
   reading->misses = 0;
   const bool jobs = stage_ == Stage::kReadJobs;
-  // What changes after the first page of any part was read is followed.
+  // What changes after any page was read is followed, though it was told of
+  // before: a cancelling is dropped while its job is still to be taken in.
   const bool oldest = seen_ == Revision() || answer.newest < seen_;
-  if (jobs && reading->first_page && oldest) seen_ = answer.newest;
-  reading->first_page = false;
+  if (jobs && oldest) seen_ = answer.newest;
   for (const Row& row : answer.rows) {
     if (jobs) {
       Store(ctx, row, &changed);
--- a/src/dispatch/job_book.h
+++ b/src/dispatch/job_book.h
@@ -92,7 +92,6 @@
   struct Reading {
     std::string part;
     std::string next_key;
-    bool first_page = true;
     bool under_way = false;
     /// Calls for the present page that were not answered.
     int misses = 0;
