Show that a start in doubt has its runner looked at all the time

A test of an outage: one runner leaves all orders unanswered but answers looks. While the stop of the run in doubt is under way, each answer is followed by the next look at once.

Measured: the test, which allows 100 looks in 5 s of virtual time, fails on the code as it is.

--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -200,6 +200,7 @@
 
 void EmulatedSystem::Perform(int node, const dispatch::LookAtRunner& look) {
   const int life = processes_[node].life;
+  ++looks_;
   if (Happens(faults_.looks_lost)) {
     dispatch::RunnerLooked lost;
     lost.runner = look.target.runner;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -100,6 +100,8 @@
   EmulatedStore& store() { return store_; }
   /// Transactions that nodes sent, refused ones included.
   int commits() const { return commits_; }
+  /// Looks that nodes sent at runners, lost ones included.
+  int looks() const { return looks_; }
   const std::vector<std::string>& violations() const {
     return oracle_.violations();
   }
@@ -227,6 +229,7 @@
   EmulatedStore store_;
   std::map<std::string, TimePoint> part_free_at_;
   int commits_ = 0;
+  int looks_ = 0;
   GangBoard board_;
   dispatch::Catalog catalog_;
   std::vector<Process> processes_;
--- a/test/outage-test.cc
+++ b/test/outage-test.cc
@@ -224,4 +224,22 @@
   CheckNoViolation();
 }
 
+// While the stop of a run in doubt was under way, looks at its runner followed
+// each other at once, though none could settle the doubt: 500 a second of
+// virtual time, each a call for the runner and work for the scheduler. A count
+// of the looks proved it.
+TEST(Outage, RunnerThatLeavesOrdersUnansweredIsNotLookedAtAllTheTime) {
+  SystemOptions options;
+  options.runners = 1;
+  EmulatedSystem one(options);
+  one.Run(Duration(3000));
+  one.faults().orders_lost = 1;
+  one.faults().late_order = Duration(60000);
+  SubmitTo(&one, Step(1, 0, Duration(60000)));
+  const int before = one.looks();
+  one.Run(Duration(5000));
+  constexpr int kMostLooks = 100;
+  CHECK_TRUE(one.looks() - before <= kMostLooks);
+}
+
 }  // namespace limeledge::emulator
