Look seldom at a runner while a stop must settle a run in doubt

A run whose start got no answer had its runner looked at without a wait, answer after answer, also while its stop was under way, though no look can settle it then. Such looks now wait for 100 ms. A look that follows the stop's answer does not wait, as before.

Conclusion: less work for the scheduler and for runners just when orders are held up.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -128,12 +128,15 @@
 
 Duration Fleet::WaitFor(const Runner& runner) const {
   if (runner.runs().empty()) return options_.idle_wait;
+  Duration wait = runner.EndsAreStored() ? options_.busy_wait : Duration(0);
   for (const auto& [name, run] : runner.runs()) {
     const bool open =
         run.phase == RunPhase::kUnsure || run.phase == RunPhase::kInherited;
-    if (open) return Duration(0);
+    if (!open) continue;
+    wait = std::min(wait,
+                    run.stop.in_flight() ? options_.doubt_wait : Duration(0));
   }
-  return runner.EndsAreStored() ? options_.busy_wait : Duration(0);
+  return wait;
 }
 
 TimePoint Fleet::LookDueAt(const Runner& runner) const {
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -29,6 +29,10 @@
   /// How long a look waits for an end: renews the lease in good time.
   Duration busy_wait{1000};
   Duration idle_wait{2000};
+  /// The same while the stop of a run in doubt is under way, which alone can
+  /// settle it: it is settled later by at most this, and the runner is not
+  /// looked at hundreds of times a second.
+  Duration doubt_wait{100};
   /// Ends that are not stored yet are waited for this long before the lease is
   /// renewed without telling them as known.
   Duration store_patience{700};
