Show that silent runners keep others from their first look

A test of first looks: a hundred runners that never answer have smaller ids than one that was not looked at yet. Looked at again and again, they take all 24 places, and that one gets none.

--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -6,6 +6,7 @@
 
 #include "dispatch/fleet.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -68,6 +69,16 @@
     fleet.Take(ctx, RunnersListed());
   }
 
+  /// The look at the runner got no answer; the next one is due after a pause.
+  void LoseLook(Runner * runner) {
+    runner->look_in_flight = false;
+    runner->Missed(now);
+    const FleetOptions options;
+    runner->next_look_at =
+        now + std::min(options.retry_pause * runner->misses(),
+                       options.longest_retry_pause);
+  }
+
   std::optional<LookAtRunner> Look() {
     Context ctx = NewContext();
     fleet.Look(ctx, Epoch(1), true, true);
@@ -245,4 +256,37 @@
   LONGS_EQUAL(0, effects.size());
 }
 
+// A new scheduler that knew a hundred silent runners looked at these again and
+// again: they took all places of first looks, and runners behind them in the
+// order of their ids were not looked at, until the last of what ran there was
+// over. The ids of the looks that were sent proved it.
+TEST(Fleet, RunnersThatWereNeverLookedAtGoBeforeSilentOnes) {
+  constexpr int kSilent = 100;
+  RunnersListed listed;
+  listed.ok = true;
+  for (int i = 0; i <= kSilent; ++i) {
+    RunnerInfo info;
+    info.id = RunnerId("i-" + std::to_string(kSilent + i));
+    info.address = "10.0.0.1:80";
+    listed.runners.push_back(info);
+  }
+  Context ctx = NewContext();
+  fleet.Take(ctx, listed);
+  const RunnerId last = listed.runners.back().id;
+  bool looked_at_last = false;
+  constexpr int kRounds = 30;
+  for (int round = 0; round < kRounds; ++round) {
+    Context looks = NewContext();
+    fleet.Look(looks, Epoch(1), true, true);
+    // So long takes a look without an answer.
+    now = now + Duration(500);
+    for (const Effect& effect : effects) {
+      const RunnerId id = std::get<LookAtRunner>(effect).target.runner;
+      looked_at_last = looked_at_last || id == last;
+      LoseLook(fleet.Find(id));
+    }
+  }
+  CHECK_TRUE(looked_at_last);
+}
+
 }  // namespace limeledge::dispatch
