Look at runners first that were never looked at before

A new scheduler looks at 24 runners at once that it has not heard. It went through them by their ids each time, so that some hundred that never answer, as after the loss of a hall, took all places again and again, and the leases of all that ran on runners behind them ran out.

Runners that answered or were never looked at now go before those that left a first look unanswered.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -154,12 +154,25 @@
   return under_way;
 }
 
+std::vector<Runner*> Fleet::DueRunners(TimePoint now) const {
+  std::vector<Runner*> due;
+  for (const auto& [id, runner] : runners_) {
+    if (runner->look_in_flight || runner->info().address.empty()) continue;
+    if (runner->ended || now < LookDueAt(*runner)) continue;
+    due.push_back(runner.get());
+  }
+  // Many that stay silent would otherwise take all places of first looks, and
+  // runs at runners that answer would lapse unseen.
+  std::stable_partition(due.begin(), due.end(), [](const Runner* runner) {
+    return runner->heard() || runner->misses() == 0;
+  });
+  return due;
+}
+
 void Fleet::Look(Context& ctx, Epoch epoch, bool may_renew,
                  bool all_runs_known) {
   int first_looks = FirstLooksUnderWay();
-  for (auto& [id, runner] : runners_) {
-    if (runner->look_in_flight || runner->info().address.empty()) continue;
-    if (runner->ended || ctx.now() < LookDueAt(*runner)) continue;
+  for (Runner* runner : DueRunners(ctx.now())) {
     const bool first = !runner->heard();
     // The answer to another first look makes room for this one.
     if (first && first_looks >= options_.first_looks) continue;
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -130,6 +130,9 @@
   /// Takes in that a runner's entry is gone.
   void Unlist(Context& ctx, Runner* runner);
   int FirstLooksUnderWay() const;
+  /// Runners that are to be looked at now; those that never answered a look go
+  /// last.
+  std::vector<Runner*> DueRunners(TimePoint now) const;
   bool MayWork(const Runner& runner, TimePoint now) const;
   TimePoint LookDueAt(const Runner& runner) const;
   Duration WaitFor(const Runner& runner) const;
