Play lost leaders with many cancellings at few runners

The courses of cancel-fuzz spread their runs over eight runners and lost a leader at any moment, so that they never had the repeated stops hold up others for long. They now play one to eight runners, longer bursts, and a leader that is lost right after all jobs were cancelled while orders get no answers; and more than 200 orders that wait for each other at one runner count as broken.

--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -275,6 +275,7 @@
   lane.push([this, node, order, answer, carry_out] {
     SendOrderNow(node, order, answer, carry_out);
   });
+  longest_order_lane_ = std::max(longest_order_lane_, lane.size());
   if (lane.size() == 1) lane.front()();
 }
 
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -102,6 +102,8 @@
   int commits() const { return commits_; }
   /// Looks that nodes sent at runners, lost ones included.
   int looks() const { return looks_; }
+  /// Orders to one runner that waited for each other, at most.
+  std::size_t longest_order_lane() const { return longest_order_lane_; }
   const std::vector<std::string>& violations() const {
     return oracle_.violations();
   }
@@ -230,6 +232,7 @@
   std::map<std::string, TimePoint> part_free_at_;
   int commits_ = 0;
   int looks_ = 0;
+  std::size_t longest_order_lane_ = 0;
   GangBoard board_;
   dispatch::Catalog catalog_;
   std::vector<Process> processes_;
--- a/test/cancel-fuzz-test.cc
+++ b/test/cancel-fuzz-test.cc
@@ -50,12 +50,19 @@
       system_.faults() = Faults();
       Calm();
     }
-    return system_.violations();
+    std::vector<std::string> wrong = system_.violations();
+    if (system_.longest_order_lane() > kMostQueued) {
+      wrong.push_back(std::to_string(system_.longest_order_lane()) +
+                      " orders to one runner wait for each other");
+    }
+    return wrong;
   }
 
  private:
   static constexpr int kBursts = 6;
-  static constexpr int kNodes = 6;
+  static constexpr int kNodes = 10;
+  /// Far more orders than a runner here ever has runs.
+  static constexpr std::size_t kMostQueued = 200;
   /// Longer than the time in which what is cancelled has to be gone.
   static constexpr Duration kCalm{9000};
 
@@ -63,6 +70,8 @@
     SystemOptions options;
     options.seed = static_cast<std::uint64_t>(seed);
     options.nodes = kNodes;
+    // On few runners many runs meet, and all their orders wait for each other.
+    options.runners = 1 + seed % 8;
     // Jobs are read in several pages.
     if (seed % 2 == 0) options.book.page_rows = 3;
     // Some runners count a late order's lease from its arrival.
@@ -76,7 +85,7 @@
   bool OneIn(int n) { return Pick(1, n) == 1; }
 
   void Burst() {
-    const TimePoint end = system_.now() + Duration(Pick(1000, 8000));
+    const TimePoint end = system_.now() + Duration(Pick(1000, 15000));
     while (system_.now() < end) {
       if (!OneIn(3)) SubmitSome();
       if (OneIn(2)) Fault();
@@ -101,7 +110,7 @@
 
   void Submit() {
     dispatch::StepSpec step;
-    step.count = Pick(1, 4);
+    step.count = Pick(1, 6);
     step.need = {2000, 4096, Pick(0, 2)};
     step.estimate = Duration(Pick(3000, 60000));
     step.gang = OneIn(4);
@@ -167,9 +176,21 @@
     system_.RemoveNode(leader);
   }
 
+  /// The leader is lost right after all jobs were cancelled, and orders get no
+  /// answers: the next one finds runs of jobs that are closed.
+  void LoseLeaderWithItsStops() {
+    system_.faults().orders_lost = 1;
+    system_.faults().late_order = Duration(12000);
+    CancelAll();
+    Pass(Pick(20, 400));
+    RemoveLeader();
+    SubmitSome();
+    Pass(Pick(2000, 5000));
+  }
+
   void Fault() {
     Faults& faults = system_.faults();
-    switch (Pick(0, 15)) {
+    switch (Pick(0, 17)) {
       case 0:
         RemoveLeader();
         break;
@@ -184,9 +205,13 @@
         break;
       case 4:
       case 5:
-        faults.orders_lost = OneIn(2) ? 1 : 0.3;
+        faults.orders_lost = OneIn(2) ? 1 : 0.5;
         faults.late_order = Duration(Pick(2000, 12000));
         break;
+      case 15:
+      case 16:
+        LoseLeaderWithItsStops();
+        break;
       case 6:
         faults.looks_lost = 0.3;
         break;
