--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -289,4 +289,37 @@
   CHECK_TRUE(looked_at_last);
 }
 
+TEST(Fleet, StopIsSentOneAtATimeAndAgainWithoutEffect) {
+  const Duration again_after(1500);
+  StopRequest stop;
+  CHECK_TRUE(stop.IsDue(now, again_after));
+  stop.Sent(now);
+  CHECK_FALSE(stop.IsDue(now + again_after * 10, again_after));
+  stop.Answered(true);
+  CHECK_FALSE(stop.IsDue(now + again_after - Duration(1), again_after));
+  CHECK_TRUE(stop.IsDue(now + again_after, again_after));
+}
+
+TEST(Fleet, StopWithoutAnAnswerIsDueAtOnce) {
+  StopRequest stop;
+  stop.Sent(now);
+  stop.Answered(false);
+  CHECK_TRUE(stop.IsDue(now, Duration(1500)));
+}
+
+TEST(Fleet, LookWaitsALittleWhileAStopMustSettleARunInDoubt) {
+  Runner* runner = AddRunner("i-1");
+  AddRun(runner);
+  runner->Heard(now, 500000);
+  Run& run = runner->runs().begin()->second;
+  run.phase = RunPhase::kUnsure;
+  LONGS_EQUAL(0, Look()->wait.ms());
+  runner->look_in_flight = false;
+  run.stop.Sent(now);
+  LONGS_EQUAL(FleetOptions().doubt_wait.ms(), Look()->wait.ms());
+  runner->look_in_flight = false;
+  run.stop.Answered(true);
+  LONGS_EQUAL(0, Look()->wait.ms());
+}
+
 }  // namespace limeledge::dispatch
