--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -29,6 +29,10 @@
   /// How long a look waits for an end: renews the lease in good time.
   Duration busy_wait{1000};
   Duration idle_wait{2000};
+  /// The same while the stop of a run in doubt is under way, which alone can
+  /// settle it: it is settled later by at most this, and the runner is not
+  /// looked at hundreds of times a second.
+  Duration doubt_wait{100};
   /// Ends that are not stored yet are waited for this long before the lease is
   /// renewed without telling them as known.
   Duration store_patience{700};
@@ -126,6 +130,9 @@
   /// Takes in that a runner's entry is gone.
   void Unlist(Context& ctx, Runner* runner);
   int FirstLooksUnderWay() const;
+  /// Runners that are to be looked at now; those that never answered a look go
+  /// last.
+  std::vector<Runner*> DueRunners(TimePoint now) const;
   bool MayWork(const Runner& runner, TimePoint now) const;
   TimePoint LookDueAt(const Runner& runner) const;
   Duration WaitFor(const Runner& runner) const;
