Let other work use idle racks of urgent work, more as it runs out of time

Cause: thirty percent of the runners, in whole racks, were closed to all but urgent work. Change: what has been patient and fits nowhere else is placed there while 75 percent of those accelerators stay idle, 25 percent for what is about to miss its objective or has missed it. What can not make way again stays out.

--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -72,6 +72,8 @@
   /// Chooses the racks that only urgent work is placed on: always the same
   /// ones while the fleet stays the same.
   void SetUrgentRacksApart();
+  /// Counts the accelerators of those racks, before anything is placed.
+  void MeasureUrgentRacks();
   /// Urgent jobs within their workspaces' guarantees, oldest first.
   std::set<JobId> FindEntitled();
   void CollectUnits();
@@ -104,6 +106,16 @@
   /// True if a task that takes no more was found to fit nowhere in this pass.
   bool FitsNowhere(const Unit& unit) const;
   void PlaceSingles(Unit* unit, PlacementRequest* request);
+  /// The same request with the urgent racks open to it; nothing if too little
+  /// would stay idle there beside so many tasks.
+  std::optional<PlacementRequest> WithUrgentRacks(
+      const Unit& unit, const PlacementRequest& request, int tasks) const;
+  /// As in `Seating`, and in the urgent racks where there is no other room.
+  Seat* PlaceOne(const Unit& unit, const PlacementRequest& request);
+  std::vector<Seat*> PlaceAll(const Unit& unit,
+                              const PlacementRequest& request);
+  /// True if the step is about to miss its objective, or has missed it.
+  bool IsShortOfTime(const Unit& unit) const;
   void Assign(const Unit& unit, int index, int run, Seat* seat, bool spread);
 
   // Room for what does not fit.
@@ -168,6 +180,9 @@
   Seating seating_;
   std::set<JobId> entitled_;
   std::set<std::string> urgent_racks_;
+  /// Accelerators of the urgent racks, and those that are idle.
+  std::int64_t urgent_all_ = 0;
+  std::int64_t urgent_idle_ = 0;
   bool idle_ = false;
   /// All room is known; what seems short may only not be seen yet otherwise.
   bool knows_room_ = false;
--- a/src/dispatch/planner_places.cc
+++ b/src/dispatch/planner_places.cc
@@ -5,6 +5,7 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <utility>
 
@@ -112,7 +113,7 @@
 
 void Planner::Pass::PlaceGang(Unit* unit, PlacementRequest* request) {
   if (IsDoneSoonerByWaiting(*unit, *request)) request->anywhere = false;
-  const std::vector<Seat*> seats = seating_.PlaceAll(*request);
+  const std::vector<Seat*> seats = PlaceAll(*unit, *request);
   if (seats.empty()) {
     MakeRoom(*unit, *request);
     return;
@@ -128,6 +129,39 @@
   planner_.claims_.erase(unit->key);
 }
 
+std::optional<PlacementRequest> Planner::Pass::WithUrgentRacks(
+    const Unit& unit, const PlacementRequest& request, int tasks) const {
+  if (request.closed_racks == nullptr || !request.anywhere) return std::nullopt;
+  // What can not make way again would take the racks for good.
+  if (!unit.spec->may_make_way()) return std::nullopt;
+  const double share =
+      IsShortOfTime(unit) ? options_.late_headroom : options_.urgent_headroom;
+  const auto headroom = std::llround(share * static_cast<double>(urgent_all_));
+  const std::int64_t need = request.step->need.accelerators * tasks;
+  if (need > urgent_idle_ - headroom) return std::nullopt;
+  PlacementRequest wider = request;
+  wider.closed_racks = nullptr;
+  return wider;
+}
+
+Seat* Planner::Pass::PlaceOne(const Unit& unit,
+                              const PlacementRequest& request) {
+  Seat* seat = seating_.PlaceOne(request);
+  if (seat != nullptr) return seat;
+  const std::optional<PlacementRequest> wider =
+      WithUrgentRacks(unit, request, 1);
+  return wider.has_value() ? seating_.PlaceOne(*wider) : nullptr;
+}
+
+std::vector<Seat*> Planner::Pass::PlaceAll(const Unit& unit,
+                                           const PlacementRequest& request) {
+  std::vector<Seat*> seats = seating_.PlaceAll(request);
+  if (!seats.empty()) return seats;
+  const std::optional<PlacementRequest> wider =
+      WithUrgentRacks(unit, request, request.count);
+  return wider.has_value() ? seating_.PlaceAll(*wider) : seats;
+}
+
 bool Planner::Pass::FitsNowhere(const Unit& unit) const {
   const auto found = fit_nowhere_.find(unit.policy.service);
   if (found == fit_nowhere_.end()) return false;
@@ -144,7 +178,7 @@
   }
   std::size_t placed = 0;
   for (const int index : unit->waiting) {
-    Seat* seat = seating_.PlaceOne(*request);
+    Seat* seat = PlaceOne(*unit, *request);
     if (seat == nullptr) break;
     ++request->used[seat->runner->id()];
     const int run = unit->step->tasks[index].run + 1;
@@ -173,6 +207,9 @@
   const bool off_data = !spec.data_rack.empty() &&
                         seat->runner->info().labels.count(spec.data_rack) == 0;
   const bool far = spread || off_data;
+  if (urgent_racks_.count(seat->rack) != 0) {
+    urgent_idle_ -= spec.need.accelerators;
+  }
   const Duration near_time = NearTimeOf(unit);
   const Duration expected = far ? near_time * kFarFactor : near_time;
   plan_.assignments.push_back(
--- a/src/dispatch/planner_room.cc
+++ b/src/dispatch/planner_room.cc
@@ -65,6 +65,11 @@
   return left >= Duration(0);
 }
 
+bool Planner::Pass::IsShortOfTime(const Unit& unit) const {
+  return Duration(unit.latest_start_wall_ms - wall_ms_) <=
+         options_.press_margin;
+}
+
 void Planner::Pass::Keep(const Unit& unit,
                          const std::vector<RunnerId>& runners) {
   for (const RunnerId& id : runners) {
@@ -96,7 +101,7 @@
   Job* job = jobs_.Find(name.job);
   if (job == nullptr) return false;
   const StepSpec& step = job->step_spec(name.step);
-  if (step.long_running || step.limits_absence()) return false;
+  if (!step.may_make_way()) return false;
   if (unit.rank.entitled) return entitled_.count(name.job) == 0;
   return PolicyOf(*job, catalog_).priority > unit.policy.priority;
 }
--- a/src/dispatch/planner_units.cc
+++ b/src/dispatch/planner_units.cc
@@ -41,9 +41,18 @@
   for (const auto& [rack, size] : size_of_rack) {
     left -= static_cast<double>(size);
     // Rounded to the nearest number of racks.
-    if (left < -static_cast<double>(size) / 2) return;
+    if (left < -static_cast<double>(size) / 2) break;
     urgent_racks_.insert(rack);
   }
+  MeasureUrgentRacks();
+}
+
+void Planner::Pass::MeasureUrgentRacks() {
+  for (const Seat& seat : seating_.seats()) {
+    if (urgent_racks_.count(seat.rack) == 0) continue;
+    urgent_all_ += seat.runner->info().room.accelerators;
+    urgent_idle_ += seat.room.accelerators;
+  }
 }
 
 std::set<JobId> Planner::Pass::FindEntitled() {
--- a/src/dispatch/tuning.cc
+++ b/src/dispatch/tuning.cc
@@ -37,6 +37,8 @@
       {"worthless-after", &planner.worthless_after},
       {"urgent-share", &planner.urgent_share},
       {"idle-share", &planner.idle_share},
+      {"urgent-headroom", &planner.urgent_headroom},
+      {"late-headroom", &planner.late_headroom},
       {"urgent-victim-weight", &planner.urgent_victim_weight},
       {"suspicion", &scheduler.suspicion},
       {"quick-failure-percent", &scheduler.quick_failure_percent},
--- a/test/starvation-test.cc
+++ b/test/starvation-test.cc
@@ -66,6 +66,14 @@
   CheckNoViolation();
 }
 
+TEST(Starvation, StepThatCanNotMakeWayIsKeptOutOfRacksOfUrgentWork) {
+  dispatch::StepSpec lasting = Step(1, 1, Duration(2000));
+  lasting.long_running = true;
+  const JobId job = Submit(lasting);
+  system.Run(Duration(9000));
+  LONGS_EQUAL(0, StartsOf(job));
+}
+
 TEST(Starvation, UrgentGangDisplacesWhatRunsInItsRacks) {
   Submit(Step(8, 1, kLong));
   system.Run(Duration(2500));
