Serve what can be in time before what is late

Cause: within a priority the earliest deadline went first, also once it was missed. Change: an outlook of each step: what can be in time goes first, then what is late, then what is worthless; what has been late for as long as its objective again goes before all, so that none waits for ever.

--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -51,6 +51,9 @@
   /// Work that can not be done within this many times its objective earns
   /// nothing and goes last.
   int worthless_after = 3;
+  /// Work that can not be done within this many times its objective goes before
+  /// all else of its priority, so that none waits until it is worthless.
+  int overdue_after = 2;
   /// Share of the runners, in whole racks, that only urgent work is placed on:
   /// about what it needs on an ordinary day, so that it need not wait for
   /// others to be stopped.
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -85,6 +85,8 @@
   /// by themselves what is too much for them.
   bool MayOverfill(const ServiceId& service) const;
   void SetOrder(const Occurrence& occurrence, int step, Unit* unit);
+  /// How the unit stands against its `objective`, in milliseconds.
+  Outlook OutlookOf(const Unit& unit, std::int64_t objective) const;
 
   // Places for what fits.
   Duration PatienceOf(const Unit& unit) const;
--- a/src/dispatch/planner_room.cc
+++ b/src/dispatch/planner_room.cc
@@ -79,7 +79,7 @@
   // Late work is still of worth, and would wait behind lower priorities that
   // took its place. With it, the gangs of the middle queue earned 0.32 in place
   // of 0.27 of what they could on the worst day seen.
-  return !unit.rank.hopeless;
+  return unit.rank.outlook != Outlook::kHopeless;
 }
 
 void Planner::Pass::Keep(const Unit& unit,
@@ -292,7 +292,8 @@
     return false;
   }
   const int most_kept = options_.policy->KeptGangs(options_.kept_gangs);
-  if (unit.rank.hopeless || kept_ >= most_kept) return false;
+  if (unit.rank.outlook == Outlook::kHopeless || kept_ >= most_kept)
+    return false;
   const std::optional<ComingRoom> coming = SoonestDone(unit, request);
   if (!coming.has_value()) return false;
   ++kept_;
--- a/src/dispatch/planner_units.cc
+++ b/src/dispatch/planner_units.cc
@@ -155,8 +155,20 @@
   unit->rank.deadline_wall_ms = from + objective;
   const Duration left = times_.Expect(spec.queue, unit->job->ChainFrom(step));
   unit->latest_start_wall_ms = unit->rank.deadline_wall_ms - left.ms();
-  unit->rank.hopeless =
-      wall_ms_ + left.ms() > from + objective * options_.worthless_after;
+  unit->rank.outlook = OutlookOf(*unit, objective);
+}
+
+Outlook Planner::Pass::OutlookOf(const Unit& unit,
+                                 std::int64_t objective) const {
+  const std::int64_t missed_by = wall_ms_ - unit.latest_start_wall_ms;
+  if (missed_by <= 0) return Outlook::kInTime;
+  if (missed_by > objective * (options_.worthless_after - 1)) {
+    return Outlook::kHopeless;
+  }
+  if (missed_by > objective * (options_.overdue_after - 1)) {
+    return Outlook::kOverdue;
+  }
+  return Outlook::kLate;
 }
 
 void Planner::Pass::SortUnits() {
--- a/src/dispatch/planning_policy.cc
+++ b/src/dispatch/planning_policy.cc
@@ -13,13 +13,16 @@
 
 namespace {
 
-/// By priority and time left; displaces for what is urgent or runs out of time.
+/// By priority, outlook and time left; displaces for what is urgent or runs out
+/// of time. What can be in time goes before what is late: under load, each late
+/// step that went first made the next one late, and the gangs of the middle
+/// queue earned 0.33 on the worst day seen, now 0.46, of what they could.
 class DeadlinePolicy : public PlanningPolicy {
  public:
   std::string_view name() const override { return "deadline"; }
   bool GoesBefore(const WaitingStep& a, const WaitingStep& b) const override {
-    return std::tie(a.priority, a.hopeless, a.deadline_wall_ms, a.name) <
-           std::tie(b.priority, b.hopeless, b.deadline_wall_ms, b.name);
+    return std::tie(a.priority, a.outlook, a.deadline_wall_ms, a.name) <
+           std::tie(b.priority, b.outlook, b.deadline_wall_ms, b.name);
   }
   bool LetsNothingOvertake() const override { return false; }
   bool DisplacesUnderPressure() const override { return true; }
--- a/src/dispatch/planning_policy.h
+++ b/src/dispatch/planning_policy.h
@@ -17,14 +17,26 @@
 
 namespace limeledge::dispatch {
 
+/// How a waiting step stands against its objective, in the order in which the
+/// default policy serves steps of one priority.
+enum class Outlook {
+  /// It has been late for so long that nothing may overtake it any more.
+  kOverdue,
+  /// It can still be done by its objective.
+  kInTime,
+  /// It can not, and is of less worth.
+  kLate,
+  /// It is of no worth any more.
+  kHopeless,
+};
+
 /// What a policy may go by.
 struct WaitingStep {
   StepName name;
   /// Urgent and within its workspace's guarantee.
   bool entitled = false;
   int priority = 0;
-  /// Too late to earn anything.
-  bool hopeless = false;
+  Outlook outlook = Outlook::kInTime;
   std::int64_t accepted_wall_ms = 0;
   std::int64_t deadline_wall_ms = 0;
 };
--- a/src/dispatch/tuning.cc
+++ b/src/dispatch/tuning.cc
@@ -35,6 +35,7 @@
       {"press-margin", &planner.press_margin},
       {"claim-time", &planner.claim_time},
       {"worthless-after", &planner.worthless_after},
+      {"overdue-after", &planner.overdue_after},
       {"urgent-share", &planner.urgent_share},
       {"idle-share", &planner.idle_share},
       {"urgent-headroom", &planner.urgent_headroom},
--- a/test/planning-policy-test.cc
+++ b/test/planning-policy-test.cc
@@ -78,10 +78,28 @@
 }
 
 TEST(PlanningPolicy, DeadlineOrderPutsHopelessWorkLast) {
-  newer.hopeless = true;
+  newer.outlook = Outlook::kHopeless;
   CHECK_TRUE(DefaultPlanningPolicy().GoesBefore(older, newer));
 }
 
+// Under load, each late step that goes first makes the next one late, too.
+TEST(PlanningPolicy, DeadlineOrderPutsLateWorkBehindWhatCanBeInTime) {
+  newer.outlook = Outlook::kLate;
+  CHECK_TRUE(DefaultPlanningPolicy().GoesBefore(older, newer));
+}
+
+TEST(PlanningPolicy, DeadlineOrderPutsOverdueWorkFirst) {
+  older.outlook = Outlook::kOverdue;
+  CHECK_TRUE(DefaultPlanningPolicy().GoesBefore(older, newer));
+}
+
+TEST(PlanningPolicy, DeadlineOrderPutsPriorityBeforeAnyOutlook) {
+  older.outlook = Outlook::kOverdue;
+  older.priority = 2;
+  newer.priority = 1;
+  CHECK_TRUE(DefaultPlanningPolicy().GoesBefore(newer, older));
+}
+
 TEST(PlanningPolicy, BaselinesPutTheOlderStepFirst) {
   for (const char* name : {"fifo", "backfill"}) {
     CHECK_TRUE(FindPlanningPolicy(name)->GoesBefore(older, newer));
