Number the event of idle room among those of jobs

Nothing else reads the number. Measured: nothing to measure; the docs' test compares page and catalogue.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -106,6 +106,9 @@
        "tried again."},
       {LogId::kJobAccepted, kInfo, "job_accepted",
        "A job is stored, or was found stored; the fields say whose it is."},
+      {LogId::kIdleRoom, kInfo, "idle_room",
+       "Steps wait; the fields say how many accelerators are idle meanwhile, "
+       "and for whom."},
       {LogId::kRunAssigned, kInfo, "run_assigned",
        "A run of a task was decided on; it starts once that is stored."},
       {LogId::kRunEnded, kInfo, "run_ended",
@@ -146,9 +149,6 @@
        "long."},
       {LogId::kRunnerUnreadable, kWarning, "runner_unreadable",
        "A runner's entry in the store can not be read; it gets no work."},
-      {LogId::kIdleRoom, kInfo, "idle_room",
-       "Steps wait; the fields say how many accelerators are idle meanwhile, "
-       "and for whom."},
       {LogId::kLeaderClaimed, kInfo, "leader_claimed",
        "This process schedules from now on."},
       {LogId::kLeaderLost, kWarning, "leader_lost",
