Choose each order to a runner when its turn comes

All starts of one stored transaction were handed over at once and waited in the adapter's queue of orders to their runner, where nothing checked them anew. A runner that gave no answers held each for a second, so that starts left three to five seconds after their job was cancelled, and were carried out when the runner answered again. Stops waited in the same queue behind starts.

The queue now belongs to the scheduler. One order to a runner is under way at a time; when it is answered or lost, the next is chosen by what is known then: stops first, then starts, each checked right before it is sent. A start that must not be sent any more is given up as soon as that is known, as never sent, so that its task is placed elsewhere; LL929 says why. A gang with such a member is always stopped, also when another process is to schedule: it can not be complete. Orders have their own file.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -146,6 +146,8 @@
        "long."},
       {LogId::kRunnerUnreadable, kWarning, "runner_unreadable",
        "A runner's entry in the store can not be read; it gets no work."},
+      {LogId::kStartGivenUp, kInfo, "start_given_up",
+       "A start was given up before it was sent; the field says why."},
       {LogId::kLeaderClaimed, kInfo, "leader_claimed",
        "This process schedules from now on."},
       {LogId::kLeaderLost, kWarning, "leader_lost",
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -81,6 +81,7 @@
   kRunnerGone = 926,
   kRunnerAvoidedFor = 927,
   kRunnerUnreadable = 928,
+  kStartGivenUp = 929,
   kLeaderClaimed = 930,
   kLeaderLost = 931,
   kCatalogInForce = 940,
--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -133,8 +133,7 @@
     const bool open =
         run.phase == RunPhase::kUnsure || run.phase == RunPhase::kInherited;
     if (!open) continue;
-    wait = std::min(wait,
-                    run.stop.in_flight() ? options_.doubt_wait : Duration(0));
+    wait = std::min(wait, run.stop.open() ? options_.doubt_wait : Duration(0));
   }
   return wait;
 }
@@ -254,6 +253,7 @@
     const Runner& runner = *it->second;
     const bool gone =
         !runner.listed() && runner.runs().empty() && !runner.look_in_flight &&
+        !runner.order_in_flight &&
         ctx.now() - runner.unlisted_at() >= options_.unlisted_grace;
     if (!gone) {
       ++it;
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -45,7 +45,12 @@
   return !sent_at_.has_value() || now - *sent_at_ >= patience;
 }
 
+void StopRequest::Want(TimePoint now, Duration patience) {
+  if (IsDue(now, patience)) wanted_ = true;
+}
+
 void StopRequest::Sent(TimePoint now) {
+  wanted_ = false;
   in_flight_ = true;
   sent_at_ = now;
 }
@@ -111,6 +116,12 @@
 
 double Runner::usual_pace() const { return std::exp(usual_pace_); }
 
+Run* Runner::FindRun(const TaskName& name, int number) {
+  const auto found = runs_.find(name);
+  if (found == runs_.end()) return nullptr;
+  return found->second.number == number ? &found->second : nullptr;
+}
+
 void Runner::Add(const TaskName& name, const Run& run) {
   runs_[name] = run;
   free_room_ -= run.need;
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -9,6 +9,7 @@
 #define LIMELEDGE_SRC_DISPATCH_RUNNER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -41,7 +42,9 @@
 enum class RunPhase {
   /// Decided on, not yet stored.
   kPlanned,
-  /// Stored; the start is under way.
+  /// Stored; the start waits for its turn and was never sent.
+  kStored,
+  /// The start is under way.
   kStarting,
   /// The start got no answer; it may still be carried out.
   kUnsure,
@@ -50,19 +53,31 @@
   kRunning,
 };
 
-/// How often a run's stop was sent, so that it is not sent again in vain:
-/// orders to one runner wait for each other.
+/// True if no start of a run in that phase was ever sent.
+inline bool WasNeverSent(RunPhase phase) {
+  return phase == RunPhase::kPlanned || phase == RunPhase::kStored;
+}
+
+/// A run's stop on its way, so that it is not sent again in vain: orders to one
+/// runner wait for each other.
 class StopRequest {
  public:
   /// True if the stop may be sent, again after `patience` without effect.
   bool IsDue(TimePoint now, Duration patience) const;
+  /// Has the stop sent when its turn comes, if it is due.
+  void Want(TimePoint now, Duration patience);
+  /// The stop waits for its turn.
+  bool wanted() const { return wanted_; }
   /// Notes that the stop is sent.
   void Sent(TimePoint now);
   /// Notes that the stop was answered. Without an answer it is due again.
   void Answered(bool obeyed);
   bool in_flight() const { return in_flight_; }
+  /// The stop waits for its turn or for its answer.
+  bool open() const { return wanted_ || in_flight_; }
 
  private:
+  bool wanted_ = false;
   bool in_flight_ = false;
   std::optional<TimePoint> sent_at_;
 };
@@ -128,6 +143,8 @@
 
   std::map<TaskName, Run>& runs() { return runs_; }
   const std::map<TaskName, Run>& runs() const { return runs_; }
+  /// The run of that number of the task; null if there is none.
+  Run* FindRun(const TaskName& name, int number);
   void Add(const TaskName& name, const Run& run);
   void Remove(const TaskName& name);
   /// Runs here that share the processors in that way.
@@ -155,6 +172,12 @@
   /// An earlier scheduler may have granted a lease up to `at`.
   void LeaseMayLastUntil(TimePoint at) { lease_over_at_ = at; }
 
+  // Orders: starts and stops, one at a time. What waits is kept here and
+  // chosen when its turn comes, by what is known then.
+  bool order_in_flight = false;
+  /// Stored runs whose start waits for its turn; some may be gone since.
+  std::deque<std::pair<TaskName, int>> waiting_starts;
+
   // The exchange of what runs there.
   bool look_in_flight = false;
   TimePoint look_sent_at;
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -51,6 +51,7 @@
 
 void Scheduler::Release() {
   releasing_ = true;
+  for (const auto& [id, runner] : fleet_.runners()) orders_due_.insert(id);
   writer_.Release();
 }
 
@@ -209,8 +210,8 @@
            {"cpu_millis", std::to_string(run.need.cpu_millis)}});
   Mark(name.job);
   writer_.After({kProgressTable, name.job.value()},
-                [this, name, number = run.number, runner](Context& later) {
-                  SendStart(later, name, number, runner);
+                [this, name, number = run.number, runner](Context&) {
+                  QueueStart(name, number, runner);
                 });
 }
 
@@ -249,6 +250,7 @@
       ctx.now() - writer_.confirmed_at() < options_.fleet.longest_unconfirmed;
   CheckWhenDue(ctx);
   if (IsPassDue(ctx.now())) MakePass(ctx);
+  SendOrders(ctx);
   // The runners are only known by what is assigned to them once all is read.
   if (book_.loaded()) {
     fleet_.Look(ctx, writer_.epoch(), may_renew, book_.KnowsAll());
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -10,6 +10,7 @@
 
 #include <json/json.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -134,15 +135,37 @@
   void Displace(Context& ctx, const Displacement& displaced);
   /// Takes an assignment in; the start is sent once it is stored.
   void Assign(Context& ctx, const Assignment& assignment);
-  void SendStart(Context& ctx, const TaskName& name, int run,
-                 const RunnerId& runner);
+  /// Lets a stored run's start wait for its turn.
+  void QueueStart(const TaskName& name, int run, const RunnerId& runner);
+  /// Sends orders to runners for which something changed.
+  void SendOrders(Context& ctx);
+  /// Sends what is due first, stops before starts, unless an order is under
+  /// way. A start leaves right after it was checked; an adapter that sends it
+  /// again does so within the second after which it counts as lost.
+  void SendNextOrder(Context& ctx, Runner* runner);
+  /// Gives up waiting starts that must not be sent any more; true if any was.
+  bool GiveUpStarts(Context& ctx, Runner* runner);
+  /// What is against starting the run now; null for nothing.
+  const char* WhyNotStart(TimePoint now, const Runner& runner,
+                          const TaskName& name, const Run& run);
+  std::string TicketOf(TimePoint now, const Runner& runner,
+                       const TaskName& name) const;
+  /// Ends a run whose start was never sent, with its gang.
+  void GiveUpStart(Context& ctx, Runner* runner, const TaskName& name,
+                   const char* reason);
+  /// Sends a stop that waits; false if there is none.
+  bool SendNextStop(Context& ctx, Runner* runner);
+  /// Precondition: nothing is against starting the run now.
+  void SendStart(Context& ctx, Runner* runner, const TaskName& name, Run* run);
+  void SendStop(Context& ctx, Runner* runner, const TaskName& name, int number,
+                StopRequest* stop);
+  /// The runner's order under way was answered or lost.
+  void NoteOrderAnswered(Runner* runner);
   /// A start that was refused, or whose outcome is not known.
   void TakeFailedStart(Context& ctx, Runner* runner,
                        const StartAnswered& answer, Run* run);
+  /// Has a run end: it is stopped, or dropped if its start was never sent.
   void AskStop(Context& ctx, Runner* runner, const TaskName& name);
-  /// Sends a run's stop if it is due.
-  void SendStop(Context& ctx, Runner* runner, const TaskName& name, int number,
-                StopRequest* stop);
   void StopAll(Context& ctx, const JobId& job);
   /// Stops the other members of a gang's run.
   void StopGang(Context& ctx, const TaskName& name);
@@ -206,6 +229,9 @@
   AdviceBook advice_;
   Planner planner_;
   const Catalog* catalog_ = nullptr;
+  /// Runners for which something changed that may have an order sent, or a
+  /// waiting start given up.
+  std::set<RunnerId> orders_due_;
   bool plan_due_ = true;
   bool releasing_ = false;
   TimePoint last_pass_;
--- /dev/null
+++ b/src/dispatch/scheduler_orders.cc
@@ -0,0 +1,185 @@
+/// @file
+/// The scheduler's orders to runners: what is sent, in which order, and what is
+/// dropped before it is sent.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dispatch/scheduler.h"
+
+namespace limeledge::dispatch {
+
+void Scheduler::QueueStart(const TaskName& name, int number,
+                           const RunnerId& id) {
+  Runner* runner = fleet_.Find(id);
+  if (runner == nullptr) return;
+  Run* run = runner->FindRun(name, number);
+  if (run == nullptr) return;
+  run->phase = RunPhase::kStored;
+  runner->waiting_starts.emplace_back(name, number);
+  orders_due_.insert(id);
+}
+
+void Scheduler::SendOrders(Context& ctx) {
+  // What is given up may stop a gang's members, on other runners too.
+  while (!orders_due_.empty()) {
+    const std::set<RunnerId> due = std::move(orders_due_);
+    orders_due_.clear();
+    for (const RunnerId& id : due) {
+      Runner* runner = fleet_.Find(id);
+      if (runner != nullptr) SendNextOrder(ctx, runner);
+    }
+  }
+}
+
+// Orders to one runner are carried out one after the other, and one without an
+// answer takes a second: what is handed over early leaves late, by what was
+// known seconds before.
+void Scheduler::SendNextOrder(Context& ctx, Runner* runner) {
+  while (GiveUpStarts(ctx, runner)) {
+  }
+  if (runner->order_in_flight || SendNextStop(ctx, runner)) return;
+  if (runner->waiting_starts.empty()) return;
+  const auto [name, number] = runner->waiting_starts.front();
+  runner->waiting_starts.pop_front();
+  SendStart(ctx, runner, name, runner->FindRun(name, number));
+}
+
+bool Scheduler::GiveUpStarts(Context& ctx, Runner* runner) {
+  bool given_up = false;
+  const auto waiting = std::move(runner->waiting_starts);
+  runner->waiting_starts.clear();
+  for (const auto& [name, number] : waiting) {
+    const Run* run = runner->FindRun(name, number);
+    if (run == nullptr) continue;
+    const char* reason = WhyNotStart(ctx.now(), *runner, name, *run);
+    if (reason == nullptr) {
+      runner->waiting_starts.emplace_back(name, number);
+      continue;
+    }
+    given_up = true;
+    GiveUpStart(ctx, runner, name, reason);
+  }
+  return given_up;
+}
+
+const char* Scheduler::WhyNotStart(TimePoint now, const Runner& runner,
+                                   const TaskName& name, const Run& run) {
+  const Job* job = book_.Find(name.job);
+  if (job == nullptr) return "its job is over";
+  if (run.stopping) return "it is to stop";
+  if (releasing_) return "another process is to schedule";
+  if (runner.drains_since().has_value()) return "its runner leaves";
+  if (!runner.reachable()) return "its runner is silent";
+  const bool ticket_ran_out = PolicyOf(*job, *catalog_).needs_advice &&
+                              TicketOf(now, runner, name).empty();
+  return ticket_ran_out ? "its ticket ran out" : nullptr;
+}
+
+std::string Scheduler::TicketOf(TimePoint now, const Runner& runner,
+                                const TaskName& name) const {
+  return advice_.TicketFor({name.job, name.occurrence, name.step}, runner.id(),
+                           now);
+}
+
+void Scheduler::GiveUpStart(Context& ctx, Runner* runner, const TaskName& name,
+                            const char* reason) {
+  ctx.Log(LogId::kStartGivenUp, {{"task", ToString(name)},
+                                 {"runner", runner->id().value()},
+                                 {"reason", reason}});
+  // Nothing was sent: the run never was.
+  EndRun(ctx, runner, name, RunEnd::kRejected, "");
+  StopGang(ctx, name);
+}
+
+bool Scheduler::SendNextStop(Context& ctx, Runner* runner) {
+  for (auto& [name, run] : runner->runs()) {
+    if (!run.stop.wanted()) continue;
+    SendStop(ctx, runner, name, run.number, &run.stop);
+    return true;
+  }
+  for (auto& [run, stop] : runner->unwanted) {
+    if (!stop.wanted()) continue;
+    SendStop(ctx, runner, run.first, run.second, &stop);
+    return true;
+  }
+  return false;
+}
+
+void Scheduler::SendStart(Context& ctx, Runner* runner, const TaskName& name,
+                          Run* run) {
+  const Job* job = book_.Find(name.job);
+  run->phase = RunPhase::kStarting;
+  runner->order_in_flight = true;
+  StartRun start;
+  start.target = Fleet::TargetOf(*runner, writer_.epoch());
+  start.task = name;
+  start.run = run->number;
+  start.payload = job->spec().payload;
+  start.checkpoint = job->occurrences()[name.occurrence]
+                         .steps[name.step]
+                         .tasks[name.index]
+                         .checkpoint;
+  start.ticket = TicketOf(ctx.now(), *runner, name);
+  start.until_ms = runner->GrantUntil(ctx.now(), options_.fleet.run_lease);
+  ctx.Emit(std::move(start));
+}
+
+void Scheduler::SendStop(Context& ctx, Runner* runner, const TaskName& name,
+                         int number, StopRequest* stop) {
+  stop->Sent(ctx.now());
+  runner->order_in_flight = true;
+  ctx.Emit(StopRun{Fleet::TargetOf(*runner, writer_.epoch()), name, number});
+}
+
+void Scheduler::NoteOrderAnswered(Runner* runner) {
+  runner->order_in_flight = false;
+  orders_due_.insert(runner->id());
+}
+
+void Scheduler::AskStop(Context& ctx, Runner* runner, const TaskName& name) {
+  const auto found = runner->runs().find(name);
+  if (found == runner->runs().end()) return;
+  Run& run = found->second;
+  run.stopping = true;
+  orders_due_.insert(runner->id());
+  // What was not sent is dropped; what is being started is stopped as soon as
+  // the start is answered.
+  const bool too_early =
+      WasNeverSent(run.phase) || run.phase == RunPhase::kStarting;
+  if (too_early || runner->info().address.empty()) return;
+  run.stop.Want(ctx.now(), options_.stop_patience);
+}
+
+void Scheduler::StopAll(Context& ctx, const JobId& job) {
+  const TaskName first{job, 0, 0, 0};
+  for (auto& [id, runner] : fleet_.runners()) {
+    std::vector<TaskName> names;
+    for (auto it = runner->runs().lower_bound(first);
+         it != runner->runs().end() && it->first.job == job; ++it) {
+      names.push_back(it->first);
+    }
+    for (const TaskName& name : names) AskStop(ctx, runner.get(), name);
+  }
+}
+
+void Scheduler::StopGang(Context& ctx, const TaskName& name) {
+  Job* job = book_.Find(name.job);
+  if (job == nullptr || !job->step_spec(name.step).gang) return;
+  const Step& step = job->occurrences()[name.occurrence].steps[name.step];
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const Task& member = step.tasks[i];
+    if (member.phase != TaskPhase::kAssigned) continue;
+    Runner* runner = fleet_.Find(member.runner);
+    TaskName other = name;
+    other.index = static_cast<int>(i);
+    if (runner != nullptr) AskStop(ctx, runner, other);
+  }
+}
+
+}  // namespace limeledge::dispatch
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -1,5 +1,5 @@
 /// @file
-/// The runners' side of the scheduler: starts, stops, ends and silence.
+/// The runners' side of the scheduler: answers to orders, ends and silence.
 //
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
@@ -22,13 +22,6 @@
 constexpr int kMostDoublings = 4;
 constexpr int kHundred = 100;
 
-/// The runner's run of that number of the task; null if it holds none.
-Run* FindRun(Runner* runner, const TaskName& name, int number) {
-  const auto found = runner->runs().find(name);
-  if (found == runner->runs().end()) return nullptr;
-  return found->second.number == number ? &found->second : nullptr;
-}
-
 }  // namespace
 
 const char* ToString(OrderOutcome outcome) {
@@ -59,53 +52,15 @@
   return "";
 }
 
-void Scheduler::SendStart(Context& ctx, const TaskName& name, int number,
-                          const RunnerId& id) {
-  Runner* runner = fleet_.Find(id);
-  if (runner == nullptr) return;
-  Run* run = FindRun(runner, name, number);
-  if (run == nullptr) return;
-  const Job* job = book_.Find(name.job);
-  if (run->stopping || job == nullptr || releasing_) {
-    // Nothing was sent: the run never was.
-    EndRun(ctx, runner, name, RunEnd::kRejected, "");
-    return;
-  }
-  const std::string ticket =
-      advice_.TicketFor({name.job, name.occurrence, name.step}, id, ctx.now());
-  // Either may have come while the decision was being stored.
-  const bool ticket_ran_out =
-      ticket.empty() && PolicyOf(*job, *catalog_).needs_advice;
-  const bool leaves_or_silent =
-      runner->drains_since().has_value() || !runner->reachable();
-  if (ticket_ran_out || leaves_or_silent) {
-    EndRun(ctx, runner, name, RunEnd::kRejected, "");
-    StopGang(ctx, name);
-    return;
-  }
-  run->phase = RunPhase::kStarting;
-  StartRun start;
-  start.target = Fleet::TargetOf(*runner, writer_.epoch());
-  start.task = name;
-  start.run = number;
-  start.payload = job->spec().payload;
-  start.checkpoint = job->occurrences()[name.occurrence]
-                         .steps[name.step]
-                         .tasks[name.index]
-                         .checkpoint;
-  start.ticket = ticket;
-  start.until_ms = runner->GrantUntil(ctx.now(), options_.fleet.run_lease);
-  ctx.Emit(std::move(start));
-}
-
 Scheduler::Verdict Scheduler::Take(Context& ctx, const StartAnswered& answer) {
   if (answer.epoch != writer_.epoch()) return Verdict::kGoesOn;
   if (answer.outcome == OrderOutcome::kFenced) return Verdict::kDeposed;
   Runner* runner = fleet_.Find(answer.runner);
   if (runner == nullptr) return Verdict::kGoesOn;
+  NoteOrderAnswered(runner);
   if (answer.clock_ms > 0) runner->Heard(ctx.now(), answer.clock_ms);
   plan_due_ = true;
-  Run* run = FindRun(runner, answer.task, answer.run);
+  Run* run = runner->FindRun(answer.task, answer.run);
   if (run == nullptr) return Verdict::kGoesOn;
   run->answered_at = ctx.now();
   if (answer.outcome == OrderOutcome::kDone) {
@@ -147,31 +102,12 @@
   StopGang(ctx, answer.task);
 }
 
-void Scheduler::AskStop(Context& ctx, Runner* runner, const TaskName& name) {
-  const auto found = runner->runs().find(name);
-  if (found == runner->runs().end()) return;
-  Run& run = found->second;
-  run.stopping = true;
-  // What was not sent is dropped when its turn comes; what is being started is
-  // stopped as soon as the start is answered.
-  const bool too_early =
-      run.phase == RunPhase::kPlanned || run.phase == RunPhase::kStarting;
-  if (too_early || runner->info().address.empty()) return;
-  SendStop(ctx, runner, name, run.number, &run.stop);
-}
-
-void Scheduler::SendStop(Context& ctx, Runner* runner, const TaskName& name,
-                         int number, StopRequest* stop) {
-  if (!stop->IsDue(ctx.now(), options_.stop_patience)) return;
-  stop->Sent(ctx.now());
-  ctx.Emit(StopRun{Fleet::TargetOf(*runner, writer_.epoch()), name, number});
-}
-
 Scheduler::Verdict Scheduler::Take(Context& ctx, const StopAnswered& answer) {
   if (answer.epoch != writer_.epoch()) return Verdict::kGoesOn;
   if (answer.outcome == OrderOutcome::kFenced) return Verdict::kDeposed;
   Runner* runner = fleet_.Find(answer.runner);
   if (runner == nullptr) return Verdict::kGoesOn;
+  NoteOrderAnswered(runner);
   if (answer.clock_ms > 0) runner->Heard(ctx.now(), answer.clock_ms);
   if (answer.outcome == OrderOutcome::kOtherLife) {
     EndAll(ctx, runner, "another life answers at its address");
@@ -181,7 +117,7 @@
                         answer.outcome == OrderOutcome::kOldRun;
   const auto unwanted = runner->unwanted.find({answer.task, answer.run});
   if (unwanted != runner->unwanted.end()) unwanted->second.Answered(answered);
-  Run* run = FindRun(runner, answer.task, answer.run);
+  Run* run = runner->FindRun(answer.task, answer.run);
   if (run == nullptr) return Verdict::kGoesOn;
   run->stop.Answered(answered);
   if (answered) {
@@ -193,32 +129,6 @@
   return Verdict::kGoesOn;
 }
 
-void Scheduler::StopAll(Context& ctx, const JobId& job) {
-  const TaskName first{job, 0, 0, 0};
-  for (auto& [id, runner] : fleet_.runners()) {
-    std::vector<TaskName> names;
-    for (auto it = runner->runs().lower_bound(first);
-         it != runner->runs().end() && it->first.job == job; ++it) {
-      names.push_back(it->first);
-    }
-    for (const TaskName& name : names) AskStop(ctx, runner.get(), name);
-  }
-}
-
-void Scheduler::StopGang(Context& ctx, const TaskName& name) {
-  Job* job = book_.Find(name.job);
-  if (job == nullptr || !job->step_spec(name.step).gang) return;
-  const Step& step = job->occurrences()[name.occurrence].steps[name.step];
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-    const Task& member = step.tasks[i];
-    if (member.phase != TaskPhase::kAssigned) continue;
-    Runner* runner = fleet_.Find(member.runner);
-    TaskName other = name;
-    other.index = static_cast<int>(i);
-    if (runner != nullptr) AskStop(ctx, runner, other);
-  }
-}
-
 void Scheduler::EndRun(Context& ctx, Runner* runner, const TaskName& name,
                        RunEnd end, const std::string& checkpoint) {
   const auto found = runner->runs().find(name);
@@ -318,7 +228,7 @@
 void Scheduler::TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end) {
   if (end.number <= runner->newest_end) return;
   runner->newest_end = end.number;
-  const Run* run = FindRun(runner, end.task, end.run);
+  const Run* run = runner->FindRun(end.task, end.run);
   if (run == nullptr) return;
   Judge(ctx, runner, end, *run);
   EndRun(ctx, runner, end.task, end.end, end.checkpoint);
@@ -334,13 +244,14 @@
 
 void Scheduler::TakeRunning(Context& ctx, Runner* runner,
                             const ListedRun& listed) {
-  Run* run = FindRun(runner, listed.task, listed.run);
+  Run* run = runner->FindRun(listed.task, listed.run);
   if (run == nullptr && !book_.Knows(listed.task.job)) return;
   if (run == nullptr) {
     // Nobody waits for it any more. Looks may come hundreds of times a second;
     // a stop with each would hold up all other orders to this runner.
-    SendStop(ctx, runner, listed.task, listed.run,
-             &runner->unwanted[{listed.task, listed.run}]);
+    runner->unwanted[{listed.task, listed.run}].Want(ctx.now(),
+                                                     options_.stop_patience);
+    orders_due_.insert(runner->id());
     return;
   }
   const bool moved = listed.percent != run->percent;
@@ -380,9 +291,7 @@
     if (running.count(name) != 0) continue;
     // The look may have left before the order was carried out.
     if (run.answered_at >= runner->look_sent_at) continue;
-    if (run.phase == RunPhase::kPlanned || run.phase == RunPhase::kStarting) {
-      continue;
-    }
+    if (WasNeverSent(run.phase) || run.phase == RunPhase::kStarting) continue;
     const bool may_still_come =
         run.phase == RunPhase::kUnsure && !run.stop_answered;
     (may_still_come ? unsure : lost).push_back(name);
@@ -459,6 +368,8 @@
     ctx.Log(LogId::kRunnerSilent, {{"runner", runner->id().value()}});
   }
   runner->Missed(ctx.now());
+  // What waits to be started there is placed elsewhere.
+  orders_due_.insert(runner->id());
   const Duration pause = std::min(options_.fleet.retry_pause * runner->misses(),
                                   options_.fleet.longest_retry_pause);
   runner->next_look_at = ctx.now() + pause;
--- a/test/order-queue-test.cc
+++ b/test/order-queue-test.cc
@@ -162,6 +162,24 @@
   CheckSound(one);
 }
 
+TEST(OrderQueue, RunOnASilentRunnerIsStoppedSoonAfterItAnswersAgain) {
+  EmulatedSystem one(WithRunners(1));
+  Begin(&one);
+  const JobId job = SubmitTo(&one, Step(kTasks, 0, kLong));
+  one.Run(Duration(1000));
+  LONGS_EQUAL(kTasks, StartsOf(one, job));
+  Mute(&one, 1);
+  one.Run(Duration(200));
+  one.Cancel(job);
+  one.Run(Duration(2500));
+  LONGS_EQUAL(0, Lines({" stop ", job.value()}).size());
+  one.faults().mute_runners.clear();
+  // A look is tried again each second, and may itself be lost by a second.
+  one.Run(Duration(2100));
+  LONGS_EQUAL(kTasks, Lines({" stop ", job.value()}).size());
+  CheckSound(one);
+}
+
 TEST(OrderQueue, StartOfACancelledJobThatWaitsIsNeverSent) {
   EmulatedSystem one(WithRunners(1));
   Begin(&one);
