--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -279,7 +279,7 @@
   lane.push([this, node, order, answer, carry_out] {
     SendOrderNow(node, order, answer, carry_out);
   });
-  most_orders_in_lane_ = std::max(most_orders_in_lane_, lane.size());
+  longest_order_lane_ = std::max(longest_order_lane_, lane.size());
   if (lane.size() == 1) lane.front()();
 }
 
--- a/test/order-queue-test.cc
+++ b/test/order-queue-test.cc
@@ -130,7 +130,7 @@
   system.Run(Duration(3000));
   system.Cancel(job);
   system.Run(Duration(10000));
-  LONGS_EQUAL(1, system.most_orders_in_lane());
+  LONGS_EQUAL(1, system.longest_order_lane());
   CheckNoViolation();
 }
 
