--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -61,10 +61,16 @@
   /// Parts of the store that are away while the others are there.
   std::set<std::string> parts_down;
   std::set<RunnerId> unreachable_runners;
+  /// Runners that hear nothing and answer nothing though all links are sound:
+  /// no excuse for a node that goes on starting tasks there.
+  std::set<RunnerId> mute_runners;
+  /// What a runner takes to answer an order, beside the network; no fault of
+  /// its own while it is short.
+  Duration order_time;
   /// Runners that serve on without an entry in the list.
   std::set<RunnerId> unlisted_runners;
 
-  /// True while none is on.
+  /// True while none is on that may hold a node up.
   bool none() const;
 };
 
@@ -210,6 +216,8 @@
   void AddRunner(int index, int life);
   void RemoveRunner(const RunnerId& runner, Duration down);
   bool Reaches(const RunnerId& runner) const;
+  /// True if calls get through to the runner, and it answers them.
+  bool Hears(const RunnerId& runner) const;
   /// True while any party is disturbed. Runners that leave as they said do not
   /// count.
   bool IsDisturbed() const;
