Check in the soak that the runs of cancelled jobs end

Cause: the soak of processes saw what runners run and which cancels were acknowledged, and held neither against the other: a task of a cancelled job that ran on was not noticed. Nor was there a load that would bring it about: tasks took 2.5 s at most, and ended before anybody could tell.

Change: cancel_watch samples all runs every 50 ms. Beyond 3 s for a start and 3.3 s for a run after the acknowledgement, with no fault within 3 s, each is a violation; runs that a fault started late have that time from 3 s after their start, and after one stretch of calm nothing excuses a start. Leaving runners excuse nothing; nodes that stop or come up do. Reports tell the longest times. soak/cancel.yaml cancels jobs of long tasks in mass, and has two more faults: nodes removed for good in favour of new ones, and orders that get no answer and are carried out 2 to 12 s later. Callers repeat a cancel until it is answered. The proxy takes a fault that is set while it waits at once, not one round later.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -24,8 +24,6 @@
 constexpr char kForeignKey[] = "a-key-of-nobody";
 constexpr double kForeignKeyShare = 0.04;
 constexpr double kSentAgainShare = 0.1;
-// A job is cancelled within this after it was handed in.
-constexpr int kLatestCancelMs = 1500;
 // A connection that is opened early is used within this: below the time after
 // which nodes close one that is not used.
 constexpr int kLongestHoldMs = 1500;
@@ -132,7 +130,14 @@
   platform_->WithOracle([&job](emulator::PromiseOracle& oracle) {
     oracle.Find(job.spec.id)->cancel_sent = true;
   });
-  Call("DELETE", job.path, "", kKey);
+  for (int i = 0; i < kSubmitTries; ++i) {
+    const NodeReply reply = Call("DELETE", job.path, "", kKey);
+    if (reply.Is(kStatusOk) || reply.Is(kStatusGone)) {
+      platform_->NoteCancelled(job.spec.id);
+      return;
+    }
+    Sleep(kRetryPause);
+  }
 }
 
 void Callers::CheckKey(JobMaker* maker) {
@@ -157,14 +162,20 @@
       absl::StrCat("the same job again was a conflict: ", job.path));
 }
 
-void Callers::Live(const DraftJob& job, JobMaker* maker) {
-  if (!Submit(job)) return;
-  if (maker->Chance(kSentAgainShare)) CheckSentAgain(job);
+void Callers::Live(const std::vector<DraftJob>& jobs, JobMaker* maker) {
+  std::vector<DraftJob> accepted;
+  for (const DraftJob& job : jobs) {
+    if (!Submit(job)) continue;
+    accepted.push_back(job);
+    if (maker->Chance(kSentAgainShare)) CheckSentAgain(job);
+  }
+  if (accepted.empty()) return;
   if (maker->Chance(experiment_.cancelled_share)) {
-    Sleep(Duration(maker->Pick(0, kLatestCancelMs)));
-    Cancel(job);
+    Sleep(Duration(maker->Pick(0, experiment_.latest_cancel.ms())));
+    for (const DraftJob& job : accepted) Cancel(job);
   }
-  if (StateOf(job.path) == "gone") {
+  for (const DraftJob& job : accepted) {
+    if (StateOf(job.path) != "gone") continue;
     platform_->Violate(
         absl::StrCat(job.path, " was accepted and is not known"));
   }
@@ -176,7 +187,11 @@
       static_cast<std::int64_t>(kMsPerSecond / experiment_.jobs_per_caller);
   while (!stopping_) {
     if (maker.Chance(kForeignKeyShare)) CheckKey(&maker);
-    Live(maker.Make(), &maker);
+    std::vector<DraftJob> jobs;
+    for (int i = 0; i < experiment_.jobs_at_once; ++i) {
+      jobs.push_back(maker.Make());
+    }
+    Live(jobs, &maker);
     Sleep(Duration(maker.Pick(pause / 2, pause * 3 / 2)));
   }
 }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -73,8 +73,10 @@
   /// Opens connections, and sends on them only after a while.
   void HoldConnections(std::uint64_t seed);
 
-  /// Hands a job in, and does with it what its caller may do.
-  void Live(const DraftJob& job, JobMaker* maker);
+  /// Hands jobs in one after the other, and does with all of them what their
+  /// caller may do.
+  void Live(const std::vector<DraftJob>& jobs, JobMaker* maker);
+  /// Cancels a job, again until that is answered.
   void Cancel(const DraftJob& job);
   /// Sends a call with a key that never held.
   void CheckKey(JobMaker* maker);
--- a/soak/experiment.cc
+++ b/soak/experiment.cc
@@ -25,7 +25,7 @@
   const char* name;
 };
 
-constexpr std::array<KindName, 23> kKindNames = {{
+constexpr std::array<KindName, 26> kKindNames = {{
     {FaultKind::kKillNode, "kill-node"},
     {FaultKind::kStopNode, "stop-node"},
     {FaultKind::kPauseNode, "pause-node"},
@@ -49,6 +49,9 @@
     {FaultKind::kResetCallers, "reset-callers"},
     {FaultKind::kDelayCallers, "delay-callers"},
     {FaultKind::kChangeConfig, "change-config"},
+    {FaultKind::kReplaceNode, "replace-node"},
+    {FaultKind::kLoseNode, "lose-node"},
+    {FaultKind::kLateOrders, "late-orders"},
 }};
 
 /// In files, for `kLeaderTarget`.
@@ -57,6 +60,9 @@
 // In a series, the next fault of the kind comes this soon.
 constexpr double kSeriesShare = 0.2;
 constexpr Duration kSeriesGap{250};
+// An order that was not answered is carried out this late.
+constexpr Duration kLeastLateness{2000};
+constexpr Duration kMostLateness{12000};
 
 bool StrikesNode(FaultKind kind) {
   switch (kind) {
@@ -69,6 +75,8 @@
     case FaultKind::kSilenceNode:
     case FaultKind::kResetCallers:
     case FaultKind::kDelayCallers:
+    case FaultKind::kReplaceNode:
+    case FaultKind::kLoseNode:
       return true;
     default:
       return false;
@@ -156,7 +164,10 @@
   static const std::vector<FaultKind>* const kinds = [] {
     auto* all = new std::vector<FaultKind>;
     for (const KindName& entry : kKindNames) {
-      if (entry.kind != FaultKind::kSilenceAll) all->push_back(entry.kind);
+      const bool early = entry.kind < FaultKind::kReplaceNode;
+      if (early && entry.kind != FaultKind::kSilenceAll) {
+        all->push_back(entry.kind);
+      }
     }
     return all;
   }();
@@ -176,6 +187,9 @@
   ReadField(root, "runners", &experiment.runners, findings);
   ReadField(root, "callers", &experiment.callers, findings);
   ReadField(root, "jobs_per_caller", &experiment.jobs_per_caller, findings);
+  ReadField(root, "jobs_at_once", &experiment.jobs_at_once, findings);
+  ReadDuration(root, "longest_work_ms", &experiment.longest_work, findings);
+  ReadDuration(root, "latest_cancel_ms", &experiment.latest_cancel, findings);
   ReadField(root, "gang_share", &experiment.gang_share, findings);
   ReadField(root, "urgent_share", &experiment.urgent_share, findings);
   ReadField(root, "failing_share", &experiment.failing_share, findings);
@@ -183,12 +197,15 @@
   ReadDuration(root, "length_ms", &experiment.length, findings);
   ReadDuration(root, "fault_interval_ms", &experiment.fault_interval, findings);
   ReadDuration(root, "longest_fault_ms", &experiment.longest_fault, findings);
+  ReadDuration(root, "faults_until_ms", &experiment.faults_until, findings);
+  ReadField(root, "leader_share", &experiment.leader_share, findings);
   ReadKinds(root, &experiment.faults, findings);
   ReadPlan(root, &experiment.plan, findings);
   ReadField(root, "checks_times", &experiment.checks_times, findings);
   CheckAtLeastOne("nodes", experiment.nodes, findings);
   CheckAtLeastOne("runners", experiment.runners, findings);
   CheckAtLeastOne("callers", experiment.callers, findings);
+  CheckAtLeastOne("jobs_at_once", experiment.jobs_at_once, findings);
   if (experiment.jobs_per_caller <= 0) {
     findings->Add("jobs_per_caller", "must be above 0");
   }
@@ -209,8 +226,11 @@
   const auto chance = [&random] {
     return std::uniform_real_distribution<>()(random);
   };
+  const Duration until = experiment.faults_until > Duration(0)
+                             ? experiment.faults_until
+                             : experiment.length;
   Fault fault;
-  while (fault.at < experiment.length) {
+  while (fault.at < until) {
     const bool series = !plan.empty() && chance() < kSeriesShare;
     fault.at = fault.at +
                Duration(series ? pick(0, kSeriesGap.ms())
@@ -225,6 +245,13 @@
     fault.length = Duration(
         pick(kShortestFault.ms(),
              std::max(kShortestFault.ms(), experiment.longest_fault.ms())));
+    if (fault.kind == FaultKind::kLateOrders) {
+      fault.length = Duration(pick(kLeastLateness.ms(), kMostLateness.ms()));
+    }
+    const bool leader = experiment.leader_share > 0 &&
+                        StrikesNode(fault.kind) &&
+                        chance() < experiment.leader_share;
+    if (leader) fault.target = kLeaderTarget;
     plan.push_back(fault);
   }
   return plan;
--- a/soak/experiment.h
+++ b/soak/experiment.h
@@ -41,11 +41,15 @@
   kResetCallers,
   kDelayCallers,
   kChangeConfig,
+  kReplaceNode,
+  kLoseNode,
+  kLateOrders,
 };
 
 const char* ToString(FaultKind kind);
-/// The kinds that random plans are made of: all but `kSilenceAll`, so that the
-/// seeds of earlier runs keep their plans.
+/// The kinds that random plans are made of unless a file names others: all but
+/// `kSilenceAll` and those from `kReplaceNode` on, so that the seeds of earlier
+/// runs keep their plans.
 const std::vector<FaultKind>& RandomFaultKinds();
 
 /// In place of a node's number: the one that schedules when the fault begins.
@@ -70,12 +74,22 @@
   int callers = 6;
   /// Jobs that each caller hands in a second, at most.
   double jobs_per_caller = 1;
+  /// Jobs that a caller hands in one after the other and cancels together.
+  int jobs_at_once = 1;
+  /// Longest work of a task.
+  Duration longest_work{2500};
+  /// A job is cancelled within this after it was accepted, if it is.
+  Duration latest_cancel{1500};
   /// Time under load and faults.
   Duration length{30000};
   /// Mean time between two faults; 0 for none.
   Duration fault_interval{700};
   /// Largest length of a fault.
   Duration longest_fault{6000};
+  /// No random fault begins later than this; 0: until the end of the load.
+  Duration faults_until;
+  /// Share of the random faults of nodes that strike the one that schedules.
+  double leader_share = 0;
   std::vector<FaultKind> faults = RandomFaultKinds();
   /// If not empty, these are made, in order of time, and no random ones.
   std::vector<Fault> plan;
--- a/soak/fault_driver.cc
+++ b/soak/fault_driver.cc
@@ -31,6 +31,9 @@
 // Calls on connections that went silent are given up after this at the latest:
 // a waiting call's time and its slack.
 constexpr Duration kSilenceFelt{3000};
+// Orders lose their answers for this long when they are to come late: some
+// hundred starts and stops under the load of `soak/cancel.yaml`.
+constexpr Duration kOrdersLost{1000};
 // Share of the store's writes whose answers are lost.
 constexpr double kAnswersLost = 0.3;
 // Tasks of a slow runner take so many times as long.
@@ -171,6 +174,31 @@
   }
 }
 
+void FaultDriver::SetRunnerLinks(const LinkFault& fault) {
+  for (int i = 0; i < platform_->runners(); ++i) {
+    platform_->runner_link(i).SetFault(fault);
+  }
+}
+
+void FaultDriver::DelayOrders(Duration lateness) {
+  const TimePoint now = clock_.Now();
+  // Calls that lost their answers are given up after a while.
+  const TimePoint felt = now + kOrdersLost + kSilenceFelt;
+  log_->Note("orders", now, felt);
+  log_->Note("orders", now, felt + lateness, TroubleSort::kLateOrders);
+  LinkFault lost;
+  lost.late_by = lateness;
+  SetRunnerLinks(lost);
+  At(now + kOrdersLost, [this] { SetRunnerLinks({}); });
+}
+
+void FaultDriver::StopNode(NodeProcess* node, bool replace) {
+  const TimePoint now = clock_.Now();
+  log_->Note(node->name(), now, now, TroubleSort::kNodeChange);
+  if (replace) node->ReplaceNext();
+  node->Signal(SIGTERM);
+}
+
 NodeProcess* FaultDriver::NodeOf(const Fault& fault) {
   return (*nodes_)[fault.target % nodes_->size()].get();
 }
@@ -182,8 +210,20 @@
       During(
           fault, at, node->name(), [node] { node->Kill(); }, [] {});
       return true;
+    case FaultKind::kLoseNode:
+      During(
+          fault, at, node->name(),
+          [node] {
+            node->ReplaceNext();
+            node->Kill();
+          },
+          [] {});
+      return true;
     case FaultKind::kStopNode:
-      At(at, [node] { node->Signal(SIGTERM); });
+      At(at, [this, node] { StopNode(node, false); });
+      return true;
+    case FaultKind::kReplaceNode:
+      At(at, [this, node] { StopNode(node, true); });
       return true;
     case FaultKind::kPauseNode:
       During(
@@ -260,6 +300,9 @@
     case FaultKind::kSilenceRunners:
       At(at, [this] { SilenceRunners(); });
       return true;
+    case FaultKind::kLateOrders:
+      At(at, [this, lateness = fault.length] { DelayOrders(lateness); });
+      return true;
     case FaultKind::kCutRunner:
     case FaultKind::kHoldAnswers:
     case FaultKind::kDelayRunner:
@@ -278,7 +321,8 @@
   // It serves on for a while, ends, and another life comes.
   At(at, [platform, place, length] { platform->DrainRunner(place, length); });
   At(at + length + kRestartPause, [this, platform, place] {
-    log_->Note(RunnerSubject(place), clock_.Now(), clock_.Now());
+    log_->Note(RunnerSubject(place), clock_.Now(), clock_.Now(),
+               TroubleSort::kRunnerLeft);
     platform->KillRunner(place);
   });
   At(at + length + kRestartPause * 2,
@@ -330,7 +374,10 @@
     }
     CheckEnd(node.get());
     const bool due = clock_.Now() > *life.ended_at + kRestartPause;
-    if (due) node->Restart();
+    if (!due) continue;
+    log_->Note(node->name(), clock_.Now(), clock_.Now(),
+               TroubleSort::kNodeChange);
+    node->Restart();
   }
 }
 
--- a/soak/fault_driver.h
+++ b/soak/fault_driver.h
@@ -45,6 +45,12 @@
   /// Silences what is open between nodes, the store and runners.
   void SilenceAll();
   void SilenceRunners();
+  /// For a moment, orders to all runners get no answer and are carried out so
+  /// much later.
+  void DelayOrders(Duration lateness);
+  void SetRunnerLinks(const LinkFault& fault);
+  /// Asks a node to stop; the next life there is another node if `replace`.
+  void StopNode(NodeProcess* node, bool replace);
   // Each plans the troubles of one sort, and returns false for other kinds.
   bool ScheduleNode(const Fault& fault, TimePoint at);
   bool ScheduleNodeLink(const Fault& fault, TimePoint at);
--- a/soak/job_maker.cc
+++ b/soak/job_maker.cc
@@ -76,7 +76,7 @@
 DraftJob JobMaker::Make() {
   dispatch::StepSpec step;
   emulator::TaskTruth truth;
-  truth.work = Duration(Pick(200, 2500));
+  truth.work = Duration(Pick(200, experiment_.longest_work.ms()));
   truth.always_fails = Chance(experiment_.failing_share);
   const bool urgent = Chance(experiment_.urgent_share);
   step.gang = Chance(experiment_.gang_share);
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -92,6 +92,7 @@
   run.plan = PlanFaults(options.experiment, options.seed);
   PlayPlan(options, &platform, &*nodes, &faults, &run);
   run.starts = platform.starts();
+  run.cancels = platform.cancel_times();
   for (const auto& node : *nodes) node->Kill();
   platform.Stop();
   run.violations = platform.WithOracle(
--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -70,17 +70,42 @@
 absl::Status NodeProcess::Start(const Endpoint& store) {
   absl::Status status = store_link_.Start(store);
   if (!status.ok()) return status;
-  const int port = FreePort();
-  status = front_link_.Start({"127.0.0.1", port});
+  status = front_link_.Start({"127.0.0.1", 0});
   if (!status.ok()) return status;
-  ready_ = Loopback(FreePort());
-  metrics_ = Loopback(FreePort());
-  WriteSettings(Loopback(port));
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Settle();
+  }
   Restart();
   return absl::OkStatus();
 }
 
-void NodeProcess::WriteSettings(const std::string& front) const {
+std::string NodeProcess::ready() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return ready_;
+}
+
+std::string NodeProcess::metrics() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return metrics_;
+}
+
+void NodeProcess::ReplaceNext() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  replace_next_ = true;
+}
+
+void NodeProcess::Settle() {
+  const int port = FreePort();
+  front_link_.Redirect({"127.0.0.1", port});
+  ready_ = Loopback(FreePort());
+  metrics_ = Loopback(FreePort());
+  WriteSettings(port);
+}
+
+void NodeProcess::WriteSettings(int port) const {
+  const std::string node =
+      replaced_ == 0 ? name_ : fmt::format("{}-{}", name_, replaced_);
   std::ofstream file(fmt::format("{}/{}.yaml", directory_, name_));
   file << fmt::format(
       "node: \"{}\"\nzone: \"soak\"\nlisten:\n  front: \"{}\"\n"
@@ -88,7 +113,7 @@
       "limits:\n  cpu-share: 1\n  cores: 1\n"
       "bounds:\n  hold-max-ms: 10000\n  grace-s: 6\n"
       "platform:\n  addr: \"{}\"\n",
-      name_, front, ready_, metrics_, store_link_.address());
+      node, Loopback(port), ready_, metrics_, store_link_.address());
 }
 
 void NodeProcess::Restart() {
@@ -98,6 +123,11 @@
 }
 
 void NodeProcess::Spawn() {
+  if (replace_next_) {
+    replace_next_ = false;
+    ++replaced_;
+    Settle();
+  }
   const std::string settings = fmt::format("{}/{}.yaml", directory_, name_);
   const std::string log = log_path();
   const pid_t pid = fork();
--- a/soak/node_process.h
+++ b/soak/node_process.h
@@ -47,6 +47,8 @@
   /// Starts a new life if the last one is over.
   void Restart();
   void Kill();
+  /// The next life is another node: of another name, at other addresses.
+  void ReplaceNext();
   /// Sends SIGTERM, SIGHUP, SIGSTOP or SIGCONT.
   void Signal(int signal);
   /// Notes the end of the life if it ended. Returns true while it goes on.
@@ -60,18 +62,21 @@
   TcpProxy& front_link() { return front_link_; }
   /// Where callers call, behind the proxy.
   std::string front() const { return front_link_.address(); }
-  const std::string& ready() const { return ready_; }
-  const std::string& metrics() const { return metrics_; }
+  std::string ready() const;
+  std::string metrics() const;
   std::string log_path() const;
   /// All lives so far; the last one may go on.
   std::vector<NodeLife> lives();
 
  private:
-  void WriteSettings(const std::string& front) const;
+  /// Gives the node a name and free addresses, and writes its settings.
+  void Settle();
+  void WriteSettings(int port) const;
   void Spawn();
   void Reap();
   void NoteEnd(int status, bool killed);
 
+  /// Of all nodes that follow one another here.
   std::string name_;
   std::string program_;
   std::string directory_;
@@ -80,7 +85,10 @@
   TcpProxy store_link_;
   TcpProxy front_link_;
   SteadyClock clock_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
+  /// Nodes that were removed for good in favour of another.
+  int replaced_ = 0;
+  bool replace_next_ = false;
   pid_t pid_ = -1;
   int last_status_ = -1;
   std::vector<NodeLife> lives_;
--- a/soak/report.cc
+++ b/soak/report.cc
@@ -112,6 +112,15 @@
   return table;
 }
 
+std::string CancelTable(const CancelTimes& times) {
+  return fmt::format(
+      "\n## Cancelled jobs\n\n{} cancels were acknowledged. Longest times "
+      "from there:\n\n| until | ms | ms at calm |\n| --- | --- | --- |\n"
+      "| the last run ended | {} | {} |\n| the last start | {} | {} |\n",
+      times.acknowledged, times.last_run.ms(), times.last_run_calm.ms(),
+      times.last_start.ms(), times.last_start_calm.ms());
+}
+
 }  // namespace
 
 std::string TableHead() {
@@ -144,6 +153,7 @@
   for (const std::string& violation : run.violations) {
     page += fmt::format("- {}\n", violation);
   }
+  page += CancelTable(run.cancels);
   page += StartGapTable(run);
   page +=
       "\n## Faults\n\n| at ms | kind | target | length ms |\n"
--- a/soak/report.h
+++ b/soak/report.h
@@ -30,6 +30,7 @@
   int unknown = 0;
   int starts = 0;
   std::vector<StartGap> start_gaps;
+  CancelTimes cancels;
   Verdict verdict;
   std::vector<std::string> violations;
 };
--- a/soak/soak_platform.cc
+++ b/soak/soak_platform.cc
@@ -21,7 +21,8 @@
 
 constexpr char kService[] = "compute";
 constexpr int kRunnersPerRack = 4;
-constexpr std::chrono::milliseconds kBeat{300};
+constexpr std::chrono::milliseconds kSample{50};
+constexpr int kSamplesABeat = 6;
 // The entry of a runner that ended without a word goes after three beats.
 constexpr Duration kEntryLife{900};
 // Every other runner's clock is as slow as clocks may be.
@@ -58,7 +59,10 @@
       faults_(faults),
       store_endpoint_{"127.0.0.1", FreePort()},
       store_(store_endpoint_),
-      oracle_(kMaxAttempts) {
+      oracle_(kMaxAttempts),
+      cancels_(faults, [this](const std::string& what) {
+        if (checks_times_) oracle_.Violate(what);
+      }) {
   shed_.observer = this;
   for (int i = 0; i < experiment.runners; ++i) {
     places_.push_back(std::make_unique<Place>());
@@ -78,9 +82,10 @@
     StartLife(i);
   }
   beats_ = std::thread([this] {
-    while (!stopping_) {
-      Beat();
-      std::this_thread::sleep_for(kBeat);
+    for (int samples = 0; !stopping_; ++samples) {
+      if (samples % kSamplesABeat == 0) Beat();
+      Sample();
+      std::this_thread::sleep_for(kSample);
     }
   });
   return absl::OkStatus();
@@ -129,6 +134,20 @@
   }
 }
 
+void SoakPlatform::Sample() {
+  const std::lock_guard<std::mutex> lock(shed_.mutex);
+  std::vector<RunPlace> running;
+  for (const auto& place : places_) {
+    if (place->server == nullptr) continue;
+    std::vector<dispatch::TaskName> names;
+    place->server->AddRunning(&names);
+    for (const dispatch::TaskName& name : names) {
+      running.emplace_back(place->server->id(), name);
+    }
+  }
+  cancels_.NoteRunning(running, clock_.Now());
+}
+
 std::string SoakPlatform::EncodeConfig(std::int64_t version) const {
   Json::Value config;
   config["version"] = Json::Int64(version);
@@ -226,6 +245,16 @@
   oracle_.Watch(spec, truths);
 }
 
+void SoakPlatform::NoteCancelled(const JobId& job) {
+  const std::lock_guard<std::mutex> lock(shed_.mutex);
+  cancels_.NoteCancelled(job, clock_.Now());
+}
+
+CancelTimes SoakPlatform::cancel_times() {
+  const std::lock_guard<std::mutex> lock(shed_.mutex);
+  return cancels_.times();
+}
+
 void SoakPlatform::Violate(const std::string& what) {
   const std::lock_guard<std::mutex> lock(shed_.mutex);
   oracle_.Violate(what);
@@ -254,6 +283,7 @@
   ++starts_;
   const TimePoint now = clock_.Now();
   oracle_.NoteStart(order);
+  cancels_.NoteStart({runner.info().id, order.task}, order.run, now);
   first_starts_.emplace(order.task.job, now);
   start_times_.push_back(now);
   // Runners come and go under the shed's lock, which is held here.
--- a/soak/soak_platform.h
+++ b/soak/soak_platform.h
@@ -18,6 +18,7 @@
 #include "emulator/promise_oracle.h"
 #include "platform/standin/runner_server.h"
 #include "platform/standin/store_server.h"
+#include "soak/cancel_watch.h"
 #include "soak/experiment.h"
 #include "soak/fault_log.h"
 #include "soak/tcp_proxy.h"
@@ -89,6 +90,10 @@
     const std::lock_guard<std::mutex> lock(shed_.mutex);
     return use(oracle_);
   }
+  /// A caller was told that the job is cancelled.
+  void NoteCancelled(const JobId& job);
+  /// How long cancelled jobs ran.
+  CancelTimes cancel_times();
   /// Adds a promise that was broken, for the report.
   void Violate(const std::string& what);
   /// When the first task of a job started; 0 if none did.
@@ -120,6 +125,8 @@
 
   void StartLife(int place);
   void Beat();
+  /// Looks at all that runs.
+  void Sample();
   std::string EncodeConfig(std::int64_t version) const;
 
   bool checks_times_;
@@ -128,6 +135,8 @@
   standin::StoreServer store_;
   standin::RunnerShed shed_;
   emulator::PromiseOracle oracle_;
+  /// Under the shed's lock, as the oracle.
+  CancelWatch cancels_;
   SteadyClock clock_;
   /// Guards the places and the configuration; taken before the shed's lock.
   mutable std::mutex mutex_;
--- a/soak/tcp_proxy.cc
+++ b/soak/tcp_proxy.cc
@@ -87,6 +87,11 @@
   return absl::StrCat("127.0.0.1:", port_);
 }
 
+void TcpProxy::Redirect(const Endpoint& server) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  server_ = server;
+}
+
 void TcpProxy::SetFault(const LinkFault& fault) {
   const std::lock_guard<std::mutex> lock(mutex_);
   fault_ = fault;
@@ -102,26 +107,33 @@
   silence_asked_ = true;
 }
 
+void TcpProxy::Wait() {
+  std::vector<pollfd> waits = {{listener_, POLLIN, 0}};
+  bool pending = false;
+  for (const Link& link : links_) {
+    for (const Flow* flow : {&link.requests, &link.answers}) {
+      pending = pending || !flow->chunks.empty();
+      const bool reads = !flow->ended && flow->chunks.size() < kMostChunks;
+      if (reads) waits.push_back({flow->from, POLLIN, 0});
+    }
+  }
+  poll(waits.data(), waits.size(), pending ? kPollMs : kIdlePollMs);
+}
+
+LinkFault TcpProxy::TakeFault() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (Link& link : links_) {
+    link.broken = link.broken || reset_asked_;
+    link.silent = link.silent || silence_asked_;
+  }
+  reset_asked_ = silence_asked_ = false;
+  return fault_;
+}
+
 void TcpProxy::Loop() {
   while (!stopping_) {
-    mutex_.lock();
-    const LinkFault fault = fault_;
-    const bool reset = reset_asked_;
-    const bool silence = silence_asked_;
-    reset_asked_ = silence_asked_ = false;
-    mutex_.unlock();
-    std::vector<pollfd> waits = {{listener_, POLLIN, 0}};
-    bool pending = false;
-    for (Link& link : links_) {
-      if (reset) link.broken = true;
-      if (silence) link.silent = true;
-      for (const Flow* flow : {&link.requests, &link.answers}) {
-        pending = pending || !flow->chunks.empty();
-        const bool reads = !flow->ended && flow->chunks.size() < kMostChunks;
-        if (reads) waits.push_back({flow->from, POLLIN, 0});
-      }
-    }
-    poll(waits.data(), waits.size(), pending ? kPollMs : kIdlePollMs);
+    Wait();
+    const LinkFault fault = TakeFault();
     Accept(fault);
     for (auto link = links_.begin(); link != links_.end();) {
       if (!link->broken) Serve(&*link, fault);
@@ -138,24 +150,33 @@
   links_.clear();
 }
 
+int TcpProxy::Connect() {
+  mutex_.lock();
+  const sockaddr_in address = LoopbackAddress(server_.port);
+  mutex_.unlock();
+  const int server = socket(AF_INET, SOCK_STREAM, 0);
+  // A connection on loopback is made or refused at once.
+  const bool connected =
+      connect(server, reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address)) == 0;
+  if (connected) {
+    Prepare(server);
+    return server;
+  }
+  if (server >= 0) close(server);
+  return -1;
+}
+
 void TcpProxy::Accept(const LinkFault& fault) {
   for (;;) {
     const int caller = accept(listener_, nullptr, nullptr);
     if (caller < 0) return;
-    const int server = socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in address = LoopbackAddress(server_.port);
-    // A connection on loopback is made or refused at once.
-    const bool connected =
-        !fault.refuses &&
-        connect(server, reinterpret_cast<const sockaddr*>(&address),
-                sizeof(address)) == 0;
-    if (!connected) {
-      if (server >= 0) close(server);
+    const int server = fault.refuses ? -1 : Connect();
+    if (server < 0) {
       Reset(caller);
       continue;
     }
     Prepare(caller);
-    Prepare(server);
     Link link;
     link.requests.from = caller;
     link.requests.to = server;
@@ -173,16 +194,44 @@
   link->answers.chunks.clear();
 }
 
+void TcpProxy::ServeLate(Link* link) {
+  // Its caller may reset it once it has given the call up.
+  if (!Receive(&link->requests, Duration(0))) link->requests.ended = true;
+  if (!link->reconnected) {
+    if (link->requests.chunks.front().due > clock_.Now()) return;
+    // The server closes connections on which nothing comes.
+    close(link->requests.to);
+    link->requests.to = link->answers.from = Connect();
+    link->answers.ended = false;
+    link->reconnected = true;
+  }
+  link->broken =
+      !Deliver(&link->requests) || !Receive(&link->answers, Duration(0));
+  link->answers.chunks.clear();
+  link->answers.closed = link->answers.ended;
+}
+
 void TcpProxy::Serve(Link* link, const LinkFault& fault) {
   if (link->silent) {
     Swallow(link);
     return;
   }
-  if (!Receive(&link->requests, fault.delay) ||
+  if (link->late) {
+    ServeLate(link);
+    return;
+  }
+  const bool late = fault.late_by > Duration(0);
+  if (!Receive(&link->requests, late ? fault.late_by : fault.delay) ||
       !Receive(&link->answers, fault.delay)) {
     link->broken = true;
     return;
   }
+  link->late = late && !link->requests.chunks.empty();
+  if (link->late) {
+    // Nothing is read from the server until the request is delivered.
+    link->answers.ended = true;
+    return;
+  }
   if (!fault.holds_requests && !Deliver(&link->requests)) link->broken = true;
   if (!fault.holds_answers && !Deliver(&link->answers)) link->broken = true;
 }
--- a/soak/tcp_proxy.h
+++ b/soak/tcp_proxy.h
@@ -28,6 +28,9 @@
   /// Bytes towards the server, or back, are held until the fault ends.
   bool holds_requests = false;
   bool holds_answers = false;
+  /// Requests that come meanwhile get no answer, and are delivered so much
+  /// later, past those that come on other connections; 0 for none.
+  Duration late_by;
   /// New connections are reset at once.
   bool refuses = false;
 };
@@ -47,6 +50,9 @@
   void Stop();
   std::string address() const;
 
+  /// New connections go to another server from now on.
+  void Redirect(const Endpoint& server);
+
   void SetFault(const LinkFault& fault);
   /// Resets all connections that are open now.
   void ResetAll();
@@ -75,26 +81,37 @@
     Flow answers;
     bool broken = false;
     bool silent = false;
+    /// Its request is delivered late, on a connection of its own.
+    bool late = false;
+    bool reconnected = false;
   };
 
   void Loop();
+  /// Returns once something came, or after a while.
+  void Wait();
+  /// Does what was asked for once, and returns the fault that is on.
+  LinkFault TakeFault();
   void Accept(const LinkFault& fault);
+  /// A new connection to the server; -1 if there is none.
+  int Connect();
   void Serve(Link* link, const LinkFault& fault);
   /// Swallows what comes on a silent connection, until its caller gives up.
   void Swallow(Link* link);
+  /// Loses answers, and delivers requests once they are due.
+  void ServeLate(Link* link);
   /// Takes in what came. Returns false if the connection broke.
   bool Receive(Flow* flow, Duration delay);
   /// Sends what is due. Returns false if the connection broke.
   bool Deliver(Flow* flow);
   static void Close(Link* link, bool reset);
 
-  Endpoint server_;
   int listener_ = -1;
   int port_ = 0;
   SteadyClock clock_;
   std::thread thread_;
   std::atomic<bool> stopping_ = false;
   std::mutex mutex_;
+  Endpoint server_;
   LinkFault fault_;
   bool reset_asked_ = false;
   bool silence_asked_ = false;
--- a/test/soak-test.cc
+++ b/test/soak-test.cc
@@ -6,8 +6,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -34,16 +37,27 @@
   TcpProxy proxy;
   HttpClient client;
 
-  void setup() override {
+  std::atomic<int> served{0};
+
+  static HttpServerOptions Options() {
     HttpServerOptions options;
     options.endpoint = {kLocal, 0};
     options.connections = 4;
-    server = std::make_unique<HttpServer>(options);
+    return options;
+  }
+
+  void Serve() {
     server->routes().Get(
-        "/", [](const httplib::Request&, httplib::Response& response) {
+        "/", [this](const httplib::Request&, httplib::Response& response) {
+          ++served;
           response.set_content("whole answer", "text/plain");
         });
     CHECK(server->Start().ok());
+  }
+
+  void setup() override {
+    server = std::make_unique<HttpServer>(Options());
+    Serve();
     CHECK(proxy.Start({kLocal, server->port()}).ok());
   }
 
@@ -96,6 +110,30 @@
   CHECK_FALSE(call.IsAnswered(Duration(5000)));
 }
 
+TEST(Soak, ProxyDeliversLateRequestsPastLaterOnesAndLosesAnswers) {
+  LinkFault fault;
+  fault.late_by = Duration(300);
+  proxy.SetFault(fault);
+  CHECK(Get(Duration(100)).outcome != HttpOutcome::kAnswered);
+  proxy.SetFault({});
+  CHECK(Get(Duration(5000)).ok());
+  CHECK_EQUAL(1, served);
+  // The caller of the late one is long gone.
+  for (int i = 0; i < 500 && served < 2; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  CHECK_EQUAL(2, served);
+}
+
+TEST(Soak, ProxyThatIsRedirectedCallsTheOtherServer) {
+  server->Stop();
+  CHECK_FALSE(Get(Duration(5000)).ok());
+  server = std::make_unique<HttpServer>(Options());
+  Serve();
+  proxy.Redirect({kLocal, server->port()});
+  CHECK(Get(Duration(5000)).ok());
+}
+
 TEST(Soak, PlanOfOneSeedIsTheSameEachTime) {
   Experiment experiment;
   const std::vector<Fault> once = PlanFaults(experiment, 7);
@@ -147,10 +185,36 @@
 TEST(Soak, RandomPlansKeepTheirKinds) {
   for (const FaultKind kind : RandomFaultKinds()) {
     CHECK(kind != FaultKind::kSilenceAll);
+    CHECK(kind < FaultKind::kReplaceNode);
   }
   CHECK_EQUAL(22, RandomFaultKinds().size());
 }
 
+TEST(Soak, PlanStrikesTheLeaderAndEndsEarlyIfItsFileSaysSo) {
+  Findings findings("x.yaml");
+  const Experiment experiment = ReadExperiment(
+      "leader_share: 1\nfaults_until_ms: 9000\nfaults: [replace-node, "
+      "lose-node]\n",
+      &findings);
+  CHECK(findings.empty());
+  const std::vector<Fault> plan = PlanFaults(experiment, 7);
+  CHECK(plan.size() > 3);
+  for (const Fault& fault : plan) {
+    CHECK_EQUAL(kLeaderTarget, fault.target);
+    // The last one may come one interval after the last moment.
+    CHECK(fault.at < Duration(9000) + experiment.fault_interval * 2);
+  }
+}
+
+TEST(Soak, OrdersComeLateByTwoToTwelveSeconds) {
+  Experiment experiment;
+  experiment.faults = {FaultKind::kLateOrders};
+  for (const Fault& fault : PlanFaults(experiment, 7)) {
+    CHECK(fault.length >= Duration(2000));
+    CHECK(fault.length <= Duration(12000));
+  }
+}
+
 TEST(Soak, ExperimentFileWithMistakesIsReportedWhole) {
   Findings findings("x.yaml");
   ReadExperiment(
@@ -195,6 +259,15 @@
   CHECK(Plot(run).find("</svg>") != std::string::npos);
 }
 
+TEST(Soak, ReportTellsHowLongCancelledJobsRan) {
+  RunSummary run;
+  run.cancels = {7, Duration(4100), Duration(900), Duration(250), Duration(30)};
+  const std::string page = Page(run);
+  CHECK(page.find("7 cancels") != std::string::npos);
+  CHECK(page.find("| 4100 | 900 |") != std::string::npos);
+  CHECK(page.find("| 250 | 30 |") != std::string::npos);
+}
+
 // A runner whose leaving was cut short by the end of the faults left for ever.
 TEST(Soak, RunnersThatAreLeavingAreReplaced) {
   FaultLog faults;
