Let orders stay without an answer for up to 4 s in the soak

An order is sent twice within 1 s, and a stop rules a lost start out as soon as the runner answers again: with 1 s without answers the late copies found nothing left to start.

The users' fault was not brought about.

--- a/soak/fault_driver.cc
+++ b/soak/fault_driver.cc
@@ -31,9 +31,11 @@
 // Calls on connections that went silent are given up after this at the latest:
 // a waiting call's time and its slack.
 constexpr Duration kSilenceFelt{3000};
-// Orders lose their answers for this long when they are to come late: some
-// hundred starts and stops under the load of `soak/cancel.yaml`.
+// Orders lose their answers for one to four times this when they are to come
+// late. An order is sent twice within 1 s, and ruled out by a stop once runners
+// answer again: from 3 s on, late starts are carried out before that.
 constexpr Duration kOrdersLost{1000};
+constexpr int kMostTimesLost = 4;
 // Share of the store's writes whose answers are lost.
 constexpr double kAnswersLost = 0.3;
 // Tasks of a slow runner take so many times as long.
@@ -180,16 +182,17 @@
   }
 }
 
-void FaultDriver::DelayOrders(Duration lateness) {
+void FaultDriver::DelayOrders(const Fault& fault) {
   const TimePoint now = clock_.Now();
+  const TimePoint end = now + kOrdersLost * (1 + fault.target % kMostTimesLost);
   // Calls that lost their answers are given up after a while.
-  const TimePoint felt = now + kOrdersLost + kSilenceFelt;
+  const TimePoint felt = end + kSilenceFelt;
   log_->Note("orders", now, felt);
-  log_->Note("orders", now, felt + lateness, TroubleSort::kLateOrders);
+  log_->Note("orders", now, felt + fault.length, TroubleSort::kLateOrders);
   LinkFault lost;
-  lost.late_by = lateness;
+  lost.late_by = fault.length;
   SetRunnerLinks(lost);
-  At(now + kOrdersLost, [this] { SetRunnerLinks({}); });
+  At(end, [this] { SetRunnerLinks({}); });
 }
 
 void FaultDriver::StopNode(NodeProcess* node, bool replace) {
@@ -301,7 +304,7 @@
       At(at, [this] { SilenceRunners(); });
       return true;
     case FaultKind::kLateOrders:
-      At(at, [this, lateness = fault.length] { DelayOrders(lateness); });
+      At(at, [this, fault] { DelayOrders(fault); });
       return true;
     case FaultKind::kCutRunner:
     case FaultKind::kHoldAnswers:
--- a/soak/fault_driver.h
+++ b/soak/fault_driver.h
@@ -45,9 +45,9 @@
   /// Silences what is open between nodes, the store and runners.
   void SilenceAll();
   void SilenceRunners();
-  /// For a moment, orders to all runners get no answer and are carried out so
-  /// much later.
-  void DelayOrders(Duration lateness);
+  /// For 1 to 4 s, by the fault's target, orders to all runners get no answer;
+  /// they are carried out the fault's length later.
+  void DelayOrders(const Fault& fault);
   void SetRunnerLinks(const LinkFault& fault);
   /// Asks a node to stop; the next life there is another node if `replace`.
   void StopNode(NodeProcess* node, bool replace);
