Drop starts of gangs that are over, and leave headroom in cores

Cause (found in review): a start that waits for its turn was checked against its own run, not against its gang's; the headroom of racks of urgent work was counted in accelerators, so that steps without any took all cores there; room that was kept or claimed counted as idle.

--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -67,6 +67,7 @@
   explicit Seating(std::vector<Seat> seats);
 
   std::vector<Seat>& seats() { return seats_; }
+  const std::vector<Seat>& seats() const { return seats_; }
 
   /// One seat for each of `count` tasks, or none at all. Takes their room.
   std::vector<Seat*> PlaceAll(const PlacementRequest& request);
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -62,9 +62,9 @@
   /// this share of all accelerators is in use.
   double idle_share = 0.5;
   /// Other work also goes there, once its patience is over and there is no
-  /// room elsewhere, while this share of the accelerators of those racks stays
-  /// idle: bursts of urgent work still find room at once. Less kept idle served
-  /// urgent work worse, and the whole with it.
+  /// room elsewhere, while this share of those racks' accelerators, and of
+  /// their cores, stays idle: bursts of urgent work still find room at once.
+  /// Less kept idle served urgent work worse, and the whole with it.
   double urgent_headroom = 0.75;
   /// The same for work that runs out of time, or has run out of it. On the
   /// worst day seen, the least urgent queue earned 0.44 in place of 0.17 of
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -72,7 +72,7 @@
   /// Chooses the racks that only urgent work is placed on: always the same
   /// ones while the fleet stays the same.
   void SetUrgentRacksApart();
-  /// Counts the accelerators of those racks, before anything is placed.
+  /// Adds up the room of those racks.
   void MeasureUrgentRacks();
   /// Urgent jobs within their workspaces' guarantees, oldest first.
   std::set<JobId> FindEntitled();
@@ -108,6 +108,9 @@
   /// True if a task that takes no more was found to fit nowhere in this pass.
   bool FitsNowhere(const Unit& unit) const;
   void PlaceSingles(Unit* unit, PlacementRequest* request);
+  /// True if enough of the urgent racks stays idle, in accelerators and in
+  /// cores, beside so many further tasks of the step.
+  bool LeavesHeadroom(const Unit& unit, int tasks) const;
   /// The same request with the urgent racks open to it; nothing if too little
   /// would stay idle there beside so many tasks.
   std::optional<PlacementRequest> WithUrgentRacks(
@@ -187,9 +190,8 @@
   Seating seating_;
   std::set<JobId> entitled_;
   std::set<std::string> urgent_racks_;
-  /// Accelerators of the urgent racks, and those that are idle.
-  std::int64_t urgent_all_ = 0;
-  std::int64_t urgent_idle_ = 0;
+  /// All room of the urgent racks, whatever is taken of it.
+  Resources urgent_room_;
   bool idle_ = false;
   /// All room is known; what seems short may only not be seen yet otherwise.
   bool knows_room_ = false;
--- a/src/dispatch/planner_places.cc
+++ b/src/dispatch/planner_places.cc
@@ -5,7 +5,6 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
-#include <cmath>
 #include <cstddef>
 #include <utility>
 
@@ -129,16 +128,30 @@
   planner_.claims_.erase(unit->key);
 }
 
+bool Planner::Pass::LeavesHeadroom(const Unit& unit, int tasks) const {
+  Resources idle;
+  for (const Seat& seat : seating_.seats()) {
+    if (urgent_racks_.count(seat.rack) != 0) idle += seat.room;
+  }
+  const double share =
+      IsShortOfTime(unit) ? options_.late_headroom : options_.urgent_headroom;
+  const auto leaves = [share, tasks](std::int64_t need, std::int64_t free,
+                                     std::int64_t all) {
+    const auto left = static_cast<double>(free - need * tasks);
+    return need == 0 || left >= share * static_cast<double>(all);
+  };
+  const Resources& need = unit.spec->need;
+  return leaves(need.accelerators, idle.accelerators,
+                urgent_room_.accelerators) &&
+         leaves(need.cpu_millis, idle.cpu_millis, urgent_room_.cpu_millis);
+}
+
 std::optional<PlacementRequest> Planner::Pass::WithUrgentRacks(
     const Unit& unit, const PlacementRequest& request, int tasks) const {
   if (request.closed_racks == nullptr || !request.anywhere) return std::nullopt;
   // What can not make way again would take the racks for good.
   if (!unit.spec->may_make_way()) return std::nullopt;
-  const double share =
-      IsShortOfTime(unit) ? options_.late_headroom : options_.urgent_headroom;
-  const auto headroom = std::llround(share * static_cast<double>(urgent_all_));
-  const std::int64_t need = request.step->need.accelerators * tasks;
-  if (need > urgent_idle_ - headroom) return std::nullopt;
+  if (!LeavesHeadroom(unit, tasks)) return std::nullopt;
   PlacementRequest wider = request;
   wider.closed_racks = nullptr;
   return wider;
@@ -207,9 +220,6 @@
   const bool off_data = !spec.data_rack.empty() &&
                         seat->runner->info().labels.count(spec.data_rack) == 0;
   const bool far = spread || off_data;
-  if (urgent_racks_.count(seat->rack) != 0) {
-    urgent_idle_ -= spec.need.accelerators;
-  }
   const Duration near_time = NearTimeOf(unit);
   const Duration expected = far ? near_time * kFarFactor : near_time;
   plan_.assignments.push_back(
--- a/src/dispatch/planner_units.cc
+++ b/src/dispatch/planner_units.cc
@@ -50,8 +50,7 @@
 void Planner::Pass::MeasureUrgentRacks() {
   for (const Seat& seat : seating_.seats()) {
     if (urgent_racks_.count(seat.rack) == 0) continue;
-    urgent_all_ += seat.runner->info().room.accelerators;
-    urgent_idle_ += seat.room.accelerators;
+    urgent_room_ += seat.runner->info().room;
   }
 }
 
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -10,6 +10,7 @@
 
 #include <json/json.h>
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -84,6 +85,18 @@
   Duration idle_room_interval{1000};
 };
 
+/// Why a start that waited for its turn is not sent.
+enum class StartObstacle {
+  kJobOver,
+  /// Another member of its gang ended, or was assigned anew.
+  kGangOver,
+  kStopping,
+  kReleasing,
+  kRunnerLeaves,
+  kRunnerSilent,
+  kNoTicket,
+};
+
 /// Schedules while this node holds the lease.
 ///
 /// Thread safety: none; use it from one thread.
@@ -150,14 +163,14 @@
   void SendNextOrder(Context& ctx, Runner* runner);
   /// Gives up waiting starts that must not be sent any more; true if any was.
   bool GiveUpStarts(Context& ctx, Runner* runner);
-  /// What is against starting the run now; null for nothing.
-  const char* WhyNotStart(TimePoint now, const Runner& runner,
-                          const TaskName& name, const Run& run);
+  /// What is against starting the run now; nothing if it may start.
+  std::optional<StartObstacle> ObstacleTo(TimePoint now, const Runner& runner,
+                                          const TaskName& name, const Run& run);
   std::string TicketOf(TimePoint now, const Runner& runner,
                        const TaskName& name) const;
   /// Ends a run whose start was never sent, with its gang.
   void GiveUpStart(Context& ctx, Runner* runner, const TaskName& name,
-                   const char* reason);
+                   StartObstacle obstacle);
   /// Sends a stop that waits; false if there is none.
   bool SendNextStop(Context& ctx, Runner* runner);
   /// Precondition: nothing is against starting the run now.
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -5,6 +5,8 @@
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
 
+#include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -14,6 +16,41 @@
 
 namespace limeledge::dispatch {
 
+namespace {
+
+/// For people.
+const char* ToString(StartObstacle obstacle) {
+  switch (obstacle) {
+    case StartObstacle::kJobOver:
+      return "its job is over";
+    case StartObstacle::kGangOver:
+      return "its gang's run is over";
+    case StartObstacle::kStopping:
+      return "it is to stop";
+    case StartObstacle::kReleasing:
+      return "another process is to schedule";
+    case StartObstacle::kRunnerLeaves:
+      return "its runner leaves";
+    case StartObstacle::kRunnerSilent:
+      return "its runner is silent";
+    case StartObstacle::kNoTicket:
+      return "its ticket ran out";
+  }
+  return "";
+}
+
+/// True if a member of the gang ended, or is in another run already.
+bool GangIsOver(const Job& job, const TaskName& name, int number) {
+  if (!job.step_spec(name.step).gang) return false;
+  const Step& step = job.occurrences()[name.occurrence].steps[name.step];
+  return std::any_of(
+      step.tasks.begin(), step.tasks.end(), [number](const Task& member) {
+        return member.phase != TaskPhase::kAssigned || member.run != number;
+      });
+}
+
+}  // namespace
+
 void Scheduler::QueueStart(const TaskName& name, int number,
                            const RunnerId& id) {
   Runner* runner = fleet_.Find(id);
@@ -41,6 +78,7 @@
 // answer takes a second: what is handed over early leaves late, by what was
 // known seconds before.
 void Scheduler::SendNextOrder(Context& ctx, Runner* runner) {
+  // Giving up one member of a gang stops the others, some of them here.
   while (GiveUpStarts(ctx, runner)) {
   }
   if (runner->order_in_flight || SendNextStop(ctx, runner)) return;
@@ -57,28 +95,34 @@
   for (const auto& [name, number] : waiting) {
     const Run* run = runner->FindRun(name, number);
     if (run == nullptr) continue;
-    const char* reason = WhyNotStart(ctx.now(), *runner, name, *run);
-    if (reason == nullptr) {
+    const std::optional<StartObstacle> obstacle =
+        ObstacleTo(ctx.now(), *runner, name, *run);
+    if (!obstacle.has_value()) {
       runner->waiting_starts.emplace_back(name, number);
       continue;
     }
     given_up = true;
-    GiveUpStart(ctx, runner, name, reason);
+    GiveUpStart(ctx, runner, name, *obstacle);
   }
   return given_up;
 }
 
-const char* Scheduler::WhyNotStart(TimePoint now, const Runner& runner,
-                                   const TaskName& name, const Run& run) {
+std::optional<StartObstacle> Scheduler::ObstacleTo(TimePoint now,
+                                                   const Runner& runner,
+                                                   const TaskName& name,
+                                                   const Run& run) {
   const Job* job = book_.Find(name.job);
-  if (job == nullptr) return "its job is over";
-  if (run.stopping) return "it is to stop";
-  if (releasing_) return "another process is to schedule";
-  if (runner.drains_since().has_value()) return "its runner leaves";
-  if (!runner.reachable()) return "its runner is silent";
+  if (job == nullptr) return StartObstacle::kJobOver;
+  if (run.stopping) return StartObstacle::kStopping;
+  // A member that starts alone holds its room for seconds, to end alone.
+  if (GangIsOver(*job, name, run.number)) return StartObstacle::kGangOver;
+  if (releasing_) return StartObstacle::kReleasing;
+  if (runner.drains_since().has_value()) return StartObstacle::kRunnerLeaves;
+  if (!runner.reachable()) return StartObstacle::kRunnerSilent;
   const bool ticket_ran_out = PolicyOf(*job, *catalog_).needs_advice &&
                               TicketOf(now, runner, name).empty();
-  return ticket_ran_out ? "its ticket ran out" : nullptr;
+  if (ticket_ran_out) return StartObstacle::kNoTicket;
+  return std::nullopt;
 }
 
 std::string Scheduler::TicketOf(TimePoint now, const Runner& runner,
@@ -88,10 +132,10 @@
 }
 
 void Scheduler::GiveUpStart(Context& ctx, Runner* runner, const TaskName& name,
-                            const char* reason) {
+                            StartObstacle obstacle) {
   ctx.Log(LogId::kStartGivenUp, {{"task", ToString(name)},
                                  {"runner", runner->id().value()},
-                                 {"reason", reason}});
+                                 {"reason", ToString(obstacle)}});
   // Nothing was sent: the run never was.
   EndRun(ctx, runner, name, RunEnd::kRejected, "");
   StopGang(ctx, name);
