--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -232,8 +232,6 @@
   if (run == nullptr) return;
   Judge(ctx, runner, end, *run);
   EndRun(ctx, runner, end.task, end.end, end.checkpoint);
-  // Members that wait for their starts are dropped with it.
-  if (end.end != RunEnd::kDone) StopGang(ctx, end.task);
   // Also a job that was closed just now may not be stored yet.
   const RowKey key{kProgressTable, end.task.job.value()};
   if (!writer_.IsPending(key)) return;
