--- a/src/dispatch/planner_room.cc
+++ b/src/dispatch/planner_room.cc
@@ -292,8 +292,8 @@
     return false;
   }
   const int most_kept = options_.policy->KeptGangs(options_.kept_gangs);
-  if (unit.rank.outlook == Outlook::kHopeless || kept_ >= most_kept)
-    return false;
+  const bool worthless = unit.rank.outlook == Outlook::kHopeless;
+  if (worthless || kept_ >= most_kept) return false;
   const std::optional<ComingRoom> coming = SoonestDone(unit, request);
   if (!coming.has_value()) return false;
   ++kept_;
