--- a/test/cancel-fuzz-test.cc
+++ b/test/cancel-fuzz-test.cc
@@ -6,8 +6,6 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
 #include <random>
 #include <set>
 #include <string>
@@ -15,22 +13,15 @@
 #include <vector>
 
 #include "CppUTest/TestHarness.h"
+#include "course-settings.h"
 #include "emulator/emulated_system.h"
 
 namespace limeledge::emulator {
 
 namespace {
 
-/// Courses of one run; LIMELEDGE_COURSES asks for more by hand.
-int Courses() {
-  const char* wanted = std::getenv("LIMELEDGE_COURSES");
-  return wanted == nullptr ? 20 : std::atoi(wanted);
-}
-
-int FirstSeed() {
-  const char* wanted = std::getenv("LIMELEDGE_SEED");
-  return wanted == nullptr ? 1 : std::atoi(wanted);
-}
+/// Courses of one run, unless more are asked for.
+constexpr int kCourses = 20;
 
 /// Jobs that go on for long, most of them cancelled soon; faults in bursts.
 class CancelCourse {
@@ -38,10 +29,7 @@
   explicit CancelCourse(int seed)
       : random_(static_cast<std::uint64_t>(seed)), system_(OptionsFor(seed)) {
     only_mute_ = seed % 4 == 1;
-    // LIMELEDGE_TRACE=1 shows what led to a finding.
-    if (std::getenv("LIMELEDGE_TRACE") == nullptr) return;
-    system_.SetTrace(
-        [](const std::string& line) { std::printf("%s\n", line.c_str()); });
+    TraceIfAsked(&system_);
   }
 
   /// Returns what went wrong.
@@ -293,7 +281,7 @@
 ;
 
 TEST(CancelFuzz, NothingRunsOnOfCancelledJobs) {
-  LONGS_EQUAL(0, CountBroken(FirstSeed(), Courses()));
+  LONGS_EQUAL(0, CountBroken(FirstSeed(), CoursesOr(kCourses)));
 }
 
 }  // namespace limeledge::emulator
--- a/test/dispatch-fuzz-test.cc
+++ b/test/dispatch-fuzz-test.cc
@@ -5,29 +5,20 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "CppUTest/TestHarness.h"
+#include "course-settings.h"
 #include "emulator/emulated_system.h"
 
 namespace limeledge::emulator {
 
 namespace {
 
-/// Courses of one run; LIMELEDGE_COURSES asks for more by hand.
-int Courses() {
-  const char* wanted = std::getenv("LIMELEDGE_COURSES");
-  return wanted == nullptr ? 30 : std::atoi(wanted);
-}
-
-int FirstSeed() {
-  const char* wanted = std::getenv("LIMELEDGE_SEED");
-  return wanted == nullptr ? 1 : std::atoi(wanted);
-}
+/// Courses of one run, unless more are asked for.
+constexpr int kCourses = 30;
 
 /// One random course over a system.
 class Course {
@@ -35,10 +26,7 @@
   Course(int seed, const dispatch::PlanningPolicy& policy)
       : random_(static_cast<std::uint64_t>(seed)),
         system_(OptionsFor(seed, policy)) {
-    // LIMELEDGE_TRACE=1 shows what led to a finding.
-    if (std::getenv("LIMELEDGE_TRACE") == nullptr) return;
-    system_.SetTrace(
-        [](const std::string& line) { std::printf("%s\n", line.c_str()); });
+    TraceIfAsked(&system_);
   }
 
   /// Plays jobs and faults, then lets all come to rest. Returns what went
@@ -225,15 +213,16 @@
 ;
 
 TEST(DispatchFuzz, RandomCoursesBreakNoPromise) {
-  LONGS_EQUAL(0, CountBroken(FirstSeed(), Courses(),
+  LONGS_EQUAL(0, CountBroken(FirstSeed(), CoursesOr(kCourses),
                              dispatch::DefaultPlanningPolicy()));
 }
 
 TEST(DispatchFuzz, RandomCoursesUnderEachPolicyBreakNoPromise) {
   constexpr int kShareOfCourses = 4;
   for (const std::string& name : dispatch::PlanningPolicyNames()) {
-    LONGS_EQUAL(0, CountBroken(FirstSeed(), Courses() / kShareOfCourses,
-                               *dispatch::FindPlanningPolicy(name)));
+    LONGS_EQUAL(0,
+                CountBroken(FirstSeed(), CoursesOr(kCourses) / kShareOfCourses,
+                            *dispatch::FindPlanningPolicy(name)));
   }
 }
 
