Carry all calls to runners and the store out on one thread

Cause: the scheduler had two threads for each runner, made as they were used. At 1,100 runners it came to the 2,048 that a process may have, seconds after its claim; the exception ended the reducer's actor and left a process that took calls and answered none, until the next one claimed and went the same way. Change: one event loop (Boost.Beast) for the calls to runners, store and advice, with kept connections within the descriptors of the settings; lanes that need no thread; events that come while the reducer is at work are taken in together. Whatever breaks the reducer or any thread ends the process with a line on the cause (LL951, exit status 3). libcurl's multi interface was the other way: a handle and its buffers for each of 2,200 connections, and no profile was made. Tests: 2,500 calls under way take no further thread (the former client takes one each); connections closed, silent, beyond the bound; lanes; a thread and a taker of a reply that throw end the process.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -167,6 +167,9 @@
       {LogId::kLinesDropped, kWarning, "lines_dropped",
        "Log lines were dropped to keep within the budget; the field says how "
        "many."},
+      {LogId::kProcessBroken, kError, "process_broken",
+       "Something in the process broke; it ends at once, and the field says "
+       "why."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -90,6 +90,7 @@
   kCatalogFollowed = 942,
   kSettingsReloaded = 943,
   kLinesDropped = 950,
+  kProcessBroken = 951,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -29,10 +29,17 @@
       catalog_(options_.catalog) {}
 
 Effects Node::Reduce(const Event& event) {
+  return ReduceAll(event.now, event.wall_ms, {event.body});
+}
+
+Effects Node::ReduceAll(TimePoint now, std::int64_t wall_ms,
+                        const std::vector<EventBody>& events) {
   Effects effects;
-  last_event_at_ = event.now;
-  Context ctx(event.now, event.wall_ms, &tickets_, &effects);
-  std::visit([this, &ctx](const auto& body) { Handle(ctx, body); }, event.body);
+  last_event_at_ = now;
+  Context ctx(now, wall_ms, &tickets_, &effects);
+  for (const EventBody& event : events) {
+    std::visit([this, &ctx](const auto& body) { Handle(ctx, body); }, event);
+  }
   catalog_.Work(ctx);
   if (scheduler_ != nullptr) {
     scheduler_->Work(ctx, *catalog_.catalog());
--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -52,6 +52,11 @@
   /// Takes an event in and returns what is to be done. `event.now` never goes
   /// back.
   Effects Reduce(const Event& event);
+  /// Takes events in that came together, in their order, and only then does
+  /// what is due: a scheduler of a thousand runners gets hundreds of answers
+  /// while it works on one.
+  Effects ReduceAll(TimePoint now, std::int64_t wall_ms,
+                    const std::vector<EventBody>& events);
   /// A `Woken` event is wanted at this moment, if nothing comes before.
   TimePoint next_at() const;
 
--- /dev/null
+++ b/test/http-loop-test.cc
@@ -0,0 +1,203 @@
+/// @file
+/// Tests of many HTTP calls on one thread.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <CppUTest/TestHarness.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <filesystem>
+#include <future>
+#include <iterator>
+#include <memory>
+#include <thread>
+
+#include "net/http_loop.h"
+#include "net/http_server.h"
+#include "soak/tcp_proxy.h"
+
+namespace limeledge {
+
+namespace {
+
+constexpr char kLocal[] = "127.0.0.1";
+constexpr Duration kLong{10000};
+
+HttpCall CallTo(const std::string& address, Duration timeout) {
+  HttpCall call;
+  call.address = address;
+  call.method = "GET";
+  call.path = "/";
+  call.timeout = timeout;
+  return call;
+}
+
+HttpReply CallAndWait(HttpLoop* loop, HttpCall call) {
+  std::promise<HttpReply> told;
+  loop->Call(std::move(call),
+             [&told](HttpReply reply) { told.set_value(std::move(reply)); });
+  return told.get_future().get();
+}
+
+std::ptrdiff_t ThreadsOfThisProcess() {
+  const std::filesystem::directory_iterator threads("/proc/self/task");
+  return std::distance(begin(threads), end(threads));
+}
+
+/// A socket whose queue alone connects callers: they get no answer unless it is
+/// told to give one.
+class LocalListener {
+ public:
+  LocalListener() : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* any = reinterpret_cast<sockaddr*>(&address);
+    LONGS_EQUAL(0, bind(socket_, any, size));
+    LONGS_EQUAL(0, listen(socket_, kQueue));
+    LONGS_EQUAL(0, getsockname(socket_, any, &size));
+    port_ = ntohs(address.sin_port);
+  }
+  ~LocalListener() { close(socket_); }
+  LocalListener(const LocalListener&) = delete;
+  LocalListener& operator=(const LocalListener&) = delete;
+
+  /// Takes one connection, answers its first call as one that may be kept, and
+  /// closes it.
+  void AnswerOnceAndClose() const {
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    char request[4096];
+    const int connection = accept(socket_, nullptr, nullptr);
+    CHECK(read(connection, request, sizeof(request)) > 0);
+    LONGS_EQUAL(answer.size(), write(connection, answer.data(), answer.size()));
+    close(connection);
+  }
+
+  std::string address() const {
+    return std::string(kLocal) + ":" + std::to_string(port_);
+  }
+
+ private:
+  static constexpr int kQueue = 4096;
+  int socket_;
+  int port_ = 0;
+};
+
+}  // namespace
+
+// A server behind a proxy that can silence connections.
+TEST_GROUP(HttpLoop) {
+  std::unique_ptr<HttpServer> server;
+  soak::TcpProxy proxy;
+  HttpLoop loop{{Duration(60000), 100}};
+
+  void setup() override {
+    HttpServerOptions options;
+    options.endpoint = {kLocal, 0};
+    options.connections = 4;
+    server = std::make_unique<HttpServer>(options);
+    server->routes().Get(
+        "/", [](const httplib::Request&, httplib::Response& response) {
+          response.set_header("X-Told", "yes");
+          response.set_content("whole answer", "text/plain");
+        });
+    CHECK(server->Start().ok());
+    CHECK(proxy.Start({kLocal, server->port()}).ok());
+  }
+
+  void teardown() override {
+    proxy.Stop();
+    server->Stop();
+  }
+
+  HttpReply Get(Duration timeout) {
+    return CallAndWait(&loop, CallTo(proxy.address(), timeout));
+  }
+};
+
+TEST(HttpLoop, AnswerIsToldWhole) {
+  const HttpReply reply = Get(kLong);
+  CHECK(reply.ok());
+  STRCMP_EQUAL("whole answer", reply.body.c_str());
+  LONGS_EQUAL(1, reply.headers.count("X-Told"));
+}
+
+TEST(HttpLoop, AddressThatIsNoneIsNotCalled) {
+  CHECK(CallAndWait(&loop, CallTo("nowhere", kLong)).outcome ==
+        HttpOutcome::kNotSent);
+}
+
+TEST(HttpLoop, ClosedPortGetsNothingSent) {
+  const std::string address = server->address();
+  server->Stop();
+  CHECK(CallAndWait(&loop, CallTo(address, kLong)).outcome ==
+        HttpOutcome::kNotSent);
+}
+
+TEST(HttpLoop, NextCallTakesTheKeptConnection) {
+  CHECK(Get(kLong).ok());
+  CHECK(Get(kLong).ok());
+  LONGS_EQUAL(1, loop.connections());
+}
+
+TEST(HttpLoop, KeptConnectionThatThePeerClosedIsNotUsed) {
+  LocalListener listener;
+  std::promise<void> closed;
+  std::thread peer([&] {
+    listener.AnswerOnceAndClose();
+    closed.set_value();
+    listener.AnswerOnceAndClose();
+  });
+  CHECK(CallAndWait(&loop, CallTo(listener.address(), kLong)).ok());
+  closed.get_future().get();
+  CHECK(CallAndWait(&loop, CallTo(listener.address(), kLong)).ok());
+  peer.join();
+}
+
+// Each further kept connection would cost one more call its whole time.
+TEST(HttpLoop, CallAfterOneOnASilentConnectionOpensANewOne) {
+  CHECK(Get(kLong).ok());
+  proxy.SilenceAll();
+  CHECK(Get(Duration(50)).outcome == HttpOutcome::kLost);
+  CHECK(Get(kLong).ok());
+}
+
+TEST(HttpLoop, CallBeyondTheMostConnectionsIsNotSent) {
+  const LocalListener mute;
+  HttpLoop small({kLong, 1});
+  small.Call(CallTo(mute.address(), kLong), [](const HttpReply&) {});
+  CHECK(CallAndWait(&small, CallTo(mute.address(), kLong)).outcome ==
+        HttpOutcome::kNotSent);
+}
+
+TEST(HttpLoop, RestingConnectionMakesPlaceForAnother) {
+  HttpLoop small({kLong, 1});
+  CHECK(CallAndWait(&small, CallTo(proxy.address(), kLong)).ok());
+  CHECK(CallAndWait(&small, CallTo(server->address(), kLong)).ok());
+}
+
+// With a thread for each, a fleet of 1,100 runners came to the 2,048 threads
+// that a process may have, and its scheduler fell silent.
+TEST(HttpLoop, ThousandsOfCallsUnderWayTakeNoFurtherThreads) {
+  constexpr int kCalls = 2500;
+  const LocalListener mute;
+  HttpLoop wide({kLong, 2 * kCalls});
+  const std::ptrdiff_t before = ThreadsOfThisProcess();
+  std::atomic<int> lost = 0;
+  std::promise<void> all_lost;
+  for (int i = 0; i < kCalls; ++i) {
+    wide.Call(CallTo(mute.address(), Duration(300)), [&](const HttpReply&) {
+      if (++lost == kCalls) all_lost.set_value();
+    });
+  }
+  LONGS_EQUAL(before, ThreadsOfThisProcess());
+  all_lost.get_future().get();
+  LONGS_EQUAL(0, wide.connections());
+}
+
+}  // namespace limeledge
--- a/test/runner-client-test.cc
+++ b/test/runner-client-test.cc
@@ -24,7 +24,7 @@
   std::atomic<int> calls = 0;
   int second_status = 200;
   const char* second_body = "{\"clock-ms\":7}";
-  HttpClient http;
+  HttpLoop http;
   RunnerClient client{&http};
 
   void setup() override {
@@ -53,7 +53,11 @@
     start.target.address = server->address();
     start.task.job = JobId("00000000000000aa");
     start.run = 1;
-    return client.Start(start).outcome;
+    std::promise<OrderOutcome> told;
+    client.Start(start, [&told](const dispatch::StartAnswered& answer) {
+      told.set_value(answer.outcome);
+    });
+    return told.get_future().get();
   }
 };
 
