--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -155,6 +155,9 @@
        "This process schedules from now on."},
       {LogId::kLeaderLost, kWarning, "leader_lost",
        "This process does not schedule any more; the field says why."},
+      {LogId::kListTaken, kInfo, "list_taken",
+       "The list of runners was read and differs; the fields say how many are "
+       "listed, new, and known but missing."},
       {LogId::kCatalogInForce, kInfo, "catalog_in_force",
        "A newer configuration is in force."},
       {LogId::kCatalogStale, kWarning, "catalog_stale",
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -85,6 +85,7 @@
   kStartGivenUp = 929,
   kLeaderClaimed = 930,
   kLeaderLost = 931,
+  kListTaken = 932,
   kCatalogInForce = 940,
   kCatalogStale = 941,
   kCatalogFollowed = 942,
--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -68,16 +68,26 @@
   if (was_away) store_back_at_ = ctx.now();
   last_listed_at_ = ctx.now();
   if (!listed_once_) first_listed_at_ = ctx.now();
-  listed_once_ = true;
   NoteUnreadable(ctx, answer.unreadable);
+  const std::size_t known = runners_.size();
   std::set<RunnerId> listed;
   for (const RunnerInfo& info : answer.runners) {
     listed.insert(info.id);
     TakeEntry(ctx, info);
   }
+  std::size_t missing = 0;
   for (auto& [id, runner] : runners_) {
-    if (listed.count(id) == 0) Unlist(ctx, runner.get());
+    if (listed.count(id) != 0) continue;
+    ++missing;
+    Unlist(ctx, runner.get());
   }
+  listed_once_ = true;
+  const std::size_t added = runners_.size() - known;
+  if (added == 0 && missing == missing_) return;
+  missing_ = missing;
+  ctx.Log(LogId::kListTaken, {{"listed", std::to_string(listed.size())},
+                              {"new", std::to_string(added)},
+                              {"missing", std::to_string(missing)}});
 }
 
 void Fleet::NoteUnreadable(Context& ctx, const std::vector<RunnerId>& ids) {
@@ -95,8 +105,11 @@
   Runner* runner = added.get();
   runners_[info.id] = std::move(added);
   Touch(runner);
-  ctx.Log(LogId::kRunnerListed,
-          {{"runner", info.id.value()}, {"address", info.address}});
+  // A new scheduler lists them all in one line.
+  if (listed_once_) {
+    ctx.Log(LogId::kRunnerListed,
+            {{"runner", info.id.value()}, {"address", info.address}});
+  }
   return runner;
 }
 
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -179,6 +179,8 @@
   int list_misses_ = 0;
   bool listed_once_ = false;
   TimePoint first_listed_at_;
+  /// Runners that are known and were not listed last.
+  std::size_t missing_ = 0;
   TimePoint last_listed_at_;
   /// Runners whose unreadable entries were told of.
   std::set<RunnerId> unreadable_;
--- a/test/platform-settings-test.cc
+++ b/test/platform-settings-test.cc
@@ -59,10 +59,25 @@
 
 TEST(PlatformSettings, LogLinesBeyondTheBudgetAreCounted) {
   JsonLog log(-1, "e1");
-  for (int i = 0; i < 700; ++i) {
+  for (int i = 0; i < kLogLinesPerSecond + 100; ++i) {
     log.Add({LogId::kRunAssigned, {}}, TimePoint(1000), 0);
   }
   LONGS_EQUAL(100, log.dropped());
 }
 
+// A take-over told of 1,100 runners, and dropped what would have told why the
+// scheduler before had failed.
+TEST(PlatformSettings, LinesAboutRunnersLeaveRoomForThoseAboutJobs) {
+  JsonLog log(-1, "e1");
+  for (int i = 0; i < kLogLinesPerSecond; ++i) {
+    log.Add({LogId::kRunnerHeard, {}}, TimePoint(1000), 0);
+  }
+  const int left = kLogLinesPerSecond - kRunnerLinesPerSecond;
+  LONGS_EQUAL(left, log.dropped());
+  for (int i = 0; i < left; ++i) {
+    log.Add({LogId::kRunAssigned, {}}, TimePoint(1000), 0);
+  }
+  LONGS_EQUAL(left, log.dropped());
+}
+
 }  // namespace limeledge::platform
