Follow the list of runners by its changes

Cause: the whole list was read each second. Change: after a whole list its changes are awaited, for a second at most; a wait that is lost, and every tenth second, bring the whole list again. Suspicions of slowness fade by time, no longer by readings.

--- a/src/dispatch/effect.h
+++ b/src/dispatch/effect.h
@@ -66,8 +66,13 @@
   Duration timeout;
 };
 
+/// Reads the list of runners whole, or waits for changes of it.
 struct ListRunners {
-  /// Of each page.
+  /// What changed after this revision is enough; 0 asks for the whole list.
+  Revision after;
+  /// How long a change is waited for.
+  Duration wait;
+  /// Of each page of the whole list, or of the wait for changes.
   Duration timeout;
 };
 
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -66,10 +66,16 @@
   Revision newest;
 };
 
-/// The list of runners, read whole.
+/// The list of runners, or what changed of it.
 struct RunnersListed {
   bool ok = false;
+  /// Runners that are not named are not listed; else they are as they were.
+  bool whole = true;
+  /// The list as of this revision, at least.
+  Revision newest;
   std::vector<RunnerInfo> runners;
+  /// With changes: runners whose entries are gone.
+  std::vector<RunnerId> gone;
   /// Runners whose entries could not be read; they get no work.
   std::vector<RunnerId> unreadable;
 };
--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -41,7 +41,13 @@
 void Fleet::List(Context& ctx, const StorePatience& patience) {
   if (list_under_way_ || ctx.now() < next_list_at_) return;
   list_under_way_ = true;
-  ctx.Emit(ListRunners{patience.For(list_misses_)});
+  if (ctx.now() >= next_whole_list_at_) list_revision_ = Revision();
+  ListRunners list;
+  list.after = list_revision_;
+  const bool whole = list_revision_ == Revision();
+  if (!whole) list.wait = options_.list_interval;
+  list.timeout = patience.For(list_misses_) + list.wait;
+  ctx.Emit(list);
 }
 
 void Fleet::MissList(TimePoint now) {
@@ -59,43 +65,75 @@
   list_under_way_ = false;
   // An unreadable list says nothing of any runner.
   if (!answer.ok) {
+    list_revision_ = Revision();
     MissList(ctx.now());
     return;
   }
   list_misses_ = 0;
-  next_list_at_ = ctx.now() + options_.list_interval;
+  next_list_at_ = ctx.now() + options_.list_pause;
+  list_revision_ = answer.newest;
+  if (answer.whole) {
+    next_whole_list_at_ = ctx.now() + options_.whole_list_interval;
+  }
   const bool was_away = ctx.now() - last_listed_at_ > options_.longest_list_gap;
   if (was_away) store_back_at_ = ctx.now();
   last_listed_at_ = ctx.now();
   if (!listed_once_) first_listed_at_ = ctx.now();
-  NoteUnreadable(ctx, answer.unreadable);
-  const std::size_t known = runners_.size();
-  std::set<RunnerId> listed;
-  for (const RunnerInfo& info : answer.runners) {
-    listed.insert(info.id);
-    TakeEntry(ctx, info);
-  }
-  std::size_t missing = 0;
+  const std::set<RunnerId> gone = GoneBy(answer);
+  NoteUnreadable(ctx, answer);
+  const std::size_t known_before = runners_.size();
+  for (const RunnerInfo& info : answer.runners) TakeEntry(ctx, info);
   for (auto& [id, runner] : runners_) {
-    if (listed.count(id) != 0) continue;
-    ++missing;
-    Unlist(ctx, runner.get());
+    const bool missing = !runner->listed() || gone.count(id) != 0;
+    if (missing) Unlist(ctx, runner.get());
   }
+  FadeSlowness(ctx.now());
+  TellList(ctx, known_before);
   listed_once_ = true;
-  const std::size_t added = runners_.size() - known;
-  if (added == 0 && missing == missing_) return;
-  missing_ = missing;
-  ctx.Log(LogId::kListTaken, {{"listed", std::to_string(listed.size())},
-                              {"new", std::to_string(added)},
-                              {"missing", std::to_string(missing)}});
 }
 
-void Fleet::NoteUnreadable(Context& ctx, const std::vector<RunnerId>& ids) {
-  for (const RunnerId& id : ids) {
-    if (unreadable_.count(id) != 0) continue;
+std::set<RunnerId> Fleet::GoneBy(const RunnersListed& answer) const {
+  std::set<RunnerId> gone(answer.gone.begin(), answer.gone.end());
+  gone.insert(answer.unreadable.begin(), answer.unreadable.end());
+  if (answer.whole) {
+    for (const auto& [id, runner] : runners_) gone.insert(id);
+  }
+  for (const RunnerInfo& info : answer.runners) gone.erase(info.id);
+  return gone;
+}
+
+void Fleet::NoteUnreadable(Context& ctx, const RunnersListed& answer) {
+  const std::set<RunnerId> before = unreadable_;
+  if (answer.whole) unreadable_.clear();
+  for (const RunnerInfo& info : answer.runners) unreadable_.erase(info.id);
+  for (const RunnerId& id : answer.gone) unreadable_.erase(id);
+  for (const RunnerId& id : answer.unreadable) {
+    unreadable_.insert(id);
+    if (before.count(id) != 0) continue;
     ctx.Log(LogId::kRunnerUnreadable, {{"runner", id.value()}});
   }
-  unreadable_ = std::set<RunnerId>(ids.begin(), ids.end());
+}
+
+void Fleet::FadeSlowness(TimePoint now) {
+  if (now < next_fade_at_) return;
+  next_fade_at_ = now + options_.list_interval;
+  for (auto& [id, runner] : runners_) {
+    if (runner->listed()) runner->FadeSlowness();
+  }
+}
+
+void Fleet::TellList(Context& ctx, std::size_t known_before) {
+  std::size_t missing = 0;
+  for (const auto& [id, runner] : runners_) {
+    if (!runner->listed()) ++missing;
+  }
+  const std::size_t added = runners_.size() - known_before;
+  if (added == 0 && missing == missing_) return;
+  missing_ = missing;
+  const std::size_t listed = runners_.size() - missing;
+  ctx.Log(LogId::kListTaken, {{"listed", std::to_string(listed)},
+                              {"new", std::to_string(added)},
+                              {"missing", std::to_string(missing)}});
 }
 
 Runner* Fleet::FindOrAdd(Context& ctx, const RunnerInfo& info) {
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -67,8 +67,16 @@
   /// A new scheduler waits this long for first answers before it counts on the
   /// room that it sees: many times what 350 runners take.
   Duration first_answers{500};
-  /// How often the list of runners is read.
+  /// Changes of the list of runners are waited for this long, so that a list
+  /// without changes is confirmed about every second.
   Duration list_interval{1000};
+  /// Changes are asked for no sooner after the last ones, however many there
+  /// are. A runner that is taken away at short notice tells so two seconds
+  /// before: read once a second, the list told of it 0.6 s before on average.
+  Duration list_pause{100};
+  /// The list is read whole this often, whatever its changes told: what a
+  /// change that was missed can do ends by that.
+  Duration whole_list_interval{10000};
   /// The same while none was read yet: a new scheduler can do nothing before.
   Duration first_list_pause{250};
 };
@@ -123,8 +131,14 @@
   bool MayHaveLapsed(TimePoint now) const;
   /// Decides when the list is read again after a reading that came to nothing.
   void MissList(TimePoint now);
+  /// Runners whose entries an answer tells to be gone or unreadable.
+  std::set<RunnerId> GoneBy(const RunnersListed& answer) const;
   /// Logs entries that cannot be read, each runner once.
-  void NoteUnreadable(Context& ctx, const std::vector<RunnerId>& ids);
+  void NoteUnreadable(Context& ctx, const RunnersListed& answer);
+  /// Lets what was believed of slow runners fade, once an interval.
+  void FadeSlowness(TimePoint now);
+  /// Logs how the list differs from the last one, if it does.
+  void TellList(Context& ctx, std::size_t known_before);
   /// Takes in one entry of the list.
   void TakeEntry(Context& ctx, const RunnerInfo& info);
   /// Finds the runner of an entry, or adds it.
@@ -178,6 +192,10 @@
   /// Readings in a row that came to nothing.
   int list_misses_ = 0;
   bool listed_once_ = false;
+  /// Changes after this revision are asked for; 0 while the whole list is.
+  Revision list_revision_;
+  TimePoint next_whole_list_at_;
+  TimePoint next_fade_at_;
   TimePoint first_listed_at_;
   /// Runners that are known and were not listed last.
   std::size_t missing_ = 0;
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -25,8 +25,8 @@
 // than this tells of a passing slowness, or of an unlike task.
 constexpr double kUsualPaceWeight = 0.08;
 constexpr double kUnusualPace = 2.2;
-// What is kept of a suspicion from one reading of the list to the next, so
-// that a runner that gets no work is tried again after some seconds.
+// What is kept of a suspicion from one second to the next, so that a runner
+// that gets no work is tried again after some seconds.
 constexpr double kSuspicionKept = 0.93;
 
 constexpr int kAllDone = 100;
@@ -69,8 +69,6 @@
 
 void Runner::Update(const RunnerInfo& info, TimePoint now) {
   listed_ = true;
-  slowness_ = std::pow(slowness_, kSuspicionKept);
-  slowness_before_ = std::pow(slowness_before_, kSuspicionKept);
   if (!(info.room == info_.room)) {
     free_room_ += info.room;
     free_room_ -= info_.room;
@@ -83,6 +81,11 @@
   }
 }
 
+void Runner::FadeSlowness() {
+  slowness_ = std::pow(slowness_, kSuspicionKept);
+  slowness_before_ = std::pow(slowness_before_, kSuspicionKept);
+}
+
 void Runner::Unlist(TimePoint now) {
   listed_ = false;
   unlisted_at_ = now;
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -225,6 +225,8 @@
   void NotePace(double ratio, const JobId& job);
   /// Time of runs here against their expected time; 1 for as expected.
   double slowness() const { return slowness_; }
+  /// Lets a suspicion of slowness fade by what a second does to it.
+  void FadeSlowness();
   bool IsSlow() const { return slowness_ >= kSlowRunner; }
   /// True if the runner counts as slow by what other jobs showed. A run whose
   /// length was guessed too short is as slow anywhere.
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -181,22 +181,84 @@
 
 // Calls to runners.
 
+dispatch::RunnersListed EmulatedSystem::ListOfRunners() const {
+  dispatch::RunnersListed listed;
+  listed.ok = true;
+  for (const auto& [id, runner] : runners_) {
+    // A runner that is cut off can not renew its entry either.
+    const bool entered = Reaches(id) && faults_.unlisted_runners.count(id) == 0;
+    if (entered) listed.runners.push_back(runner->info());
+  }
+  return listed;
+}
+
 void EmulatedSystem::Perform(int node, const dispatch::ListRunners& effect) {
-  dispatch::RunnersListed lost;
+  if (effect.after != Revision()) {
+    FollowRunners(node, processes_[node].life, effect, now_ + effect.wait);
+    return;
+  }
   CallStore<dispatch::RunnersListed>(
       node, effect.timeout,
-      [this] {
-        dispatch::RunnersListed listed;
-        listed.ok = true;
-        for (const auto& [id, runner] : runners_) {
-          // A runner that is cut off can not renew its entry either.
-          const bool entered =
-              Reaches(id) && faults_.unlisted_runners.count(id) == 0;
-          if (entered) listed.runners.push_back(runner->info());
+      [this, node] {
+        dispatch::RunnersListed listed = ListOfRunners();
+        ListSeen& seen = processes_[node].list_seen;
+        seen.draining.clear();
+        for (const dispatch::RunnerInfo& info : listed.runners) {
+          seen.draining[info.id] = info.draining;
         }
+        listed.newest = seen.revision = seen.revision.Next();
         return listed;
       },
-      lost);
+      dispatch::RunnersListed());
+}
+
+void EmulatedSystem::FollowRunners(int node, int life,
+                                   const dispatch::ListRunners& effect,
+                                   TimePoint until) {
+  Process& process = processes_[node];
+  if (process.life != life) return;
+  const bool lost =
+      IsCutOffFromStore(node) || Happens(faults_.store_answers_lost);
+  const dispatch::RunnersListed changes =
+      lost ? dispatch::RunnersListed() : ChangesOfRunners(process.list_seen);
+  const bool changed = !changes.runners.empty() || !changes.gone.empty();
+  if (now_ < until && !changed) {
+    At(now_ + kFeedStep, [this, node, life, effect, until] {
+      FollowRunners(node, life, effect, until);
+    });
+    return;
+  }
+  At(now_ + options_.network, [this, node, life, changes] {
+    Process& later = processes_[node];
+    if (later.life == life && changes.ok) Apply(changes, &later.list_seen);
+    Deliver(node, life, changes);
+  });
+}
+
+dispatch::RunnersListed EmulatedSystem::ChangesOfRunners(
+    const ListSeen& seen) const {
+  dispatch::RunnersListed changes;
+  changes.ok = true;
+  changes.whole = false;
+  changes.newest = seen.revision.Next();
+  std::map<RunnerId, bool> unseen = seen.draining;
+  for (const dispatch::RunnerInfo& info : ListOfRunners().runners) {
+    const auto found = unseen.find(info.id);
+    const bool same = found != unseen.end() && found->second == info.draining;
+    if (!same) changes.runners.push_back(info);
+    unseen.erase(info.id);
+  }
+  for (const auto& [id, draining] : unseen) changes.gone.push_back(id);
+  return changes;
+}
+
+void EmulatedSystem::Apply(const dispatch::RunnersListed& changes,
+                           ListSeen* seen) {
+  seen->revision = changes.newest;
+  for (const dispatch::RunnerInfo& info : changes.runners) {
+    seen->draining[info.id] = info.draining;
+  }
+  for (const RunnerId& id : changes.gone) seen->draining.erase(id);
 }
 
 void EmulatedSystem::Perform(int node, const dispatch::LookAtRunner& look) {
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -141,6 +141,12 @@
   std::vector<RunnerId> RunnerIds() const;
 
  private:
+  /// The list of runners as a node was last told of it.
+  struct ListSeen {
+    Revision revision;
+    /// Whether each runner said that it leaves.
+    std::map<RunnerId, bool> draining;
+  };
   struct Process {
     std::unique_ptr<dispatch::Node> node;
     /// Counts lives; answers to an earlier one are dropped.
@@ -155,6 +161,7 @@
     /// way.
     std::map<RunnerId, std::queue<std::function<void()>>> order_lanes;
     TimePoint woken_for;
+    ListSeen list_seen;
   };
   struct Action {
     TimePoint at;
@@ -179,6 +186,12 @@
   void Perform(int node, const dispatch::ReadCatalog&);
   void Perform(int node, const dispatch::AwaitCatalog& await);
   void Perform(int node, const dispatch::ListRunners& effect);
+  dispatch::RunnersListed ListOfRunners() const;
+  dispatch::RunnersListed ChangesOfRunners(const ListSeen& seen) const;
+  static void Apply(const dispatch::RunnersListed& changes, ListSeen* seen);
+  /// Answers once the list has changed, or when the wait is over.
+  void FollowRunners(int node, int life, const dispatch::ListRunners& effect,
+                     TimePoint until);
   void Perform(int node, const dispatch::LookAtRunner& look);
   void Perform(int node, const dispatch::StartRun& start);
   void Perform(int node, const dispatch::StopRun& stop);
