Answer calls at once that a store that is away left without an answer twice

Cause: a submit or question that the store left unanswered was sent again until its caller's three seconds were nearly over, also when the node knew that the store answered nobody: the caller had no time left to come back. Change: after two sendings without an answer such a call goes on only while the store answers others; else it is answered with when to come back, a submit as "may have been taken". Tests: desk (four; the two of a store that is away failed before: the calls went on).

--- a/src/dispatch/desk.cc
+++ b/src/dispatch/desk.cc
@@ -178,7 +178,9 @@
   Send(ctx, std::move(pending));
 }
 
-bool Desk::MayResend(TimePoint now, const Pending& pending) const {
+bool Desk::MayResend(TimePoint now, const Pending& pending,
+                     bool store_answers) const {
+  if (!store_answers && pending.misses + 1 >= kMissesUntilAway) return false;
   if (pending.misses + 1 >= options_.most_tries) return false;
   return pending.due - now >= options_.least_try;
 }
@@ -222,7 +224,8 @@
   calls_[pending.read.ticket] = std::move(pending);
 }
 
-void Desk::Take(Context& ctx, const TransactionAnswered& answer) {
+void Desk::Take(Context& ctx, const TransactionAnswered& answer,
+                bool store_answers) {
   auto entry = calls_.extract(answer.ticket);
   Pending pending = std::move(entry.mapped());
   const bool submit = pending.stage == Stage::kSubmit;
@@ -245,7 +248,7 @@
   }
   const bool unknown = answer.outcome == StoreOutcome::kUnknown;
   pending.unsettled = pending.unsettled || unknown;
-  if (unknown && MayResend(ctx.now(), pending)) {
+  if (unknown && MayResend(ctx.now(), pending, store_answers)) {
     // The condition makes a further sending harmless, and settles the first.
     ++pending.misses;
     Send(ctx, std::move(pending));
@@ -281,11 +284,11 @@
          "the job's row is unreadable");
 }
 
-void Desk::Take(Context& ctx, const RowsAnswered& answer) {
+void Desk::Take(Context& ctx, const RowsAnswered& answer, bool store_answers) {
   auto entry = calls_.extract(answer.ticket);
   Pending pending = std::move(entry.mapped());
   const bool lost = answer.outcome == StoreOutcome::kUnknown;
-  if (lost && MayResend(ctx.now(), pending)) {
+  if (lost && MayResend(ctx.now(), pending, store_answers)) {
     ++pending.misses;
     SendRead(ctx, std::move(pending));
     return;
--- a/src/dispatch/desk.h
+++ b/src/dispatch/desk.h
@@ -46,8 +46,12 @@
             TimePoint catalog_confirmed, bool store_answers);
 
   bool Owns(Ticket ticket) const { return calls_.count(ticket) != 0; }
-  void Take(Context& ctx, const TransactionAnswered& answer);
-  void Take(Context& ctx, const RowsAnswered& answer);
+  /// `store_answers` as above: a call that was sent twice without an answer
+  /// goes on only while others are answered. Callers that were held to the end
+  /// of their time by a store that is away could not come back any more.
+  void Take(Context& ctx, const TransactionAnswered& answer,
+            bool store_answers);
+  void Take(Context& ctx, const RowsAnswered& answer, bool store_answers);
 
   bool idle() const { return calls_.empty(); }
 
@@ -91,7 +95,8 @@
   void Read(Context& ctx, Pending pending, Stage stage);
   void SendRead(Context& ctx, Pending pending);
   /// True if there is time for a further sending.
-  bool MayResend(TimePoint now, const Pending& pending) const;
+  bool MayResend(TimePoint now, const Pending& pending,
+                 bool store_answers) const;
   /// How long the next sending may take.
   Duration BoundOf(TimePoint now, const Pending& pending) const;
   void TakeSubmit(Context& ctx, const Pending& pending,
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -112,7 +112,7 @@
 void Node::Handle(Context& ctx, const TransactionAnswered& event) {
   NoteStoreAnswer(event.ticket, event.outcome);
   if (desk_.Owns(event.ticket)) {
-    desk_.Take(ctx, event);
+    desk_.Take(ctx, event, StoreAnswers());
   } else if (scheduler_ != nullptr && scheduler_->Owns(event.ticket)) {
     Obey(ctx, scheduler_->Take(ctx, event));
   } else if (scheduler_ == nullptr && leadership_.Owns(event.ticket)) {
@@ -124,7 +124,7 @@
 void Node::Handle(Context& ctx, const RowsAnswered& event) {
   NoteStoreAnswer(event.ticket, event.outcome);
   if (desk_.Owns(event.ticket)) {
-    desk_.Take(ctx, event);
+    desk_.Take(ctx, event, StoreAnswers());
   } else if (scheduler_ != nullptr && scheduler_->Owns(event.ticket)) {
     scheduler_->Take(ctx, event);
   } else if (scheduler_ == nullptr && leadership_.Owns(event.ticket)) {
--- /dev/null
+++ b/test/desk-test.cc
@@ -0,0 +1,103 @@
+/// @file
+/// Tests of callers' calls while the store answers, and while it does not.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "dispatch/desk.h"
+
+#include "CppUTest/TestHarness.h"
+#include "emulator/emulated_catalog.h"
+
+namespace limeledge::dispatch {
+
+// A call that was taken up while the store seemed well.
+TEST_GROUP(Desk) {
+  StorePatience patience;
+  Desk desk{DeskOptions(), &patience};
+  Catalog catalog = emulator::MakeCatalog();
+  Ticket tickets;
+  Effects effects;
+  TimePoint now{1000};
+
+  Context NewContext() {
+    effects.clear();
+    return Context(now, 0, &tickets, &effects);
+  }
+
+  void Begin(CallKind kind) {
+    CallArrived call;
+    call.kind = kind;
+    call.host = emulator::kHost;
+    call.key = emulator::kKey;
+    call.path = std::string(emulator::PrefixOf(1)) + "00000000000000aa";
+    call.spec.steps.emplace_back();
+    Context ctx = NewContext();
+    desk.Take(ctx, call, &catalog, now, true);
+  }
+
+  /// The newest effect of a kind; null if there is none.
+  template <typename Kind>
+  const Kind* Newest() const {
+    const Kind* newest = nullptr;
+    for (const Effect& effect : effects) {
+      const auto* found = std::get_if<Kind>(&effect);
+      if (found != nullptr) newest = found;
+    }
+    return newest;
+  }
+
+  /// The commit under way gets no answer.
+  void LoseCommit(bool store_answers) {
+    TransactionAnswered lost;
+    lost.ticket = Newest<CommitRows>()->ticket;
+    now = now + Duration(300);
+    Context ctx = NewContext();
+    desk.Take(ctx, lost, store_answers);
+  }
+
+  /// The same for a reading.
+  void LoseRead(bool store_answers) {
+    RowsAnswered lost;
+    lost.ticket = Newest<ReadRows>()->ticket;
+    now = now + Duration(300);
+    Context ctx = NewContext();
+    desk.Take(ctx, lost, store_answers);
+  }
+};
+
+TEST(Desk, SubmitThatIsLostOnceIsSentAgainWhateverTheStore) {
+  Begin(CallKind::kSubmit);
+  LoseCommit(false);
+  CHECK_TRUE(Newest<CommitRows>() != nullptr);
+  CHECK_TRUE(Newest<AnswerCall>() == nullptr);
+}
+
+TEST(Desk, SubmitThatIsLostTwiceGoesOnWhileOthersAreAnswered) {
+  Begin(CallKind::kSubmit);
+  LoseCommit(true);
+  LoseCommit(true);
+  CHECK_TRUE(Newest<CommitRows>() != nullptr);
+}
+
+// Callers were held for the three seconds that they had, and gave up for good.
+TEST(Desk, SubmitThatIsLostTwiceWhileTheStoreIsAwayIsAnsweredAtOnce) {
+  Begin(CallKind::kSubmit);
+  LoseCommit(false);
+  LoseCommit(false);
+  POINTERS_EQUAL(nullptr, Newest<CommitRows>());
+  // It may have been taken: no refusal would be true.
+  CHECK_TRUE(Newest<AnswerCall>()->result == CallResult::kUnknown);
+  CHECK_TRUE(Newest<AnswerCall>()->retry_after.ms() > 0);
+  CHECK_TRUE(desk.idle());
+}
+
+TEST(Desk, QuestionThatIsLostTwiceWhileTheStoreIsAwayIsAnsweredAtOnce) {
+  Begin(CallKind::kQuery);
+  LoseRead(false);
+  LoseRead(false);
+  CHECK_TRUE(Newest<AnswerCall>()->result == CallResult::kNotTaken);
+  CHECK_TRUE(desk.idle());
+}
+
+}  // namespace limeledge::dispatch
