--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -10,54 +10,21 @@
 #include <thread>
 
 #include "net/http_client.h"
-#include "net/http_server.h"
-#include "soak/tcp_proxy.h"
+#include "proxied-server-fixture.h"
 
 namespace limeledge {
 
-namespace {
-
-constexpr char kLocal[] = "127.0.0.1";
-
-}  // namespace
-
-// A server behind a proxy that can silence connections.
-TEST_GROUP(HttpClient) {
-  std::unique_ptr<HttpServer> server;
-  soak::TcpProxy proxy;
+TEST_GROUP_BASE(HttpClient, ProxiedServerFixture) {
   HttpClient client{Duration(60000)};
 
-  void setup() override {
-    HttpServerOptions options;
-    options.endpoint = {kLocal, 0};
-    options.connections = 4;
-    server = std::make_unique<HttpServer>(options);
-    server->routes().Get(
-        "/", [](const httplib::Request&, httplib::Response& response) {
-          response.set_content("whole answer", "text/plain");
-        });
-    CHECK(server->Start().ok());
-    CHECK(proxy.Start({kLocal, server->port()}).ok());
-  }
-
-  void teardown() override {
-    proxy.Stop();
-    server->Stop();
-  }
-
   HttpReply Get(Duration timeout) {
-    HttpCall call;
-    call.address = proxy.address();
-    call.method = "GET";
-    call.path = "/";
-    call.timeout = timeout;
-    return client.Call(call);
+    return client.Call(CallTo(proxy.address(), timeout));
   }
 
   /// Leaves two kept connections.
   void KeepTwo() {
-    std::thread other([this] { CHECK(Get(Duration(10000)).ok()); });
-    CHECK(Get(Duration(10000)).ok());
+    std::thread other([this] { CHECK(Get(kLong).ok()); });
+    CHECK(Get(kLong).ok());
     other.join();
   }
 };
@@ -73,7 +40,7 @@
   KeepTwo();
   proxy.SilenceAll();
   CHECK(Get(Duration(50)).outcome == HttpOutcome::kLost);
-  CHECK(Get(Duration(10000)).ok());
+  CHECK(Get(kLong).ok());
 }
 
 }  // namespace limeledge
--- a/test/http-loop-test.cc
+++ b/test/http-loop-test.cc
@@ -17,25 +17,12 @@
 #include <thread>
 
 #include "net/http_loop.h"
-#include "net/http_server.h"
-#include "soak/tcp_proxy.h"
+#include "proxied-server-fixture.h"
 
 namespace limeledge {
 
 namespace {
 
-constexpr char kLocal[] = "127.0.0.1";
-constexpr Duration kLong{10000};
-
-HttpCall CallTo(const std::string& address, Duration timeout) {
-  HttpCall call;
-  call.address = address;
-  call.method = "GET";
-  call.path = "/";
-  call.timeout = timeout;
-  return call;
-}
-
 HttpReply CallAndWait(HttpLoop* loop, HttpCall call) {
   std::promise<HttpReply> told;
   loop->Call(std::move(call),
@@ -78,9 +65,7 @@
     close(connection);
   }
 
-  std::string address() const {
-    return std::string(kLocal) + ":" + std::to_string(port_);
-  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
  private:
   static constexpr int kQueue = 4096;
@@ -90,31 +75,9 @@
 
 }  // namespace
 
-// A server behind a proxy that can silence connections.
-TEST_GROUP(HttpLoop) {
-  std::unique_ptr<HttpServer> server;
-  soak::TcpProxy proxy;
+TEST_GROUP_BASE(HttpLoop, ProxiedServerFixture) {
   HttpLoop loop{{Duration(60000), 100}};
 
-  void setup() override {
-    HttpServerOptions options;
-    options.endpoint = {kLocal, 0};
-    options.connections = 4;
-    server = std::make_unique<HttpServer>(options);
-    server->routes().Get(
-        "/", [](const httplib::Request&, httplib::Response& response) {
-          response.set_header("X-Told", "yes");
-          response.set_content("whole answer", "text/plain");
-        });
-    CHECK(server->Start().ok());
-    CHECK(proxy.Start({kLocal, server->port()}).ok());
-  }
-
-  void teardown() override {
-    proxy.Stop();
-    server->Stop();
-  }
-
   HttpReply Get(Duration timeout) {
     return CallAndWait(&loop, CallTo(proxy.address(), timeout));
   }
