--- a/test/broken-end-test.cc
+++ b/test/broken-end-test.cc
@@ -68,6 +68,20 @@
               }));
 }
 
+// Several threads may break of the same want.
+TEST(BrokenEnd, SecondCauseEndsTheProcessLikeTheFirst) {
+  const auto end = [] {
+    EndBroken(std::make_exception_ptr(std::runtime_error("no more of it")));
+  };
+  LONGS_EQUAL(kExitBroken, StatusAfter([&end] {
+                std::thread first(end);
+                std::thread second(end);
+                first.join();
+                second.join();
+              }));
+  STRCMP_CONTAINS("\"id\":\"LL951\"", output.c_str());
+}
+
 TEST(BrokenEnd, CauseIsLoggedAsALineAndForPeople) {
   StatusAfter([] {
     EndBroken(std::make_exception_ptr(std::runtime_error("no more of it")));
