--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -69,16 +69,7 @@
     MissList(ctx.now());
     return;
   }
-  list_misses_ = 0;
-  next_list_at_ = ctx.now() + options_.list_pause;
-  list_revision_ = answer.newest;
-  if (answer.whole) {
-    next_whole_list_at_ = ctx.now() + options_.whole_list_interval;
-  }
-  const bool was_away = ctx.now() - last_listed_at_ > options_.longest_list_gap;
-  if (was_away) store_back_at_ = ctx.now();
-  last_listed_at_ = ctx.now();
-  if (!listed_once_) first_listed_at_ = ctx.now();
+  NoteListRead(ctx.now(), answer);
   const std::set<RunnerId> gone = GoneBy(answer);
   NoteUnreadable(ctx, answer);
   const std::size_t known_before = runners_.size();
@@ -92,6 +83,17 @@
   listed_once_ = true;
 }
 
+void Fleet::NoteListRead(TimePoint now, const RunnersListed& answer) {
+  list_misses_ = 0;
+  next_list_at_ = now + options_.list_pause;
+  list_revision_ = answer.newest;
+  if (answer.whole) next_whole_list_at_ = now + options_.whole_list_interval;
+  const bool was_away = now - last_listed_at_ > options_.longest_list_gap;
+  if (was_away) store_back_at_ = now;
+  last_listed_at_ = now;
+  if (!listed_once_) first_listed_at_ = now;
+}
+
 std::set<RunnerId> Fleet::GoneBy(const RunnersListed& answer) const {
   std::set<RunnerId> gone(answer.gone.begin(), answer.gone.end());
   gone.insert(answer.unreadable.begin(), answer.unreadable.end());
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -131,6 +131,8 @@
   bool MayHaveLapsed(TimePoint now) const;
   /// Decides when the list is read again after a reading that came to nothing.
   void MissList(TimePoint now);
+  /// Notes when and as of which revision the list was read.
+  void NoteListRead(TimePoint now, const RunnersListed& answer);
   /// Runners whose entries an answer tells to be gone or unreadable.
   std::set<RunnerId> GoneBy(const RunnersListed& answer) const;
   /// Logs entries that cannot be read, each runner once.
