Send no start that could not leave soon after it was checked

Cause: read in the change: the scheduler checks a start right before it hands it over, but the event loop took calls up whenever it came to them. Tests: HttpLoop.CallThatCouldNotLeaveInTimeIsNotSent and RunnerClient.StartThatCouldNotLeaveSoonIsNotSent; both fail without the bound.

--- a/src/net/http_loop.cc
+++ b/src/net/http_loop.cc
@@ -118,11 +118,11 @@
   HttpLoop::Done done;
   Request request;
   ConnectionPtr connection;
+  /// The call is not sent after this; nothing for no such bound.
+  std::optional<TimePoint> send_by;
   std::optional<http::response_parser<http::string_body>> parser;
   /// Where it stands among the deadlines.
   std::multimap<TimePoint, Exchange*>::iterator deadline;
-  /// Something may have been sent.
-  bool sending = false;
 };
 
 using ExchangePtr = std::shared_ptr<Exchange>;
@@ -142,10 +142,13 @@
     thread_.join();
   }
 
-  void Call(HttpCall call, Done done) {
+  void Call(HttpCall call, Done done, std::optional<Duration> send_within) {
     auto exchange = std::make_shared<Exchange>();
     exchange->call = std::move(call);
     exchange->done = std::move(done);
+    if (send_within.has_value()) {
+      exchange->send_by = clock_.Now() + *send_within;
+    }
     const std::lock_guard<std::mutex> lock(mutex_);
     asked_.push_back(std::move(exchange));
     // One wake-up brings all that was asked for until then.
@@ -207,7 +210,11 @@
   }
 
   void Send(const ExchangePtr& exchange) {
-    exchange->sending = true;
+    const std::optional<TimePoint>& send_by = exchange->send_by;
+    if (send_by.has_value() && clock_.Now() > *send_by) {
+      Finish(exchange, HttpOutcome::kNotSent);
+      return;
+    }
     SetDeadline(exchange.get(), exchange->call.timeout);
     http::async_write(exchange->connection->socket(), exchange->request,
                       [this, exchange](const error_code& failed, std::size_t) {
@@ -375,8 +382,9 @@
 
 HttpLoop::~HttpLoop() = default;
 
-void HttpLoop::Call(HttpCall call, Done done) {
-  impl_->Call(std::move(call), std::move(done));
+void HttpLoop::Call(HttpCall call, Done done,
+                    std::optional<Duration> send_within) {
+  impl_->Call(std::move(call), std::move(done), send_within);
 }
 
 std::size_t HttpLoop::connections() const { return impl_->connections(); }
--- a/src/net/http_loop.h
+++ b/src/net/http_loop.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "limeledge/clock.h"
 #include "net/http_call.h"
@@ -43,8 +44,11 @@
   HttpLoop(const HttpLoop&) = delete;
   HttpLoop& operator=(const HttpLoop&) = delete;
 
-  /// Carries a call out and hands its reply to `done`.
-  void Call(HttpCall call, Done done);
+  /// Carries a call out and hands its reply to `done`. A call that could not
+  /// leave within `send_within` of now, since the loop was behind, the process
+  /// stood still or connecting took long, is not sent any more.
+  void Call(HttpCall call, Done done,
+            std::optional<Duration> send_within = std::nullopt);
 
   /// Connections that are open now, kept ones included.
   std::size_t connections() const;
--- a/test/http-loop-test.cc
+++ b/test/http-loop-test.cc
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <chrono>
 #include <filesystem>
 #include <future>
 #include <iterator>
@@ -138,6 +139,28 @@
         HttpOutcome::kNotSent);
 }
 
+// The loop is behind: its thread is at something else.
+TEST(HttpLoop, CallThatCouldNotLeaveInTimeIsNotSent) {
+  CHECK(Get(kLong).ok());
+  std::promise<HttpReply> told;
+  loop.Call(CallTo("nowhere", kLong), [](const HttpReply&) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  });
+  loop.Call(
+      CallTo(proxy.address(), kLong),
+      [&told](HttpReply reply) { told.set_value(std::move(reply)); },
+      Duration(50));
+  CHECK(told.get_future().get().outcome == HttpOutcome::kNotSent);
+}
+
+TEST(HttpLoop, CallThatLeavesInTimeIsSent) {
+  std::promise<HttpReply> told;
+  loop.Call(
+      CallTo(proxy.address(), kLong),
+      [&told](HttpReply reply) { told.set_value(std::move(reply)); }, kLong);
+  CHECK(told.get_future().get().ok());
+}
+
 TEST(HttpLoop, RestingConnectionMakesPlaceForAnother) {
   HttpLoop small({kLong, 1});
   CHECK(CallAndWait(&small, CallTo(proxy.address(), kLong)).ok());
--- a/test/runner-client-test.cc
+++ b/test/runner-client-test.cc
@@ -7,8 +7,10 @@
 #include <CppUTest/TestHarness.h>
 
 #include <atomic>
+#include <chrono>
 #include <future>
 #include <memory>
+#include <thread>
 
 #include "net/http_server.h"
 #include "platform/runner_client.h"
@@ -74,4 +76,16 @@
   CHECK(Start() == OrderOutcome::kLost);
 }
 
+// The scheduler checks a start right before it hands it over; a process that
+// stood still, or was behind, would begin work of a job cancelled since.
+TEST(RunnerClient, StartThatCouldNotLeaveSoonIsNotSent) {
+  HttpCall nowhere;
+  nowhere.address = "nowhere";
+  http.Call(nowhere, [](const HttpReply&) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(900));
+  });
+  CHECK(Start() == OrderOutcome::kNotSent);
+  LONGS_EQUAL(0, calls);
+}
+
 }  // namespace limeledge::platform
