Tell how long a run had lasted when its runner went, and how that ended

Cause: the logs of the incident tell of a run that goes with its runner as `lapsed` only, so that a crash, a cut and a runner that left look alike. Change: LL933 run_lost, one line for each such run, with the time from its start to the runner's silence, and the runner's end: crashed (another life answers at its address), left (it was known to leave before it fell silent) or unknown (its lease is over, and it may run on behind a cut).

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -158,6 +158,9 @@
       {LogId::kListTaken, kInfo, "list_taken",
        "The list of runners was read and differs; the fields say how many are "
        "listed, new, and known but missing."},
+      {LogId::kRunLost, kWarning, "run_lost",
+       "A run went with its runner; the fields say how long it had been under "
+       "way when the runner fell silent, and how the runner ended."},
       {LogId::kCatalogInForce, kInfo, "catalog_in_force",
        "A newer configuration is in force."},
       {LogId::kCatalogStale, kWarning, "catalog_stale",
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -86,6 +86,7 @@
   kLeaderClaimed = 930,
   kLeaderLost = 931,
   kListTaken = 932,
+  kRunLost = 933,
   kCatalogInForce = 940,
   kCatalogStale = 941,
   kCatalogFollowed = 942,
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -148,11 +148,20 @@
   if (!heard_) obeys_since_ = now;
   heard_ = true;
   misses_ = 0;
+  silent_since_.reset();
   heard_at_ = now;
   heard_clock_ms_ = clock_ms;
 }
 
-void Runner::Missed(TimePoint) { ++misses_; }
+void Runner::Missed(TimePoint now) {
+  ++misses_;
+  if (!silent_since_.has_value()) silent_since_ = now;
+}
+
+bool Runner::LeftAsKnown() const {
+  if (!drains_since_.has_value()) return false;
+  return !silent_since_.has_value() || *drains_since_ <= *silent_since_;
+}
 
 void Runner::NoteEarlierLease(Duration length) {
   lease_over_at_ =
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -92,6 +92,9 @@
   StopRequest stop;
   /// The runner obeyed the stop: a run that was not there will not come.
   bool stop_answered = false;
+  /// When its start was sent; nothing if an earlier scheduler sent it, or
+  /// nobody did yet.
+  std::optional<TimePoint> sent_at;
   /// When the newest answer about the run came.
   TimePoint answered_at;
   /// Expected length of the whole run.
@@ -172,6 +175,11 @@
   /// True if the newest call was answered.
   bool reachable() const { return heard_ && misses_ == 0; }
   int misses() const { return misses_; }
+  /// When the first of the calls that got no answer since then ended; nothing
+  /// while the newest call was answered.
+  std::optional<TimePoint> silent_since() const { return silent_since_; }
+  /// True if the runner was known to leave before it fell silent.
+  bool LeftAsKnown() const;
 
   /// The end of a lease of `length` from now on the runner's clock; notes that
   /// it may be granted. Precondition: `heard()`.
@@ -257,6 +265,7 @@
   /// When the runner was first heard, and so obeys no earlier scheduler.
   TimePoint obeys_since_;
   int misses_ = 0;
+  std::optional<TimePoint> silent_since_;
   TimePoint heard_at_;
   std::int64_t heard_clock_ms_ = 0;
   TimePoint lease_over_at_;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -97,6 +97,18 @@
   kNoTicket,
 };
 
+/// How a runner ended under the runs that went with it.
+enum class RunnerEnd {
+  /// Another life answers at its address, and it had not said that it leaves.
+  kCrashed,
+  /// It was known to leave.
+  kLeft,
+  /// It does not answer; it may have crashed, or be cut off and run on.
+  kUnknown,
+};
+
+const char* ToString(RunnerEnd end);
+
 /// Schedules while this node holds the lease.
 ///
 /// Thread safety: none; use it from one thread.
@@ -189,6 +201,9 @@
   void StopGang(Context& ctx, const TaskName& name);
   void EndRun(Context& ctx, Runner* runner, const TaskName& name, RunEnd end,
               const std::string& checkpoint);
+  /// Ends a run that went with its runner.
+  void EndLost(Context& ctx, Runner* runner, const TaskName& name,
+               RunnerEnd how);
   /// All that ran on a silent runner is over, but for starts that may still
   /// be carried out there.
   void EndLapsed(Context& ctx, Runner* runner);
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -159,6 +159,7 @@
                           Run* run) {
   const Job* job = book_.Find(name.job);
   run->phase = RunPhase::kStarting;
+  run->sent_at = ctx.now();
   runner->order_in_flight = true;
   StartRun start;
   start.target = Fleet::TargetOf(*runner, writer_.epoch());
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -52,6 +52,18 @@
   return "";
 }
 
+const char* ToString(RunnerEnd end) {
+  switch (end) {
+    case RunnerEnd::kCrashed:
+      return "crashed";
+    case RunnerEnd::kLeft:
+      return "left";
+    case RunnerEnd::kUnknown:
+      return "unknown";
+  }
+  return "";
+}
+
 Scheduler::Verdict Scheduler::Take(Context& ctx, const StartAnswered& answer) {
   if (answer.epoch != writer_.epoch()) return Verdict::kGoesOn;
   if (answer.outcome == OrderOutcome::kFenced) return Verdict::kDeposed;
@@ -155,12 +167,26 @@
              {"reason", reason},
              {"runs", std::to_string(runner->runs().size())}});
   }
+  const RunnerEnd how =
+      runner->LeftAsKnown() ? RunnerEnd::kLeft : RunnerEnd::kCrashed;
   std::vector<TaskName> names;
   for (const auto& [name, run] : runner->runs()) names.push_back(name);
-  for (const TaskName& name : names) {
-    EndRun(ctx, runner, name, RunEnd::kLapsed, "");
-    StopGang(ctx, name);
-  }
+  for (const TaskName& name : names) EndLost(ctx, runner, name, how);
+}
+
+void Scheduler::EndLost(Context& ctx, Runner* runner, const TaskName& name,
+                        RunnerEnd how) {
+  const Run& run = runner->runs().at(name);
+  const TimePoint end = runner->silent_since().value_or(ctx.now());
+  const std::string lasted =
+      run.sent_at.has_value() ? std::to_string((end - *run.sent_at).ms()) : "";
+  ctx.Log(LogId::kRunLost, {{"task", ToString(name)},
+                            {"run", std::to_string(run.number)},
+                            {"runner", runner->id().value()},
+                            {"lasted_ms", lasted},
+                            {"runner_end", ToString(how)}});
+  EndRun(ctx, runner, name, RunEnd::kLapsed, "");
+  StopGang(ctx, name);
 }
 
 void Scheduler::EndLapsed(Context& ctx, Runner* runner) {
@@ -175,10 +201,9 @@
   ctx.Log(LogId::kRunnerLost, {{"runner", runner->id().value()},
                                {"reason", "its lease is over"},
                                {"runs", std::to_string(lapsed.size())}});
-  for (const TaskName& name : lapsed) {
-    EndRun(ctx, runner, name, RunEnd::kLapsed, "");
-    StopGang(ctx, name);
-  }
+  const RunnerEnd how =
+      runner->LeftAsKnown() ? RunnerEnd::kLeft : RunnerEnd::kUnknown;
+  for (const TaskName& name : lapsed) EndLost(ctx, runner, name, how);
 }
 
 Scheduler::Verdict Scheduler::Take(Context& ctx, const RunnerLooked& answer) {
