Show that tasks which crash their runners are started on and on

Cause: a run that goes with its runner ends as lapsed and counts nowhere. Change: emulated tasks may crash their runners, at once or after some work; the runner comes back 3.4 s later as another life, its old entry stays for 4.5 s, and the oracle holds each start against the budget.

--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -189,6 +189,9 @@
     const bool entered = Reaches(id) && faults_.unlisted_runners.count(id) == 0;
     if (entered) listed.runners.push_back(runner->info());
   }
+  for (const auto& [id, entry] : lapsing_) {
+    if (now_ < entry.second) listed.runners.push_back(entry.first);
+  }
   return listed;
 }
 
@@ -280,6 +283,7 @@
 void EmulatedSystem::AnswerLook(int node, int life,
                                 const dispatch::LookAtRunner& look,
                                 TimePoint until) {
+  DropIfCrashed(look.target.address);
   const RunnerId& id = look.target.runner;
   dispatch::RunnerLooked answer;
   answer.runner = id;
@@ -367,6 +371,7 @@
   const auto arrive = [this, id, address, carry_out, answer,
                        sent_at = now_](bool* heard) {
     Answer body = answer;
+    DropIfCrashed(address);
     const auto at = runner_at_.find(address);
     *heard = at != runner_at_.end() && Hears(id) && Hears(at->second);
     if (*heard) body = carry_out(FindRunner(at->second), sent_at);
--- a/src/emulator/emulated_oracle.cc
+++ b/src/emulator/emulated_oracle.cc
@@ -58,6 +58,7 @@
 
 void EmulatedSystem::CheckCancelledLater() {
   At(now_ + kCancelledCheck, [this] {
+    DropCrashed();
     if (IsDisturbed()) oracle_.NoteFault(now_);
     if (!faults_.mute_runners.empty()) oracle_.NoteMuteRunner(now_);
     oracle_.CheckGoingOn(ActiveRuns(), now_);
@@ -90,6 +91,12 @@
     oracle_.Violate(absl::StrCat("start of ", ToString(order.task),
                                  " without a ticket that holds"));
   }
+  const std::optional<Duration> crash =
+      oracle_.TruthOf(order.task).crashes_after;
+  if (crash.has_value()) {
+    At(now_ + *crash + Duration(1),
+       [this, address = order.target.address] { DropIfCrashed(address); });
+  }
   std::vector<TaskName> running;
   for (const RunName& active : ActiveRuns()) running.push_back(active.task);
   oracle_.CheckRunning(running);
--- a/src/emulator/emulated_runner.cc
+++ b/src/emulator/emulated_runner.cc
@@ -57,7 +57,7 @@
 }
 
 void EmulatedRunner::AdvanceTo(TimePoint now) {
-  while (now_ < now) {
+  while (now_ < now && !crashed_by_.has_value()) {
     const TimePoint until =
         std::min(now, std::max(next_at(), now_ + Duration(1)));
     const Duration step = until - now_;
@@ -73,6 +73,7 @@
       const auto found = runs_.find(name);
       // Another member's end may have ended it meanwhile.
       if (found != runs_.end()) Work(name, &found->second, step);
+      if (crashed_by_.has_value()) return;
     }
   }
 }
@@ -104,6 +105,13 @@
     return;
   }
   run->worked_ms += static_cast<double>(step.ms()) / slowness_;
+  const bool crashes =
+      truth.crashes_after.has_value() &&
+      run->worked_ms >= static_cast<double>(truth.crashes_after->ms());
+  if (crashes) {
+    crashed_by_ = name;
+    return;
+  }
   const auto save_ms = static_cast<double>(bounds_.save_interval.ms());
   if (truth.saves_progress && run->worked_ms - run->saved_ms >= save_ms) {
     Save(name, run);
@@ -138,8 +146,11 @@
       next = std::min(next, now_ + Duration(1));
       continue;
     }
+    const Duration until = run.truth.crashes_after.value_or(run.truth.work);
     const double left =
-        (static_cast<double>(run.truth.work.ms()) - run.worked_ms) * slowness_;
+        (static_cast<double>(std::min(until, run.truth.work).ms()) -
+         run.worked_ms) *
+        slowness_;
     next = std::min(
         next,
         now_ + Duration(1 + static_cast<std::int64_t>(std::max(0.0, left))));
@@ -159,6 +170,18 @@
   if (run.truth.gang_size > 0) board_->Leave(name, run.number, end);
 }
 
+double EmulatedRunner::UnsavedWorkBeside(const TaskName& name) const {
+  constexpr double kMillisPerCore = 1000;
+  double work = 0;
+  for (const auto& [other, run] : runs_) {
+    if (other == name) continue;
+    const auto cores =
+        static_cast<double>(run.truth.need.cpu_millis) / kMillisPerCore;
+    work += cores * (run.worked_ms - run.saved_ms);
+  }
+  return work;
+}
+
 void EmulatedRunner::EndMember(const TaskName& name, int number, RunEnd end) {
   const auto found = runs_.find(name);
   if (found == runs_.end() || found->second.number != number) return;
--- a/src/emulator/emulated_runner.h
+++ b/src/emulator/emulated_runner.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,10 @@
   int gang_size = 0;
   /// Every run fails when it is done with its work.
   bool always_fails = false;
+  /// Every runner that runs it crashes once so much of it is worked.
+  std::optional<Duration> crashes_after;
+  /// Only the step's task of this index crashes its runners; -1 for all.
+  int crashing_index = -1;
 };
 
 /// Bounds that hold on all runners.
@@ -80,6 +85,15 @@
   /// Every run that begins from now on fails at once.
   void SetBroken(bool broken) { broken_ = broken; }
 
+  /// The task that crashed this life; nothing while it lives. A life that
+  /// crashed does nothing more, and is to be removed.
+  const std::optional<dispatch::TaskName>& crashed_by() const {
+    return crashed_by_;
+  }
+  /// Work of the runs here that is not saved, in core-milliseconds, but for
+  /// that of one task.
+  double UnsavedWorkBeside(const dispatch::TaskName& name) const;
+
   /// Calls `visit` for each run that has not ended.
   void ForEachRun(
       const std::function<void(const dispatch::TaskName&, int)>& visit) const;
@@ -133,6 +147,7 @@
   int lapses_ = 0;
   bool lapsed_ = false;
   std::map<std::int64_t, int> lapses_at_end_;
+  std::optional<dispatch::TaskName> crashed_by_;
 };
 
 /// Brings the members of a gang's run together.
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -221,6 +221,27 @@
   At(now_ + down, [this, index, life] { AddRunner(index, life + 1); });
 }
 
+void EmulatedSystem::DropIfCrashed(const std::string& address) {
+  const auto at = runner_at_.find(address);
+  if (at == runner_at_.end()) return;
+  const RunnerId id = at->second;
+  const EmulatedRunner& runner = *FindRunner(id);
+  if (!runner.crashed_by().has_value()) return;
+  const TaskName culprit = *runner.crashed_by();
+  Trace(absl::StrCat("crash of ", id.value(), " by ", ToString(culprit)));
+  ++crashes_.crashes;
+  crashes_.bystanders_work += runner.UnsavedWorkBeside(culprit);
+  oracle_.NoteCrash(culprit);
+  lapsing_[id] = {runner.info(), now_ + options_.entry_lapse};
+  KillRunner(id, options_.crash_down);
+}
+
+void EmulatedSystem::DropCrashed() {
+  std::vector<std::string> addresses;
+  for (const auto& [address, id] : runner_at_) addresses.push_back(address);
+  for (const std::string& address : addresses) DropIfCrashed(address);
+}
+
 void EmulatedSystem::DrainRunner(const RunnerId& runner, Duration time) {
   EmulatedRunner* found = FindRunner(runner);
   if (found == nullptr) return;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -16,6 +16,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "dispatch/node.h"
@@ -44,6 +45,10 @@
   Duration store_time{4};
   /// What a transaction takes of its part, beside that.
   Duration transaction_time{5};
+  /// How long a runner is away that a task crashed, and how long its entry
+  /// stays in the list after its end.
+  Duration crash_down{3400};
+  Duration entry_lapse{4500};
 };
 
 /// Faults that are on at the moment.
@@ -75,6 +80,13 @@
   bool none() const;
 };
 
+/// What tasks that crash their runners did.
+struct CrashCount {
+  int crashes = 0;
+  /// Unsaved work of other runs that went with them, in core-milliseconds.
+  double bystanders_work = 0;
+};
+
 /// What the reducers of all nodes took of the real processor.
 struct ReducerUse {
   std::chrono::nanoseconds time{0};
@@ -116,6 +128,7 @@
   /// Looks that nodes sent at runners, lost ones included.
   int looks() const { return looks_; }
   const ReducerUse& reducer_use() const { return reducer_use_; }
+  const CrashCount& crashes() const { return crashes_; }
   /// Orders to one runner that waited for each other, at most.
   std::size_t longest_order_lane() const { return longest_order_lane_; }
   const std::vector<std::string>& violations() const {
@@ -236,6 +249,10 @@
 
   void AddRunner(int index, int life);
   void RemoveRunner(const RunnerId& runner, Duration down);
+  /// Removes the runner at that address if a task crashed it by now.
+  void DropIfCrashed(const std::string& address);
+  /// The same for all of them.
+  void DropCrashed();
   bool Reaches(const RunnerId& runner) const;
   /// True if calls get through to the runner, and it answers them.
   bool Hears(const RunnerId& runner) const;
@@ -262,6 +279,9 @@
   int commits_ = 0;
   int looks_ = 0;
   ReducerUse reducer_use_;
+  CrashCount crashes_;
+  /// Entries of runners that crashed, until they lapse.
+  std::map<RunnerId, std::pair<dispatch::RunnerInfo, TimePoint>> lapsing_;
   std::size_t longest_order_lane_ = 0;
   GangBoard board_;
   dispatch::Catalog catalog_;
--- a/src/emulator/promise_oracle.cc
+++ b/src/emulator/promise_oracle.cc
@@ -17,6 +17,15 @@
 using dispatch::RunEnd;
 using dispatch::TaskName;
 
+namespace {
+
+/// After so many runners have crashed under a task, it is started less than so
+/// many times more.
+constexpr int kCrashesAllowed = 3;
+constexpr int kStartsAfterCrashes = 3;
+
+}  // namespace
+
 JobWatch& PromiseOracle::Watch(const dispatch::JobSpec& spec,
                                std::vector<TaskTruth> truths) {
   JobWatch watch;
@@ -39,6 +48,9 @@
   truth.need = step.need;
   truth.saves_progress = step.saves_progress;
   truth.gang_size = step.gang ? step.count : 0;
+  const bool spared =
+      truth.crashing_index >= 0 && truth.crashing_index != name.index;
+  if (spared) truth.crashes_after.reset();
   return truth;
 }
 
@@ -57,9 +69,22 @@
   if (watch->failures[order.task] >= max_attempts_) {
     Violate(absl::StrCat("start of ", task, " after all of its attempts"));
   }
+  CheckCrashes(watch, order.task);
   CheckOrder(*watch, order.task);
 }
 
+void PromiseOracle::NoteCrash(const TaskName& task) {
+  JobWatch* watch = Find(task.job);
+  if (watch != nullptr) ++watch->crashes[task];
+}
+
+void PromiseOracle::CheckCrashes(JobWatch* watch, const TaskName& task) {
+  if (watch->crashes[task] < kCrashesAllowed) return;
+  if (++watch->starts_after_crashes[task] < kStartsAfterCrashes) return;
+  Violate(absl::StrCat("start of ", ToString(task), " after ",
+                       watch->crashes[task], " runners crashed under it"));
+}
+
 void PromiseOracle::CheckOrder(const JobWatch& watch, const TaskName& task) {
   for (const int before : watch.spec.steps[task.step].after) {
     const dispatch::StepSpec& step = watch.spec.steps[before];
--- a/src/emulator/promise_oracle.h
+++ b/src/emulator/promise_oracle.h
@@ -62,6 +62,10 @@
   std::set<dispatch::TaskName> listed_done;
   /// Runs of its tasks that a runner has listed as failed.
   int listed_failures = 0;
+  /// Runners that each task crashed, and its starts after the last of those
+  /// that are allowed.
+  std::map<dispatch::TaskName, int> crashes;
+  std::map<dispatch::TaskName, int> starts_after_crashes;
 };
 
 /// Holds every start and every noted end against the promises: nothing runs
@@ -85,6 +89,8 @@
 
   /// A runner carried a start out.
   void NoteStart(const dispatch::StartRun& order);
+  /// The task crashed a runner.
+  void NoteCrash(const dispatch::TaskName& task);
   /// A runner answered a look. `stands`: the runner's lease has not run out
   /// since it listed the end of that number.
   void NoteLook(const dispatch::LookAtRunner& look,
@@ -114,6 +120,8 @@
   const std::vector<std::string>& violations() const { return violations_; }
 
  private:
+  /// A task that has crashed several runners is not to be started on and on.
+  void CheckCrashes(JobWatch* watch, const dispatch::TaskName& task);
   /// All tasks of the steps before must be done.
   void CheckOrder(const JobWatch& watch, const dispatch::TaskName& task);
   /// How long there was calm enough since the job was cancelled for the run to
