Count runs that go with their runners, and give tasks up that crash them

Cause (hypothesis 1): a run that goes with its runner counted nowhere, so that a task which crashes its runners was planned again for ever. The class: an end that nobody is left to tell of counts as none. Change: such a run is kept with its task, in its row, with the runner, how long it had lasted, and whether the runner crashed (another life at its address), may live on (silent; settled once the same life answers, another one shows up there, or 20 s are over) or left as it said, which counts nothing. Two crashes soon after a start give a task up, four of any kind do, and with four of which some are in doubt it waits. Runners that fall silent together with others that no start explains are not held against a start, and runs that outlive earlier losses clear them.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -161,6 +161,11 @@
       {LogId::kRunLost, kWarning, "run_lost",
        "A run went with its runner; the fields say how long it had been under "
        "way when the runner fell silent, and how the runner ended."},
+      {LogId::kLossSettled, kInfo, "loss_settled",
+       "It is known what became of a silent runner that runs were lost with."},
+      {LogId::kTaskGivenUp, kWarning, "task_given_up",
+       "A task is not started any more since runners crash under it; the "
+       "fields name them, with the runs."},
       {LogId::kCatalogInForce, kInfo, "catalog_in_force",
        "A newer configuration is in force."},
       {LogId::kCatalogStale, kWarning, "catalog_stale",
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -87,6 +87,8 @@
   kLeaderLost = 931,
   kListTaken = 932,
   kRunLost = 933,
+  kLossSettled = 934,
+  kTaskGivenUp = 935,
   kCatalogInForce = 940,
   kCatalogStale = 941,
   kCatalogFollowed = 942,
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -90,6 +90,9 @@
 
   const FleetOptions& options() const { return options_; }
   std::map<RunnerId, std::unique_ptr<Runner>>& runners() { return runners_; }
+  const std::map<RunnerId, std::unique_ptr<Runner>>& runners() const {
+    return runners_;
+  }
   /// Null if there is none. What the caller changes about the runner's looks is
   /// taken in by the next `Look`.
   Runner* Find(const RunnerId& id);
--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -206,6 +206,45 @@
   for (Task& member : step.tasks) member.checkpoint = checkpoint;
 }
 
+bool Job::NoteLoss(const TaskName& name, const RunLoss& loss) {
+  Task* task = Find(name);
+  if (task == nullptr || task->phase != TaskPhase::kAssigned) return false;
+  if (task->run != loss.run) return false;
+  task->losses.push_back(loss);
+  return true;
+}
+
+void Job::NoteLasted(const TaskName& name, Duration lasted,
+                     const LossRules& rules) {
+  Task* task = Find(name);
+  if (task != nullptr) ForgetOutlived(lasted, rules, &task->losses);
+}
+
+bool Job::SettleLosses(const TaskName& name, const RunnerId& runner,
+                       bool lives) {
+  Task* task = Find(name);
+  if (task == nullptr) return false;
+  bool changed = false;
+  for (auto loss = task->losses.begin(); loss != task->losses.end();) {
+    const bool open = loss->runner == runner && !loss->crashed;
+    changed = changed || open;
+    if (open && lives) {
+      loss = task->losses.erase(loss);
+      continue;
+    }
+    if (open) loss->crashed = true;
+    ++loss;
+  }
+  return changed;
+}
+
+bool Job::GiveUp(const TaskName& name) {
+  Task* task = Find(name);
+  if (task == nullptr || task->phase != TaskPhase::kWaiting) return false;
+  task->phase = TaskPhase::kFailed;
+  return true;
+}
+
 void Job::Settle() {
   if (IsFinal(state_)) return;
   if (cancel_asked_) {
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "dispatch/job_spec.h"
+#include "dispatch/run_loss.h"
 #include "limeledge/base.h"
 #include "limeledge/clock.h"
 
@@ -29,7 +30,8 @@
   /// A run was decided on; it may not have begun yet.
   kAssigned,
   kDone,
-  /// Failed as often as its queue allows.
+  /// Failed as often as its queue allows, or given up for what it did to its
+  /// runners.
   kFailed,
 };
 
@@ -60,7 +62,12 @@
   RunnerId runner;
   /// Newest saved progress; empty for none.
   std::string checkpoint;
+  /// Runs that went with their runners and tell against the task.
+  std::vector<RunLoss> losses;
 
+  /// It is not to start until it is known what became of runners it was lost
+  /// with.
+  bool held_back = false;
   /// Last seen progress of the present run in percent.
   int percent = 0;
   TimePoint assigned_at;
@@ -142,6 +149,20 @@
   /// Notes progress that a run has saved; for a gang, that of all members.
   void SaveProgress(const TaskName& name, const std::string& checkpoint);
 
+  /// Notes that the task's present run went with its runner. Returns false, and
+  /// changes nothing, if that run is not the task's present one.
+  bool NoteLoss(const TaskName& name, const RunLoss& loss);
+  /// Notes that a run of the task was well for so long.
+  void NoteLasted(const TaskName& name, Duration lasted,
+                  const LossRules& rules);
+  /// Notes what became of a runner that the task lost runs with: it lives on,
+  /// so that they were lost by chance, or it crashed. Returns false if nothing
+  /// changes.
+  bool SettleLosses(const TaskName& name, const RunnerId& runner, bool lives);
+  /// Gives up a task that waits. Returns false, and changes nothing, if it does
+  /// not wait.
+  bool GiveUp(const TaskName& name);
+
   /// Moves the job's own state on by that of its tasks. A cancelled job is
   /// final at once; its runs are still to be stopped by the caller.
   void Settle();
--- /dev/null
+++ b/src/dispatch/loss_book.h
@@ -0,0 +1,70 @@
+/// @file
+/// Lost runs whose runner's fate is not known, and when runners were lost.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_DISPATCH_LOSS_BOOK_H_
+#define LIMELEDGE_SRC_DISPATCH_LOSS_BOOK_H_
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dispatch/job_spec.h"
+#include "dispatch/run_loss.h"
+#include "limeledge/base.h"
+#include "limeledge/clock.h"
+
+namespace limeledge::dispatch {
+
+/// Remembers runners that were lost. Pure bookkeeping.
+///
+/// Thread safety: none; use it from one thread.
+class LossBook {
+ public:
+  explicit LossBook(const LossRules& rules) : rules_(rules) {}
+
+  /// Notes a lost run whose runner may still live. Noted twice, it counts once.
+  void NoteOpen(const TaskName& task, const RunLoss& loss, TimePoint now);
+  /// Tasks that lost a run with the runner, now that its fate is known; they
+  /// are forgotten here.
+  std::vector<TaskName> Close(const RunnerId& runner);
+  /// Runners with open losses that lived at the address, but for `living`.
+  std::vector<RunnerId> LostAt(const std::string& address,
+                               const RunnerId& living) const;
+  /// Runners with open losses of which nothing was heard for too long.
+  std::vector<RunnerId> Overdue(TimePoint now) const;
+  bool HasOpen() const { return !open_.empty(); }
+
+  /// Notes when a runner fell silent that is taken for lost now, and whether a
+  /// start shortly before explains it.
+  void NoteRunnerLost(const RunnerId& runner, TimePoint silent_since,
+                      bool explained);
+  /// Other runners that were lost about that moment with nothing to explain it.
+  std::set<RunnerId> UnexplainedAround(TimePoint moment,
+                                       const RunnerId& besides) const;
+
+ private:
+  struct Open {
+    std::string address;
+    TimePoint since;
+    std::set<TaskName> tasks;
+  };
+  struct Lost {
+    RunnerId runner;
+    TimePoint silent_since;
+    bool explained = false;
+  };
+
+  LossRules rules_;
+  std::map<RunnerId, Open> open_;
+  /// The newest losses of runners, oldest first.
+  std::deque<Lost> lost_;
+};
+
+}  // namespace limeledge::dispatch
+
+#endif  // LIMELEDGE_SRC_DISPATCH_LOSS_BOOK_H_
--- a/src/dispatch/planner_units.cc
+++ b/src/dispatch/planner_units.cc
@@ -116,7 +116,8 @@
   Step& step = occurrence.steps[index];
   Unit unit;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-    const bool waits = step.tasks[i].phase == TaskPhase::kWaiting;
+    const Task& task = step.tasks[i];
+    const bool waits = task.phase == TaskPhase::kWaiting && !task.held_back;
     if (waits) unit.waiting.push_back(static_cast<int>(i));
   }
   if (unit.waiting.empty()) {
--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -112,6 +112,29 @@
   return step;
 }
 
+/// A lost run, as a list.
+Json::Value EncodeLoss(const RunLoss& loss) {
+  Json::Value json(Json::arrayValue);
+  json.append(loss.run);
+  json.append(loss.runner.value());
+  json.append(loss.address);
+  json.append(Json::Int64(loss.lasted.ms()));
+  json.append(loss.crashed);
+  json.append(loss.suspicious);
+  return json;
+}
+
+RunLoss DecodeLoss(const Json::Value& json) {
+  RunLoss loss;
+  loss.run = json[0].asInt();
+  loss.runner = RunnerId(json[1].asString());
+  loss.address = json[2].asString();
+  loss.lasted = Duration(json[3].asInt64());
+  loss.crashed = json[4].asBool();
+  loss.suspicious = json[5].asBool();
+  return loss;
+}
+
 /// A task that has begun, as a list: a job may have thousands of them.
 Json::Value EncodeTask(const Task& task, int index) {
   Json::Value json(Json::arrayValue);
@@ -121,6 +144,9 @@
   json.append(task.failures);
   json.append(task.runner.value());
   json.append(task.checkpoint);
+  if (task.losses.empty()) return json;
+  Json::Value& losses = json.append(Json::Value(Json::arrayValue));
+  for (const RunLoss& loss : task.losses) losses.append(EncodeLoss(loss));
   return json;
 }
 
@@ -133,6 +159,13 @@
   task.failures = json[3].asInt();
   task.runner = RunnerId(json[4].asString());
   task.checkpoint = json[5].asString();
+  // Rows of tasks that lost no run end here, and so do those of versions that
+  // did not count such runs.
+  constexpr Json::ArrayIndex kLosses = 6;
+  if (json.size() <= kLosses) return;
+  for (const Json::Value& loss : json[kLosses]) {
+    task.losses.push_back(DecodeLoss(loss));
+  }
 }
 
 Json::Value EncodeStepProgress(const Step& step, int occurrence, int number) {
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -67,6 +67,13 @@
   return std::max(run.expected - elapsed, run.expected / kLeastShareLeft);
 }
 
+std::optional<Duration> TimeUntilSilence(const Run& run,
+                                         TimePoint silent_since) {
+  if (!run.sent_at.has_value()) return std::nullopt;
+  // The order itself may be what got no answer first.
+  return std::max(Duration(0), silent_since - *run.sent_at);
+}
+
 void Runner::Update(const RunnerInfo& info, TimePoint now) {
   listed_ = true;
   if (!(info.room == info_.room)) {
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -110,6 +110,8 @@
   bool learns = false;
   /// What the run shares its runner's processors with, and how.
   Sharing sharing = Sharing::kNone;
+  /// Its task may be what crashed runners before.
+  bool suspect = false;
 };
 
 /// A runner that takes this much longer than expected counts as slow: tasks of
@@ -121,6 +123,12 @@
 /// from any thread.
 Duration TimeLeft(const Run& run, TimePoint now);
 
+/// How long the run was under way when its runner, silent since `silent_since`,
+/// was last heard; nothing if its start was not sent from here. Safe from any
+/// thread.
+std::optional<Duration> TimeUntilSilence(const Run& run,
+                                         TimePoint silent_since);
+
 /// Where the fleet has a runner's next look.
 struct FiledLook {
   /// When it is due; nothing if none is.
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -43,6 +43,7 @@
       book_(patience, options.book),
       cleaner_(options.cleaner),
       fleet_(options.fleet),
+      losses_(options.losses),
       planner_(options.planner) {}
 
 bool Scheduler::Owns(Ticket ticket) const {
@@ -74,6 +75,7 @@
 
 void Scheduler::Take(Context& ctx, const RunnersListed& answer) {
   fleet_.Take(ctx, answer);
+  TakeOtherLives(ctx, answer);
   plan_due_ = true;
 }
 
@@ -83,6 +85,7 @@
     if (job == nullptr) continue;
     plan_due_ = true;
     Inherit(ctx, job);
+    InheritLosses(ctx, *job);
     if (job->cancel_asked()) Settle(ctx, job);
   }
 }
@@ -106,6 +109,7 @@
         run.expected = job->step_spec(name.step).estimate;
         run.started_at = ctx.now();
         run.progressed_at = ctx.now();
+        run.suspect = IsSuspect(task.losses);
         runner->Add(name, run);
       }
     }
@@ -197,6 +201,7 @@
   run.sharing = job->step_spec(name.step).sharing();
   run.expected = assignment.expected;
   run.learns = assignment.near() && job->Find(name)->checkpoint.empty();
+  run.suspect = IsSuspect(job->Find(name)->losses);
   assignment.runner->Add(name, run);
   const std::string near_ms =
       assignment.near() ? "" : std::to_string(assignment.expected_near.ms());
@@ -219,6 +224,7 @@
   if (ctx.now() < next_check_) return;
   next_check_ = ctx.now() + kCheckInterval;
   CheckRuns(ctx);
+  SettleOverdue(ctx);
   fleet_.DropGone(ctx);
   if (!releasing_) cleaner_.Work(ctx, &book_, &writer_);
 }
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -20,6 +20,7 @@
 #include "dispatch/fleet.h"
 #include "dispatch/job_book.h"
 #include "dispatch/job_cleaner.h"
+#include "dispatch/loss_book.h"
 #include "dispatch/planner.h"
 #include "dispatch/state_writer.h"
 
@@ -32,6 +33,7 @@
   StateWriterOptions writer;
   JobBookOptions book;
   JobCleanerOptions cleaner;
+  LossRules losses;
   /// Shortest time between two passes of the planner, and what is added for
   /// each hundred steps that the last one tried: some five times what such a
   /// pass takes on half a core.
@@ -95,6 +97,8 @@
   kRunnerLeaves,
   kRunnerSilent,
   kNoTicket,
+  /// It became known meanwhile that its runners crash.
+  kTaskCrashesRunners,
 };
 
 /// How a runner ended under the runs that went with it.
@@ -204,6 +208,30 @@
   /// Ends a run that went with its runner.
   void EndLost(Context& ctx, Runner* runner, const TaskName& name,
                RunnerEnd how);
+
+  // Losses: runs that went with their runners (scheduler_losses.cc).
+  /// Notes that the runner is lost, and takes all of `names` for lost with it.
+  void LoseRuns(Context& ctx, Runner* runner,
+                const std::vector<TaskName>& names, RunnerEnd how);
+  /// True if the runner fell silent together with others for which no start can
+  /// be to blame.
+  bool WentWithOthers(const Runner& runner) const;
+  /// Counts a lost run against its task, unless nothing can be held against it.
+  void CountLoss(Context& ctx, const Runner& runner, const TaskName& name,
+                 const Run& run, RunnerEnd how);
+  /// It is known now what became of a runner.
+  void SettleLosses(Context& ctx, const RunnerId& runner, bool lives);
+  /// Settles the losses of runners whose addresses others have taken.
+  void TakeOtherLives(Context& ctx, const RunnersListed& answer);
+  /// Settles what was in doubt for too long.
+  void SettleOverdue(Context& ctx);
+  /// Takes in what the task's losses say about its next start.
+  void JudgeTask(Context& ctx, const TaskName& name);
+  /// Notes losses that an earlier scheduler stored.
+  void InheritLosses(Context& ctx, const Job& job);
+  /// Notes that the runner answers.
+  void NoteHeard(Context& ctx, Runner* runner, std::int64_t clock_ms);
+
   /// All that ran on a silent runner is over, but for starts that may still
   /// be carried out there.
   void EndLapsed(Context& ctx, Runner* runner);
@@ -258,6 +286,7 @@
   JobBook book_;
   JobCleaner cleaner_;
   Fleet fleet_;
+  LossBook losses_;
   RunTimes times_;
   AdviceBook advice_;
   Planner planner_;
--- /dev/null
+++ b/src/dispatch/scheduler_losses.cc
@@ -0,0 +1,196 @@
+/// @file
+/// Runs that went with their runners: what they tell against their tasks.
+//
+// A task may crash every runner that starts it, with all that runs there. It
+// ends as no failure, since nobody is left to tell of it: what is counted is
+// that its runners went.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "dispatch/scheduler.h"
+
+namespace limeledge::dispatch {
+
+namespace {
+
+/// When the runner fell silent; now if it was not heard to do so.
+TimePoint SilentSince(const Runner& runner, TimePoint now) {
+  return runner.silent_since().value_or(now);
+}
+
+/// True if a start shortly before the runner fell silent may have crashed it.
+bool IsExplained(const Runner& runner, TimePoint silent_since,
+                 const LossRules& rules) {
+  return std::any_of(runner.runs().begin(), runner.runs().end(),
+                     [&](const auto& entry) {
+                       const std::optional<Duration> lasted =
+                           TimeUntilSilence(entry.second, silent_since);
+                       return lasted.has_value() && *lasted <= rules.explained;
+                     });
+}
+
+/// "RUN@RUNNER" of each, for logs.
+std::string ListLosses(const std::vector<RunLoss>& losses) {
+  std::string text;
+  for (const RunLoss& loss : losses) {
+    absl::StrAppend(&text, text.empty() ? "" : " ", loss.run, "@",
+                    loss.runner.value());
+  }
+  return text;
+}
+
+}  // namespace
+
+const char* ToString(RunnerEnd end) {
+  switch (end) {
+    case RunnerEnd::kCrashed:
+      return "crashed";
+    case RunnerEnd::kLeft:
+      return "left";
+    case RunnerEnd::kUnknown:
+      return "unknown";
+  }
+  return "";
+}
+
+void Scheduler::LoseRuns(Context& ctx, Runner* runner,
+                         const std::vector<TaskName>& names, RunnerEnd how) {
+  const TimePoint silent_since = SilentSince(*runner, ctx.now());
+  const bool lost = how != RunnerEnd::kLeft && !runner->ended;
+  if (lost) {
+    losses_.NoteRunnerLost(runner->id(), silent_since,
+                           IsExplained(*runner, silent_since, options_.losses));
+  }
+  for (const TaskName& name : names) EndLost(ctx, runner, name, how);
+}
+
+void Scheduler::EndLost(Context& ctx, Runner* runner, const TaskName& name,
+                        RunnerEnd how) {
+  const Run run = runner->runs().at(name);
+  const std::optional<Duration> lasted =
+      TimeUntilSilence(run, SilentSince(*runner, ctx.now()));
+  ctx.Log(
+      LogId::kRunLost,
+      {{"task", ToString(name)},
+       {"run", std::to_string(run.number)},
+       {"runner", runner->id().value()},
+       {"lasted_ms", lasted.has_value() ? std::to_string(lasted->ms()) : ""},
+       {"runner_end", ToString(how)}});
+  CountLoss(ctx, *runner, name, run, how);
+  EndRun(ctx, runner, name, RunEnd::kLapsed, "");
+  StopGang(ctx, name);
+}
+
+void Scheduler::CountLoss(Context& ctx, const Runner& runner,
+                          const TaskName& name, const Run& run, RunnerEnd how) {
+  Job* job = book_.Find(name.job);
+  if (job == nullptr || how == RunnerEnd::kLeft) return;
+  // Nothing that never reached a runner can have crashed it.
+  if (WasNeverSent(run.phase)) return;
+  const TimePoint silent_since = SilentSince(runner, ctx.now());
+  const std::optional<Duration> lasted = TimeUntilSilence(run, silent_since);
+  RunLoss loss;
+  loss.run = run.number;
+  loss.runner = runner.id();
+  loss.address = runner.info().address;
+  loss.lasted = lasted.value_or(Duration(0));
+  loss.crashed = how == RunnerEnd::kCrashed;
+  loss.suspicious = lasted.has_value() && *lasted <= options_.losses.soon &&
+                    !WentWithOthers(runner);
+  job->NoteLasted(name, loss.lasted, options_.losses);
+  if (!job->NoteLoss(name, loss)) return;
+  if (!loss.crashed) losses_.NoteOpen(name, loss, ctx.now());
+}
+
+bool Scheduler::WentWithOthers(const Runner& runner) const {
+  if (!runner.silent_since().has_value()) return false;
+  const LossRules& rules = options_.losses;
+  const TimePoint moment = *runner.silent_since();
+  std::set<RunnerId> others = losses_.UnexplainedAround(moment, runner.id());
+  for (const auto& [id, other] : fleet_.runners()) {
+    if (id == runner.id() || !other->silent_since().has_value()) continue;
+    const TimePoint since = *other->silent_since();
+    const bool same_moment = since <= moment + rules.same_moment &&
+                             moment <= since + rules.same_moment;
+    const bool unexplained =
+        !other->LeftAsKnown() && !IsExplained(*other, since, rules);
+    if (same_moment && unexplained && !other->ended) others.insert(id);
+  }
+  return static_cast<int>(others.size()) >= rules.unexplained_runners;
+}
+
+void Scheduler::SettleLosses(Context& ctx, const RunnerId& runner, bool lives) {
+  for (const TaskName& name : losses_.Close(runner)) {
+    Job* job = book_.Find(name.job);
+    if (job == nullptr || !job->SettleLosses(name, runner, lives)) continue;
+    ctx.Log(LogId::kLossSettled, {{"task", ToString(name)},
+                                  {"runner", runner.value()},
+                                  {"lives", lives ? "yes" : "no"}});
+    Mark(name.job);
+    JudgeTask(ctx, name);
+    plan_due_ = true;
+  }
+}
+
+void Scheduler::TakeOtherLives(Context& ctx, const RunnersListed& answer) {
+  if (!losses_.HasOpen()) return;
+  for (const RunnerInfo& info : answer.runners) {
+    for (const RunnerId& lost : losses_.LostAt(info.address, info.id)) {
+      SettleLosses(ctx, lost, false);
+    }
+  }
+}
+
+void Scheduler::SettleOverdue(Context& ctx) {
+  if (!losses_.HasOpen()) return;
+  for (const RunnerId& runner : losses_.Overdue(ctx.now())) {
+    SettleLosses(ctx, runner, false);
+  }
+}
+
+void Scheduler::JudgeTask(Context& ctx, const TaskName& name) {
+  Job* job = book_.Find(name.job);
+  if (job == nullptr) return;
+  Task* task = job->Find(name);
+  const LossVerdict verdict = JudgeLosses(task->losses, options_.losses);
+  task->held_back = verdict == LossVerdict::kMustWait;
+  if (verdict != LossVerdict::kGivenUp || !job->GiveUp(name)) return;
+  ctx.Log(LogId::kTaskGivenUp, {{"job", name.job.value()},
+                                {"task", ToString(name)},
+                                {"runs", ListLosses(task->losses)}});
+  Settle(ctx, job);
+}
+
+void Scheduler::InheritLosses(Context& ctx, const Job& job) {
+  std::vector<TaskName> lost;
+  for (std::size_t k = 0; k < job.occurrences().size(); ++k) {
+    const std::vector<Step>& steps = job.occurrences()[k].steps;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      for (std::size_t i = 0; i < steps[s].tasks.size(); ++i) {
+        const Task& task = steps[s].tasks[i];
+        const TaskName name{job.spec().id, static_cast<int>(k),
+                            static_cast<int>(s), static_cast<int>(i)};
+        if (!task.losses.empty()) lost.push_back(name);
+        for (const RunLoss& loss : task.losses) {
+          if (!loss.crashed) losses_.NoteOpen(name, loss, ctx.now());
+        }
+      }
+    }
+  }
+  for (const TaskName& name : lost) JudgeTask(ctx, name);
+}
+
+void Scheduler::NoteHeard(Context& ctx, Runner* runner, std::int64_t clock_ms) {
+  runner->Heard(ctx.now(), clock_ms);
+  if (losses_.HasOpen()) SettleLosses(ctx, runner->id(), true);
+}
+
+}  // namespace limeledge::dispatch
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -35,6 +35,8 @@
       return "its runner is silent";
     case StartObstacle::kNoTicket:
       return "its ticket ran out";
+    case StartObstacle::kTaskCrashesRunners:
+      return "its task crashes runners";
   }
   return "";
 }
@@ -113,6 +115,11 @@
                                                    const Run& run) {
   const Job* job = book_.Find(name.job);
   if (job == nullptr) return StartObstacle::kJobOver;
+  const Task& task =
+      job->occurrences()[name.occurrence].steps[name.step].tasks[name.index];
+  if (JudgeLosses(task.losses, options_.losses) != LossVerdict::kMayStart) {
+    return StartObstacle::kTaskCrashesRunners;
+  }
   if (run.stopping) return StartObstacle::kStopping;
   // A member that starts alone holds its room for seconds, to end alone.
   if (GangIsOver(*job, name, run.number)) return StartObstacle::kGangOver;
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -52,25 +52,13 @@
   return "";
 }
 
-const char* ToString(RunnerEnd end) {
-  switch (end) {
-    case RunnerEnd::kCrashed:
-      return "crashed";
-    case RunnerEnd::kLeft:
-      return "left";
-    case RunnerEnd::kUnknown:
-      return "unknown";
-  }
-  return "";
-}
-
 Scheduler::Verdict Scheduler::Take(Context& ctx, const StartAnswered& answer) {
   if (answer.epoch != writer_.epoch()) return Verdict::kGoesOn;
   if (answer.outcome == OrderOutcome::kFenced) return Verdict::kDeposed;
   Runner* runner = fleet_.Find(answer.runner);
   if (runner == nullptr) return Verdict::kGoesOn;
   NoteOrderAnswered(runner);
-  if (answer.clock_ms > 0) runner->Heard(ctx.now(), answer.clock_ms);
+  if (answer.clock_ms > 0) NoteHeard(ctx, runner, answer.clock_ms);
   plan_due_ = true;
   Run* run = runner->FindRun(answer.task, answer.run);
   if (run == nullptr) return Verdict::kGoesOn;
@@ -120,7 +108,7 @@
   Runner* runner = fleet_.Find(answer.runner);
   if (runner == nullptr) return Verdict::kGoesOn;
   NoteOrderAnswered(runner);
-  if (answer.clock_ms > 0) runner->Heard(ctx.now(), answer.clock_ms);
+  if (answer.clock_ms > 0) NoteHeard(ctx, runner, answer.clock_ms);
   if (answer.outcome == OrderOutcome::kOtherLife) {
     EndAll(ctx, runner, "another life answers at its address");
     return Verdict::kGoesOn;
@@ -146,6 +134,9 @@
   const auto found = runner->runs().find(name);
   if (found == runner->runs().end()) return;
   const int number = found->second.number;
+  const Duration worked = found->second.phase == RunPhase::kRunning
+                              ? ctx.now() - found->second.started_at
+                              : Duration(0);
   runner->Remove(name);
   plan_due_ = true;
   ctx.Log(LogId::kRunEnded, {{"task", ToString(name)},
@@ -155,9 +146,11 @@
                              {"saved", checkpoint.empty() ? "" : "yes"}});
   Job* job = book_.Find(name.job);
   if (job == nullptr) return;
-  if (job->EndRun(name, number, end, checkpoint, MaxAttempts(*job))) {
-    Settle(ctx, job);
-  }
+  // A lost run is compared with those before it when it is counted.
+  if (end != RunEnd::kLapsed) job->NoteLasted(name, worked, options_.losses);
+  if (!job->EndRun(name, number, end, checkpoint, MaxAttempts(*job))) return;
+  Settle(ctx, job);
+  JudgeTask(ctx, name);
 }
 
 void Scheduler::EndAll(Context& ctx, Runner* runner, const char* reason) {
@@ -167,26 +160,11 @@
              {"reason", reason},
              {"runs", std::to_string(runner->runs().size())}});
   }
-  const RunnerEnd how =
-      runner->LeftAsKnown() ? RunnerEnd::kLeft : RunnerEnd::kCrashed;
   std::vector<TaskName> names;
   for (const auto& [name, run] : runner->runs()) names.push_back(name);
-  for (const TaskName& name : names) EndLost(ctx, runner, name, how);
-}
-
-void Scheduler::EndLost(Context& ctx, Runner* runner, const TaskName& name,
-                        RunnerEnd how) {
-  const Run& run = runner->runs().at(name);
-  const TimePoint end = runner->silent_since().value_or(ctx.now());
-  const std::string lasted =
-      run.sent_at.has_value() ? std::to_string((end - *run.sent_at).ms()) : "";
-  ctx.Log(LogId::kRunLost, {{"task", ToString(name)},
-                            {"run", std::to_string(run.number)},
-                            {"runner", runner->id().value()},
-                            {"lasted_ms", lasted},
-                            {"runner_end", ToString(how)}});
-  EndRun(ctx, runner, name, RunEnd::kLapsed, "");
-  StopGang(ctx, name);
+  LoseRuns(ctx, runner, names,
+           runner->LeftAsKnown() ? RunnerEnd::kLeft : RunnerEnd::kCrashed);
+  SettleLosses(ctx, runner->id(), false);
 }
 
 void Scheduler::EndLapsed(Context& ctx, Runner* runner) {
@@ -201,9 +179,8 @@
   ctx.Log(LogId::kRunnerLost, {{"runner", runner->id().value()},
                                {"reason", "its lease is over"},
                                {"runs", std::to_string(lapsed.size())}});
-  const RunnerEnd how =
-      runner->LeftAsKnown() ? RunnerEnd::kLeft : RunnerEnd::kUnknown;
-  for (const TaskName& name : lapsed) EndLost(ctx, runner, name, how);
+  LoseRuns(ctx, runner, lapsed,
+           runner->LeftAsKnown() ? RunnerEnd::kLeft : RunnerEnd::kUnknown);
 }
 
 Scheduler::Verdict Scheduler::Take(Context& ctx, const RunnerLooked& answer) {
@@ -226,7 +203,7 @@
     ctx.Log(LogId::kRunnerHeard, {{"runner", runner->id().value()}});
     plan_due_ = true;
   }
-  runner->Heard(ctx.now(), answer.clock_ms);
+  NoteHeard(ctx, runner, answer.clock_ms);
   runner->next_look_at = ctx.now();
   const bool all_taken = TakeEnds(ctx, runner, answer.ended) &&
                          answer.ended.size() < kMostListedEnds;
--- /dev/null
+++ b/test/crash-fixture.h
@@ -0,0 +1,44 @@
+/// @file
+/// The fixture of tests with tasks that crash their runners.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_TEST_CRASH_FIXTURE_H_
+#define LIMELEDGE_TEST_CRASH_FIXTURE_H_
+
+#include <utility>
+
+#include "scheduler-fixture.h"
+
+namespace limeledge::emulator {
+
+/// The crash comes as soon as the runner begins the task.
+inline constexpr Duration kAtOnce{10};
+/// Most starts of a task that crashes its runners: none after the third crash
+/// may be the third.
+inline constexpr int kMostStarts = 5;
+
+/// An emulated system, and jobs whose first task crashes its runners.
+class CrashFixture : public SchedulerFixture {
+ public:
+  /// Hands in a job whose first task crashes its runners after so much work.
+  JobId SubmitCrashing(dispatch::StepSpec step, Duration after) {
+    dispatch::JobSpec spec;
+    spec.steps = {std::move(step)};
+    spec.policy.priority = 1;
+    TaskTruth truth;
+    truth.work = spec.steps[0].estimate;
+    truth.crashes_after = after;
+    truth.crashing_index = 0;
+    return system.Submit(spec, {truth});
+  }
+
+  int StartsOfFirst(const JobId& job) {
+    return Watch(job).starts.at({job, 0, 0, 0});
+  }
+};
+
+}  // namespace limeledge::emulator
+
+#endif  // LIMELEDGE_TEST_CRASH_FIXTURE_H_
--- a/test/crash-test.cc
+++ b/test/crash-test.cc
@@ -14,39 +14,10 @@
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
 
-#include "scheduler-fixture.h"
+#include "crash-fixture.h"
 
 namespace limeledge::emulator {
 
-namespace {
-
-/// The crash comes as soon as the runner begins the task.
-constexpr Duration kAtOnce{10};
-/// Most starts of a task that crashes its runners: none after the third crash
-/// may be the third.
-constexpr int kMostStarts = 5;
-
-}  // namespace
-
-class CrashFixture : public SchedulerFixture {
- public:
-  /// Hands in a job whose first task crashes its runners after so much work.
-  JobId SubmitCrashing(dispatch::StepSpec step, Duration after) {
-    dispatch::JobSpec spec;
-    spec.steps = {std::move(step)};
-    spec.policy.priority = 1;
-    TaskTruth truth;
-    truth.work = spec.steps[0].estimate;
-    truth.crashes_after = after;
-    truth.crashing_index = 0;
-    return system.Submit(spec, {truth});
-  }
-
-  int StartsOfFirst(const JobId& job) {
-    return Watch(job).starts.at({job, 0, 0, 0});
-  }
-};
-
 TEST_GROUP_BASE(Crash, CrashFixture){};
 
 TEST(Crash, TaskThatCrashesItsRunnersIsGivenUpWithinItsBudget) {
--- /dev/null
+++ b/test/innocent-test.cc
@@ -0,0 +1,101 @@
+/// @file
+/// Tests of tasks whose runners go for causes from outside.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <vector>
+
+#include "crash-fixture.h"
+
+namespace limeledge::emulator {
+
+// Runners that go for other causes say nothing of the tasks on them.
+class InnocentFixture : public CrashFixture {
+ public:
+  /// The runner on which the job's only task runs.
+  RunnerId RunnerOf(const JobId& job) {
+    RunnerId found;
+    for (const RunnerId& id : system.RunnerIds()) {
+      system.FindRunner(id)->ForEachRun(
+          [&](const dispatch::TaskName& name, int) {
+            if (name.job == job) found = id;
+          });
+    }
+    return found;
+  }
+};
+
+TEST_GROUP_BASE(Innocent, InnocentFixture){};
+
+TEST(Innocent, TaskWhoseRunnersAreCutOffAgainAndAgainIsNotGivenUp) {
+  const JobId job = Submit(Step(1, 1, Duration(4000)));
+  for (int i = 0; i < 6; ++i) {
+    system.Run(Duration(600));
+    const RunnerId runner = RunnerOf(job);
+    system.faults().unreachable_runners = {runner};
+    system.Run(Duration(9000));
+    system.faults() = Faults();
+    system.Run(Duration(100));
+  }
+  system.Run(Duration(20000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
+TEST(Innocent, TaskWhoseRunnersLeaveAsTheySaidIsNotGivenUp) {
+  const JobId job = Submit(Step(1, 1, Duration(6000)));
+  for (int i = 0; i < 6; ++i) {
+    system.Run(Duration(600));
+    system.DrainRunner(RunnerOf(job), Duration(1500));
+    system.Run(Duration(6000));
+  }
+  system.Run(Duration(20000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
+TEST(Innocent, TaskThatOutlivesEarlierCrashesIsNotGivenUp) {
+  const JobId job = Submit(Step(1, 1, Duration(40000)));
+  for (const int well_ms : {500, 6000, 500, 6000, 500}) {
+    system.Run(Duration(well_ms));
+    system.KillRunner(RunnerOf(job), Duration(1000));
+    system.Run(Duration(3500));
+  }
+  system.Run(Duration(50000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
+TEST(Innocent, TasksOfRunnersThatLosePowerTogetherAreNotGivenUp) {
+  std::vector<JobId> jobs;
+  for (int i = 0; i < 3; ++i) {
+    jobs.push_back(Submit(Step(4, 1, Duration(8000))));
+    system.Run(Duration(1500));
+    const std::vector<RunnerId> all = system.RunnerIds();
+    for (const RunnerId& id : all) system.KillRunner(id, Duration(1000));
+    system.Run(Duration(5000));
+  }
+  system.Run(Duration(40000));
+  for (const JobId& job : jobs) {
+    STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  }
+  CheckNoViolation();
+}
+
+TEST(Innocent, OtherTasksAreDoneThoughOneCrashesTheirRunners) {
+  std::vector<JobId> jobs;
+  for (int i = 0; i < 4; ++i) {
+    jobs.push_back(Submit(Step(4, 1, Duration(6000))));
+  }
+  system.Run(Duration(500));
+  const JobId culprit = SubmitCrashing(Step(1, 1, Duration(2500)), kAtOnce);
+  system.Run(Duration(60000));
+  STRCMP_EQUAL("failed", system.StateOf(culprit).c_str());
+  for (const JobId& job : jobs) {
+    STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  }
+  CheckNoViolation();
+}
+
+}  // namespace limeledge::emulator
--- /dev/null
+++ b/test/run-loss-test.cc
@@ -0,0 +1,134 @@
+/// @file
+/// Tests of what lost runs tell against their tasks.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "CppUTest/TestHarness.h"
+#include "dispatch/loss_book.h"
+#include "dispatch/row_codec.h"
+#include "dispatch/run_loss.h"
+
+namespace limeledge::dispatch {
+
+class RunLossFixture : public Utest {
+ public:
+  LossRules rules;
+  LossBook book{rules};
+  const TaskName task{JobId("j"), 0, 0, 0};
+
+  static RunLoss Loss(int run, bool crashed, bool suspicious,
+                      Duration lasted = Duration(10)) {
+    RunLoss loss;
+    loss.run = run;
+    loss.runner = RunnerId("i-" + std::to_string(run));
+    loss.address = "10.0.0." + std::to_string(run) + ":80";
+    loss.lasted = lasted;
+    loss.crashed = crashed;
+    loss.suspicious = suspicious;
+    return loss;
+  }
+
+  void CheckVerdict(LossVerdict expected, const std::vector<RunLoss>& losses) {
+    LONGS_EQUAL(static_cast<int>(expected),
+                static_cast<int>(JudgeLosses(losses, rules)));
+  }
+};
+
+TEST_GROUP_BASE(RunLoss, RunLossFixture){};
+
+TEST(RunLoss, TaskWithoutLossesMayStart) {
+  CheckVerdict(LossVerdict::kMayStart, {});
+}
+
+TEST(RunLoss, TwoSuspiciousCrashesGiveATaskUp) {
+  CheckVerdict(LossVerdict::kMayStart, {Loss(1, true, true)});
+  CheckVerdict(LossVerdict::kGivenUp,
+               {Loss(1, true, true), Loss(2, true, true)});
+}
+
+TEST(RunLoss, CrashesOfAnyKindGiveATaskUpLater) {
+  std::vector<RunLoss> losses;
+  for (int run = 1; run < rules.crashes; ++run) {
+    losses.push_back(Loss(run, true, false));
+  }
+  CheckVerdict(LossVerdict::kMayStart, losses);
+  losses.push_back(Loss(rules.crashes, true, false));
+  CheckVerdict(LossVerdict::kGivenUp, losses);
+}
+
+TEST(RunLoss, SilentRunnersAreNoCrashesButAreWaitedFor) {
+  std::vector<RunLoss> losses;
+  for (int run = 1; run <= rules.crashes; ++run) {
+    losses.push_back(Loss(run, false, true));
+  }
+  CheckVerdict(LossVerdict::kMustWait, losses);
+}
+
+TEST(RunLoss, RunThatIsWellForLongOutlivesTheLossesBefore) {
+  std::vector<RunLoss> losses = {Loss(1, true, true, Duration(10)),
+                                 Loss(2, true, false, Duration(6000))};
+  ForgetOutlived(Duration(8000), rules, &losses);
+  LONGS_EQUAL(1, losses.size());
+  LONGS_EQUAL(2, losses[0].run);
+  ForgetOutlived(Duration(16000), rules, &losses);
+  LONGS_EQUAL(0, losses.size());
+}
+
+TEST(RunLoss, BookKnowsTheTasksOfASilentRunnerUntilItsFateIsKnown) {
+  const RunLoss loss = Loss(1, false, true);
+  book.NoteOpen(task, loss, TimePoint(1000));
+  book.NoteOpen(task, loss, TimePoint(5000));
+  LONGS_EQUAL(1, book.LostAt(loss.address, RunnerId("i-9")).size());
+  LONGS_EQUAL(0, book.LostAt(loss.address, loss.runner).size());
+  LONGS_EQUAL(0, book.LostAt("", RunnerId("i-9")).size());
+  LONGS_EQUAL(0, book.Overdue(TimePoint(20999)).size());
+  LONGS_EQUAL(1, book.Overdue(TimePoint(21000)).size());
+  LONGS_EQUAL(1, book.Close(loss.runner).size());
+  CHECK_FALSE(book.HasOpen());
+}
+
+TEST(RunLoss, BookTellsWhoElseWasLostAtThatMomentWithoutAStartToBlame) {
+  book.NoteRunnerLost(RunnerId("i-1"), TimePoint(1000), false);
+  book.NoteRunnerLost(RunnerId("i-2"), TimePoint(1900), true);
+  book.NoteRunnerLost(RunnerId("i-3"), TimePoint(2100), false);
+  LONGS_EQUAL(1,
+              book.UnexplainedAround(TimePoint(1000), RunnerId("i-2")).size());
+  LONGS_EQUAL(2,
+              book.UnexplainedAround(TimePoint(1500), RunnerId("i-2")).size());
+  LONGS_EQUAL(1,
+              book.UnexplainedAround(TimePoint(1500), RunnerId("i-3")).size());
+}
+
+TEST(RunLoss, LossesAreStoredWithTheirTask) {
+  JobSpec spec;
+  spec.id = JobId("j");
+  spec.steps.emplace_back();
+  Job job(spec);
+  job.Assign(task, 3, RunnerId("i-3"), TimePoint(0));
+  CHECK_TRUE(job.NoteLoss(task, Loss(3, true, true, Duration(17))));
+  CHECK_FALSE(job.NoteLoss(task, Loss(2, true, true)));
+  Job read(spec);
+  CHECK_TRUE(DecodeProgress(EncodeProgress(job), &read).ok());
+  const std::vector<RunLoss>& losses = read.Find(task)->losses;
+  LONGS_EQUAL(1, losses.size());
+  LONGS_EQUAL(3, losses[0].run);
+  STRCMP_EQUAL("i-3", losses[0].runner.value().c_str());
+  STRCMP_EQUAL("10.0.0.3:80", losses[0].address.c_str());
+  LONGS_EQUAL(17, losses[0].lasted.ms());
+  CHECK_TRUE(losses[0].crashed && losses[0].suspicious);
+}
+
+TEST(RunLoss, RowsOfVersionsThatCountedNoLossesAreRead) {
+  JobSpec spec;
+  spec.id = JobId("j");
+  spec.steps.emplace_back();
+  Job read(spec);
+  const std::string row =
+      R"({"state":1,"steps":[{"k":0,"step":0,"tasks":[[0,1,4,1,"i-4",""]]}]})";
+  CHECK_TRUE(DecodeProgress(row, &read).ok());
+  LONGS_EQUAL(4, read.Find(task)->run);
+  LONGS_EQUAL(0, read.Find(task)->losses.size());
+}
+
+}  // namespace limeledge::dispatch
