Try suspect tasks alone where the least is lost, and tell them from bystanders

Change: a suspect task goes where the least work is at risk, with nothing put beside it for 4 s; what another life refuses never began, and such a runner is over at once; after three crashes two starts in vain give a task up; runners lost at one moment are explained by a job that had begun on two of them.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -325,6 +325,7 @@
     seat.serving = runner->CountSharing(Sharing::kServes);
     for (const auto& [name, run] : runner->runs()) {
       if (run.stopping) seat.coming += run.need;
+      if (IsOnProbation(run, options_.probation, now)) seat.on_probation = true;
     }
     seats.push_back(std::move(seat));
   }
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -16,6 +16,7 @@
 
 #include "dispatch/context.h"
 #include "dispatch/placement.h"
+#include "dispatch/run_loss.h"
 #include "dispatch/runner.h"
 #include "dispatch/store_patience.h"
 
@@ -77,6 +78,9 @@
   /// The list is read whole this often, whatever its changes told: what a
   /// change that was missed can do ends by that.
   Duration whole_list_interval{10000};
+  /// A task that may crash its runners is told from others by running alone for
+  /// so long.
+  Duration probation = LossRules().probation;
   /// The same while none was read yet: a new scheduler can do nothing before.
   Duration first_list_pause{250};
 };
--- a/src/dispatch/loss_book.cc
+++ b/src/dispatch/loss_book.cc
@@ -6,6 +6,7 @@
 
 #include "dispatch/loss_book.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace limeledge::dispatch {
@@ -17,6 +18,20 @@
 
 }  // namespace
 
+int CountUnexplained(const std::vector<LostRunner>& lost) {
+  std::map<JobId, int> runners_of;
+  for (const LostRunner& runner : lost) {
+    for (const JobId& job : runner.young_jobs) ++runners_of[job];
+  }
+  return static_cast<int>(std::count_if(
+      lost.begin(), lost.end(), [&runners_of](const LostRunner& runner) {
+        const bool shares_a_job = std::any_of(
+            runner.young_jobs.begin(), runner.young_jobs.end(),
+            [&](const JobId& job) { return runners_of.at(job) > 1; });
+        return !runner.explained && !shares_a_job;
+      }));
+}
+
 void LossBook::NoteOpen(const TaskName& task, const RunLoss& loss,
                         TimePoint now) {
   const auto [it, added] = open_.emplace(loss.runner, Open());
@@ -53,23 +68,19 @@
   return overdue;
 }
 
-void LossBook::NoteRunnerLost(const RunnerId& runner, TimePoint silent_since,
-                              bool explained) {
-  lost_.push_back({runner, silent_since, explained});
+void LossBook::NoteRunnerLost(LostRunner lost) {
+  lost_.push_back(std::move(lost));
   if (lost_.size() > kMostLost) lost_.pop_front();
 }
 
-std::set<RunnerId> LossBook::UnexplainedAround(TimePoint moment,
-                                               const RunnerId& besides) const {
-  std::set<RunnerId> runners;
-  for (const Lost& lost : lost_) {
-    if (lost.explained || lost.runner == besides) continue;
-    const Duration apart = lost.silent_since < moment
-                               ? moment - lost.silent_since
-                               : lost.silent_since - moment;
-    if (apart <= rules_.same_moment) runners.insert(lost.runner);
+std::vector<LostRunner> LossBook::LostAround(TimePoint moment) const {
+  std::vector<LostRunner> around;
+  for (const LostRunner& lost : lost_) {
+    const bool same_moment = lost.silent_since <= moment + rules_.same_moment &&
+                             moment <= lost.silent_since + rules_.same_moment;
+    if (same_moment) around.push_back(lost);
   }
-  return runners;
+  return around;
 }
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/loss_book.h
+++ b/src/dispatch/loss_book.h
@@ -20,6 +20,21 @@
 
 namespace limeledge::dispatch {
 
+/// A runner that fell silent and is taken for lost.
+struct LostRunner {
+  RunnerId id;
+  TimePoint silent_since;
+  /// A start right before it fell silent explains its end.
+  bool explained = false;
+  /// Jobs of which a run had begun there soon before.
+  std::set<JobId> young_jobs;
+};
+
+/// Counts runners of one moment whose end nothing explains: no start right
+/// before it, and no job that had begun soon before on two of them. Safe from
+/// any thread.
+int CountUnexplained(const std::vector<LostRunner>& lost);
+
 /// Remembers runners that were lost. Pure bookkeeping.
 ///
 /// Thread safety: none; use it from one thread.
@@ -39,13 +54,10 @@
   std::vector<RunnerId> Overdue(TimePoint now) const;
   bool HasOpen() const { return !open_.empty(); }
 
-  /// Notes when a runner fell silent that is taken for lost now, and whether a
-  /// start shortly before explains it.
-  void NoteRunnerLost(const RunnerId& runner, TimePoint silent_since,
-                      bool explained);
-  /// Other runners that were lost about that moment with nothing to explain it.
-  std::set<RunnerId> UnexplainedAround(TimePoint moment,
-                                       const RunnerId& besides) const;
+  /// Notes a runner that is taken for lost now.
+  void NoteRunnerLost(LostRunner lost);
+  /// Runners that were lost about that moment.
+  std::vector<LostRunner> LostAround(TimePoint moment) const;
 
  private:
   struct Open {
@@ -53,16 +65,11 @@
     TimePoint since;
     std::set<TaskName> tasks;
   };
-  struct Lost {
-    RunnerId runner;
-    TimePoint silent_since;
-    bool explained = false;
-  };
 
   LossRules rules_;
   std::map<RunnerId, Open> open_;
   /// The newest losses of runners, oldest first.
-  std::deque<Lost> lost_;
+  std::deque<LostRunner> lost_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -68,14 +68,22 @@
   return {trust >= Trust::kSuspect, far, trust};
 }
 
-/// Smaller is better: a fit runner, then the one that is left with the least
-/// room, in the fullest rack, so that gangs find whole runners of one rack.
-using Waste = std::tuple<Fitness, std::int64_t, std::int64_t, std::int64_t>;
+/// What is at risk if the request's tasks crash their runners.
+std::int64_t RiskOf(const Seat& seat, const PlacementRequest& request) {
+  return request.is_suspect ? seat.work_at_risk : 0;
+}
+
+/// Smaller is better: the least work at risk, a fit runner, then the one that
+/// is left with the least room, in the fullest rack, so that gangs find whole
+/// runners of one rack.
+using Waste =
+    std::tuple<std::int64_t, Fitness, std::int64_t, std::int64_t, std::int64_t>;
 
 Waste WasteOf(const Seat& seat, const PlacementRequest& request,
               std::int64_t rack_room) {
   const Resources& need = request.step->need;
-  return {FitnessOf(TrustOf(seat, request), IsFar(seat, *request.step)),
+  return {RiskOf(seat, request),
+          FitnessOf(TrustOf(seat, request), IsFar(seat, *request.step)),
           seat.room.accelerators - need.accelerators, rack_room,
           seat.room.cpu_millis - need.cpu_millis};
 }
@@ -103,6 +111,7 @@
 bool Seating::Suits(const Seat& seat, const PlacementRequest& request) {
   const RunnerInfo& info = seat.runner->info();
   const StepSpec& step = *request.step;
+  if (seat.on_probation) return false;
   const bool closed =
       seat.urgent_rack && request.urgent_racks == UrgentRacks::kClosed;
   if (closed || info.service != request.service) return false;
@@ -141,8 +150,9 @@
   return left <= 0;
 }
 
-void Seating::Take(Seat* seat, const StepSpec& step) {
+void Seating::Take(Seat* seat, const StepSpec& step, bool is_suspect) {
   seat->room -= step.room();
+  if (is_suspect) seat->on_probation = true;
   rack_room_[seat->rack_number] -= step.need.accelerators;
   if (step.sharing() == Sharing::kFills) ++seat->fillers;
   if (step.sharing() == Sharing::kServes) ++seat->serving;
@@ -159,7 +169,7 @@
     best = &seat;
     best_waste = waste;
   }
-  if (best != nullptr) Take(best, *request.step);
+  if (best != nullptr) Take(best, *request.step, request.is_suspect);
   return best;
 }
 
@@ -199,7 +209,7 @@
   std::vector<Seat*> best;
   // The fittest runners, then the fullest rack that fits, so that emptier ones
   // stay whole.
-  std::tuple<Fitness, bool, std::int64_t> best_cost;
+  std::tuple<std::int64_t, Fitness, bool, std::int64_t> best_cost;
   for (const std::vector<Seat*>& seats : racks) {
     std::vector<Seat*> chosen = PlaceAmong(request, seats);
     if (chosen.empty()) continue;
@@ -209,15 +219,17 @@
     const Seat& first = *seats.front();
     const bool preferred =
         first.urgent_rack && request.urgent_racks == UrgentRacks::kPreferred;
-    const std::tuple<Fitness, bool, std::int64_t> cost = {
-        fitness, !preferred, rack_room_[first.rack_number]};
+    std::int64_t risk = 0;
+    for (const Seat* seat : chosen) risk += RiskOf(*seat, request);
+    const std::tuple<std::int64_t, Fitness, bool, std::int64_t> cost = {
+        risk, fitness, !preferred, rack_room_[first.rack_number]};
     if (!best.empty() && cost >= best_cost) continue;
     best = std::move(chosen);
     best_cost = cost;
   }
   const bool one_rack_only = request.step->same_rack && !request.anywhere;
   if (best.empty() && !one_rack_only) best = PlaceAmong(request, all);
-  for (Seat* seat : best) Take(seat, *request.step);
+  for (Seat* seat : best) Take(seat, *request.step, request.is_suspect);
   return best;
 }
 
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -32,6 +32,12 @@
   Resources coming;
   /// A run failed there lately, and none was done since.
   bool suspect = false;
+  /// A task that may crash its runners is being tried there, and nothing is to
+  /// be put beside it meanwhile.
+  bool on_probation = false;
+  /// Work that would be lost with the runner, in core-milliseconds; only known
+  /// once `Planner::Pass` needs it.
+  std::int64_t work_at_risk = 0;
   /// Runs there that share the processors in some way, with those that this
   /// pass decided on.
   int fillers = 0;
@@ -62,6 +68,9 @@
   const std::set<RunnerId>* allowed = nullptr;
   /// Runners that are usually faster go first.
   bool prefers_fast = false;
+  /// The tasks may crash their runners: those go first on which the least work
+  /// is at risk.
+  bool is_suspect = false;
   UrgentRacks urgent_racks = UrgentRacks::kOpen;
 };
 
@@ -92,7 +101,7 @@
  private:
   std::vector<Seat*> PlaceAmong(const PlacementRequest& request,
                                 const std::vector<Seat*>& seats);
-  void Take(Seat* seat, const StepSpec& step);
+  void Take(Seat* seat, const StepSpec& step, bool is_suspect);
 
   std::vector<Seat> seats_;
   /// Free accelerators of each rack, by its number.
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -188,6 +188,11 @@
     /// Latest start that still meets the deadline.
     std::int64_t latest_start_wall_ms = 0;
     std::vector<int> waiting;
+
+    /// True if the task of that index may be what crashed its runners.
+    bool IsSuspectTask(int index) const {
+      return IsSuspect(step->tasks[index].losses);
+    }
   };
   /// Room that was made by displacing, until it is free.
   struct Claim {
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -101,6 +101,8 @@
   /// True if a gang that could begin far from its data, or spread over racks,
   /// is expected to be done sooner by waiting for a good place.
   bool IsDoneSoonerByWaiting(const Unit& unit, const PlacementRequest& request);
+  /// Has the request look for runners where the least is lost if they crash.
+  void SpareOthers(PlacementRequest* request);
   /// What the step's tasks are expected to take on good places.
   Duration NearTimeOf(const Unit& unit) const;
   /// True if a task that takes no more was found to fit nowhere in this pass.
@@ -190,6 +192,7 @@
   /// All room of the urgent racks, whatever is taken of it.
   Resources urgent_room_;
   bool idle_ = false;
+  bool knows_risks_ = false;
   /// All room is known; what seems short may only not be seen yet otherwise.
   bool knows_room_ = false;
   std::set<TaskName> displaced_;
--- a/src/dispatch/planner_places.cc
+++ b/src/dispatch/planner_places.cc
@@ -110,7 +110,22 @@
   return coming.has_value() && coming->until < NearTimeOf(unit) * kFarFactor;
 }
 
+void Planner::Pass::SpareOthers(PlacementRequest* request) {
+  request->is_suspect = true;
+  if (knows_risks_) return;
+  knows_risks_ = true;
+  for (Seat& seat : seating_.seats()) {
+    for (const auto& [name, run] : seat.runner->runs()) {
+      seat.work_at_risk += CostOf(name, run);
+    }
+  }
+}
+
 void Planner::Pass::PlaceGang(Unit* unit, PlacementRequest* request) {
+  const bool has_suspect =
+      std::any_of(unit->waiting.begin(), unit->waiting.end(),
+                  [unit](int index) { return unit->IsSuspectTask(index); });
+  if (has_suspect) SpareOthers(request);
   if (IsDoneSoonerByWaiting(*unit, *request)) request->anywhere = false;
   const std::vector<Seat*> seats = PlaceAll(*unit, *request);
   if (seats.empty()) {
@@ -192,6 +207,8 @@
   }
   std::size_t placed = 0;
   for (const int index : unit->waiting) {
+    request->is_suspect = false;
+    if (unit->IsSuspectTask(index)) SpareOthers(request);
     Seat* seat = PlaceOne(*unit, *request);
     if (seat == nullptr) break;
     ++request->used[seat->runner->id()];
--- a/src/dispatch/run_loss.cc
+++ b/src/dispatch/run_loss.cc
@@ -17,17 +17,20 @@
 
 }  // namespace
 
-LossVerdict JudgeLosses(const std::vector<RunLoss>& losses,
+LossVerdict JudgeLosses(const std::vector<RunLoss>& losses, int newest_run,
                         const LossRules& rules) {
   int crashes = 0;
   int suspicious = 0;
+  int starts_since = 0;
   for (const RunLoss& loss : losses) {
     if (!loss.crashed) continue;
     ++crashes;
     if (loss.suspicious) ++suspicious;
+    if (crashes == rules.counted_crashes) starts_since = newest_run - loss.run;
   }
-  const bool given_up =
-      suspicious >= rules.suspicious_crashes || crashes >= rules.crashes;
+  const bool given_up = suspicious >= rules.suspicious_crashes ||
+                        crashes >= rules.crashes ||
+                        starts_since >= rules.starts_after_them;
   if (given_up) return LossVerdict::kGivenUp;
   const bool too_many = static_cast<int>(losses.size()) >= rules.crashes;
   return too_many ? LossVerdict::kMustWait : LossVerdict::kMayStart;
--- a/src/dispatch/run_loss.h
+++ b/src/dispatch/run_loss.h
@@ -41,17 +41,21 @@
   /// A task is given up after so many suspicious crashes. The platform allows
   /// it from the second crash on.
   int suspicious_crashes = 2;
-  /// The same for crashes of any kind. After the third, the platform counts
-  /// further starts, of which it allows two.
+  /// The same for crashes of any kind.
   int crashes = 4;
+  /// After so many crashes of any kind the platform counts further starts, of
+  /// which it allows so many: a member of a gang may be started in vain since
+  /// another one crashed its runner first.
+  int counted_crashes = 3;
+  int starts_after_them = 2;
   /// Runners that fall silent within this of each other may have one cause.
   Duration same_moment{1000};
   /// A start explains a crash if the runner fell silent within this after it: a
   /// few round trips. Twice as much explains every second crash by chance where
   /// a runner gets a start a second.
   Duration explained{250};
-  /// So many other crashes at the same moment that no start explains tell of a
-  /// cause from outside, such as power that is lost.
+  /// So many crashes at the same moment that no start explains tell of a cause
+  /// from outside, such as power that is lost.
   int unexplained_runners = 2;
   /// How long it is waited for what became of a silent runner. Longer than an
   /// entry takes to lapse, and a runner to come back after a crash.
@@ -69,8 +73,9 @@
   kGivenUp,
 };
 
-/// Judges a task by what it lost so far. Thread-safe.
-LossVerdict JudgeLosses(const std::vector<RunLoss>& losses,
+/// Judges a task by what it lost so far, in rising order of runs; `newest_run`
+/// is the last that was decided on. Thread-safe.
+LossVerdict JudgeLosses(const std::vector<RunLoss>& losses, int newest_run,
                         const LossRules& rules);
 
 /// True if the task may be what crashed a runner. Thread-safe.
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -74,6 +74,11 @@
   return std::max(Duration(0), silent_since - *run.sent_at);
 }
 
+bool IsOnProbation(const Run& run, Duration probation, TimePoint now) {
+  if (!run.suspect) return false;
+  return run.phase != RunPhase::kRunning || now - run.started_at < probation;
+}
+
 void Runner::Update(const RunnerInfo& info, TimePoint now) {
   listed_ = true;
   if (!(info.room == info_.room)) {
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -46,6 +46,8 @@
   kStored,
   /// The start is under way.
   kStarting,
+  /// The runner's next life refused the start.
+  kRefused,
   /// The start got no answer; it may still be carried out.
   kUnsure,
   /// Stored by an earlier scheduler; the runner was not heard yet.
@@ -58,6 +60,11 @@
   return phase == RunPhase::kPlanned || phase == RunPhase::kStored;
 }
 
+/// True if no run in that phase ever began.
+inline bool NeverBegan(RunPhase phase) {
+  return WasNeverSent(phase) || phase == RunPhase::kRefused;
+}
+
 /// A run's stop on its way, so that it is not sent again in vain: orders to one
 /// runner wait for each other.
 class StopRequest {
@@ -129,6 +136,10 @@
 std::optional<Duration> TimeUntilSilence(const Run& run,
                                          TimePoint silent_since);
 
+/// True if the run's task may crash its runners, and the run was not well for
+/// `probation` yet. Safe from any thread.
+bool IsOnProbation(const Run& run, Duration probation, TimePoint now);
+
 /// Where the fleet has a runner's next look.
 struct FiledLook {
   /// When it is due; nothing if none is.
--- a/src/dispatch/scheduler_losses.cc
+++ b/src/dispatch/scheduler_losses.cc
@@ -26,15 +26,19 @@
   return runner.silent_since().value_or(now);
 }
 
-/// True if a start shortly before the runner fell silent may have crashed it.
-bool IsExplained(const Runner& runner, TimePoint silent_since,
-                 const LossRules& rules) {
-  return std::any_of(runner.runs().begin(), runner.runs().end(),
-                     [&](const auto& entry) {
-                       const std::optional<Duration> lasted =
-                           TimeUntilSilence(entry.second, silent_since);
-                       return lasted.has_value() && *lasted <= rules.explained;
-                     });
+/// What the runs there tell of a runner's end.
+LostRunner DescribeLost(const Runner& runner, TimePoint silent_since,
+                        const LossRules& rules) {
+  LostRunner lost;
+  lost.id = runner.id();
+  lost.silent_since = silent_since;
+  for (const auto& [name, run] : runner.runs()) {
+    const std::optional<Duration> lasted = TimeUntilSilence(run, silent_since);
+    if (!lasted.has_value() || *lasted > rules.soon) continue;
+    lost.young_jobs.insert(name.job);
+    lost.explained = lost.explained || *lasted <= rules.explained;
+  }
+  return lost;
 }
 
 /// "RUN@RUNNER" of each, for logs.
@@ -66,8 +70,8 @@
   const TimePoint silent_since = SilentSince(*runner, ctx.now());
   const bool lost = how != RunnerEnd::kLeft && !runner->ended;
   if (lost) {
-    losses_.NoteRunnerLost(runner->id(), silent_since,
-                           IsExplained(*runner, silent_since, options_.losses));
+    losses_.NoteRunnerLost(
+        DescribeLost(*runner, silent_since, options_.losses));
   }
   for (const TaskName& name : names) EndLost(ctx, runner, name, how);
 }
@@ -93,8 +97,8 @@
                           const TaskName& name, const Run& run, RunnerEnd how) {
   Job* job = book_.Find(name.job);
   if (job == nullptr || how == RunnerEnd::kLeft) return;
-  // Nothing that never reached a runner can have crashed it.
-  if (WasNeverSent(run.phase)) return;
+  // What never began can not have crashed its runner.
+  if (NeverBegan(run.phase)) return;
   const TimePoint silent_since = SilentSince(runner, ctx.now());
   const std::optional<Duration> lasted = TimeUntilSilence(run, silent_since);
   RunLoss loss;
@@ -114,17 +118,18 @@
   if (!runner.silent_since().has_value()) return false;
   const LossRules& rules = options_.losses;
   const TimePoint moment = *runner.silent_since();
-  std::set<RunnerId> others = losses_.UnexplainedAround(moment, runner.id());
+  std::vector<LostRunner> lost = losses_.LostAround(moment);
+  std::set<RunnerId> known;
+  for (const LostRunner& other : lost) known.insert(other.id);
   for (const auto& [id, other] : fleet_.runners()) {
-    if (id == runner.id() || !other->silent_since().has_value()) continue;
-    const TimePoint since = *other->silent_since();
-    const bool same_moment = since <= moment + rules.same_moment &&
-                             moment <= since + rules.same_moment;
-    const bool unexplained =
-        !other->LeftAsKnown() && !IsExplained(*other, since, rules);
-    if (same_moment && unexplained && !other->ended) others.insert(id);
+    const std::optional<TimePoint> since = other->silent_since();
+    if (!since.has_value() || other->LeftAsKnown()) continue;
+    const bool same_moment = *since <= moment + rules.same_moment &&
+                             moment <= *since + rules.same_moment;
+    if (!same_moment || !known.insert(id).second) continue;
+    lost.push_back(DescribeLost(*other, *since, rules));
   }
-  return static_cast<int>(others.size()) >= rules.unexplained_runners;
+  return CountUnexplained(lost) >= rules.unexplained_runners;
 }
 
 void Scheduler::SettleLosses(Context& ctx, const RunnerId& runner, bool lives) {
@@ -160,7 +165,8 @@
   Job* job = book_.Find(name.job);
   if (job == nullptr) return;
   Task* task = job->Find(name);
-  const LossVerdict verdict = JudgeLosses(task->losses, options_.losses);
+  const LossVerdict verdict =
+      JudgeLosses(task->losses, task->run, options_.losses);
   task->held_back = verdict == LossVerdict::kMustWait;
   if (verdict != LossVerdict::kGivenUp || !job->GiveUp(name)) return;
   ctx.Log(LogId::kTaskGivenUp, {{"job", name.job.value()},
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -117,7 +117,9 @@
   if (job == nullptr) return StartObstacle::kJobOver;
   const Task& task =
       job->occurrences()[name.occurrence].steps[name.step].tasks[name.index];
-  if (JudgeLosses(task.losses, options_.losses) != LossVerdict::kMayStart) {
+  // The run itself is no start in vain yet.
+  if (JudgeLosses(task.losses, run.number - 1, options_.losses) !=
+      LossVerdict::kMayStart) {
     return StartObstacle::kTaskCrashesRunners;
   }
   if (run.stopping) return StartObstacle::kStopping;
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -82,6 +82,9 @@
                                 {"runner", answer.runner.value()},
                                 {"outcome", ToString(answer.outcome)}});
   if (answer.outcome == OrderOutcome::kOtherLife) {
+    // What another life refused never began, unless it had been sent to the
+    // life before, which did not answer.
+    if (runner->reachable()) run->phase = RunPhase::kRefused;
     EndAll(ctx, runner, "another life answers at its address");
     return;
   }
@@ -164,6 +167,7 @@
   for (const auto& [name, run] : runner->runs()) names.push_back(name);
   LoseRuns(ctx, runner, names,
            runner->LeftAsKnown() ? RunnerEnd::kLeft : RunnerEnd::kCrashed);
+  runner->ended = true;
   SettleLosses(ctx, runner->id(), false);
 }
 
@@ -192,7 +196,6 @@
   if (answer.outcome == OrderOutcome::kFenced) return Verdict::kDeposed;
   if (answer.outcome == OrderOutcome::kOtherLife) {
     EndAll(ctx, runner, "another life answers at its address");
-    runner->ended = true;
     return Verdict::kGoesOn;
   }
   if (answer.outcome != OrderOutcome::kDone) {
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -83,6 +83,7 @@
   options.name = absl::StrCat("n", node, "/", process.life);
   options.scheduler.planner = options_.planner;
   options.scheduler.book = options_.book;
+  options.scheduler.losses = options_.losses;
   process.node = std::make_unique<dispatch::Node>(options);
   Reduce(node, dispatch::Woken());
 }
@@ -231,9 +232,15 @@
   Trace(absl::StrCat("crash of ", id.value(), " by ", ToString(culprit)));
   ++crashes_.crashes;
   crashes_.bystanders_work += runner.UnsavedWorkBeside(culprit);
-  oracle_.NoteCrash(culprit);
-  lapsing_[id] = {runner.info(), now_ + options_.entry_lapse};
-  KillRunner(id, options_.crash_down);
+  oracle_.NoteCrash(culprit, now_);
+  CrashRunner(id, options_.crash_down);
+}
+
+void EmulatedSystem::CrashRunner(const RunnerId& runner, Duration down) {
+  const EmulatedRunner* found = FindRunner(runner);
+  if (found == nullptr) return;
+  lapsing_[runner] = {found->info(), now_ + options_.entry_lapse};
+  KillRunner(runner, down);
 }
 
 void EmulatedSystem::DropCrashed() {
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -40,6 +40,7 @@
   /// Of the scheduler of every node.
   dispatch::PlannerOptions planner;
   dispatch::JobBookOptions book;
+  dispatch::LossRules losses;
   /// One way between any two parties.
   Duration network{1};
   Duration store_time{4};
@@ -148,6 +149,8 @@
   void StopNode(int node);
   /// The runner ends; another life comes at its address after `down`.
   void KillRunner(const RunnerId& runner, Duration down);
+  /// The same as a crash: its entry stays in the list until it lapses.
+  void CrashRunner(const RunnerId& runner, Duration down);
   /// The runner says that it leaves, and does so after `time`.
   void DrainRunner(const RunnerId& runner, Duration time);
   EmulatedRunner* FindRunner(const RunnerId& runner);
--- a/src/emulator/promise_oracle.cc
+++ b/src/emulator/promise_oracle.cc
@@ -73,9 +73,11 @@
   CheckOrder(*watch, order.task);
 }
 
-void PromiseOracle::NoteCrash(const TaskName& task) {
+void PromiseOracle::NoteCrash(const TaskName& task, TimePoint now) {
   JobWatch* watch = Find(task.job);
-  if (watch != nullptr) ++watch->crashes[task];
+  if (watch == nullptr) return;
+  ++watch->crashes[task];
+  if (!watch->first_crash.has_value()) watch->first_crash = now;
 }
 
 void PromiseOracle::CheckCrashes(JobWatch* watch, const TaskName& task) {
--- a/src/emulator/promise_oracle.h
+++ b/src/emulator/promise_oracle.h
@@ -66,6 +66,8 @@
   /// that are allowed.
   std::map<dispatch::TaskName, int> crashes;
   std::map<dispatch::TaskName, int> starts_after_crashes;
+  /// When its tasks first crashed a runner.
+  std::optional<TimePoint> first_crash;
 };
 
 /// Holds every start and every noted end against the promises: nothing runs
@@ -90,7 +92,7 @@
   /// A runner carried a start out.
   void NoteStart(const dispatch::StartRun& order);
   /// The task crashed a runner.
-  void NoteCrash(const dispatch::TaskName& task);
+  void NoteCrash(const dispatch::TaskName& task, TimePoint now);
   /// A runner answered a look. `stands`: the runner's lease has not run out
   /// since it listed the end of that number.
   void NoteLook(const dispatch::LookAtRunner& look,
--- a/test/crash-test.cc
+++ b/test/crash-test.cc
@@ -75,4 +75,46 @@
   for (const std::string& what : slow.violations()) FAIL(what.c_str());
 }
 
+// A suspect task is tried where the least is lost, and nothing is put beside it
+// meanwhile: the runs that went with the first crash are the only ones.
+TEST(Crash, SuspectTaskIsTriedAloneWhereRunnersAreFree) {
+  const JobId job = Submit(Step(2, 1, Duration(15000)));
+  system.Run(Duration(500));
+  const JobId culprit = SubmitCrashing(Step(1, 1, Duration(2500)), kAtOnce);
+  system.Run(Duration(300));
+  const double lost_at_first = system.crashes().bystanders_work;
+  for (int i = 0; i < 20; ++i) {
+    Submit(Step(2, 1, Duration(1000)));
+    system.Run(Duration(400));
+  }
+  system.Run(Duration(20000));
+  STRCMP_EQUAL("failed", system.StateOf(culprit).c_str());
+  LONGS_EQUAL(2, system.crashes().crashes);
+  DOUBLES_EQUAL(lost_at_first, system.crashes().bystanders_work, 0);
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
+// Two jobs begin on one runner at the same moment, which one of them crashes.
+TEST(Crash, TaskThatBeganBesideTheCulpritIsNotGivenUpWithIt) {
+  SystemOptions options;
+  options.runners = 4;
+  options.planner.urgent_share = 0;
+  EmulatedSystem small(options);
+  small.Run(Duration(3000));
+  dispatch::JobSpec spec;
+  spec.steps = {Step(1, 1, Duration(2500))};
+  spec.policy.priority = 1;
+  TaskTruth sound;
+  sound.work = Duration(2500);
+  TaskTruth crashing = sound;
+  crashing.crashes_after = kAtOnce;
+  const JobId culprit = small.Submit(spec, {crashing});
+  const JobId other = small.Submit(spec, {sound});
+  small.Run(Duration(40000));
+  STRCMP_EQUAL("failed", small.StateOf(culprit).c_str());
+  STRCMP_EQUAL("done", small.StateOf(other).c_str());
+  LONGS_EQUAL(2, small.jobs().at(other).starts.begin()->second);
+}
+
 }  // namespace limeledge::emulator
--- a/test/innocent-test.cc
+++ b/test/innocent-test.cc
@@ -98,4 +98,23 @@
   CheckNoViolation();
 }
 
+// A runner crashed and came back between two looks. Its next life refused every
+// start that was sent to the one before, and each refusal was taken for a crash
+// by the task that was to start.
+TEST(Innocent, TaskWhoseStartAnotherLifeRefusesIsNotGivenUp) {
+  SystemOptions options;
+  options.runners = 1;
+  EmulatedSystem one(options);
+  one.Run(Duration(3000));
+  one.CrashRunner(RunnerId("i-0-1"), Duration(1));
+  std::vector<JobId> jobs;
+  for (int i = 0; i < 5; ++i) {
+    jobs.push_back(SubmitTo(&one, Step(1, 1, Duration(500))));
+  }
+  one.Run(Duration(20000));
+  for (const JobId& job : jobs) {
+    STRCMP_EQUAL("done", one.StateOf(job).c_str());
+  }
+}
+
 }  // namespace limeledge::emulator
--- a/test/run-loss-test.cc
+++ b/test/run-loss-test.cc
@@ -29,9 +29,10 @@
     return loss;
   }
 
-  void CheckVerdict(LossVerdict expected, const std::vector<RunLoss>& losses) {
+  void CheckVerdict(LossVerdict expected, const std::vector<RunLoss>& losses,
+                    int newest_run = 0) {
     LONGS_EQUAL(static_cast<int>(expected),
-                static_cast<int>(JudgeLosses(losses, rules)));
+                static_cast<int>(JudgeLosses(losses, newest_run, rules)));
   }
 };
 
@@ -57,6 +58,13 @@
   CheckVerdict(LossVerdict::kGivenUp, losses);
 }
 
+TEST(RunLoss, StartsInVainAfterThreeCrashesGiveATaskUp) {
+  const std::vector<RunLoss> losses = {
+      Loss(1, true, false), Loss(2, true, false), Loss(4, true, false)};
+  CheckVerdict(LossVerdict::kMayStart, losses, 5);
+  CheckVerdict(LossVerdict::kGivenUp, losses, 6);
+}
+
 TEST(RunLoss, SilentRunnersAreNoCrashesButAreWaitedFor) {
   std::vector<RunLoss> losses;
   for (int run = 1; run <= rules.crashes; ++run) {
@@ -88,16 +96,24 @@
   CHECK_FALSE(book.HasOpen());
 }
 
-TEST(RunLoss, BookTellsWhoElseWasLostAtThatMomentWithoutAStartToBlame) {
-  book.NoteRunnerLost(RunnerId("i-1"), TimePoint(1000), false);
-  book.NoteRunnerLost(RunnerId("i-2"), TimePoint(1900), true);
-  book.NoteRunnerLost(RunnerId("i-3"), TimePoint(2100), false);
-  LONGS_EQUAL(1,
-              book.UnexplainedAround(TimePoint(1000), RunnerId("i-2")).size());
-  LONGS_EQUAL(2,
-              book.UnexplainedAround(TimePoint(1500), RunnerId("i-2")).size());
+TEST(RunLoss, BookTellsWhoWasLostAboutAMoment) {
+  book.NoteRunnerLost({RunnerId("i-1"), TimePoint(1000), false, {}});
+  book.NoteRunnerLost({RunnerId("i-2"), TimePoint(1900), true, {}});
+  book.NoteRunnerLost({RunnerId("i-3"), TimePoint(2100), false, {}});
+  LONGS_EQUAL(2, book.LostAround(TimePoint(1000)).size());
+  LONGS_EQUAL(3, book.LostAround(TimePoint(1500)).size());
+}
+
+TEST(RunLoss, RunnersWithAStartToBlameAreExplained) {
+  const JobId common("j");
+  LONGS_EQUAL(2, CountUnexplained({{RunnerId("i-1"), TimePoint(), false, {}},
+                                   {RunnerId("i-2"), TimePoint(), false, {}}}));
+  LONGS_EQUAL(1, CountUnexplained({{RunnerId("i-1"), TimePoint(), true, {}},
+                                   {RunnerId("i-2"), TimePoint(), false, {}}}));
   LONGS_EQUAL(1,
-              book.UnexplainedAround(TimePoint(1500), RunnerId("i-3")).size());
+              CountUnexplained({{RunnerId("i-1"), TimePoint(), false, {common}},
+                                {RunnerId("i-2"), TimePoint(), false, {common}},
+                                {RunnerId("i-3"), TimePoint(), false, {}}}));
 }
 
 TEST(RunLoss, LossesAreStoredWithTheirTask) {
