Hold each start against the room that is there when it leaves

Cause: what may keep a start from leaving looked at the job, the gang, the runner's leaving and silence and the ticket, and not at the room: a start that was decided before the room shrank was sent after it. What a runner lists and nobody waits for took no room in the plan. Change: a start is held against the room last told, with all that was started, may still come, is being stopped, or is listed and unwanted; at runners that do not guard their rooms, also against the age of the list (2.8 s). What does not fit any more is given up with its gang and placed elsewhere at once. Emulated runners may leave their rooms unguarded, rooms change while they run, and the oracle holds each start against them.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -332,7 +332,7 @@
   return seats;
 }
 
-bool Fleet::KnowsRoom(TimePoint now) const {
+bool Fleet::KnowsFreeRoom(TimePoint now) const {
   if (now - first_listed_at_ >= options_.first_answers) return true;
   return std::none_of(runners_.begin(), runners_.end(), [](const auto& entry) {
     const Runner& runner = *entry.second;
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -75,6 +75,10 @@
   /// are. A runner that is taken away at short notice tells so two seconds
   /// before: read once a second, the list told of it 0.6 s before on average.
   Duration list_pause{100};
+  /// Rooms count as known while the list was read within this. A room that
+  /// shrank counts for starts 4.5 s later at the least (3 s of contact and a
+  /// heartbeat of 1.5 s), and a start may leave 1.5 s after its check.
+  Duration longest_room_age{2800};
   /// The list is read whole this often, whatever its changes told: what a
   /// change that was missed can do ends by that.
   Duration whole_list_interval{10000};
@@ -129,7 +133,11 @@
   std::vector<Seat> Seats(TimePoint now) const;
   /// False while a new scheduler waits for its first answers from runners: the
   /// room that it sees then is only a part of what there is.
-  bool KnowsRoom(TimePoint now) const;
+  bool KnowsFreeRoom(TimePoint now) const;
+  /// True while the list was read lately enough to tell how large rooms are.
+  bool KnowsRooms(TimePoint now) const {
+    return now - last_listed_at_ <= options_.longest_room_age;
+  }
   /// Drops runners that are gone and hold nothing.
   void DropGone(Context& ctx);
 
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -7,6 +7,7 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_JOB_H_
 #define LIMELEDGE_SRC_DISPATCH_JOB_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -117,6 +118,9 @@
   std::vector<Occurrence>& occurrences() { return occurrences_; }
   const std::vector<Occurrence>& occurrences() const { return occurrences_; }
   const StepSpec& step_spec(int step) const { return spec_.steps[step]; }
+  bool HasStep(int step) const {
+    return step >= 0 && static_cast<std::size_t>(step) < spec_.steps.size();
+  }
   /// The longest chain of estimates of steps, all of them or from `step` on.
   Duration longest_chain() const { return longest_chain_; }
   Duration ChainFrom(int step) const { return chains_[step]; }
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -79,8 +79,8 @@
   void SortUnits();
   void CollectOccurrence(Job* job, int number);
   void CollectStep(Job* job, int number, int index);
-  /// True while runners may hold runs that are not known yet, and do not refuse
-  /// by themselves what is too much for them.
+  /// True while runners may hold runs that are not known yet, or have a smaller
+  /// room than is known, and do not refuse by themselves what is too much.
   bool MayOverfill(const ServiceId& service) const;
   void SetOrder(const Occurrence& occurrence, int step, Unit* unit);
   /// How the unit stands against its `objective`, in milliseconds.
@@ -194,7 +194,9 @@
   bool idle_ = false;
   bool knows_risks_ = false;
   /// All room is known; what seems short may only not be seen yet otherwise.
-  bool knows_room_ = false;
+  bool knows_free_room_ = false;
+  /// The list of runners was read lately enough to tell how large rooms are.
+  bool knows_rooms_ = false;
   std::set<TaskName> displaced_;
   std::vector<Unit> units_;
   int kept_ = 0;
--- a/src/dispatch/planner_room.cc
+++ b/src/dispatch/planner_room.cc
@@ -57,7 +57,7 @@
 }
 
 bool Planner::Pass::MayDisplaceOthers(const Unit& unit) {
-  if (!knows_room_) return false;
+  if (!knows_free_room_) return false;
   if (unit.rank.entitled) return true;
   if (unit.policy.priority == 0) {
     return options_.policy->DisplacesBeyondGuarantee();
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace limeledge::dispatch {
 
@@ -151,6 +152,33 @@
   runs_.erase(found);
 }
 
+bool Runner::HasRoomFor(const Run& run) const {
+  Resources used = run.need;
+  for (const auto& [name, other] : runs_) {
+    if (!NeverBegan(other.phase)) used += other.need;
+  }
+  for (const auto& [key, other] : unwanted_) used += other.need;
+  return used.Fits(info_.room);
+}
+
+UnwantedRun& Runner::AddUnwanted(const RunKey& key, const Resources& need) {
+  const auto [it, added] = unwanted_.emplace(key, UnwantedRun());
+  if (added) {
+    it->second.need = need;
+    free_room_ -= need;
+  }
+  return it->second;
+}
+
+void Runner::ForgetUnwantedBut(const std::set<RunKey>& there) {
+  for (auto it = unwanted_.begin(); it != unwanted_.end();) {
+    const bool over =
+        there.count(it->first) == 0 && !it->second.stop.in_flight();
+    if (over) free_room_ += it->second.need;
+    it = over ? unwanted_.erase(it) : std::next(it);
+  }
+}
+
 int Runner::CountSharing(Sharing sharing) const {
   const auto found = sharing_.find(sharing);
   return found == sharing_.end() ? 0 : found->second;
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -126,6 +126,16 @@
 /// long and more.
 inline constexpr double kSlowRunner = 2.2;
 
+/// Names one run of a task.
+using RunKey = std::pair<TaskName, int>;
+
+/// A run that a runner lists and nobody waits for.
+struct UnwantedRun {
+  StopRequest stop;
+  /// What it takes of the runner's room.
+  Resources need;
+};
+
 /// How long the run will still take, by its progress where it shows any. Safe
 /// from any thread.
 Duration TimeLeft(const Run& run, TimePoint now);
@@ -183,8 +193,11 @@
   void Remove(const TaskName& name);
   /// Runs here that share the processors in that way.
   int CountSharing(Sharing sharing) const;
-  /// Room that no run takes; may be negative after a wrong guess.
+  /// Room that no run takes; negative where the room shrank under them.
   const Resources& free_room() const { return free_room_; }
+  /// True if the run fits beside all that may be there now: what was started or
+  /// may still come, what is being stopped, and what nobody waits for.
+  bool HasRoomFor(const Run& run) const;
 
   /// Notes an answer that carried the runner's clock.
   void Heard(TimePoint now, std::int64_t clock_ms);
@@ -232,9 +245,12 @@
     return unstored_ends.empty() ? newest_end : *unstored_ends.begin() - 1;
   }
   bool EndsAreStored() const { return unstored_ends.empty(); }
-  /// Runs that the runner listed and that nobody waits for, by their numbers,
-  /// with their stops.
-  std::map<std::pair<TaskName, int>, StopRequest> unwanted;
+  /// Runs that the runner listed and that nobody waits for.
+  std::map<RunKey, UnwantedRun>& unwanted() { return unwanted_; }
+  /// Notes a run that nobody waits for; it takes `need` until it is forgotten.
+  UnwantedRun& AddUnwanted(const RunKey& key, const Resources& need);
+  /// Forgets those that are not among `there` any more.
+  void ForgetUnwantedBut(const std::set<RunKey>& there);
   /// Nothing is placed here before this moment.
   TimePoint avoid_until;
   /// A run failed here, and none was done since: others are used first until
@@ -272,6 +288,7 @@
   TimePoint unlisted_at_;
   std::optional<TimePoint> drains_since_;
   std::map<TaskName, Run> runs_;
+  std::map<RunKey, UnwantedRun> unwanted_;
   Resources free_room_ = info_.room;
   std::map<Sharing, int> sharing_;
   double slowness_ = 1;
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -76,6 +76,11 @@
 void Scheduler::Take(Context& ctx, const RunnersListed& answer) {
   fleet_.Take(ctx, answer);
   TakeOtherLives(ctx, answer);
+  // A room may have shrunk under what waits to start there.
+  for (const RunnerInfo& info : answer.runners) {
+    const Runner& runner = *fleet_.runners().at(info.id);
+    if (!runner.waiting_starts.empty()) orders_due_.insert(info.id);
+  }
   plan_due_ = true;
 }
 
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -99,6 +99,11 @@
   kNoTicket,
   /// It became known meanwhile that its runners crash.
   kTaskCrashesRunners,
+  /// The room shrank meanwhile.
+  kNoRoom,
+  /// The runner would not refuse what is too much for it, and its room was not
+  /// confirmed lately.
+  kRoomUnconfirmed,
 };
 
 /// How a runner ended under the runs that went with it.
@@ -245,6 +250,10 @@
                 const std::vector<ListedEnd>& ends);
   void TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end);
   void TakeRunning(Context& ctx, Runner* runner, const ListedRun& listed);
+  /// What a run that nobody waits for takes, as far as that is known.
+  Resources NeedOfUnwanted(const Runner& runner, const TaskName& name);
+  /// True if the runner refuses by itself what is too much for it.
+  bool GuardsRoom(const Runner& runner) const;
   /// Forgets the stops of unwanted runs that are not there any more.
   static void ForgetUnwanted(Runner* runner,
                              const std::vector<ListedRun>& running);
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -35,6 +35,10 @@
       return "its runner is silent";
     case StartObstacle::kNoTicket:
       return "its ticket ran out";
+    case StartObstacle::kNoRoom:
+      return "its runner has no room for it any more";
+    case StartObstacle::kRoomUnconfirmed:
+      return "its runner's room was not confirmed lately";
     case StartObstacle::kTaskCrashesRunners:
       return "its task crashes runners";
   }
@@ -128,6 +132,10 @@
   if (releasing_) return StartObstacle::kReleasing;
   if (runner.drains_since().has_value()) return StartObstacle::kRunnerLeaves;
   if (!runner.reachable()) return StartObstacle::kRunnerSilent;
+  if (!runner.HasRoomFor(run)) return StartObstacle::kNoRoom;
+  if (!GuardsRoom(runner) && !fleet_.KnowsRooms(now)) {
+    return StartObstacle::kRoomUnconfirmed;
+  }
   const bool ticket_ran_out = PolicyOf(*job, *catalog_).needs_advice &&
                               TicketOf(now, runner, name).empty();
   if (ticket_ran_out) return StartObstacle::kNoTicket;
@@ -156,9 +164,9 @@
     SendStop(ctx, runner, name, run.number, &run.stop);
     return true;
   }
-  for (auto& [run, stop] : runner->unwanted) {
-    if (!stop.wanted()) continue;
-    SendStop(ctx, runner, run.first, run.second, &stop);
+  for (auto& [run, unwanted] : runner->unwanted()) {
+    if (!unwanted.stop.wanted()) continue;
+    SendStop(ctx, runner, run.first, run.second, &unwanted.stop);
     return true;
   }
   return false;
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -118,8 +118,10 @@
   }
   const bool answered = answer.outcome == OrderOutcome::kDone ||
                         answer.outcome == OrderOutcome::kOldRun;
-  const auto unwanted = runner->unwanted.find({answer.task, answer.run});
-  if (unwanted != runner->unwanted.end()) unwanted->second.Answered(answered);
+  const auto unwanted = runner->unwanted().find({answer.task, answer.run});
+  if (unwanted != runner->unwanted().end()) {
+    unwanted->second.stop.Answered(answered);
+  }
   Run* run = runner->FindRun(answer.task, answer.run);
   if (run == nullptr) return Verdict::kGoesOn;
   run->stop.Answered(answered);
@@ -254,8 +256,10 @@
   if (run == nullptr) {
     // Nobody waits for it any more. Looks may come hundreds of times a second;
     // a stop with each would hold up all other orders to this runner.
-    runner->unwanted[{listed.task, listed.run}].Want(ctx.now(),
-                                                     options_.stop_patience);
+    runner
+        ->AddUnwanted({listed.task, listed.run},
+                      NeedOfUnwanted(*runner, listed.task))
+        .stop.Want(ctx.now(), options_.stop_patience);
     orders_due_.insert(runner->id());
     return;
   }
@@ -276,14 +280,27 @@
   job->SaveProgress(listed.task, listed.checkpoint);
 }
 
+Resources Scheduler::NeedOfUnwanted(const Runner& runner,
+                                    const TaskName& name) {
+  const Job* job = book_.Find(name.job);
+  if (job != nullptr && job->HasStep(name.step)) {
+    return job->step_spec(name.step).room();
+  }
+  // Of a job that is closed nobody knows any more what its tasks take. A runner
+  // that does not guard its room gets nothing beside it.
+  return GuardsRoom(runner) ? Resources() : runner.info().room;
+}
+
+bool Scheduler::GuardsRoom(const Runner& runner) const {
+  const auto service = catalog_->services.find(runner.info().service);
+  return service != catalog_->services.end() && service->second.guards_capacity;
+}
+
 void Scheduler::ForgetUnwanted(Runner* runner,
                                const std::vector<ListedRun>& running) {
-  std::set<std::pair<TaskName, int>> there;
+  std::set<RunKey> there;
   for (const ListedRun& run : running) there.insert({run.task, run.run});
-  for (auto it = runner->unwanted.begin(); it != runner->unwanted.end();) {
-    const bool over = there.count(it->first) == 0 && !it->second.in_flight();
-    it = over ? runner->unwanted.erase(it) : std::next(it);
-  }
+  runner->ForgetUnwantedBut(there);
 }
 
 void Scheduler::TakeAbsent(Context& ctx, Runner* runner,
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -205,9 +205,9 @@
       [this, node] {
         dispatch::RunnersListed listed = ListOfRunners();
         ListSeen& seen = processes_[node].list_seen;
-        seen.draining.clear();
+        seen.entries.clear();
         for (const dispatch::RunnerInfo& info : listed.runners) {
-          seen.draining[info.id] = info.draining;
+          seen.entries[info.id] = {info.draining, info.room};
         }
         listed.newest = seen.revision = seen.revision.Next();
         return listed;
@@ -244,14 +244,16 @@
   changes.ok = true;
   changes.whole = false;
   changes.newest = seen.revision.Next();
-  std::map<RunnerId, bool> unseen = seen.draining;
+  std::map<RunnerId, ListSeen::Entry> unseen = seen.entries;
   for (const dispatch::RunnerInfo& info : ListOfRunners().runners) {
     const auto found = unseen.find(info.id);
-    const bool same = found != unseen.end() && found->second == info.draining;
+    const bool same = found != unseen.end() &&
+                      found->second.draining == info.draining &&
+                      found->second.room == info.room;
     if (!same) changes.runners.push_back(info);
     unseen.erase(info.id);
   }
-  for (const auto& [id, draining] : unseen) changes.gone.push_back(id);
+  for (const auto& [id, entry] : unseen) changes.gone.push_back(id);
   return changes;
 }
 
@@ -259,9 +261,9 @@
                            ListSeen* seen) {
   seen->revision = changes.newest;
   for (const dispatch::RunnerInfo& info : changes.runners) {
-    seen->draining[info.id] = info.draining;
+    seen->entries[info.id] = {info.draining, info.room};
   }
-  for (const RunnerId& id : changes.gone) seen->draining.erase(id);
+  for (const RunnerId& id : changes.gone) seen->entries.erase(id);
 }
 
 void EmulatedSystem::Perform(int node, const dispatch::LookAtRunner& look) {
--- a/src/emulator/emulated_oracle.cc
+++ b/src/emulator/emulated_oracle.cc
@@ -70,6 +70,21 @@
   if (trace_) trace_(absl::StrCat(now_.ms(), " ", what));
 }
 
+void EmulatedSystem::CheckRoom(const EmulatedRunner& runner,
+                               const dispatch::StartRun& order,
+                               TimePoint sent_at) {
+  const dispatch::Resources used = runner.UsedRoom();
+  if (options_.guards_capacity || used.Fits(runner.info().room)) return;
+  const auto earlier = earlier_rooms_.find(runner.info().id);
+  if (earlier != earlier_rooms_.end()) {
+    for (const auto& [room, until] : earlier->second) {
+      if (sent_at < until && used.Fits(room)) return;
+    }
+  }
+  oracle_.Violate(absl::StrCat("start of ", ToString(order.task), " fills ",
+                               runner.info().id.value(), " over its room"));
+}
+
 void EmulatedSystem::CheckStart(const EmulatedRunner& runner,
                                 const dispatch::StartRun& order,
                                 TimePoint sent_at) {
@@ -77,6 +92,7 @@
                      runner.info().id.value(), " by epoch ",
                      order.target.epoch.value()));
   oracle_.NoteStart(order);
+  CheckRoom(runner, order, sent_at);
   const RunName run{order.task, order.run};
   if (now_ - sent_at >= kLateStart) oracle_.NoteLateStart(run, now_);
   oracle_.CheckBegun(run, now_);
--- a/src/emulator/emulated_runner.cc
+++ b/src/emulator/emulated_runner.cc
@@ -50,10 +50,10 @@
   return kClockStart + now_.ms();
 }
 
-dispatch::Resources EmulatedRunner::FreeRoom() const {
-  dispatch::Resources room = info_.room;
-  for (const auto& [name, run] : runs_) room -= run.truth.need;
-  return room;
+dispatch::Resources EmulatedRunner::UsedRoom() const {
+  dispatch::Resources used;
+  for (const auto& [name, run] : runs_) used += run.truth.need;
+  return used;
 }
 
 void EmulatedRunner::AdvanceTo(TimePoint now) {
@@ -232,7 +232,11 @@
   }
   if (too_late) return OrderOutcome::kTooLate;
   const TaskTruth truth = truth_(order.task);
-  if (!truth.need.Fits(FreeRoom())) return OrderOutcome::kNoRoom;
+  dispatch::Resources used = UsedRoom();
+  used += truth.need;
+  if (bounds_.guards_room && !used.Fits(info_.room)) {
+    return OrderOutcome::kNoRoom;
+  }
   BeginRun(order, truth);
   return OrderOutcome::kDone;
 }
--- a/src/emulator/emulated_runner.h
+++ b/src/emulator/emulated_runner.h
@@ -42,6 +42,8 @@
   /// If not 0, a lease counts for this long from when its order arrives,
   /// whatever end the order names.
   Duration lease_from_arrival;
+  /// Runners refuse what does not fit into their room.
+  bool guards_room = true;
 };
 
 /// What runners share: the truth of tasks, and who is there of each gang.
@@ -85,6 +87,10 @@
   /// Every run that begins from now on fails at once.
   void SetBroken(bool broken) { broken_ = broken; }
 
+  /// What all runs that have not ended take, those that are being stopped
+  /// included.
+  dispatch::Resources UsedRoom() const;
+
   /// The task that crashed this life; nothing while it lives. A life that
   /// crashed does nothing more, and is to be removed.
   const std::optional<dispatch::TaskName>& crashed_by() const {
@@ -126,7 +132,6 @@
   void Work(const dispatch::TaskName& name, ActiveRun* run, Duration step);
   void End(const dispatch::TaskName& name, dispatch::RunEnd end);
   void Save(const dispatch::TaskName& name, ActiveRun* run);
-  dispatch::Resources FreeRoom() const;
 
   dispatch::RunnerInfo info_;
   RunnerBounds bounds_;
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -38,6 +38,7 @@
   for (auto& [id, service] : catalog_.services) {
     service.guards_capacity = options.guards_capacity;
   }
+  options_.bounds.guards_room = options.guards_capacity;
   for (int i = 0; i < options_.runners; ++i) AddRunner(i, 1);
   processes_.resize(options_.nodes);
   for (int i = 0; i < options_.nodes; ++i) StartNode(i);
@@ -249,6 +250,15 @@
   for (const std::string& address : addresses) DropIfCrashed(address);
 }
 
+void EmulatedSystem::SetRoom(const RunnerId& runner,
+                             const dispatch::Resources& room) {
+  EmulatedRunner* found = FindRunner(runner);
+  if (found == nullptr) return;
+  earlier_rooms_[runner].emplace_back(found->info().room,
+                                      now_ + options_.room_notice);
+  found->info().room = room;
+}
+
 void EmulatedSystem::DrainRunner(const RunnerId& runner, Duration time) {
   EmulatedRunner* found = FindRunner(runner);
   if (found == nullptr) return;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -34,9 +34,10 @@
   int runners_per_rack = 4;
   dispatch::Resources room{64000, 262144, 8};
   RunnerBounds bounds;
-  /// What the catalog says; emulated runners refuse what does not fit either
-  /// way.
+  /// What the catalog says, and what runners do.
   bool guards_capacity = true;
+  /// A room that has shrunk counts for starts so much later.
+  Duration room_notice{4500};
   /// Of the scheduler of every node.
   dispatch::PlannerOptions planner;
   dispatch::JobBookOptions book;
@@ -130,6 +131,8 @@
   int looks() const { return looks_; }
   const ReducerUse& reducer_use() const { return reducer_use_; }
   const CrashCount& crashes() const { return crashes_; }
+  /// The room of each runner as it begins.
+  const dispatch::Resources& room() const { return options_.room; }
   /// Orders to one runner that waited for each other, at most.
   std::size_t longest_order_lane() const { return longest_order_lane_; }
   const std::vector<std::string>& violations() const {
@@ -151,6 +154,8 @@
   void KillRunner(const RunnerId& runner, Duration down);
   /// The same as a crash: its entry stays in the list until it lapses.
   void CrashRunner(const RunnerId& runner, Duration down);
+  /// The runner's room changes while it runs, and its entry with it.
+  void SetRoom(const RunnerId& runner, const dispatch::Resources& room);
   /// The runner says that it leaves, and does so after `time`.
   void DrainRunner(const RunnerId& runner, Duration time);
   EmulatedRunner* FindRunner(const RunnerId& runner);
@@ -160,8 +165,12 @@
   /// The list of runners as a node was last told of it.
   struct ListSeen {
     Revision revision;
-    /// Whether each runner said that it leaves.
-    std::map<RunnerId, bool> draining;
+    struct Entry {
+      bool draining = false;
+      dispatch::Resources room;
+    };
+    /// What each runner said of itself.
+    std::map<RunnerId, Entry> entries;
   };
   struct Process {
     std::unique_ptr<dispatch::Node> node;
@@ -266,6 +275,9 @@
   void CheckCancelledLater();
   /// All runs that go on now.
   std::vector<RunName> ActiveRuns();
+  /// Has the oracle check what a runner that does not guard its room holds.
+  void CheckRoom(const EmulatedRunner& runner, const dispatch::StartRun& order,
+                 TimePoint sent_at);
   /// Has the oracle check a start that a runner carried out.
   void CheckStart(const EmulatedRunner& runner, const dispatch::StartRun& order,
                   TimePoint sent_at);
@@ -283,6 +295,10 @@
   int looks_ = 0;
   ReducerUse reducer_use_;
   CrashCount crashes_;
+  /// Rooms that runners had before they shrank, and since when they do not
+  /// count.
+  std::map<RunnerId, std::vector<std::pair<dispatch::Resources, TimePoint>>>
+      earlier_rooms_;
   /// Entries of runners that crashed, until they lapse.
   std::map<RunnerId, std::pair<dispatch::RunnerInfo, TimePoint>> lapsing_;
   std::size_t longest_order_lane_ = 0;
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -114,15 +114,15 @@
 // A new scheduler displaced runs for room that others were about to show.
 TEST(Fleet, RoomIsKnownOnceEachListedRunnerAnsweredOrMissed) {
   Runner* runner = AddRunner("i-1");
-  CHECK_FALSE(fleet.KnowsRoom(now));
+  CHECK_FALSE(fleet.KnowsFreeRoom(now));
   runner->Missed(now);
-  CHECK_TRUE(fleet.KnowsRoom(now));
+  CHECK_TRUE(fleet.KnowsFreeRoom(now));
 }
 
 TEST(Fleet, RoomCountsAsKnownWhenFirstAnswersTakeLong) {
   AddRunner("i-1");
   now = now + FleetOptions().first_answers;
-  CHECK_TRUE(fleet.KnowsRoom(now));
+  CHECK_TRUE(fleet.KnowsFreeRoom(now));
 }
 
 TEST(Fleet, LookAtAnsweringRunnerRenewsItsLease) {
--- /dev/null
+++ b/test/room-fuzz-test.cc
@@ -0,0 +1,159 @@
+/// @file
+/// Random courses over runners that do not guard their rooms, which shrink and
+/// grow, beside faults, against the oracle of an emulated system.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "CppUTest/TestHarness.h"
+#include "course-settings.h"
+#include "emulator/emulated_system.h"
+
+namespace limeledge::emulator {
+
+namespace {
+
+/// Courses of one run, unless more are asked for.
+constexpr int kCourses = 30;
+
+/// One random course over a system.
+class RoomCourse {
+ public:
+  explicit RoomCourse(int seed)
+      : random_(static_cast<std::uint64_t>(seed)), system_(OptionsFor(seed)) {
+    TraceIfAsked(&system_);
+  }
+
+  /// Returns what went wrong.
+  std::vector<std::string> Play() {
+    system_.Run(Duration(3000));
+    for (int i = 0; i < kSteps; ++i) {
+      Submit();
+      if (OneIn(3)) ChangeRoom(OneIn(3) ? 0 : Pick(1, kParts));
+      if (OneIn(6)) Fault();
+      system_.Run(Duration(Pick(100, 700)));
+    }
+    system_.faults() = Faults();
+    for (const RunnerId& id : system_.RunnerIds()) {
+      system_.SetRoom(id, system_.room());
+    }
+    system_.Run(Duration(90000));
+    std::vector<std::string> wrong = system_.violations();
+    for (const auto& [id, watch] : system_.jobs()) {
+      const std::string state = system_.StateOf(id);
+      if (state != "done") wrong.push_back("job " + id.value() + " " + state);
+    }
+    return wrong;
+  }
+
+ private:
+  static constexpr int kSteps = 60;
+  /// A room shrinks to so many parts of this many.
+  static constexpr int kParts = 4;
+
+  static SystemOptions OptionsFor(int seed) {
+    SystemOptions options;
+    options.seed = static_cast<std::uint64_t>(seed);
+    options.guards_capacity = false;
+    // Few runners, so that many starts wait for their turn at each.
+    options.runners = 3;
+    return options;
+  }
+
+  int Pick(int from, int to) {
+    return from + static_cast<int>(random_() % (to - from + 1));
+  }
+  bool OneIn(int n) { return Pick(1, n) == 1; }
+
+  RunnerId AnyRunner() {
+    const std::vector<RunnerId> ids = system_.RunnerIds();
+    return ids.empty() ? RunnerId("none")
+                       : ids[Pick(0, static_cast<int>(ids.size()) - 1)];
+  }
+
+  void ChangeRoom(int parts) {
+    dispatch::Resources room = system_.room();
+    room.cpu_millis = room.cpu_millis * parts / kParts;
+    room.memory_mb = room.memory_mb * parts / kParts;
+    room.accelerators = room.accelerators * parts / kParts;
+    system_.SetRoom(AnyRunner(), room);
+  }
+
+  void Submit() {
+    dispatch::JobSpec spec;
+    dispatch::StepSpec step;
+    step.count = Pick(1, 10);
+    constexpr std::int64_t kMillisPerCore = 1000;
+    step.need = {Pick(1, 6) * kMillisPerCore, 4096, Pick(0, 2)};
+    step.estimate = Duration(Pick(300, 4000));
+    step.gang = OneIn(4);
+    step.saves_progress = OneIn(2);
+    TaskTruth truth;
+    truth.work = step.estimate * Pick(60, 160) / 100;
+    spec.policy.priority = OneIn(3) ? 0 : 1;
+    spec.steps = {step};
+    system_.Submit(spec, {truth});
+  }
+
+  void Fault() {
+    Faults& faults = system_.faults();
+    const int leader = std::max(0, system_.leader());
+    switch (Pick(0, 9)) {
+      case 0:
+        system_.KillNode(leader, Duration(Pick(100, 3000)));
+        break;
+      case 1:
+        system_.FreezeNode(leader, Duration(Pick(500, 7000)));
+        break;
+      case 2:
+        faults.store_down = !faults.store_down;
+        break;
+      case 3:
+        faults.orders_lost = faults.orders_lost > 0 ? 0 : 0.2;
+        faults.late_order = Duration(Pick(500, 9000));
+        break;
+      case 4:
+      case 8:
+      case 9:
+        // A runner may take most of the second after which an order is lost.
+        faults.order_time = Duration(OneIn(3) ? 0 : Pick(300, 950));
+        break;
+      case 5:
+        faults.unreachable_runners.insert(AnyRunner());
+        break;
+      case 6:
+        faults.store_slowness = faults.store_slowness > 1 ? 1 : Pick(10, 60);
+        break;
+      default:
+        faults = Faults();
+    }
+  }
+
+  std::mt19937_64 random_;
+  EmulatedSystem system_;
+};
+
+}  // namespace
+
+TEST_GROUP(RoomFuzz){};
+
+TEST(RoomFuzz, RoomsThatChangeAreNeverOverfilled) {
+  int broken = 0;
+  for (int i = 0; i < CoursesOr(kCourses); ++i) {
+    const int seed = FirstSeed() + i;
+    const std::vector<std::string> wrong = RoomCourse(seed).Play();
+    if (wrong.empty()) continue;
+    ++broken;
+    UT_PRINT(("seed " + std::to_string(seed) + ": " + wrong.front() + " (" +
+              std::to_string(wrong.size()) + " in all)")
+                 .c_str());
+  }
+  LONGS_EQUAL(0, broken);
+}
+
+}  // namespace limeledge::emulator
