Count the time away of a suspended machine, and act on nothing before the right is confirmed

Cause: the clock was the monotonic one, which stands still while a machine is suspended, so that a scheduler took its lease, tickets, rooms and all that it heard for younger than they were. One that had stood still, frozen or suspended, also sent what waited, looked, granted and stopped before it learnt whether another one schedules. A process that comes to its work a second late has the store confirm its lease by a write of the lease alone, and sends and writes nothing else before.

--- a/include/limeledge/clock.h
+++ b/include/limeledge/clock.h
@@ -93,7 +93,9 @@
   virtual TimePoint Now() const = 0;
 };
 
-/// The machine's steady clock, which goes on while the process is paused.
+/// The machine's steady clock, which goes on while the process is paused, and
+/// while the machine is suspended. Timers of the system do not: what they wake
+/// is checked by this clock.
 class SteadyClock : public Clock {
  public:
   TimePoint Now() const override;
--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -166,6 +166,9 @@
       {LogId::kTaskGivenUp, kWarning, "task_given_up",
        "A task is not started any more since runners crash under it; the "
        "fields name them, with the runs."},
+      {LogId::kStoodStill, kWarning, "stood_still",
+       "This process came late to its work; it acts on nothing before the "
+       "store has confirmed that it still schedules."},
       {LogId::kCatalogInForce, kInfo, "catalog_in_force",
        "A newer configuration is in force."},
       {LogId::kCatalogStale, kWarning, "catalog_stale",
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -89,6 +89,7 @@
   kRunLost = 933,
   kLossSettled = 934,
   kTaskGivenUp = 935,
+  kStoodStill = 936,
   kCatalogInForce = 940,
   kCatalogStale = 941,
   kCatalogFollowed = 942,
--- a/src/dispatch/advice_book.cc
+++ b/src/dispatch/advice_book.cc
@@ -55,6 +55,7 @@
 
 void AdviceBook::Take(Context& ctx, const AdviceAnswered& answer) {
   under_way_ = false;
+  const Duration stood_still = std::exchange(stood_still_, Duration());
   if (!answer.ok) {
     next_at_ = ctx.now() + options_.retry_pause;
     ctx.Log(LogId::kAdviceFailed, {{"step", ToString(answer.step)}});
@@ -63,7 +64,7 @@
   std::map<RunnerId, Entry>& known = steps_[answer.step];
   for (const RunnerId& runner : answer.asked) known[runner] = Entry();
   for (const auto& [runner, ticket] : answer.tickets) {
-    known[runner] = {true, ticket, ctx.now() + answer.valid};
+    known[runner] = {true, ticket, ctx.now() + answer.valid - stood_still};
   }
   ctx.Log(LogId::kAdviceTaken,
           {{"step", ToString(answer.step)},
--- a/src/dispatch/advice_book.h
+++ b/src/dispatch/advice_book.h
@@ -49,6 +49,11 @@
   void Take(Context& ctx, const AdviceAnswered& answer);
   /// Forgets the job's steps.
   void Forget(const JobId& job);
+  /// The process stood still for `time`: tickets that were under way are as
+  /// much older than they seem.
+  void NoteStoodStill(Duration time) {
+    if (under_way_) stood_still_ = stood_still_ + time;
+  }
 
  private:
   struct Entry {
@@ -60,6 +65,8 @@
 
   AdviceOptions options_;
   bool under_way_ = false;
+  /// How long the process stood still since the call under way was sent.
+  Duration stood_still_;
   TimePoint next_at_;
   std::map<StepName, std::map<RunnerId, Entry>> steps_;
 };
--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -41,6 +41,7 @@
 void Fleet::List(Context& ctx, const StorePatience& patience) {
   if (list_under_way_ || ctx.now() < next_list_at_) return;
   list_under_way_ = true;
+  list_sent_at_ = ctx.now();
   if (ctx.now() >= next_whole_list_at_) list_revision_ = Revision();
   ListRunners list;
   list.after = list_revision_;
@@ -63,6 +64,7 @@
 
 void Fleet::Take(Context& ctx, const RunnersListed& answer) {
   list_under_way_ = false;
+  const bool is_old = std::exchange(list_is_old_, false);
   // An unreadable list says nothing of any runner.
   if (!answer.ok) {
     list_revision_ = Revision();
@@ -70,6 +72,7 @@
     return;
   }
   NoteListRead(ctx.now(), answer);
+  rooms_read_at_ = is_old ? list_sent_at_ : ctx.now();
   const std::set<RunnerId> gone = GoneBy(answer);
   NoteUnreadable(ctx, answer);
   const std::size_t known_before = runners_.size();
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -136,8 +136,11 @@
   bool KnowsFreeRoom(TimePoint now) const;
   /// True while the list was read lately enough to tell how large rooms are.
   bool KnowsRooms(TimePoint now) const {
-    return now - last_listed_at_ <= options_.longest_room_age;
+    return now - rooms_read_at_ <= options_.longest_room_age;
   }
+  /// The process stood still: a list that was under way tells of the time when
+  /// it was asked for.
+  void NoteStoodStill() { list_is_old_ = list_under_way_; }
   /// Drops runners that are gone and hold nothing.
   void DropGone(Context& ctx);
 
@@ -217,6 +220,10 @@
   /// Runners that are known and were not listed last.
   std::size_t missing_ = 0;
   TimePoint last_listed_at_;
+  TimePoint list_sent_at_;
+  bool list_is_old_ = false;
+  /// As of when the list tells how large rooms are.
+  TimePoint rooms_read_at_;
   /// Runners whose unreadable entries were told of.
   std::set<RunnerId> unreadable_;
   /// When the list was read again after the store had been away.
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -37,6 +37,7 @@
   Effects effects;
   last_event_at_ = now;
   Context ctx(now, wall_ms, &tickets_, &effects);
+  CheckStoodStill(ctx);
   for (const EventBody& event : events) {
     std::visit([this, &ctx](const auto& body) { Handle(ctx, body); }, event);
   }
@@ -56,9 +57,16 @@
     ctx.Emit(Exit{});
   }
   WatchStore(effects);
+  due_at_ = std::max(now, next_at());
   return effects;
 }
 
+void Node::CheckStoodStill(Context& ctx) {
+  if (scheduler_ == nullptr || !due_at_.has_value()) return;
+  const Duration late = ctx.now() - *due_at_;
+  if (late >= options_.stood_still) scheduler_->NoteStoodStill(ctx, late);
+}
+
 void Node::WatchStore(const Effects& effects) {
   for (const Effect& effect : effects) {
     if (const auto* commit = std::get_if<CommitRows>(&effect)) {
--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -33,6 +33,9 @@
   /// Callers are served for this long after a stop was asked for: until the
   /// balancer has noticed, and well before the process is killed.
   Duration linger{3000};
+  /// A process that comes to its work so much later than it asked for stood
+  /// still, or its machine was suspended: half of the lease on scheduling.
+  Duration stood_still{1000};
   /// The process ends after this even if the store takes no hand-over; less
   /// than the time after which it is killed.
   Duration longest_stop{5000};
@@ -81,6 +84,8 @@
   void Lead(Context& ctx, const Leadership::Claimed& claimed);
   void StepDown(Context& ctx, const char* reason);
   void Obey(Context& ctx, Scheduler::Verdict verdict);
+  /// Tells the scheduler if this process comes late to its work.
+  void CheckStoodStill(Context& ctx);
   void UpdateReady(Context& ctx);
   bool StoreAnswers() const;
 
@@ -99,6 +104,8 @@
   bool stopping_ = false;
   TimePoint stop_asked_at_;
   TimePoint last_event_at_;
+  /// When the next event is due at the latest.
+  std::optional<TimePoint> due_at_;
   bool exited_ = false;
 };
 
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -265,8 +265,20 @@
            {"open", std::to_string(room.open)}});
 }
 
+void Scheduler::NoteStoodStill(Context& ctx, Duration time) {
+  writer_.ConfirmFirst(ctx.now());
+  fleet_.NoteStoodStill();
+  advice_.NoteStoodStill(time);
+  ctx.Log(LogId::kStoodStill, {{"ms", std::to_string(time.ms())},
+                               {"epoch", std::to_string(epoch().value())}});
+}
+
 void Scheduler::Work(Context& ctx, const Catalog& catalog) {
   catalog_ = &catalog;
+  if (!writer_.MayAct()) {
+    writer_.Flush(ctx);
+    return;
+  }
   fleet_.List(ctx, *patience_);
   // What was running where is only judged with the list of runners at hand.
   if (fleet_.listed_once()) book_.Work(ctx);
@@ -283,6 +295,7 @@
 }
 
 TimePoint Scheduler::next_at() const {
+  if (!writer_.MayAct()) return writer_.next_at();
   TimePoint next = std::min(writer_.next_at(), next_check_);
   next =
       std::min(next, book_.loaded() ? fleet_.next_at() : fleet_.next_list_at());
--- a/src/dispatch/state_writer.cc
+++ b/src/dispatch/state_writer.cc
@@ -48,7 +48,7 @@
 
 TimePoint StateWriter::next_at() const {
   if (in_flight_) return waits_ ? retry_at_ : kNever;
-  if (!marked_.empty()) return retry_at_;
+  if (!marked_.empty() || !MayAct()) return retry_at_;
   return std::max(retry_at_, confirmed_at_ + options_.renewal);
 }
 
@@ -58,7 +58,8 @@
     return;
   }
   if (ctx.now() < retry_at_) return;
-  const bool renewal_due = ctx.now() - confirmed_at_ >= options_.renewal;
+  const bool renewal_due =
+      ctx.now() - confirmed_at_ >= options_.renewal || !MayAct();
   if (marked_.empty() && !renewal_due && !release_) return;
   Compose();
   Send(ctx);
@@ -69,7 +70,7 @@
   unsettled_ = false;
   transaction_ = RowTransaction();
   std::size_t bytes = 0;
-  while (!marked_.empty()) {
+  while (!marked_.empty() && MayAct()) {
     const bool full = transaction_.puts.size() + transaction_.removes.size() >=
                           options_.max_rows ||
                       bytes >= options_.max_bytes;
--- a/src/dispatch/state_writer.h
+++ b/src/dispatch/state_writer.h
@@ -72,6 +72,12 @@
   /// Takes in the answer of the write under way.
   Verdict Take(Context& ctx, const TransactionAnswered& answer);
 
+  /// The process stood still until `now`, and another may schedule since: the
+  /// next write changes nothing but the lease.
+  void ConfirmFirst(TimePoint now) { confirm_after_ = now; }
+  /// False until a write that was sent after that moment has been stored.
+  bool MayAct() const { return confirmed_at_ >= confirm_after_; }
+
   /// Gives the lease up with the next write; what is marked goes before it.
   void Release() { release_ = true; }
 
@@ -105,6 +111,7 @@
   LeaderRecord record_;
   Revision revision_;
   TimePoint confirmed_at_;
+  TimePoint confirm_after_;
   std::map<PendingKey, Pending> marked_;
 
   // The write under way, kept as it is until it is settled.
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -92,6 +92,9 @@
   dispatch::TransactionAnswered lost;
   lost.ticket = commit.ticket;
   ++commits_;
+  if (commit.lane == dispatch::StoreLane::kLeader) {
+    processes_[node].own_writes[commit.ticket] = now_;
+  }
   // A part carries its transactions out one after the other.
   TimePoint& free_at = part_free_at_[commit.transaction.part];
   free_at = std::max(free_at, now_);
@@ -267,6 +270,7 @@
 }
 
 void EmulatedSystem::Perform(int node, const dispatch::LookAtRunner& look) {
+  CheckMayAct(node, "looks at a runner");
   const int life = processes_[node].life;
   ++looks_;
   if (Happens(faults_.looks_lost)) {
@@ -402,6 +406,7 @@
 }
 
 void EmulatedSystem::Perform(int node, const dispatch::StartRun& start) {
+  CheckMayAct(node, "starts a run");
   dispatch::StartAnswered answer{start.target.runner, start.target.epoch,
                                  start.task,          start.run,
                                  OrderOutcome::kLost, 0};
@@ -417,6 +422,7 @@
 }
 
 void EmulatedSystem::Perform(int node, const dispatch::StopRun& stop) {
+  CheckMayAct(node, "stops a run");
   dispatch::StopAnswered answer{stop.target.runner,  stop.target.epoch,
                                 stop.task,           stop.run,
                                 OrderOutcome::kLost, 0};
--- a/src/emulator/emulated_oracle.cc
+++ b/src/emulator/emulated_oracle.cc
@@ -5,6 +5,7 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
+#include <variant>
 
 #include "absl/strings/str_cat.h"
 #include "emulator/emulated_catalog.h"
@@ -70,6 +71,26 @@
   if (trace_) trace_(absl::StrCat(now_.ms(), " ", what));
 }
 
+void EmulatedSystem::NoteConfirmed(Process* process,
+                                   const dispatch::EventBody& body) {
+  const auto* answer = std::get_if<dispatch::TransactionAnswered>(&body);
+  if (answer == nullptr) return;
+  const auto sent = process->own_writes.find(answer->ticket);
+  if (sent == process->own_writes.end()) return;
+  // An answer to what was sent before tells nothing of the time since.
+  const bool since = sent->second >= process->stood_still_until;
+  const bool done = answer->outcome == dispatch::StoreOutcome::kDone ||
+                    answer->outcome == dispatch::StoreOutcome::kConflict;
+  process->confirmed = process->confirmed || (since && done);
+  process->own_writes.erase(sent);
+}
+
+void EmulatedSystem::CheckMayAct(int node, const char* what) {
+  if (processes_[node].confirmed) return;
+  oracle_.Violate(absl::StrCat("node ", node, " stood still, and ", what,
+                               " before it knows whether it schedules"));
+}
+
 void EmulatedSystem::CheckRoom(const EmulatedRunner& runner,
                                const dispatch::StartRun& order,
                                TimePoint sent_at) {
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -20,6 +20,10 @@
 
 namespace {
 
+/// A process that stands still for so long may not schedule any more, and has
+/// to find out first: less than any lease, more than a slow machine's pauses.
+constexpr Duration kStandsStill{1500};
+
 constexpr std::int64_t kWallStart = 1700000000000;
 
 CancelBounds CancelBoundsFor(const RunnerBounds& runner) {
@@ -78,6 +82,8 @@
   process.held.clear();
   process.woken_for = TimePoint();
   process.frozen_until = TimePoint();
+  process.confirmed = true;
+  process.own_writes.clear();
   process.stopping = false;
   oracle_.NoteFault(now_);
   dispatch::NodeOptions options;
@@ -114,9 +120,14 @@
 void EmulatedSystem::FreezeNode(int node, Duration time) {
   Process& process = processes_[node];
   if (process.node == nullptr) return;
-  process.frozen_until = now_ + time;
+  process.frozen_until = std::max(process.frozen_until, now_ + time);
+  if (process.frozen_until - now_ >= kStandsStill) {
+    process.stood_still_until = process.frozen_until;
+    process.confirmed = false;
+  }
   At(process.frozen_until, [this, node, life = process.life] {
-    if (processes_[node].life != life) return;
+    const Process& frozen = processes_[node];
+    if (frozen.life != life || now_ < frozen.frozen_until) return;
     std::vector<dispatch::EventBody> held = std::move(processes_[node].held);
     processes_[node].held.clear();
     for (dispatch::EventBody& body : held) Reduce(node, std::move(body));
@@ -126,7 +137,7 @@
 void EmulatedSystem::StopNode(int node) {
   if (processes_[node].node == nullptr) return;
   processes_[node].stopping = true;
-  Reduce(node, dispatch::StopAsked());
+  Deliver(node, processes_[node].life, dispatch::StopAsked());
 }
 
 int EmulatedSystem::leader() const {
@@ -150,6 +161,7 @@
 void EmulatedSystem::Reduce(int node, dispatch::EventBody body) {
   Process& process = processes_[node];
   if (process.node == nullptr) return;
+  NoteConfirmed(&process, body);
   const int life = process.life;
   const auto began = std::chrono::steady_clock::now();
   const dispatch::Effects effects =
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -179,6 +179,12 @@
     TimePoint frozen_until;
     std::vector<dispatch::EventBody> held;
     bool ready = false;
+    /// When it last stood still for long, and whether the store has confirmed
+    /// since then that it schedules.
+    TimePoint stood_still_until;
+    bool confirmed = true;
+    /// When each write under its lease was sent.
+    std::map<dispatch::Ticket, TimePoint> own_writes;
     /// It was asked to stop, and has not begun anew.
     bool stopping = false;
     bool removed = false;
@@ -226,6 +232,11 @@
   void Perform(int node, const dispatch::SetReady& effect);
   void Perform(int node, const dispatch::WriteLog& log);
   void Perform(int node, const dispatch::Exit&);
+  /// Notes an answer by which a node may learn that it still schedules.
+  void NoteConfirmed(Process* process, const dispatch::EventBody& body);
+  /// Has the oracle check that a node which stood still acts on nothing before
+  /// it knows whether it still schedules.
+  void CheckMayAct(int node, const char* what);
   /// True while the node's calls don't reach the store.
   bool IsCutOffFromStore(int node) const;
   bool IsAway(const std::string& part) const {
--- a/src/net/http_loop.cc
+++ b/src/net/http_loop.cc
@@ -11,10 +11,10 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
@@ -45,12 +45,41 @@
 /// Deadlines are looked at this seldom, so that a thousand calls under way do
 /// not set a timer each.
 constexpr Duration kDeadlineStep{10};
+/// The system's timers stand still while the machine is suspended: none is
+/// waited for longer than this at once, so that a deadline that went by
+/// meanwhile is noticed so soon after.
+constexpr std::chrono::milliseconds kLongestWait{500};
 /// Kept connections that rested for too long are closed this often.
 constexpr Duration kSweepInterval{1000};
 constexpr int kHttp11 = 11;
 /// An answer that is larger is lost: the store's pages hold 1 MB.
 constexpr std::uint64_t kLargestBody = 4194304;
 
+/// `SteadyClock` as timers take it.
+struct TimerClock {
+  using duration = std::chrono::milliseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<TimerClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() {
+    return time_point(duration(SteadyClock().Now().ms()));
+  }
+};
+
+/// How long the system is let wait for a timer.
+struct TimerWait {
+  static TimerClock::duration to_wait_duration(TimerClock::duration left) {
+    return std::min(left, TimerClock::duration(kLongestWait));
+  }
+  static TimerClock::duration to_wait_duration(TimerClock::time_point at) {
+    return to_wait_duration(at - TimerClock::now());
+  }
+};
+
+using Timer = asio::basic_waitable_timer<TimerClock, TimerWait>;
+
 /// An open connection. Deregisters itself from the count of open ones.
 class Connection {
  public:
@@ -366,8 +395,8 @@
   SteadyClock clock_;
   std::atomic<std::size_t> open_ = 0;
   asio::io_context io_{1};
-  asio::steady_timer deadline_timer_;
-  asio::steady_timer sweep_timer_;
+  Timer deadline_timer_;
+  Timer sweep_timer_;
   std::optional<TimePoint> timer_at_;
   std::multimap<TimePoint, Exchange*> deadlines_;
   std::map<std::string, std::vector<ConnectionPtr>> kept_;
--- a/test/take-over-test.cc
+++ b/test/take-over-test.cc
@@ -60,6 +60,28 @@
   CheckNoViolation();
 }
 
+// A scheduler that stood still went on as if no time had passed: it sent what
+// had waited, and granted leases, before it learnt that another one schedules.
+TEST(TakeOver, SchedulerThatStoodStillActsOnNothingBeforeItsRightIsConfirmed) {
+  for (const int still_ms : {1600, 2500, 4000, 7000}) {
+    EmulatedSystem other{SystemOptions()};
+    other.Run(Duration(3000));
+    other.faults().order_time = Duration(300);
+    SubmitTo(&other, Step(24, 1, Duration(8000)));
+    other.Run(Duration(400));
+    other.FreezeNode(other.leader(), Duration(still_ms));
+    other.Run(Duration(still_ms + 500));
+    other.faults().store_answers_lost = 0.5;
+    other.Run(Duration(3000));
+    other.faults() = Faults();
+    other.Run(Duration(20000));
+    for (const std::string& what : other.violations()) FAIL(what.c_str());
+    for (const auto& [id, watch] : other.jobs()) {
+      STRCMP_EQUAL("done", other.StateOf(id).c_str());
+    }
+  }
+}
+
 // A take-over waited for every part of the store; meanwhile all leases ran out.
 TEST(TakeOver, RunsGoOnThroughATakeOverWithAPartOfTheStoreAway) {
   std::vector<JobId> jobs;
