--- a/soak/experiment.h
+++ b/soak/experiment.h
@@ -44,6 +44,7 @@
   kReplaceNode,
   kLoseNode,
   kLateOrders,
+  kShrinkRoom,
 };
 
 const char* ToString(FaultKind kind);
@@ -100,6 +101,10 @@
   double gang_share = 0.25;
   double urgent_share = 0.25;
   double failing_share = 0.05;
+  /// Of jobs whose tasks crash their runners.
+  double crashing_share = 0;
+  /// Runners refuse what does not fit into their rooms.
+  bool guards_room = true;
   double cancelled_share = 0.15;
 };
 
--- a/soak/fault_driver.cc
+++ b/soak/fault_driver.cc
@@ -40,6 +40,8 @@
 constexpr double kAnswersLost = 0.3;
 // Tasks of a slow runner take so many times as long.
 constexpr double kSlowness = 5;
+// A room shrinks to one of its parts.
+constexpr int kShrunkParts = 1;
 // A node that answers at all does so within some milliseconds.
 constexpr Duration kStateTimeout{200};
 // What a store that is down answers.
@@ -356,6 +358,12 @@
           [platform, place] { platform->SetSlowness(place, kSlowness); },
           [platform, place] { platform->SetSlowness(place, 1); });
       return;
+    case FaultKind::kShrinkRoom:
+      During(
+          fault, at, subject,
+          [platform, place] { platform->ShareRoom(place, kShrunkParts); },
+          [platform, place] { platform->ShareRoom(place, kWholeRoom); });
+      return;
     case FaultKind::kFailingRunner:
       During(
           fault, at, subject,
--- a/soak/job_maker.cc
+++ b/soak/job_maker.cc
@@ -45,6 +45,9 @@
   json["gang"] = truth.gang_size;
   json["fails"] = truth.always_fails;
   json["saves"] = truth.saves_progress;
+  if (truth.crashes_after.has_value()) {
+    json["crashes_ms"] = Json::Int64(truth.crashes_after->ms());
+  }
   json["cpu"] = Json::Int64(truth.need.cpu_millis);
   json["mem_mb"] = Json::Int64(truth.need.memory_mb);
   json["gpu"] = Json::Int64(truth.need.accelerators);
@@ -78,6 +81,10 @@
   emulator::TaskTruth truth;
   truth.work = Duration(Pick(200, experiment_.longest_work.ms()));
   truth.always_fails = Chance(experiment_.failing_share);
+  // No draw where there are none, so that seeds keep their jobs.
+  const bool crashes =
+      experiment_.crashing_share > 0 && Chance(experiment_.crashing_share);
+  if (crashes) truth.crashes_after = Duration(Pick(5, truth.work.ms()));
   const bool urgent = Chance(experiment_.urgent_share);
   step.gang = Chance(experiment_.gang_share);
   step.count = static_cast<int>(Pick(step.gang ? 2 : 1, 4));
--- a/soak/soak_platform.cc
+++ b/soak/soak_platform.cc
@@ -31,6 +31,12 @@
 // a process that waits for the processor on a busy machine.
 constexpr Duration kDrainBound{2000};
 constexpr Duration kDrainSlack{2500};
+constexpr dispatch::Resources kRoom{64000, 262144, 8};
+/// A runner that a task crashed is away for so long.
+constexpr Duration kCrashDown{1500};
+/// A room that shrank counts for starts after the time in which a process is in
+/// touch, a heartbeat, and what a busy machine adds.
+constexpr Duration kRoomNotice{6000};
 /// Trouble this long before a start excuses it.
 constexpr Duration kTroubleEcho{4000};
 
@@ -60,9 +66,12 @@
       store_endpoint_{"127.0.0.1", FreePort()},
       store_(store_endpoint_),
       oracle_(kMaxAttempts),
-      cancels_(faults, [this](const std::string& what) {
-        if (checks_times_) oracle_.Violate(what);
-      }) {
+      cancels_(faults,
+               [this](const std::string& what) {
+                 if (checks_times_) oracle_.Violate(what);
+               }),
+      guards_room_(experiment.guards_room),
+      rooms_(kRoomNotice) {
   shed_.observer = this;
   for (int i = 0; i < experiment.runners; ++i) {
     places_.push_back(std::make_unique<Place>());
@@ -85,6 +94,7 @@
     for (int samples = 0; !stopping_; ++samples) {
       if (samples % kSamplesABeat == 0) Beat();
       Sample();
+      TendCrashed();
       std::this_thread::sleep_for(kSample);
     }
   });
@@ -108,12 +118,12 @@
   info.id = RunnerId(absl::StrCat("i-", index, "-", place.life));
   info.service = dispatch::ServiceId(kService);
   info.hall = HallId("soak");
-  info.room = {64000, 262144, 8};
+  info.room = kRoom;
   info.rack = absl::StrCat("r1-", index / kRunnersPerRack);
   info.labels = {"a", info.rack};
   auto server = std::make_unique<standin::RunnerServer>(
       info, Endpoint{"127.0.0.1", place.port}, &shed_,
-      index % 2 == 0 ? 1.0 : kSlowClock);
+      index % 2 == 0 ? 1.0 : kSlowClock, guards_room_);
   // The address was free a moment ago; if it is taken, the runner stays away.
   if (!server->Start().ok()) return;
   server->Advertise(place.link.address());
@@ -148,6 +158,36 @@
   cancels_.NoteRunning(running, clock_.Now());
 }
 
+void SoakPlatform::TendCrashed() {
+  const TimePoint now = clock_.Now();
+  std::vector<int> crashing;
+  {
+    const std::lock_guard<std::mutex> lock(shed_.mutex);
+    for (int i = 0; i < runners(); ++i) {
+      const auto& server = places_[i]->server;
+      if (server == nullptr || !server->crashed_by().has_value()) continue;
+      oracle_.NoteCrash(*server->crashed_by(), now);
+      // Before any of them is gone, which ends members of its gangs elsewhere.
+      NoteCrashUnder(server.get());
+      crashing.push_back(i);
+    }
+  }
+  for (const int place : crashing) {
+    KillRunner(place);
+    crashed_.push_back({place, now});
+  }
+  while (!crashed_.empty() && now - crashed_.front().since >= kCrashDown) {
+    ReviveRunner(crashed_.front().place);
+    crashed_.erase(crashed_.begin());
+  }
+}
+
+void SoakPlatform::NoteCrashUnder(standin::RunnerServer* server) {
+  std::vector<dispatch::TaskName> names;
+  server->AddRunning(&names);
+  oracle_.NoteCrashUnder(names);
+}
+
 std::string SoakPlatform::EncodeConfig(std::int64_t version) const {
   Json::Value config;
   config["version"] = Json::Int64(version);
@@ -159,7 +199,7 @@
   }
   Json::Value service;
   service["name"] = kService;
-  service["enforces-capacity"] = true;
+  service["enforces-capacity"] = guards_room_;
   config["services"].append(std::move(service));
   config["limits"]["max-body-bytes"] = 262144;
   Json::Value tenant;
@@ -193,6 +233,11 @@
   place.server->Stop();
   silent_.push_back({place.server->id(), clock_.Now()});
   const std::lock_guard<std::mutex> shed(shed_.mutex);
+  // One that leaves as it said does not crash, and the runs on one that a task
+  // crashed are noted already.
+  const bool crashes =
+      !place.server->draining() && !place.server->crashed_by().has_value();
+  if (crashes) NoteCrashUnder(place.server.get());
   place.server = nullptr;
 }
 
@@ -233,6 +278,22 @@
   if (place.server != nullptr) place.server->SetSlowness(factor);
 }
 
+void SoakPlatform::ShareRoom(int index, int parts) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Place& place = *places_[index];
+  if (place.server == nullptr) return;
+  dispatch::Resources room = kRoom;
+  room.cpu_millis = room.cpu_millis * parts / kWholeRoom;
+  room.memory_mb = room.memory_mb * parts / kWholeRoom;
+  room.accelerators = room.accelerators * parts / kWholeRoom;
+  {
+    const std::lock_guard<std::mutex> shed(shed_.mutex);
+    rooms_.NoteChange(place.server->id(), place.server->room(), clock_.Now());
+  }
+  place.server->SetRoom(room);
+  store_.Put("servers", place.server->id().value(), place.server->Entry());
+}
+
 void SoakPlatform::SetFailing(int index, bool failing) {
   const std::lock_guard<std::mutex> lock(mutex_);
   Place& place = *places_[index];
@@ -292,6 +353,10 @@
     if (place->server != nullptr) place->server->AddRunning(&running);
   }
   oracle_.CheckRunning(running);
+  if (!guards_room_ && !rooms_.Allows(runner.info(), runner.UsedRoom(), now)) {
+    oracle_.Violate(absl::StrCat("start of ", ToString(order.task), " fills ",
+                                 runner.info().id.value(), " over its room"));
+  }
   const auto drain = draining_.find(runner.info().id);
   if (drain == draining_.end() || !checks_times_) return;
   const bool late = now - drain->second > kDrainBound + kDrainSlack;
--- a/soak/soak_platform.h
+++ b/soak/soak_platform.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "emulator/promise_oracle.h"
+#include "emulator/room_watch.h"
 #include "platform/standin/runner_server.h"
 #include "platform/standin/store_server.h"
 #include "soak/cancel_watch.h"
@@ -36,6 +37,9 @@
 /// Accelerators that belong to the one workspace for urgent jobs.
 inline constexpr int kGuaranteedAccelerators = 16;
 
+/// Parts that a whole room has.
+inline constexpr int kWholeRoom = 4;
+
 /// The route that a version of the configuration brings; the version after the
 /// next one drops it.
 std::string ProbePrefix(std::int64_t version);
@@ -78,6 +82,8 @@
   /// Another life comes at once where a runner is leaving.
   void ReplaceLeaving();
   void SetSlowness(int place, double factor);
+  /// The runner's room becomes so many of `kWholeRoom` parts.
+  void ShareRoom(int place, int parts);
   void SetFailing(int place, bool failing);
 
   // Jobs.
@@ -117,6 +123,11 @@
     /// Null while the runner is down.
     std::unique_ptr<standin::RunnerServer> server;
   };
+  /// A place whose runner a task crashed.
+  struct Crashed {
+    int place = 0;
+    TimePoint since;
+  };
   /// A life that ended without a word: its entry goes a while later.
   struct Silent {
     RunnerId id;
@@ -127,6 +138,11 @@
   void Beat();
   /// Looks at all that runs.
   void Sample();
+  /// Ends runners that tasks crashed, and brings them back later.
+  void TendCrashed();
+  /// Notes what ran on a runner that crashes. Precondition: the shed's lock is
+  /// held.
+  void NoteCrashUnder(standin::RunnerServer* server);
   std::string EncodeConfig(std::int64_t version) const;
 
   bool checks_times_;
@@ -142,6 +158,11 @@
   mutable std::mutex mutex_;
   std::vector<std::unique_ptr<Place>> places_;
   std::vector<Silent> silent_;
+  /// Of the thread of beats.
+  std::vector<Crashed> crashed_;
+  bool guards_room_;
+  /// Under the shed's lock.
+  emulator::RoomWatch rooms_;
   ConfigWrite newest_config_;
   /// Runners that said that they leave, and when; under the shed's lock.
   std::map<RunnerId, TimePoint> draining_;
--- a/soak/verdict.cc
+++ b/soak/verdict.cc
@@ -6,6 +6,7 @@
 
 #include "soak/verdict.h"
 
+#include <algorithm>
 #include <chrono>
 #include <thread>
 
@@ -23,6 +24,8 @@
 constexpr Duration kUrgentBound{5900};
 // Starts are watched for this long after a fault that bounds their absence.
 constexpr Duration kFaultIsFelt{4000};
+// The platform lets a task be given up once so many runners crashed under it.
+constexpr int kCrashesToGiveUp = 2;
 constexpr int kGangMembers = 2;
 constexpr int kGangAccelerators = 8;
 constexpr int kFillerTasks = 4;
@@ -51,7 +54,11 @@
   if (state == "cancelled" && !watch.cancel_sent) {
     return "was cancelled by nobody";
   }
-  if (state == "failed" && watch.listed_failures < kMaxAttempts) {
+  const bool may_be_given_up = std::any_of(
+      watch.crashed_under.begin(), watch.crashed_under.end(),
+      [](const auto& task) { return task.second >= kCrashesToGiveUp; });
+  if (state == "failed" && watch.listed_failures < kMaxAttempts &&
+      !may_be_given_up) {
     return absl::StrCat("failed after ", watch.listed_failures, " attempts");
   }
   if (state != "done") return "";
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -37,6 +37,7 @@
 EmulatedSystem::EmulatedSystem(SystemOptions options)
     : options_(options),
       random_(options.seed),
+      rooms_(options.room_notice),
       catalog_(MakeCatalog()),
       oracle_(kMaxAttempts, CancelBoundsFor(options.bounds)) {
   for (auto& [id, service] : catalog_.services) {
@@ -266,8 +267,7 @@
                              const dispatch::Resources& room) {
   EmulatedRunner* found = FindRunner(runner);
   if (found == nullptr) return;
-  earlier_rooms_[runner].emplace_back(found->info().room,
-                                      now_ + options_.room_notice);
+  rooms_.NoteChange(runner, found->info().room, now_);
   found->info().room = room;
 }
 
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -23,6 +23,7 @@
 #include "emulator/emulated_runner.h"
 #include "emulator/emulated_store.h"
 #include "emulator/promise_oracle.h"
+#include "emulator/room_watch.h"
 
 namespace limeledge::emulator {
 
@@ -306,10 +307,7 @@
   int looks_ = 0;
   ReducerUse reducer_use_;
   CrashCount crashes_;
-  /// Rooms that runners had before they shrank, and since when they do not
-  /// count.
-  std::map<RunnerId, std::vector<std::pair<dispatch::Resources, TimePoint>>>
-      earlier_rooms_;
+  RoomWatch rooms_;
   /// Entries of runners that crashed, until they lapse.
   std::map<RunnerId, std::pair<dispatch::RunnerInfo, TimePoint>> lapsing_;
   std::size_t longest_order_lane_ = 0;
--- a/src/emulator/promise_oracle.cc
+++ b/src/emulator/promise_oracle.cc
@@ -80,6 +80,13 @@
   if (!watch->first_crash.has_value()) watch->first_crash = now;
 }
 
+void PromiseOracle::NoteCrashUnder(const std::vector<TaskName>& tasks) {
+  for (const TaskName& task : tasks) {
+    JobWatch* watch = Find(task.job);
+    if (watch != nullptr) ++watch->crashed_under[task];
+  }
+}
+
 void PromiseOracle::CheckCrashes(JobWatch* watch, const TaskName& task) {
   if (watch->crashes[task] < kCrashesAllowed) return;
   if (++watch->starts_after_crashes[task] < kStartsAfterCrashes) return;
--- a/src/emulator/promise_oracle.h
+++ b/src/emulator/promise_oracle.h
@@ -66,6 +66,8 @@
   /// that are allowed.
   std::map<dispatch::TaskName, int> crashes;
   std::map<dispatch::TaskName, int> starts_after_crashes;
+  /// Runners that crashed while a run of each task was there, whoever did it.
+  std::map<dispatch::TaskName, int> crashed_under;
   /// When its tasks first crashed a runner.
   std::optional<TimePoint> first_crash;
 };
@@ -91,6 +93,8 @@
 
   /// A runner carried a start out.
   void NoteStart(const dispatch::StartRun& order);
+  /// A runner crashed on which those tasks ran.
+  void NoteCrashUnder(const std::vector<dispatch::TaskName>& tasks);
   /// The task crashed a runner.
   void NoteCrash(const dispatch::TaskName& task, TimePoint now);
   /// A runner answered a look. `stands`: the runner's lease has not run out
--- /dev/null
+++ b/src/emulator/room_watch.h
@@ -0,0 +1,53 @@
+/// @file
+/// Holds what runs at runners against their rooms, which may shrink.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#ifndef LIMELEDGE_SRC_EMULATOR_ROOM_WATCH_H_
+#define LIMELEDGE_SRC_EMULATOR_ROOM_WATCH_H_
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "dispatch/job_spec.h"
+#include "dispatch/runner.h"
+
+namespace limeledge::emulator {
+
+/// Remembers rooms that runners had before they shrank.
+///
+/// Thread safety: none; callers lock.
+class RoomWatch {
+ public:
+  /// A room that has shrunk counts for starts `notice` later.
+  explicit RoomWatch(Duration notice) : notice_(notice) {}
+
+  /// The runner's room changes from `before`.
+  void NoteChange(const RunnerId& runner, const dispatch::Resources& before,
+                  TimePoint now) {
+    earlier_[runner].emplace_back(before, now + notice_);
+  }
+  /// True if a start that was sent at that moment may fill the runner so far.
+  bool Allows(const dispatch::RunnerInfo& info, const dispatch::Resources& used,
+              TimePoint sent_at) const {
+    if (used.Fits(info.room)) return true;
+    const auto earlier = earlier_.find(info.id);
+    if (earlier == earlier_.end()) return false;
+    return std::any_of(earlier->second.begin(), earlier->second.end(),
+                       [&](const auto& room) {
+                         return sent_at < room.second && used.Fits(room.first);
+                       });
+  }
+
+ private:
+  Duration notice_;
+  std::map<RunnerId, std::vector<std::pair<dispatch::Resources, TimePoint>>>
+      earlier_;
+};
+
+}  // namespace limeledge::emulator
+
+#endif  // LIMELEDGE_SRC_EMULATOR_ROOM_WATCH_H_
--- a/test/log-story-test.cc
+++ b/test/log-story-test.cc
@@ -78,6 +78,17 @@
       SumUp(story.LinesOf(job)).c_str());
 }
 
+TEST(LogStory, SummaryTellsWhyATaskWasGivenUp) {
+  story.Add(
+      "{\"wall_ms\":1350,\"level\":\"warning\",\"id\":\"LL935\",\"event\":"
+      "\"task_given_up\",\"instance\":\"e2\",\"job\":\"00000000000000a1\","
+      "\"task\":\"00000000000000a1.0.0.0\",\"runs\":\"1@i-1 2@i-2\"}\n");
+  const std::string text = SumUp(story.LinesOf(job));
+  CHECK_TRUE(text.find("00000000000000a1.0.0.0 was given up") !=
+             std::string::npos);
+  CHECK_TRUE(text.find("1@i-1 2@i-2") != std::string::npos);
+}
+
 TEST(LogStory, LinesThatAreNoLogLinesArePassedOverAndCounted) {
   LogStory other;
   LONGS_EQUAL(2, other.Add("hello\n{\"a\":1}\n  1.5 e1 " + desk_log));
