--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -118,6 +118,15 @@
 
 const char* ToString(RunnerEnd end);
 
+/// What is known of a runner that is lost, for all runs that went with it.
+struct RunnerLoss {
+  RunnerEnd how = RunnerEnd::kUnknown;
+  /// When it fell silent; when it was taken for lost, if it was not seen to.
+  TimePoint silent_since;
+  /// Others fell silent with it for which no start can be to blame.
+  bool with_others = false;
+};
+
 /// Schedules while this node holds the lease.
 ///
 /// Thread safety: none; use it from one thread.
@@ -216,7 +225,7 @@
               const std::string& checkpoint);
   /// Ends a run that went with its runner.
   void EndLost(Context& ctx, Runner* runner, const TaskName& name,
-               RunnerEnd how);
+               const RunnerLoss& loss);
 
   // Losses: runs that went with their runners (scheduler_losses.cc).
   /// Notes that the runner is lost, and takes all of `names` for lost with it.
@@ -227,7 +236,7 @@
   bool WentWithOthers(const Runner& runner) const;
   /// Counts a lost run against its task, unless nothing can be held against it.
   void CountLoss(Context& ctx, const Runner& runner, const TaskName& name,
-                 const Run& run, RunnerEnd how);
+                 const Run& run, const RunnerLoss& loss);
   /// It is known now what became of a runner.
   void SettleLosses(Context& ctx, const RunnerId& runner, bool lives);
   /// Settles the losses of runners whose addresses others have taken.
--- a/src/dispatch/scheduler_losses.cc
+++ b/src/dispatch/scheduler_losses.cc
@@ -21,11 +21,6 @@
 
 namespace {
 
-/// When the runner fell silent; now if it was not heard to do so.
-TimePoint SilentSince(const Runner& runner, TimePoint now) {
-  return runner.silent_since().value_or(now);
-}
-
 /// What the runs there tell of a runner's end.
 LostRunner DescribeLost(const Runner& runner, TimePoint silent_since,
                         const LossRules& rules) {
@@ -67,51 +62,56 @@
 
 void Scheduler::LoseRuns(Context& ctx, Runner* runner,
                          const std::vector<TaskName>& names, RunnerEnd how) {
-  const TimePoint silent_since = SilentSince(*runner, ctx.now());
-  const bool lost = how != RunnerEnd::kLeft && !runner->ended;
-  if (lost) {
+  RunnerLoss loss;
+  loss.how = how;
+  loss.silent_since = runner->silent_since().value_or(ctx.now());
+  if (how != RunnerEnd::kLeft && !runner->ended) {
     losses_.NoteRunnerLost(
-        DescribeLost(*runner, silent_since, options_.losses));
+        DescribeLost(*runner, loss.silent_since, options_.losses));
   }
-  for (const TaskName& name : names) EndLost(ctx, runner, name, how);
+  // Once for all runs: it looks at every runner.
+  if (!names.empty()) loss.with_others = WentWithOthers(*runner);
+  for (const TaskName& name : names) EndLost(ctx, runner, name, loss);
 }
 
 void Scheduler::EndLost(Context& ctx, Runner* runner, const TaskName& name,
-                        RunnerEnd how) {
+                        const RunnerLoss& loss) {
   const Run run = runner->runs().at(name);
   const std::optional<Duration> lasted =
-      TimeUntilSilence(run, SilentSince(*runner, ctx.now()));
+      TimeUntilSilence(run, loss.silent_since);
   ctx.Log(
       LogId::kRunLost,
       {{"task", ToString(name)},
        {"run", std::to_string(run.number)},
        {"runner", runner->id().value()},
        {"lasted_ms", lasted.has_value() ? std::to_string(lasted->ms()) : ""},
-       {"runner_end", ToString(how)}});
-  CountLoss(ctx, *runner, name, run, how);
+       {"runner_end", ToString(loss.how)},
+       {"with_others", loss.with_others ? "yes" : "no"}});
+  CountLoss(ctx, *runner, name, run, loss);
   EndRun(ctx, runner, name, RunEnd::kLapsed, "");
   StopGang(ctx, name);
 }
 
 void Scheduler::CountLoss(Context& ctx, const Runner& runner,
-                          const TaskName& name, const Run& run, RunnerEnd how) {
+                          const TaskName& name, const Run& run,
+                          const RunnerLoss& loss) {
   Job* job = book_.Find(name.job);
-  if (job == nullptr || how == RunnerEnd::kLeft) return;
+  if (job == nullptr || loss.how == RunnerEnd::kLeft) return;
   // What never began can not have crashed its runner.
   if (NeverBegan(run.phase)) return;
-  const TimePoint silent_since = SilentSince(runner, ctx.now());
-  const std::optional<Duration> lasted = TimeUntilSilence(run, silent_since);
-  RunLoss loss;
-  loss.run = run.number;
-  loss.runner = runner.id();
-  loss.address = runner.info().address;
-  loss.lasted = lasted.value_or(Duration(0));
-  loss.crashed = how == RunnerEnd::kCrashed;
-  loss.suspicious = lasted.has_value() && *lasted <= options_.losses.soon &&
-                    !WentWithOthers(runner);
-  job->NoteLasted(name, loss.lasted, options_.losses);
-  if (!job->NoteLoss(name, loss)) return;
-  if (!loss.crashed) losses_.NoteOpen(name, loss, ctx.now());
+  const std::optional<Duration> lasted =
+      TimeUntilSilence(run, loss.silent_since);
+  const bool soon = lasted.has_value() && *lasted <= options_.losses.soon;
+  RunLoss lost;
+  lost.run = run.number;
+  lost.runner = runner.id();
+  lost.address = runner.info().address;
+  lost.lasted = lasted.value_or(Duration(0));
+  lost.crashed = loss.how == RunnerEnd::kCrashed;
+  lost.suspicious = soon && !loss.with_others;
+  job->NoteLasted(name, lost.lasted, options_.losses);
+  if (!job->NoteLoss(name, lost)) return;
+  if (!lost.crashed) losses_.NoteOpen(name, lost, ctx.now());
 }
 
 bool Scheduler::WentWithOthers(const Runner& runner) const {
--- a/test/crash-fuzz-test.cc
+++ b/test/crash-fuzz-test.cc
@@ -95,6 +95,8 @@
     rules.suspicious_crashes =
         FromEnvironment("LIMELEDGE_SUSPICIOUS", rules.suspicious_crashes);
     rules.crashes = FromEnvironment("LIMELEDGE_CRASHES", rules.crashes);
+    rules.starts_after_them =
+        FromEnvironment("LIMELEDGE_STARTS", rules.starts_after_them);
     return options;
   }
 
