Give runners of halls that are to be emptied nothing new

Change: the operator's other rows are read and followed with it; runners of such halls get no seat in a pass, and a start that waits for its turn there is given up. What runs goes on. That halls may turn cold, and runs there be moved, is left.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -178,6 +178,9 @@
        "The configuration is followed, or followed again."},
       {LogId::kSettingsReloaded, kInfo, "settings_reloaded",
        "The process's settings were read again after a signal."},
+      {LogId::kHallsEmptied, kInfo, "halls_emptied",
+       "Other halls than before are to be emptied; the field names all of "
+       "them, and their runners get nothing new."},
       {LogId::kLinesDropped, kWarning, "lines_dropped",
        "Log lines were dropped to keep within the budget; the field says how "
        "many."},
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -94,6 +94,7 @@
   kCatalogStale = 941,
   kCatalogFollowed = 942,
   kSettingsReloaded = 943,
+  kHallsEmptied = 944,
   kLinesDropped = 950,
   kProcessBroken = 951,
 };
--- a/src/dispatch/catalog_follower.cc
+++ b/src/dispatch/catalog_follower.cc
@@ -6,6 +6,10 @@
 
 #include "dispatch/catalog_follower.h"
 
+#include <string>
+
+#include "absl/strings/str_cat.h"
+
 namespace limeledge::dispatch {
 
 void CatalogFollower::Work(Context& ctx) {
@@ -39,6 +43,7 @@
   }
   confirmed_at_ = ctx.now();
   if (answer.newest > seen_) seen_ = answer.newest;
+  TakeHalls(ctx, answer);
   if (!answer.catalog.has_value()) {
     // Nothing was written yet; waiting for a change would do as well.
     if (!catalog_.has_value()) next_at_ = ctx.now() + options_.retry_pause;
@@ -49,9 +54,29 @@
       !catalog_.has_value() || answer.catalog->version > catalog_->version;
   if (!newer) return;
   catalog_ = answer.catalog;
+  catalog_->emptied_halls = emptied_halls_;
   ctx.Log(LogId::kCatalogInForce,
           {{"version", std::to_string(catalog_->version.value())},
            {"queues", std::to_string(catalog_->queues.size())}});
 }
 
+void CatalogFollower::TakeHalls(Context& ctx, const CatalogAnswered& answer) {
+  const std::set<HallId> before = emptied_halls_;
+  if (answer.names_all_halls) emptied_halls_.clear();
+  for (const auto& [hall, emptied] : answer.halls) {
+    if (emptied) {
+      emptied_halls_.insert(hall);
+    } else {
+      emptied_halls_.erase(hall);
+    }
+  }
+  if (emptied_halls_ == before) return;
+  if (catalog_.has_value()) catalog_->emptied_halls = emptied_halls_;
+  std::string halls;
+  for (const HallId& hall : emptied_halls_) {
+    absl::StrAppend(&halls, halls.empty() ? "" : " ", hall.value());
+  }
+  ctx.Log(LogId::kHallsEmptied, {{"halls", halls}});
+}
+
 }  // namespace limeledge::dispatch
--- a/src/dispatch/catalog_follower.h
+++ b/src/dispatch/catalog_follower.h
@@ -8,6 +8,7 @@
 #define LIMELEDGE_SRC_DISPATCH_CATALOG_FOLLOWER_H_
 
 #include <optional>
+#include <set>
 
 #include "dispatch/catalog.h"
 #include "dispatch/context.h"
@@ -51,8 +52,12 @@
   bool answers() const { return answers_; }
 
  private:
+  /// Takes in which halls are to be emptied.
+  void TakeHalls(Context& ctx, const CatalogAnswered& answer);
+
   CatalogFollowerOptions options_;
   std::optional<Catalog> catalog_;
+  std::set<HallId> emptied_halls_;
   bool under_way_ = false;
   bool read_next_ = true;
   bool answers_ = false;
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -63,6 +63,11 @@
   std::optional<Catalog> catalog;
   /// Why a configuration that is there could not be read; empty if it could.
   std::string error;
+  /// Halls that are to be emptied (true), or are given back (false).
+  std::map<HallId, bool> halls;
+  /// Halls that are not named are not to be emptied; else they are as they
+  /// were.
+  bool names_all_halls = false;
   Revision newest;
 };
 
--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -315,10 +315,12 @@
   return runner.listed() || MayHaveLapsed(now);
 }
 
-std::vector<Seat> Fleet::Seats(TimePoint now) const {
+std::vector<Seat> Fleet::Seats(TimePoint now,
+                               const std::set<HallId>& emptied_halls) const {
   std::vector<Seat> seats;
   for (const auto& [id, runner] : runners_) {
     if (!MayWork(*runner, now)) continue;
+    if (emptied_halls.count(runner->info().hall) != 0) continue;
     Seat seat;
     seat.runner = runner.get();
     seat.rack = runner->rack();
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -129,8 +129,10 @@
 
   /// Where orders for the runner go.
   static OrderTarget TargetOf(const Runner& runner, Epoch epoch);
-  /// Runners that may be given work now.
-  std::vector<Seat> Seats(TimePoint now) const;
+  /// Runners that may be given work now, but for those in halls that are to be
+  /// emptied.
+  std::vector<Seat> Seats(TimePoint now,
+                          const std::set<HallId>& emptied_halls = {}) const;
   /// False while a new scheduler waits for its first answers from runners: the
   /// room that it sees then is only a part of what there is.
   bool KnowsFreeRoom(TimePoint now) const;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -95,6 +95,7 @@
   kStopping,
   kReleasing,
   kRunnerLeaves,
+  kHallEmptied,
   kRunnerSilent,
   kNoTicket,
   /// It became known meanwhile that its runners crash.
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -31,6 +31,8 @@
       return "another process is to schedule";
     case StartObstacle::kRunnerLeaves:
       return "its runner leaves";
+    case StartObstacle::kHallEmptied:
+      return "its runner's hall is to be emptied";
     case StartObstacle::kRunnerSilent:
       return "its runner is silent";
     case StartObstacle::kNoTicket:
@@ -131,6 +133,9 @@
   if (GangIsOver(*job, name, run.number)) return StartObstacle::kGangOver;
   if (releasing_) return StartObstacle::kReleasing;
   if (runner.drains_since().has_value()) return StartObstacle::kRunnerLeaves;
+  if (catalog_->emptied_halls.count(runner.info().hall) != 0) {
+    return StartObstacle::kHallEmptied;
+  }
   if (!runner.reachable()) return StartObstacle::kRunnerSilent;
   if (!runner.HasRoomFor(run)) return StartObstacle::kNoRoom;
   if (!GuardsRoom(runner) && !fleet_.KnowsRooms(now)) {
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -178,6 +178,8 @@
     dispatch::CatalogAnswered answer;
     answer.outcome = away ? StoreOutcome::kNotDone : StoreOutcome::kDone;
     if (!away && whole) answer.catalog = catalog_;
+    answer.names_all_halls = !away;
+    for (const auto& [hall, since] : emptied_halls_) answer.halls[hall] = true;
     Deliver(node, life, answer);
   });
 }
--- a/src/emulator/emulated_oracle.cc
+++ b/src/emulator/emulated_oracle.cc
@@ -20,6 +20,8 @@
 /// How often it is checked that nothing runs of a cancelled job: a small part
 /// of the time in which it has to be gone.
 constexpr Duration kCancelledCheck{100};
+/// Nothing starts in a hall so long after it was to be emptied.
+constexpr Duration kHallNotice{5000};
 /// A start that is carried out so long after it was sent counts as late; an
 /// order is otherwise carried out within a round trip.
 constexpr Duration kLateStart{1000};
@@ -91,6 +93,15 @@
                                " before it knows whether it schedules"));
 }
 
+void EmulatedSystem::CheckHall(const EmulatedRunner& runner,
+                               const dispatch::StartRun& order) {
+  const auto emptied = emptied_halls_.find(runner.info().hall);
+  if (emptied == emptied_halls_.end()) return;
+  if (now_ - emptied->second <= kHallNotice) return;
+  oracle_.Violate(absl::StrCat("start of ", ToString(order.task),
+                               " in a hall that is to be emptied"));
+}
+
 void EmulatedSystem::CheckRoom(const EmulatedRunner& runner,
                                const dispatch::StartRun& order,
                                TimePoint sent_at) {
@@ -108,6 +119,7 @@
                      order.target.epoch.value()));
   oracle_.NoteStart(order);
   CheckRoom(runner, order, sent_at);
+  CheckHall(runner, order);
   const RunName run{order.task, order.run};
   if (now_ - sent_at >= kLateStart) oracle_.NoteLateStart(run, now_);
   oracle_.CheckBegun(run, now_);
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -197,6 +197,7 @@
   info.address = absl::StrCat("10.0.0.", index, ":80");
   info.room = options_.room;
   info.rack = absl::StrCat("r1-", index / options_.runners_per_rack);
+  info.hall = HallId(absl::StrCat("h", index / options_.runners_per_rack));
   info.labels = {"a", info.rack};
   runner_at_[info.address] = info.id;
   runners_[info.id] = std::make_unique<EmulatedRunner>(
@@ -263,6 +264,14 @@
   for (const std::string& address : addresses) DropIfCrashed(address);
 }
 
+void EmulatedSystem::SetEmptied(const HallId& hall, bool emptied) {
+  if (emptied) {
+    emptied_halls_.emplace(hall, now_);
+  } else {
+    emptied_halls_.erase(hall);
+  }
+}
+
 void EmulatedSystem::SetRoom(const RunnerId& runner,
                              const dispatch::Resources& room) {
   EmulatedRunner* found = FindRunner(runner);
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -155,6 +155,8 @@
   void KillRunner(const RunnerId& runner, Duration down);
   /// The same as a crash: its entry stays in the list until it lapses.
   void CrashRunner(const RunnerId& runner, Duration down);
+  /// The operator has a hall emptied, or gives it back.
+  void SetEmptied(const HallId& hall, bool emptied);
   /// The runner's room changes while it runs, and its entry with it.
   void SetRoom(const RunnerId& runner, const dispatch::Resources& room);
   /// The runner says that it leaves, and does so after `time`.
@@ -287,6 +289,8 @@
   void CheckCancelledLater();
   /// All runs that go on now.
   std::vector<RunName> ActiveRuns();
+  /// Has the oracle check that the runner's hall is not to be emptied for long.
+  void CheckHall(const EmulatedRunner& runner, const dispatch::StartRun& order);
   /// Has the oracle check what a runner that does not guard its room holds.
   void CheckRoom(const EmulatedRunner& runner, const dispatch::StartRun& order,
                  TimePoint sent_at);
@@ -308,6 +312,8 @@
   ReducerUse reducer_use_;
   CrashCount crashes_;
   RoomWatch rooms_;
+  /// Halls that are to be emptied, and since when.
+  std::map<HallId, TimePoint> emptied_halls_;
   /// Entries of runners that crashed, until they lapse.
   std::map<RunnerId, std::pair<dispatch::RunnerInfo, TimePoint>> lapsing_;
   std::size_t longest_order_lane_ = 0;
