Let a new scheduler reckon with one lease on runners that it has heard

Change: a runner that answers obeys no earlier scheduler any more, so that what was assumed is cut down to the longest lease that one may have granted: 5 s, or 10 s where births are told and a late call to the life before may have granted more (the same bound now holds for rows that are read after the runner was heard). Tests: three of the fleet's, one play of a take-over; two of them fail without the cut, the play with 1 start in place of 2.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -43,7 +43,7 @@
     runner->Unlist(now);
   }
   if (runner->heard()) {
-    runner->NoteEarlierLease(options_.run_lease);
+    runner->NoteEarlierLease(EarlierLeaseOf(*runner));
   } else {
     runner->LeaseMayLastUntil(now + (runner->listed()
                                          ? options_.inherited_lease
@@ -52,6 +52,20 @@
   return runner;
 }
 
+Duration Fleet::EarlierLeaseOf(const Runner& runner) const {
+  const bool keeps_id = IsTold(runner.life().born);
+  return keeps_id ? options_.longest_lease : options_.run_lease;
+}
+
+void Fleet::NoteHeard(Runner* runner, TimePoint now,
+                      std::int64_t clock_ms) const {
+  const bool first = !runner->heard();
+  runner->Heard(now, clock_ms);
+  // Its runs need not wait for what was assumed of an unheard one, should it go
+  // soon after a take-over.
+  if (first) runner->BoundEarlierLease(EarlierLeaseOf(*runner));
+}
+
 void Fleet::List(Context& ctx, const StorePatience& patience) {
   if (list_under_way_ || ctx.now() < next_list_at_) return;
   list_under_way_ = true;
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -116,6 +116,8 @@
   /// Finds the present life of a runner on which an earlier scheduler started a
   /// run, or adds one that is not listed and may hold a lease of that one.
   Runner* FindOrInherit(const LifeId& life, TimePoint now);
+  /// Notes an answer of the runner that carried its clock.
+  void NoteHeard(Runner* runner, TimePoint now, std::int64_t clock_ms) const;
   /// Puts the life `born` in the place of `before`, which is over and must not
   /// be used any more.
   Runner* BeginLife(Runner* before, Birth born, TimePoint now);
@@ -159,6 +161,10 @@
   void DropGone(Context& ctx);
 
  private:
+  /// The longest lease that an earlier scheduler may have granted. A runner
+  /// that keeps its id takes a late call to the life before, whose clock was
+  /// far ahead, for the most that it takes.
+  Duration EarlierLeaseOf(const Runner& runner) const;
   /// True if entries that are missing may only have lapsed.
   bool MayHaveLapsed(TimePoint now) const;
   /// Decides when the list is read again after a reading that came to nothing.
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -234,6 +234,11 @@
       std::max(lease_over_at_, obeys_since_ + OnSlowClock(length.ms()));
 }
 
+void Runner::BoundEarlierLease(Duration longest) {
+  inherited_until_ =
+      std::min(inherited_until_, obeys_since_ + OnSlowClock(longest.ms()));
+}
+
 void Runner::NoteForeignGrant(TimePoint granted_at, Duration longest) {
   const TimePoint at = std::max(granted_at, late_orders.grants_until());
   if (at == TimePoint()) return;
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -8,6 +8,7 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_RUNNER_H_
 #define LIMELEDGE_SRC_DISPATCH_RUNNER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -251,15 +252,21 @@
   /// it may be granted. Precondition: `heard()`.
   std::int64_t GrantUntil(TimePoint now, Duration length);
   /// From this moment no lease that was granted can last.
-  TimePoint lease_over_at() const { return lease_over_at_; }
+  TimePoint lease_over_at() const {
+    return std::max(lease_over_at_, inherited_until_);
+  }
   /// An earlier scheduler, which the runner obeyed until it was first heard,
   /// may have granted a lease of `length` just before. Precondition: `heard()`.
   void NoteEarlierLease(Duration length);
   /// Calls that were meant for an earlier life may have granted, or may still
   /// grant, all of `longest`: up to their latest arrival, or at `granted_at`.
   void NoteForeignGrant(TimePoint granted_at, Duration longest);
-  /// An earlier scheduler may have granted a lease up to `at`.
-  void LeaseMayLastUntil(TimePoint at) { lease_over_at_ = at; }
+  /// An earlier scheduler, which the runner may still obey, may grant a lease
+  /// up to `at`.
+  void LeaseMayLastUntil(TimePoint at) { inherited_until_ = at; }
+  /// The same, now that the runner was heard and obeys that one no more: what
+  /// it granted lasted `longest` at most. Precondition: `heard()`.
+  void BoundEarlierLease(Duration longest);
 
   // Orders: starts and stops, one at a time. What waits is kept here and
   // chosen when its turn comes, by what is known then.
@@ -361,7 +368,10 @@
   std::optional<TimePoint> silent_since_;
   TimePoint heard_at_;
   std::int64_t heard_clock_ms_ = 0;
+  /// What was granted from here, or may have been to the life before.
   TimePoint lease_over_at_;
+  /// What an earlier scheduler may have granted.
+  TimePoint inherited_until_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/scheduler_losses.cc
+++ b/src/dispatch/scheduler_losses.cc
@@ -226,7 +226,7 @@
 }
 
 void Scheduler::NoteHeard(Context& ctx, Runner* runner, std::int64_t clock_ms) {
-  runner->Heard(ctx.now(), clock_ms);
+  fleet_.NoteHeard(runner, ctx.now(), clock_ms);
   if (!losses_.HasOpen()) return;
   SettleLosses(ctx, runner->life(), LifeFate::kLives);
   // One that was followed by another does not live on.
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -27,11 +27,12 @@
     return Context(now, 0, &tickets, &effects);
   }
 
-  Runner* AddRunner(const char* id) {
+  Runner* AddRunner(const char* id, Birth born = Birth()) {
     RunnersListed listed;
     listed.ok = true;
     RunnerInfo info;
     info.id = RunnerId(id);
+    info.born = born;
     info.address = "10.0.0.1:80";
     info.room = {64000, 262144, 8};
     listed.runners.push_back(info);
@@ -40,6 +41,12 @@
     return fleet.Find(info.life());
   }
 
+  /// A listed runner on which an earlier scheduler started a run.
+  Runner* Inherit(const char* id, Birth born) {
+    AddRunner(id, born);
+    return fleet.FindOrInherit({RunnerId(id), born}, now);
+  }
+
   /// The list is read and names nobody.
   void ListNone() {
     RunnersListed none;
@@ -403,4 +410,33 @@
   LONGS_EQUAL(0, Look()->acknowledged_end);
 }
 
+TEST(Fleet, LeaseOfAnEarlierSchedulerIsBoundedOnceItsRunnerIsHeard) {
+  Runner* runner = Inherit("i-1", Birth());
+  const TimePoint unheard = runner->lease_over_at();
+  now = now + Duration(50);
+  fleet.NoteHeard(runner, now, 500);
+  CHECK_TRUE(runner->lease_over_at() < unheard);
+  // No lease of 5 s on a clock 2% slow lasts longer, and some lease may.
+  CHECK_TRUE(runner->lease_over_at() >= now + Duration(5100));
+  CHECK_TRUE(runner->lease_over_at() <= now + Duration(5500));
+}
+
+// A late call to the life before may have granted all that a runner takes.
+TEST(Fleet,
+     LeaseOfAnEarlierSchedulerIsBoundedByTheLongestOnRunnersThatKeepIds) {
+  Runner* runner = Inherit("i-1", Birth(1700000000000));
+  fleet.NoteHeard(runner, now, 500);
+  CHECK_TRUE(runner->lease_over_at() >= now + Duration(10200));
+  CHECK_TRUE(runner->lease_over_at() <= now + Duration(10800));
+}
+
+// Hearing a life again says nothing of what a call to the life before granted.
+TEST(Fleet, ForeignGrantOutlastsTheFirstAnswerOfALife) {
+  Runner* runner = Inherit("i-1", Birth(1700000000000));
+  runner->NoteForeignGrant(now + Duration(12500), Duration(10000));
+  const TimePoint foreign = runner->lease_over_at();
+  fleet.NoteHeard(runner, now, 500);
+  CHECK_TRUE(runner->lease_over_at() == foreign);
+}
+
 }  // namespace limeledge::dispatch
--- a/test/take-over-test.cc
+++ b/test/take-over-test.cc
@@ -44,6 +44,29 @@
   CheckNoViolation();
 }
 
+// A gang of urgent work waited for 12 s for a runner that had left: a new
+// scheduler heard the runner at once, and yet went on to reckon with the 15.8 s
+// that a lease may last on one that was never heard.
+TEST(TakeOver, RunsOfARunnerThatGoesOnceHeardStartAgainSooner) {
+  const JobId job = Submit(Step(1, 8, Duration(9000)));
+  system.Run(Duration(1000));
+  system.KillNode(system.leader(), Duration(60000));
+  system.Run(Duration(3000));
+  RunnerId gone;
+  for (const RunnerId& id : system.RunnerIds()) {
+    system.FindRunner(id)->ForEachRun(
+        [&](const dispatch::TaskName&, int) { gone = id; });
+  }
+  system.CrashRunner(gone, Duration(60000));
+  // The longest lease that a runner takes, on a slow clock, from when it was
+  // heard.
+  system.Run(Duration(9600));
+  LONGS_EQUAL(2, Watch(job).starts.begin()->second);
+  system.Run(Duration(10000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
 TEST(TakeOver, StoppedSchedulerHandsOverWithinASecond) {
   system.StopNode(system.leader());
   system.Run(Duration(700));
