Tell callers to come back at once where only this node lost the store

Each refusal told its caller to come back after a second, whatever the reason; an urgent job has about 1.3 s to lose, and any other node would have taken it. Change: nodes keep a row with their address, and one that loses the store asks three peers at a time whether it answers them. One that it answered since tells that it is lost here only, as do peers that are all silent: callers come back at once. Where peers lost it too they come back after a second, as before. What nobody knows yet counts as lost everywhere.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -192,6 +192,9 @@
        "them, and their runners get nothing new."},
       {LogId::kRunDoneLate, kInfo, "run_done_late",
        "A run that counted as over was done all the same, and its task is."},
+      {LogId::kStoreLossJudged, kInfo, "store_loss_judged",
+       "Peers told whether the store is lost here only or everywhere; callers "
+       "are told by that when to come back."},
       {LogId::kLinesDropped, kWarning, "lines_dropped",
        "Log lines were dropped to keep within the budget; the field says how "
        "many."},
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -99,6 +99,7 @@
   kCatalogFollowed = 942,
   kSettingsReloaded = 943,
   kHallsEmptied = 944,
+  kStoreLossJudged = 946,
   kLinesDropped = 950,
   kProcessBroken = 951,
 };
--- a/src/dispatch/desk.cc
+++ b/src/dispatch/desk.cc
@@ -87,8 +87,16 @@
                                  {"result", ToString(result)},
                                  {"state", state},
                                  {"reason", message}});
-  ctx.Emit(AnswerCall{call.call, result, state, waiting, message,
-                      later ? options_.retry_after : Duration(0)});
+  AnswerCall answer{call.call, result, state, waiting, message, std::nullopt};
+  if (later) answer.retry_after = TimeToComeBack();
+  ctx.Emit(std::move(answer));
+}
+
+Duration Desk::TimeToComeBack() const {
+  // Their next try reaches another node, and urgent work has a second or so to
+  // lose. A store that serves nobody would see them use up their tries.
+  const bool others_serve = loss_ == StoreLoss::kHereOnly;
+  return others_serve ? Duration(0) : options_.retry_after;
 }
 
 const Queue* Desk::FindQueue(Context& ctx, const CallArrived& call,
--- a/src/dispatch/desk.h
+++ b/src/dispatch/desk.h
@@ -12,6 +12,7 @@
 
 #include "dispatch/catalog.h"
 #include "dispatch/context.h"
+#include "dispatch/peer_check.h"
 #include "dispatch/store_patience.h"
 
 namespace limeledge::dispatch {
@@ -24,7 +25,8 @@
   /// And not more often than this in all: where connections are reset, sendings
   /// end at once.
   int most_tries = 4;
-  /// Callers that were not served are told to come back after this.
+  /// Callers that were not served are told to come back after this, unless
+  /// another node would serve them at once.
   Duration retry_after{1000};
   /// A configuration that was not confirmed for so long can not be the ground
   /// for a refusal. Longer than the wait of a call that follows it.
@@ -53,6 +55,9 @@
             bool store_answers);
   void Take(Context& ctx, const RowsAnswered& answer, bool store_answers);
 
+  /// Takes in why the store does not answer, as far as that is known.
+  void NoteStoreLoss(StoreLoss loss) { loss_ = loss; }
+
   bool idle() const { return calls_.empty(); }
 
  private:
@@ -83,6 +88,8 @@
     bool unsettled = false;
   };
 
+  /// When callers that were not served are to come back.
+  Duration TimeToComeBack() const;
   const Queue* FindQueue(Context& ctx, const CallArrived& call,
                          const Catalog& catalog, bool fresh,
                          WorkspaceId* workspace);
@@ -113,6 +120,7 @@
 
   DeskOptions options_;
   const StorePatience* patience_;
+  StoreLoss loss_ = StoreLoss::kUnknown;
   std::map<Ticket, Pending> calls_;
 };
 
--- a/src/dispatch/effect.h
+++ b/src/dispatch/effect.h
@@ -26,6 +26,8 @@
   /// The scheduler's own calls about jobs, one lane for each part: a take-over
   /// must not wait behind callers' calls whose answers are lost.
   kParts,
+  /// Rows of peers, which nothing waits for.
+  kPeers,
 };
 
 struct CommitRows {
@@ -118,6 +120,12 @@
   std::vector<LifeId> runners;
 };
 
+/// Asks a peer whether the store answers it.
+struct AskPeer {
+  std::string address;
+  Duration timeout;
+};
+
 /// How a caller's call ended.
 enum class CallResult {
   kDone,
@@ -143,8 +151,8 @@
   /// With a count: the number of waiting jobs; -1 for none.
   std::int64_t waiting = -1;
   std::string message;
-  /// When to come back; 0 for no advice.
-  Duration retry_after;
+  /// When to come back; nothing for no advice.
+  std::optional<Duration> retry_after;
 };
 
 /// The state that was asked for, as JSON.
@@ -167,7 +175,7 @@
 using Effect =
     std::variant<CommitRows, ReadRows, AwaitChanges, ReadCatalog, AwaitCatalog,
                  ListRunners, LookAtRunner, StartRun, StopRun, AskAdvice,
-                 AnswerCall, AnswerState, SetReady, WriteLog, Exit>;
+                 AskPeer, AnswerCall, AnswerState, SetReady, WriteLog, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -172,6 +172,17 @@
   Duration valid;
 };
 
+/// What a peer tells of the store.
+struct PeerAnswered {
+  std::string address;
+  /// False if the peer itself does not answer.
+  bool answered = false;
+  /// The store answers that peer.
+  bool store_answers = false;
+  /// How long ago it last did.
+  Duration store_age;
+};
+
 /// What a caller asks for.
 enum class CallKind { kSubmit, kQuery, kCancel, kOther };
 
@@ -206,8 +217,8 @@
 using EventBody =
     std::variant<Woken, TransactionAnswered, RowsAnswered, ChangesAnswered,
                  CatalogAnswered, RunnersListed, RunnerLooked, StartAnswered,
-                 StopAnswered, AdviceAnswered, CallArrived, StopAsked,
-                 SettingsReloaded, StateAsked>;
+                 StopAnswered, AdviceAnswered, PeerAnswered, CallArrived,
+                 StopAsked, SettingsReloaded, StateAsked>;
 
 struct Event {
   TimePoint now;
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -26,6 +26,8 @@
     : options_(std::move(options)),
       leadership_(options_.leadership, options_.name, &patience_),
       desk_(options_.desk, &patience_),
+      peers_(options_.peers, options_.instance, options_.peer_address,
+             &patience_),
       catalog_(options_.catalog) {}
 
 Effects Node::Reduce(const Event& event) {
@@ -48,6 +50,8 @@
     leadership_.Follow(ctx);
   }
   UpdateReady(ctx);
+  peers_.Work(ctx, StoreAnswers());
+  desk_.NoteStoreLoss(peers_.loss());
   const bool lingers = ctx.now() - stop_asked_at_ < options_.linger;
   const bool handed_over = scheduler_ == nullptr && desk_.idle();
   const bool must_go = ctx.now() - stop_asked_at_ >= options_.longest_stop;
@@ -90,7 +94,7 @@
   } else if (catalog_.catalog() != nullptr) {
     next = leadership_.next_at();
   }
-  next = std::min(next, catalog_.next_at());
+  next = std::min({next, catalog_.next_at(), peers_.next_at()});
   if (stopping_ && !exited_) {
     const bool lingers = stop_asked_at_ + options_.linger > last_event_at_;
     next = std::min(next, stop_asked_at_ + (lingers ? options_.linger
@@ -126,6 +130,8 @@
   } else if (scheduler_ == nullptr && leadership_.Owns(event.ticket)) {
     const auto claimed = leadership_.Take(ctx, event);
     if (claimed.has_value()) Lead(ctx, *claimed);
+  } else if (peers_.Owns(event.ticket)) {
+    peers_.Take(ctx, event);
   }
 }
 
@@ -141,6 +147,8 @@
     if (answered != leadership_.store_answers()) {
       ctx.Log(answered ? LogId::kStoreLost : LogId::kStoreBack, {});
     }
+  } else if (peers_.Owns(event.ticket)) {
+    peers_.Take(ctx, event);
   }
 }
 
@@ -174,6 +182,10 @@
   if (scheduler_ != nullptr) scheduler_->Take(ctx, event);
 }
 
+void Node::Handle(Context& ctx, const PeerAnswered& event) {
+  peers_.Take(ctx, event);
+}
+
 void Node::Handle(Context& ctx, const CallArrived& event) {
   desk_.Take(ctx, event, catalog_.catalog(), catalog_.confirmed_at(),
              StoreAnswers());
@@ -199,6 +211,7 @@
   json["ready"] = ready_;
   json["stopping"] = stopping_;
   json["store_answers"] = StoreAnswers();
+  json["store_lost"] = ToString(peers_.loss());
   const Catalog* catalog = catalog_.catalog();
   if (catalog != nullptr) {
     json["catalog"] = Json::Int64(catalog->version.value());
--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -18,6 +18,7 @@
 #include "dispatch/effect.h"
 #include "dispatch/event.h"
 #include "dispatch/leadership.h"
+#include "dispatch/peer_check.h"
 #include "dispatch/scheduler.h"
 #include "dispatch/store_patience.h"
 
@@ -30,6 +31,7 @@
   SchedulerOptions scheduler;
   DeskOptions desk;
   CatalogFollowerOptions catalog;
+  PeerCheckOptions peers;
   /// Callers are served for this long after a stop was asked for: until the
   /// balancer has noticed, and well before the process is killed.
   Duration linger{3000};
@@ -39,6 +41,10 @@
   /// The process ends after this even if the store takes no hand-over; less
   /// than the time after which it is killed.
   Duration longest_stop{5000};
+  /// Names the instance, whichever process lives on it.
+  std::string instance;
+  /// Where this node answers its peers; empty for nowhere.
+  std::string peer_address;
 };
 
 /// Reduces events to effects. Deterministic: time comes with the event.
@@ -64,6 +70,12 @@
   TimePoint next_at() const;
 
   bool leads() const { return scheduler_ != nullptr; }
+  /// False while the store counts as lost to this node.
+  bool StoreAnswers() const;
+  /// Why the store does not answer this node, as far as that is known.
+  StoreLoss store_loss() const { return peers_.loss(); }
+  /// When the store last answered a call of this node.
+  TimePoint store_answered_at() const { return patience_.answered_at(); }
 
  private:
   void Handle(Context& ctx, const Woken& event);
@@ -76,6 +88,7 @@
   void Handle(Context& ctx, const StartAnswered& event);
   void Handle(Context& ctx, const StopAnswered& event);
   void Handle(Context& ctx, const AdviceAnswered& event);
+  void Handle(Context& ctx, const PeerAnswered& event);
   void Handle(Context& ctx, const CallArrived& event);
   void Handle(Context& ctx, const StopAsked& event);
   void Handle(Context& ctx, const SettingsReloaded& event);
@@ -87,7 +100,6 @@
   /// Tells the scheduler if this process comes late to its work.
   void CheckStoodStill(Context& ctx);
   void UpdateReady(Context& ctx);
-  bool StoreAnswers() const;
 
   /// Notes calls to the store as they are sent, and as they end.
   void WatchStore(const Effects& effects);
@@ -98,6 +110,7 @@
   StorePatience patience_;
   Leadership leadership_;
   Desk desk_;
+  PeerCheck peers_;
   std::unique_ptr<Scheduler> scheduler_;
   CatalogFollower catalog_;
   bool ready_ = false;
--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -233,6 +233,22 @@
   });
 }
 
+std::string EncodePeer(const PeerRecord& record) {
+  Json::Value json;
+  json["address"] = record.address;
+  json["renewed_ms"] = Json::Int64(record.renewed_wall_ms);
+  return WriteJson(json);
+}
+
+absl::StatusOr<PeerRecord> DecodePeer(const std::string& text) {
+  return Decode<PeerRecord>(text, [](const Json::Value& json) {
+    PeerRecord record;
+    record.address = json["address"].asString();
+    record.renewed_wall_ms = json["renewed_ms"].asInt64();
+    return record;
+  });
+}
+
 std::string EncodeJobSpec(const JobSpec& spec) {
   Json::Value json;
   json["id"] = spec.id.value();
--- a/src/dispatch/row_codec.h
+++ b/src/dispatch/row_codec.h
@@ -47,6 +47,16 @@
 /// Reads the job's state alone.
 absl::StatusOr<JobState> DecodeProgressState(const std::string& text);
 
+/// Where a node answers its peers.
+struct PeerRecord {
+  std::string address;
+  /// When the node last wrote the row.
+  std::int64_t renewed_wall_ms = 0;
+};
+
+std::string EncodePeer(const PeerRecord& record);
+absl::StatusOr<PeerRecord> DecodePeer(const std::string& text);
+
 using WaitingCounts = std::map<QueueId, std::int64_t>;
 std::string EncodeWaiting(const WaitingCounts& counts);
 absl::StatusOr<WaitingCounts> DecodeWaiting(const std::string& text);
--- a/src/dispatch/store_patience.cc
+++ b/src/dispatch/store_patience.cc
@@ -19,9 +19,15 @@
 void StorePatience::Ended(Ticket ticket, TimePoint now, bool answered) {
   const auto sent = sent_.find(ticket);
   if (sent == sent_.end()) return;
-  const Duration taken = now - sent->second;
+  const TimePoint sent_at = sent->second;
+  const Duration taken = now - sent_at;
   sent_.erase(sent);
-  if (!answered) return;
+  if (!answered) {
+    if (!failing_since_.has_value()) failing_since_ = sent_at;
+    return;
+  }
+  answered_at_ = now;
+  failing_since_.reset();
   const int kept = kAllPercent - options_.fall_percent;
   const Duration fallen =
       (usual_ * kept + taken * options_.fall_percent) / kAllPercent;
--- a/src/dispatch/store_patience.h
+++ b/src/dispatch/store_patience.h
@@ -8,6 +8,7 @@
 #define LIMELEDGE_SRC_DISPATCH_STORE_PATIENCE_H_
 
 #include <map>
+#include <optional>
 
 #include "dispatch/event.h"
 #include "limeledge/clock.h"
@@ -47,6 +48,12 @@
   /// Notes the end of a call; `answered` if the store told its outcome.
   void Ended(Ticket ticket, TimePoint now, bool answered);
 
+  /// When the store last told the outcome of a call.
+  TimePoint answered_at() const { return answered_at_; }
+  /// When the first call was sent that got no answer since then; nothing while
+  /// the newest one was answered.
+  std::optional<TimePoint> failing_since() const { return failing_since_; }
+
   /// Bound on a call that was sent `tries` times before without an answer:
   /// doubles with each, so that a store that has just turned slow is met.
   Duration For(int tries = 0) const;
@@ -55,6 +62,8 @@
   StorePatienceOptions options_;
   std::map<Ticket, TimePoint> sent_;
   Duration usual_;
+  TimePoint answered_at_;
+  std::optional<TimePoint> failing_since_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -46,6 +46,23 @@
   KillNode(node, Duration(200));
 }
 
+void EmulatedSystem::Perform(int node, const dispatch::AskPeer& ask) {
+  const int life = processes_[node].life;
+  dispatch::PeerAnswered answer;
+  answer.address = ask.address;
+  for (std::size_t i = 0; i < processes_.size(); ++i) {
+    const Process& peer = processes_[i];
+    const bool hears = peer.node != nullptr && peer.frozen_until <= now_ &&
+                       ask.address == absl::StrCat("n", i);
+    if (!hears) continue;
+    answer.answered = true;
+    answer.store_answers = peer.node->StoreAnswers();
+    answer.store_age = now_ - peer.node->store_answered_at();
+  }
+  const Duration taken = answer.answered ? options_.network * 2 : ask.timeout;
+  At(now_ + taken, [this, node, life, answer] { Deliver(node, life, answer); });
+}
+
 void EmulatedSystem::Perform(int, const dispatch::AnswerCall& answer) {
   At(now_ + options_.network, [this, answer] { TakeAnswer(answer); });
 }
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -89,6 +89,8 @@
   oracle_.NoteFault(now_);
   dispatch::NodeOptions options;
   options.name = absl::StrCat("n", node, "/", process.life);
+  options.instance = absl::StrCat("n", node);
+  options.peer_address = options.instance;
   options.scheduler.planner = options_.planner;
   options.scheduler.book = options_.book;
   options.scheduler.losses = options_.losses;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -151,6 +151,10 @@
     return oracle_.violations();
   }
   const std::map<JobId, JobWatch>& jobs() const { return oracle_.jobs(); }
+  /// What a node that runs makes of the store's silence.
+  dispatch::StoreLoss LossAt(int node) const {
+    return processes_[node].node->store_loss();
+  }
   /// The node that leads now; -1 for none.
   int leader() const;
 
@@ -242,6 +246,7 @@
   void Perform(int node, const dispatch::StartRun& start);
   void Perform(int node, const dispatch::StopRun& stop);
   void Perform(int node, const dispatch::AskAdvice& ask);
+  void Perform(int node, const dispatch::AskPeer& ask);
   void Perform(int node, const dispatch::AnswerCall& answer);
   void Perform(int node, const dispatch::AnswerState&);
   void Perform(int node, const dispatch::SetReady& effect);
--- a/test/desk-test.cc
+++ b/test/desk-test.cc
@@ -25,7 +25,7 @@
     return Context(now, 0, &tickets, &effects);
   }
 
-  void Begin(CallKind kind) {
+  void Begin(CallKind kind, bool store_answers = true) {
     CallArrived call;
     call.kind = kind;
     call.host = emulator::kHost;
@@ -33,7 +33,7 @@
     call.path = std::string(emulator::PrefixOf(1)) + "00000000000000aa";
     call.spec.steps.emplace_back();
     Context ctx = NewContext();
-    desk.Take(ctx, call, &catalog, now, true);
+    desk.Take(ctx, call, &catalog, now, store_answers);
   }
 
   /// The newest effect of a kind; null if there is none.
@@ -88,10 +88,21 @@
   POINTERS_EQUAL(nullptr, Newest<CommitRows>());
   // It may have been taken: no refusal would be true.
   CHECK_TRUE(Newest<AnswerCall>()->result == CallResult::kUnknown);
-  CHECK_TRUE(Newest<AnswerCall>()->retry_after.ms() > 0);
+  CHECK_TRUE(Newest<AnswerCall>()->retry_after.value().ms() > 0);
   CHECK_TRUE(desk.idle());
 }
 
+TEST(Desk, CallerThatAnotherNodeWouldServeIsToldToComeBackAtOnce) {
+  desk.NoteStoreLoss(StoreLoss::kHereOnly);
+  Begin(CallKind::kSubmit, false);
+  CHECK_TRUE(Newest<AnswerCall>()->result == CallResult::kNotTaken);
+  LONGS_EQUAL(0, Newest<AnswerCall>()->retry_after.value().ms());
+  desk.NoteStoreLoss(StoreLoss::kEverywhere);
+  Begin(CallKind::kSubmit, false);
+  LONGS_EQUAL(DeskOptions().retry_after.ms(),
+              Newest<AnswerCall>()->retry_after.value().ms());
+}
+
 TEST(Desk, QuestionThatIsLostTwiceWhileTheStoreIsAwayIsAnsweredAtOnce) {
   Begin(CallKind::kQuery);
   LoseRead(false);
--- a/test/node-test.cc
+++ b/test/node-test.cc
@@ -13,8 +13,14 @@
 namespace limeledge::dispatch {
 
 TEST_GROUP(Node) {
-  Node node{
-      NodeOptions{"e1/1", {}, {}, {}, {}, Duration(3000), Duration(5000)}};
+  static NodeOptions Options() {
+    NodeOptions options;
+    options.name = "e1/1";
+    options.stood_still = Duration(5000);
+    return options;
+  }
+
+  Node node{Options()};
   TimePoint now{1000};
 
   Effects Reduce(EventBody body) {
@@ -99,7 +105,7 @@
   const auto answers = Only<AnswerCall>(Reduce(call));
   LONGS_EQUAL(1, answers.size());
   CHECK_TRUE(answers.front().result == CallResult::kNotTaken);
-  CHECK_TRUE(answers.front().retry_after.ms() > 0);
+  CHECK_TRUE(answers.front().retry_after.value().ms() > 0);
 }
 
 TEST(Node, StopAskedHandsTheLeaseOverAtOnceAndExitsAfterTheLinger) {
