Keep last attempts off runners that may fail them, and try those with one run

Ten jobs failed for good; in eight of them the last failure was on a runner that had failed runs before (seen in the logs), was tried again after its rest of 2 s, and got several tasks at once. Change: a task or gang whose next failure is final does not go to a runner on which a run failed lately; while most of the fleet is idle, for 2.5 s at most. A runner that failed a run at once is tried with one run until that was well for 0.5 s.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -384,6 +384,8 @@
     seat.rack = runner->rack();
     seat.room = runner->free_room();
     seat.suspect = now < runner->suspect_until;
+    seat.may_fail_at_once = runner->MayFailAtOnce(now);
+    seat.tried = runner->IsTried();
     seat.fillers = runner->CountSharing(Sharing::kFills);
     seat.serving = runner->CountSharing(Sharing::kServes);
     for (const auto& [name, run] : runner->runs()) {
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -21,11 +21,12 @@
 constexpr double kLeisurelyRunner = 1.07;
 
 int LimitPerSeat(const PlacementRequest& request, const Seat& seat) {
+  const int most = seat.may_fail_at_once ? 1 : std::numeric_limits<int>::max();
   const int limit = request.step->max_per_runner;
-  if (limit <= 0) return std::numeric_limits<int>::max();
+  if (limit <= 0) return most;
   const auto used = request.used.find(seat.runner->id());
   const int taken = used == request.used.end() ? 0 : used->second;
-  return std::max(0, limit - taken);
+  return std::clamp(limit - taken, 0, most);
 }
 
 /// How far a runner is trusted; those named first are taken first.
@@ -111,7 +112,8 @@
 bool Seating::Suits(const Seat& seat, const PlacementRequest& request) {
   const RunnerInfo& info = seat.runner->info();
   const StepSpec& step = *request.step;
-  if (seat.on_probation) return false;
+  if (seat.on_probation || (seat.may_fail_at_once && seat.tried)) return false;
+  if (request.is_last_attempt && seat.suspect) return false;
   const bool closed =
       seat.urgent_rack && request.urgent_racks == UrgentRacks::kClosed;
   if (closed || info.service != request.service) return false;
@@ -153,6 +155,7 @@
 
 void Seating::Take(Seat* seat, const StepSpec& step, bool is_suspect) {
   seat->room -= step.room();
+  seat->tried = true;
   if (is_suspect) seat->on_probation = true;
   rack_room_[seat->rack_number] -= step.need.accelerators;
   if (step.sharing() == Sharing::kFills) ++seat->fillers;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -32,6 +32,10 @@
   Resources coming;
   /// A run failed there lately, and none was done since.
   bool suspect = false;
+  /// A run failed there as soon as it had begun. One other run is enough to
+  /// tell whether it still fails all that it starts: `tried` once there is one.
+  bool may_fail_at_once = false;
+  bool tried = false;
   /// A task that may crash its runners is being tried there, and nothing is to
   /// be put beside it meanwhile.
   bool on_probation = false;
@@ -68,6 +72,9 @@
   const std::set<LifeId>* allowed = nullptr;
   /// Runners that are usually faster go first.
   bool prefers_fast = false;
+  /// A further failure is final: runners that may fail the tasks are passed
+  /// over.
+  bool is_last_attempt = false;
   /// The tasks may crash their runners: those go first on which the least work
   /// is at risk.
   bool is_suspect = false;
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -89,6 +89,9 @@
   // Places for what fits.
   Duration PatienceOf(const Unit& unit) const;
   PlacementRequest RequestFor(const Unit& unit);
+  /// True if a further failure after so many is final, and the step is not to
+  /// be kept from idle runners for long.
+  bool MustNotFail(const Unit& unit, int failures);
   /// Under a backlog, gangs of other work take turns.
   bool IsDue(const Unit& unit);
   /// True if the policy lets nothing overtake what did not fit before.
--- a/src/dispatch/planner_places.cc
+++ b/src/dispatch/planner_places.cc
@@ -38,6 +38,15 @@
   return request;
 }
 
+bool Planner::Pass::MustNotFail(const Unit& unit, int failures) {
+  if (failures + 1 < unit.policy.max_attempts) return false;
+  if (!idle_) return true;
+  if (!idle_) return true;
+  const TimePoint end = unit.step->ready_since + options_.last_attempt_patience;
+  WakeAt(end);
+  return now_ < end;
+}
+
 bool Planner::Pass::IsDue(const Unit& unit) {
   if (unit.policy.priority == 0 || !unit.spec->gang) return true;
   ++gangs_;
@@ -126,6 +135,7 @@
       std::any_of(unit->waiting.begin(), unit->waiting.end(),
                   [unit](int index) { return unit->IsSuspectTask(index); });
   if (has_suspect) SpareOthers(request);
+  request->is_last_attempt = MustNotFail(*unit, unit->step->gang_failures);
   if (IsDoneSoonerByWaiting(*unit, *request)) request->anywhere = false;
   const std::vector<Seat*> seats = PlaceAll(*unit, *request);
   if (seats.empty()) {
@@ -206,10 +216,19 @@
     return;
   }
   std::size_t placed = 0;
+  std::size_t held = 0;
   for (const int index : unit->waiting) {
     request->is_suspect = false;
     if (unit->IsSuspectTask(index)) SpareOthers(request);
-    Seat* seat = PlaceOne(*unit, *request);
+    request->is_last_attempt =
+        MustNotFail(*unit, unit->step->tasks[index].failures);
+    // Others of the step may fit where last attempts must not go.
+    const bool held_too = request->is_last_attempt && held > 0;
+    Seat* seat = held_too ? nullptr : PlaceOne(*unit, *request);
+    if (seat == nullptr && request->is_last_attempt) {
+      ++held;
+      continue;
+    }
     if (seat == nullptr) break;
     ++request->used[seat->runner->id()];
     const int run = unit->step->tasks[index].run + 1;
@@ -217,12 +236,13 @@
     ++placed;
   }
   request->count -= static_cast<int>(placed);
+  request->is_last_attempt = held == unit->waiting.size() - placed;
   const bool plain = request->allowed == nullptr && request->anywhere &&
                      request->urgent_racks != UrgentRacks::kClosed &&
                      unit->spec->required_label.empty() &&
                      unit->spec->sharing() == Sharing::kNone &&
                      unit->spec->max_per_runner == 0;
-  if (placed == 0 && plain) {
+  if (placed == 0 && plain && held == 0) {
     fit_nowhere_[unit->policy.service].push_back(unit->spec->room());
   }
   if (request->count == 0) {
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -30,6 +30,10 @@
 // that gets no work is tried again after some seconds.
 constexpr double kSuspicionKept = 0.93;
 
+// A runner that fails all that it starts does so within some hundredths of a
+// second; a run that was well for this long shows that it does not any more.
+constexpr Duration kWellFor{500};
+
 constexpr int kAllDone = 100;
 // A run without progress is never expected to end sooner than in this part of
 // its whole time.
@@ -177,6 +181,21 @@
   runs_.erase(found);
 }
 
+bool Runner::MayFailAtOnce(TimePoint now) const {
+  if (!failed_at_once || now >= suspect_until) return false;
+  return std::none_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
+    const Run& run = entry.second;
+    return run.phase == RunPhase::kRunning && run.started_at > failed_at &&
+           now - run.started_at >= kWellFor;
+  });
+}
+
+bool Runner::IsTried() const {
+  return std::any_of(runs_.begin(), runs_.end(), [this](const auto& entry) {
+    return entry.second.assigned_at > failed_at && !entry.second.stopping;
+  });
+}
+
 bool Runner::HasRoomFor(const Run& run) const {
   Resources used = run.need;
   for (const auto& [name, other] : runs_) {
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -121,6 +121,7 @@
   TimePoint answered_at;
   /// Expected length of the whole run.
   Duration expected;
+  TimePoint assigned_at;
   TimePoint started_at;
   int percent = 0;
   /// When `percent` last changed.
@@ -315,6 +316,13 @@
   TimePoint suspect_until;
   /// When the newest run that failed here ended.
   TimePoint failed_at;
+  /// It failed as soon as it had begun, and none was done since.
+  bool failed_at_once = false;
+  /// True while it may still fail all that it starts: no run that began since
+  /// has been well for long enough to tell.
+  bool MayFailAtOnce(TimePoint now) const;
+  /// True if a run that was assigned since tries that.
+  bool IsTried() const;
   /// Runs that failed one after the other: quickly, or of different jobs.
   int failures_in_a_row = 0;
   JobId last_failed_job;
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -117,6 +117,7 @@
         run.sharing = job->step_spec(name.step).sharing();
         run.phase = RunPhase::kInherited;
         run.expected = job->step_spec(name.step).estimate;
+        run.assigned_at = ctx.now();
         run.started_at = ctx.now();
         run.progressed_at = ctx.now();
         run.suspect = IsSuspect(task.losses);
@@ -219,6 +220,7 @@
   run.number = assignment.run;
   run.need = job->step_spec(name.step).room();
   run.sharing = job->step_spec(name.step).sharing();
+  run.assigned_at = ctx.now();
   run.expected = assignment.expected;
   run.learns = assignment.near() && job->Find(name)->checkpoint.empty();
   run.suspect = IsSuspect(job->Find(name)->losses);
--- a/src/dispatch/tuning.cc
+++ b/src/dispatch/tuning.cc
@@ -30,6 +30,7 @@
   return {
       {"urgent-patience", &planner.urgent_patience},
       {"patience", &planner.patience},
+      {"last-attempt-patience", &planner.last_attempt_patience},
       {"gang-patience", &planner.gang_patience},
       {"kept-gangs", &planner.kept_gangs},
       {"press-margin", &planner.press_margin},
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -215,4 +215,24 @@
   }
 }
 
+TEST(Placement, LastAttemptPassesOverARunnerThatMayFailIt) {
+  Add("suspect", "r1-1", 8);
+  Seating seating = Seats();
+  seating.seats()[0].suspect = true;
+  PlacementRequest request = Request(1);
+  request.is_last_attempt = true;
+  POINTERS_EQUAL(nullptr, seating.PlaceOne(request));
+  request.is_last_attempt = false;
+  CHECK_TRUE(seating.PlaceOne(request) != nullptr);
+}
+
+TEST(Placement, RunnerThatFailedARunAtOnceIsTriedWithOne) {
+  Add("broken", "r1-1", 8);
+  Seating seating = Seats();
+  seating.seats()[0].may_fail_at_once = true;
+  CHECK_TRUE(seating.PlaceAll(Request(2)).empty());
+  CHECK_TRUE(seating.PlaceOne(Request(1)) != nullptr);
+  POINTERS_EQUAL(nullptr, seating.PlaceOne(Request(1)));
+}
+
 }  // namespace limeledge::dispatch
