Judge the time that a run still takes as of when its share was told

Cause: the share of a run that the newest look told was taken as if it were told now, so that the time left came out too long by up to half: known before, and in the way of deciding which runs end before their runner leaves. Change: the whole length is worked out at the moment of the look. Test: one of the time left, which fails without the change.

--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -72,7 +72,12 @@
 Duration TimeLeft(const Run& run, TimePoint now) {
   if (run.phase != RunPhase::kRunning) return run.expected;
   const Duration elapsed = now - run.started_at;
-  if (run.percent > 0) return elapsed * (kAllDone - run.percent) / run.percent;
+  if (run.percent > 0) {
+    // The share is as old as the look that told it.
+    const Duration told_after = run.progressed_at - run.started_at;
+    const Duration whole = told_after * kAllDone / run.percent;
+    return std::max(whole - elapsed, Duration(0));
+  }
   return std::max(run.expected - elapsed, run.expected / kLeastShareLeft);
 }
 
