--- a/src/emulator/emulated_catalog.cc
+++ b/src/emulator/emulated_catalog.cc
@@ -29,7 +29,6 @@
   queue.path_prefix = prefix;
   queue.policy.service = dispatch::ServiceId("compute");
   queue.policy.priority = priority;
-  queue.policy.max_attempts = kMaxAttempts;
   queue.policy.stretch = 3;
   queue.policy.slack = Duration(1000);
   return queue;
@@ -67,7 +66,7 @@
   return absl::StartsWith(ticket, TicketStart(step, life));
 }
 
-dispatch::Catalog MakeCatalog() {
+dispatch::Catalog MakeCatalog(int attempts) {
   dispatch::Catalog catalog;
   catalog.version = dispatch::CatalogVersion(1);
   catalog.queues.push_back(MakeQueue("patient", kPrefix, 1));
@@ -75,6 +74,9 @@
   catalog.queues.push_back(
       MakeQueue("advised", kAdvisedPrefix, kAdvisedPriority));
   catalog.queues.back().policy.needs_advice = true;
+  for (dispatch::Queue& queue : catalog.queues) {
+    queue.policy.max_attempts = attempts;
+  }
   catalog.services[dispatch::ServiceId("compute")] = {true};
   dispatch::Workspace workspace;
   workspace.id = WorkspaceId("roads");
--- a/src/emulator/emulated_catalog.h
+++ b/src/emulator/emulated_catalog.h
@@ -22,7 +22,7 @@
 /// Priority of the queue whose steps need tickets.
 inline constexpr int kAdvisedPriority = 2;
 
-/// Attempts that each queue gives a task.
+/// Attempts that each queue gives a task, where nothing else is asked for.
 inline constexpr int kMaxAttempts = 3;
 
 /// The path prefix of the queue of a priority. Thread-safe.
@@ -40,8 +40,9 @@
 bool TicketIsFor(const std::string& ticket, const dispatch::StepName& step,
                  const dispatch::LifeId& life);
 
-/// One queue of each priority, one service and one workspace. Thread-safe.
-dispatch::Catalog MakeCatalog();
+/// One queue of each priority, which gives each task so many attempts, one
+/// service and one workspace. Thread-safe.
+dispatch::Catalog MakeCatalog(int attempts = kMaxAttempts);
 
 }  // namespace limeledge::emulator
 
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -38,8 +38,8 @@
     : options_(options),
       random_(options.seed),
       rooms_(options.room_notice),
-      catalog_(MakeCatalog()),
-      oracle_(kMaxAttempts, CancelBoundsFor(options.bounds)) {
+      catalog_(MakeCatalog(options.attempts)),
+      oracle_(options.attempts, CancelBoundsFor(options.bounds)) {
   for (auto& [id, service] : catalog_.services) {
     service.guards_capacity = options.guards_capacity;
   }
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "dispatch/node.h"
+#include "emulator/emulated_catalog.h"
 #include "emulator/emulated_runner.h"
 #include "emulator/emulated_store.h"
 #include "emulator/promise_oracle.h"
@@ -35,6 +36,8 @@
   int runners_per_rack = 4;
   dispatch::Resources room{64000, 262144, 8};
   RunnerBounds bounds;
+  /// Attempts that queues give a task.
+  int attempts = kMaxAttempts;
   /// What the catalog says, and what runners do.
   bool guards_capacity = true;
   /// A room that has shrunk counts for starts so much later.
--- a/test/broken-runners-test.cc
+++ b/test/broken-runners-test.cc
@@ -4,6 +4,7 @@
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
 
+#include <cstdint>
 #include <vector>
 
 #include "scheduler-fixture.h"
@@ -11,13 +12,21 @@
 namespace limeledge::emulator {
 
 TEST_GROUP_BASE(BrokenRunners, SchedulerFixture){
-    /// A job of many tasks, each of which may fail twice.
-    JobId SubmitSweep(){dispatch::JobSpec spec;
-spec.steps.push_back(Step(24, 1, Duration(2000)));
-spec.policy.priority = 2;
-TaskTruth truth;
-truth.work = Duration(2000);
-return system.Submit(std::move(spec), {truth});
+    /// Starts of all tasks of the job.
+    static int Starts(const EmulatedSystem& other,
+                      const JobId& job){int starts = 0;
+for (const auto& [task, count] : other.jobs().at(job).starts) {
+  starts += count;
+}
+return starts;
+}  // namespace limeledge::emulator
+
+/// Four runners fail all that they start, or do not any more.
+static void SetBroken(EmulatedSystem* other, bool broken) {
+  const std::vector<RunnerId> runners = other->RunnerIds();
+  for (const std::size_t i : {1, 6, 9, 14}) {
+    other->FindRunner(runners[i])->SetBroken(broken);
+  }
 }  // namespace limeledge::emulator
 }
 ;
@@ -27,32 +36,54 @@
 // at once: tasks that had failed there once failed for good, and their jobs
 // with them.
 TEST(BrokenRunners, JobsOutlastRunnersThatFailAllThatTheyStart) {
-  const std::vector<RunnerId> runners = system.RunnerIds();
-  for (const std::size_t broken : {1, 4, 6}) {
-    system.FindRunner(runners[broken])->SetBroken(true);
-  }
-  std::vector<JobId> jobs;
-  for (int i = 0; i < 24; ++i) {
-    jobs.push_back(SubmitSweep());
-    system.Run(Duration(500));
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+    SystemOptions options;
+    options.seed = seed;
+    options.attempts = 2;
+    options.runners = 16;
+    EmulatedSystem own(options);
+    own.Run(Duration(3000));
+    std::vector<JobId> jobs;
+    for (int i = 0; i < 16; ++i) {
+      if (i == 4) SetBroken(&own, true);
+      jobs.push_back(SubmitTo(&own, Step(24, 1, Duration(2000))));
+      own.Run(Duration(500));
+    }
+    SetBroken(&own, false);
+    own.Run(Duration(60000));
+    for (const JobId& job : jobs) {
+      STRCMP_EQUAL("done", own.StateOf(job).c_str());
+    }
+    for (const std::string& what : own.violations()) FAIL(what.c_str());
   }
-  system.Run(Duration(120000));
-  for (const JobId& job : jobs) {
-    STRCMP_EQUAL("done", system.StateOf(job).c_str());
-  }
-  CheckNoViolation();
+}
+
+// The runner had rested, and got as many tasks as it has accelerators: each
+// lost one of its attempts there.
+TEST(BrokenRunners, RunnerThatHasRestedIsTriedWithOneRun) {
+  SystemOptions options;
+  options.planner.urgent_share = 0;
+  EmulatedSystem own(options);
+  own.Run(Duration(3000));
+  own.FindRunner(own.RunnerIds().front())->SetBroken(true);
+  const JobId job = SubmitTo(&own, Step(80, 1, Duration(30000)));
+  own.Run(Duration(1000));
+  const int at_first = Starts(own, job);
+  CHECK_TRUE(at_first >= 1);
+  own.Run(Duration(2500));
+  LONGS_EQUAL(at_first + 1, Starts(own, job));
 }
 
 TEST(BrokenRunners, RunnerThatIsWellAgainIsUsedAgain) {
   for (const RunnerId& id : system.RunnerIds()) {
     system.FindRunner(id)->SetBroken(true);
   }
-  const JobId job = Submit(Step(8, 8, Duration(1000)));
+  Submit(Step(8, 8, Duration(1000)));
   system.Run(Duration(300));
   for (const RunnerId& id : system.RunnerIds()) {
     system.FindRunner(id)->SetBroken(false);
   }
-  SubmitSweep();
+  Submit(Step(24, 1, Duration(2000)));
   system.Run(Duration(8000));
   LONGS_EQUAL(0, system.Waiting());
   CheckNoViolation();
