Read the store's address from the log of the store that was started

The node was given no address of a store, and nobody ever scheduled. Seen again in a loop: one start of some 400 beside a build got the address "" while the log held the right one; none of 300 with the stand-in alone, none of 160 before that.

Change: the old log is removed first; starts that fail say so, with the logs.

The test keeps the old log open under a second name and finds it emptied on the code before; a stand-in that ends at once was not told of either.

--- a/scripts/nodes.sh
+++ b/scripts/nodes.sh
@@ -58,9 +58,10 @@
   NODES_ALL_PIDS+=($!)
 }
 
-# Tries a command until it succeeds, for at most 30 s.
+# Tries a command until it succeeds, for at most 30 s unless NODES_TRIES says
+# how often.
 nodes_until() {
-  for _ in $(seq 300); do
+  for _ in $(seq "${NODES_TRIES:-300}"); do
     "$@" >/dev/null 2>&1 && return 0
     sleep 0.1
   done
@@ -91,17 +92,28 @@
   return 1
 }
 
+# Says what is wrong, with the logs; fails.
+nodes_fail() {
+  echo "nodes: $1; store '${NODES_STORE:-}'" >&2
+  tail -n 30 "$NODES_DIR"/*.log >&2
+  return 1
+}
+
 nodes_start() {
   NODES_BIN="$1"
   local count="$2" number
+  # The shell that runs the stand-in empties an old log at a moment of its own:
+  # until then an earlier stand-in's address would be read.
+  rm -f "$NODES_DIR/standin.log"
   "$NODES_BIN/limeledge-standin" --config examples/platform-config.json \
     >"$NODES_DIR/standin.log" 2>&1 &
   NODES_ALL_PIDS+=($!)
-  nodes_until grep -q 'store on' "$NODES_DIR/standin.log"
+  nodes_until grep -q 'store on' "$NODES_DIR/standin.log" ||
+    nodes_fail "the stand-in does not start" || return 1
   NODES_STORE="$(sed -n 's/store on //p' "$NODES_DIR/standin.log")"
   for number in $(seq "$count"); do
     nodes_settings "$number"
     nodes_daemon "$number"
   done
-  nodes_until nodes_leader
+  nodes_until nodes_leader || nodes_fail "no node schedules"
 }
