Tell late ends as known only once their runner's lease has run out

Cause: a runner is silent for longer than the lease that the scheduler knows of; its runs are taken for over and their tasks begin elsewhere; then it is heard and lists ends as done or failed of before. The platform counts such an end for good once it is told as known, unless the lease ran out in between. The scheduler told it at once. Where a renewal without an answer came late and counted from its arrival, the lease had not run out: a start had followed an end that counts (TWICE), or a last failure (BUDGET).

Why no test saw it: the oracle of the emulated system held only ends against a start that had been noted before it.

Change: such an end is held: it is taken in, the runner is granted nothing and given no work until its lease has surely run out, and only then is it told as known. Where the runner lists runs that went by the lease after that end, or is in use by now, nothing is held.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -230,7 +230,8 @@
 
 Duration Fleet::WaitFor(const Runner& runner) const {
   if (runner.runs().empty()) return options_.idle_wait;
-  Duration wait = runner.EndsAreStored() ? options_.busy_wait : Duration(0);
+  Duration wait =
+      runner.AllEndsAreAcknowledged() ? options_.busy_wait : Duration(0);
   for (const auto& [name, run] : runner.runs()) {
     const bool open =
         run.phase == RunPhase::kUnsure || run.phase == RunPhase::kInherited;
@@ -244,7 +245,7 @@
   const bool quiet =
       runner.look_in_flight || runner.ended || runner.info().address.empty();
   if (quiet) return kNever;
-  if (runner.EndsAreStored()) return runner.next_look_at;
+  if (runner.AllEndsAreAcknowledged()) return runner.next_look_at;
   // A look that does not tell newer ends as known would be answered at once.
   return std::max(runner.next_look_at,
                   runner.look_sent_at + options_.store_patience);
@@ -334,9 +335,10 @@
   // for ever the moment at which its runs are surely over.
   // An end that is told as known after the lease ran out is not taken as told.
   // A runner may hold runs that are not known yet: they must not lapse.
-  const bool leased =
-      !runner->runs().empty() || !runner->EndsAreStored() || !all_runs_known;
-  const bool renew = may_renew && runner->reachable() && leased;
+  const bool leased = !runner->runs().empty() ||
+                      !runner->AllEndsAreAcknowledged() || !all_runs_known;
+  const bool renew = may_renew && runner->reachable() && leased &&
+                     runner->MayBeGranted(ctx.now());
   if (renew) {
     look.until_ms = runner->GrantUntil(ctx.now(), options_.run_lease);
   }
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -247,6 +247,28 @@
   if (!silent_since_.has_value()) silent_since_ = now;
 }
 
+std::int64_t Runner::AcknowledgedEnd() const {
+  std::int64_t newest = newest_end;
+  for (const auto* open : {&unstored_ends, &held_ends_}) {
+    if (!open->empty()) newest = std::min(newest, *open->begin() - 1);
+  }
+  return newest;
+}
+
+TimePoint Runner::HoldEnd(std::int64_t number, TimePoint now, Duration lease) {
+  held_ends_.insert(number);
+  const Duration longest = OnSlowClock(lease.ms());
+  // Its clock may have stood still, and a call that is on its way may grant.
+  const TimePoint newest_grant = std::max(now, late_orders.grants_until());
+  no_grant_until_ =
+      std::max({no_grant_until_, lease_over_at(), newest_grant + longest});
+  return no_grant_until_;
+}
+
+void Runner::ReleaseHeldEnds(TimePoint now) {
+  if (MayBeGranted(now)) held_ends_.clear();
+}
+
 bool Runner::LeftAsKnown() const {
   // One that never answered may have gone in any way.
   if (!heard_ || !drains_since_.has_value()) return false;
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -296,13 +296,27 @@
   std::int64_t told_end = 0;
   /// Newest end that was taken in.
   std::int64_t newest_end = 0;
+  /// Newest end by a lease that ran out: it ran out after all ends before.
+  std::int64_t newest_lapse = 0;
   /// Ends that were taken in and are not stored yet.
   std::set<std::int64_t> unstored_ends;
-  /// Ends up to this number are stored and need not be told again.
-  std::int64_t AcknowledgedEnd() const {
-    return unstored_ends.empty() ? newest_end : *unstored_ends.begin() - 1;
+  /// Ends up to this number need not be told again: they are stored, and none
+  /// is held.
+  std::int64_t AcknowledgedEnd() const;
+  bool AllEndsAreAcknowledged() const {
+    return unstored_ends.empty() && held_ends_.empty();
   }
-  bool EndsAreStored() const { return unstored_ends.empty(); }
+  /// Runs that were taken for over though no end of them was told. This life
+  /// may tell one yet.
+  std::set<RunKey> written_off;
+  /// Keeps an end from being told as known until this life's lease has surely
+  /// run out since: `lease` is the longest that is granted. Until then nothing
+  /// may be granted. Returns when that is.
+  TimePoint HoldEnd(std::int64_t number, TimePoint now, Duration lease);
+  /// Lets ends be told as known again once the lease has run out.
+  void ReleaseHeldEnds(TimePoint now);
+  /// False while the lease is to run out.
+  bool MayBeGranted(TimePoint now) const { return now >= no_grant_until_; }
   /// Runs that the runner listed and that nobody waits for.
   std::map<RunKey, UnwantedRun>& unwanted() { return unwanted_; }
   /// Notes a run that nobody waits for; it takes `need` until it is forgotten.
@@ -380,6 +394,8 @@
   TimePoint lease_over_at_;
   /// What an earlier scheduler may have granted.
   TimePoint inherited_until_;
+  std::set<std::int64_t> held_ends_;
+  TimePoint no_grant_until_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -108,6 +108,8 @@
   /// The runner would not refuse what is too much for it, and its room was not
   /// confirmed lately.
   kRoomUnconfirmed,
+  /// Its lease has to run out first.
+  kLeaseRunsOut,
 };
 
 /// How a runner ended under the runs that went with it.
@@ -307,6 +309,9 @@
   bool TakeEnds(Context& ctx, Runner* runner,
                 const std::vector<ListedEnd>& ends);
   void TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end);
+  /// True if the end must not be told as known: the platform would hold it
+  /// against the runs that its task had since.
+  bool MustNotBeNoted(Runner* runner, const ListedEnd& end);
   /// Takes in an end of a run that nobody waited for any more.
   void TakeLateEnd(Context& ctx, const Runner& runner, const ListedEnd& end);
   void TakeRunning(Context& ctx, Runner* runner, const ListedRun& listed);
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -39,6 +39,8 @@
       return "its ticket ran out";
     case StartObstacle::kNoRoom:
       return "its runner has no room for it any more";
+    case StartObstacle::kLeaseRunsOut:
+      return "the runner's lease is to run out";
     case StartObstacle::kRoomUnconfirmed:
       return "its runner's room was not confirmed lately";
     case StartObstacle::kTaskCrashesRunners:
@@ -137,6 +139,7 @@
     return StartObstacle::kHallEmptied;
   }
   if (!runner.reachable()) return StartObstacle::kRunnerSilent;
+  if (!runner.MayBeGranted(now)) return StartObstacle::kLeaseRunsOut;
   if (!runner.HasRoomFor(run)) return StartObstacle::kNoRoom;
   if (!GuardsRoom(runner) && !fleet_.KnowsRooms(now)) {
     return StartObstacle::kRoomUnconfirmed;
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -249,6 +249,10 @@
 
 bool Scheduler::TakeEnds(Context& ctx, Runner* runner,
                          const std::vector<ListedEnd>& ends) {
+  for (const ListedEnd& end : ends) {
+    if (end.end != RunEnd::kLapsed) continue;
+    runner->newest_lapse = std::max(runner->newest_lapse, end.number);
+  }
   for (const ListedEnd& end : ends) {
     if (!book_.Knows(end.task.job)) {
       // An end that is not told as known would be answered at once again.
@@ -265,6 +269,11 @@
   runner->newest_end = end.number;
   const Run* run = runner->FindRun(end.task, end.run);
   if (run == nullptr) {
+    if (MustNotBeNoted(runner, end)) {
+      const TimePoint until =
+          runner->HoldEnd(end.number, ctx.now(), options_.fleet.run_lease);
+      Avoid(ctx, runner, until - ctx.now(), "its lease is to run out");
+    }
     TakeLateEnd(ctx, *runner, end);
   } else {
     Judge(ctx, runner, end, *run);
@@ -281,6 +290,27 @@
                 });
 }
 
+// Its lease seemed to be over, and the task went on elsewhere. If it has really
+// run out, the end does not count once it is noted. Runs that went by it would
+// show that; without any, a call that came late may have renewed it, or the
+// runner's clock may have stood still. So it has to run out first. What runs
+// there by now must not go with it.
+bool Scheduler::MustNotBeNoted(Runner* runner, const ListedEnd& end) {
+  const bool written_off = runner->written_off.erase({end.task, end.run}) != 0;
+  if (end.end != RunEnd::kDone && end.end != RunEnd::kFailed) return false;
+  if (end.number < runner->newest_lapse) return false;
+  const bool in_use = std::any_of(
+      runner->runs().begin(), runner->runs().end(),
+      [](const auto& run) { return run.second.phase != RunPhase::kUnsure; });
+  if (in_use) return false;
+  Job* job = book_.Find(end.task.job);
+  const Task* task = job == nullptr ? nullptr : job->Find(end.task);
+  if (task == nullptr) return written_off;
+  // A failure that was not counted counts for the platform once it is noted.
+  const bool uncounted = written_off && end.end == RunEnd::kFailed;
+  return uncounted || task->run > end.run;
+}
+
 // A run that counted as lapsed, or that a next life began late, may be done all
 // the same. Its answer is there: another run would only be a second one.
 void Scheduler::TakeLateEnd(Context& ctx, const Runner& runner,
@@ -394,6 +424,7 @@
            {"runner", runner->id().value()},
            {"born", ToString(runner->life().born)},
            {"newest_end", std::to_string(runner->newest_end)}});
+  runner->written_off.insert({name, found->second.number});
   EndRun(ctx, runner, name, RunEnd::kLapsed, "");
   StopGang(ctx, name);
 }
--- a/src/emulator/promise_oracle.cc
+++ b/src/emulator/promise_oracle.cc
@@ -63,6 +63,8 @@
   }
   ++watch->starts[order.task];
   if (foreign_.count({order.task, order.run}) != 0) return;
+  int& highest_run = watch->highest_run[order.task];
+  highest_run = std::max(highest_run, order.run);
   if (watch->done.count(order.task) != 0) {
     Violate(
         absl::StrCat("start of ", task, " after its end was noted as done"));
@@ -188,8 +190,24 @@
 void PromiseOracle::NoteEnd(const ListedEnd& end) {
   JobWatch* watch = Find(end.task.job);
   if (watch == nullptr || foreign_.count({end.task, end.run}) != 0) return;
-  if (end.end == RunEnd::kDone) watch->done.insert(end.task);
-  if (end.end == RunEnd::kFailed) ++watch->failures[end.task];
+  if (end.end == RunEnd::kDone) NoteDone(watch, end);
+  if (end.end == RunEnd::kFailed) NoteFailed(watch, end);
+}
+
+void PromiseOracle::NoteDone(JobWatch* watch, const ListedEnd& end) {
+  watch->done.insert(end.task);
+  if (watch->highest_run[end.task] <= end.run) return;
+  Violate(absl::StrCat(ToString(end.task), " was started again before run ",
+                       end.run, " was noted as done"));
+}
+
+void PromiseOracle::NoteFailed(JobWatch* watch, const ListedEnd& end) {
+  int& highest_failed = watch->highest_failed_run[end.task];
+  highest_failed = std::max(highest_failed, end.run);
+  if (++watch->failures[end.task] != max_attempts_) return;
+  if (watch->highest_run[end.task] <= highest_failed) return;
+  Violate(absl::StrCat(ToString(end.task), " was started again before its ",
+                       max_attempts_, " failed runs were noted"));
 }
 
 void PromiseOracle::ListEnd(const ListedEnd& end) {
--- a/src/emulator/promise_oracle.h
+++ b/src/emulator/promise_oracle.h
@@ -42,11 +42,13 @@
   bool cancel_sent = false;
   /// When a caller was first told that the job is cancelled.
   std::optional<TimePoint> cancelled_at;
-  /// Starts of each task that runners carried out.
+  /// Starts of each task that runners carried out, and the highest run of them.
   std::map<dispatch::TaskName, int> starts;
+  std::map<dispatch::TaskName, int> highest_run;
   /// Runs whose end was taken note of: how often each task failed, and the
   /// tasks that are done.
   std::map<dispatch::TaskName, int> failures;
+  std::map<dispatch::TaskName, int> highest_failed_run;
   std::set<dispatch::TaskName> done;
   /// Tasks that a runner has listed as done; a gang's members by any of them.
   std::set<dispatch::TaskName> listed_done;
@@ -63,8 +65,8 @@
 };
 
 /// Holds every start and every noted end against the promises: nothing runs
-/// that nobody handed in, twice at a time, after its end was noted, out of
-/// order, beyond its attempts, or after its job was cancelled.
+/// that nobody handed in, twice at a time, after an end that was noted then or
+/// later, out of order, beyond its attempts, or after its job was cancelled.
 ///
 /// Thread safety: none; callers lock.
 class PromiseOracle {
@@ -134,6 +136,8 @@
   std::optional<Duration> CalmSinceCancelling(const RunName& run,
                                               TimePoint now) const;
   void NoteEnd(const dispatch::ListedEnd& end);
+  void NoteDone(JobWatch* watch, const dispatch::ListedEnd& end);
+  void NoteFailed(JobWatch* watch, const dispatch::ListedEnd& end);
   void ListEnd(const dispatch::ListedEnd& end);
 
   int max_attempts_;
--- a/test/dispatch-course.h
+++ b/test/dispatch-course.h
@@ -22,14 +22,20 @@
 /// How often runners start again in a course, and under which ids.
 enum class Restarts { kRare, kUnderNewIds, kUnderTheirIds };
 
+/// Which faults a course has: all, or those that can make a scheduler that
+/// lives on lose what it was told. Answers come late or never, the store
+/// forgets its history, and everything else is killed at once.
+enum class FaultMix { kAll, kLostAnswers };
+
 /// One random course over a system.
 class Course {
  public:
   Course(int seed, const dispatch::PlanningPolicy& policy,
-         Restarts restarts = Restarts::kRare)
+         Restarts restarts = Restarts::kRare, FaultMix mix = FaultMix::kAll)
       : random_(static_cast<std::uint64_t>(seed)),
         restarts_(restarts),
-        system_(OptionsFor(seed, policy, restarts)) {
+        mix_(mix),
+        system_(OptionsFor(seed, policy, restarts, mix)) {
     TraceIfAsked(&system_);
   }
 
@@ -63,7 +69,7 @@
 
   static SystemOptions OptionsFor(int seed,
                                   const dispatch::PlanningPolicy& policy,
-                                  Restarts restarts) {
+                                  Restarts restarts, FaultMix mix) {
     SystemOptions options;
     options.planner.policy = &policy;
     options.seed = static_cast<std::uint64_t>(seed);
@@ -71,6 +77,9 @@
     options.keeps_ids = keeps_ids;
     // In a third of the courses each, entries lag, or clocks jumped back.
     constexpr int kThird = 3;
+    if (mix == FaultMix::kLostAnswers && seed % kThird == 0) {
+      options.bounds.lease_from_arrival = Duration(5000);
+    }
     if (keeps_ids && seed % kThird == 0) options.entry_lag = Duration(1500);
     if (keeps_ids && seed % kThird == 1) options.birth_step = Duration(-60000);
     return options;
@@ -84,7 +93,7 @@
   void Step() {
     if (!OneIn(3)) Submit();
     if (OneIn(12)) CancelOne();
-    if (OneIn(4)) Fault();
+    if (OneIn(4)) mix_ == FaultMix::kAll ? Fault() : LoseAnswers();
     if (restarts_ != Restarts::kRare && OneIn(4)) RestartFault();
   }
 
@@ -198,6 +207,39 @@
     }
   }
 
+  void LoseAnswers() {
+    Faults& faults = system_.faults();
+    faults.late_order = Duration(Pick(1000, 12000));
+    switch (Pick(0, 7)) {
+      case 0:
+        faults.store_answers_lost = faults.store_answers_lost > 0 ? 0 : 0.4;
+        break;
+      case 1:
+        faults.orders_lost = faults.orders_lost > 0 ? 0 : 0.3;
+        break;
+      case 2:
+        faults.looks_late = faults.looks_late > 0 ? 0 : 0.3;
+        break;
+      case 3:
+        for (int node = 0; node < 3; ++node) {
+          if (node == system_.leader()) continue;
+          system_.KillNode(node, Duration(Pick(500, 3000)));
+        }
+        break;
+      case 4:
+        system_.store().ForgetHistory();
+        break;
+      case 5:
+        system_.DrainRunner(AnyRunner(), Duration(Pick(500, 4000)));
+        break;
+      case 6:
+        faults.unreachable_runners = {AnyRunner(), AnyRunner()};
+        break;
+      default:
+        Heal();
+    }
+  }
+
   /// What only counts where runners come back under their ids.
   void RestartFault() {
     Faults& faults = system_.faults();
@@ -284,6 +326,7 @@
 
   std::mt19937_64 random_;
   const Restarts restarts_;
+  const FaultMix mix_;
   int given_up_ = 0;
   int given_up_wrongly_ = 0;
   EmulatedSystem system_;
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -410,6 +410,32 @@
   LONGS_EQUAL(0, Look()->acknowledged_end);
 }
 
+TEST(Fleet, HeldEndIsToldAsKnownOnlyOnceTheLeaseRanOut) {
+  Runner* runner = AddRunner("i-1");
+  runner->Heard(now, 1);
+  runner->newest_end = 4;
+  const Duration lease = FleetOptions().run_lease;
+  const TimePoint until = runner->HoldEnd(3, now, lease);
+  CHECK_TRUE(until - now > lease);
+  const std::optional<LookAtRunner> held = Look();
+  LONGS_EQUAL(2, held->acknowledged_end);
+  LONGS_EQUAL(0, held->until_ms);
+  runner->look_in_flight = false;
+  now = until;
+  runner->Heard(now, until.ms());
+  runner->ReleaseHeldEnds(now);
+  LONGS_EQUAL(4, Look()->acknowledged_end);
+}
+
+TEST(Fleet, HeldEndWaitsForARenewalThatMayStillCome) {
+  Runner* runner = AddRunner("i-1");
+  runner->Heard(now, 1);
+  constexpr Duration kLate{12500};
+  runner->late_orders.NoteGrant(now + kLate);
+  const Duration lease = FleetOptions().run_lease;
+  CHECK_TRUE(runner->HoldEnd(1, now, lease) > now + kLate + lease);
+}
+
 TEST(Fleet, LeaseOfAnEarlierSchedulerIsBoundedOnceItsRunnerIsHeard) {
   Runner* runner = Inherit("i-1", Birth());
   const TimePoint unheard = runner->lease_over_at();
--- a/test/promise-oracle-test.cc
+++ b/test/promise-oracle-test.cc
@@ -32,9 +32,10 @@
     oracle.Watch(spec, std::vector<TaskTruth>(2));
   }
 
-  void Start(const TaskName& task) {
+  void Start(const TaskName& task, int run = 1) {
     dispatch::StartRun order;
     order.task = task;
+    order.run = run;
     oracle.NoteStart(order);
   }
 
@@ -71,6 +72,34 @@
   CHECK_EQUAL(1, oracle.violations().size());
 }
 
+TEST(PromiseOracle, StartBeforeAnEndIsNotedIsAViolationOnceItIsNoted) {
+  Start(first, 1);
+  Look(0, {EndOf(first, 1, RunEnd::kDone)});
+  Start(first, 2);
+  CHECK(oracle.violations().empty());
+  Look(1, {});
+  CHECK_EQUAL(1, oracle.violations().size());
+}
+
+TEST(PromiseOracle, StartBeforeAnEndIsNotedIsAllowedWhereTheLeaseWasOver) {
+  Start(first, 1);
+  Look(0, {EndOf(first, 1, RunEnd::kDone)});
+  Start(first, 2);
+  Look(1, {}, /*stands=*/false);
+  CHECK(oracle.violations().empty());
+}
+
+TEST(PromiseOracle, StartBeforeAllFailuresAreNotedIsAViolationOnceTheyAre) {
+  Start(first, 1);
+  Start(first, 2);
+  Look(0, {{1, first, 1, RunEnd::kFailed, ""},
+           {2, first, 2, RunEnd::kFailed, ""}});
+  Start(first, 3);
+  CHECK(oracle.violations().empty());
+  Look(2, {});
+  CHECK_EQUAL(1, oracle.violations().size());
+}
+
 TEST(PromiseOracle, StartAfterANotedEndIsAViolation) {
   Start(first);
   Look(0, {EndOf(first, 1, RunEnd::kDone)});
