--- /dev/null
+++ b/test/findings-test.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Every play of the journal that broke a rule is named by a finding, and one
+# that is not is told of. Usage: test/findings-test.sh
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+scripts/unnamed-findings
+
+work="$(mktemp -d)"
+trap 'rm -rf "$work"' EXIT
+mkdir -p "$work/journal" "$work/docs/findings" "$work/docs/incidents"
+cat >"$work/journal/planted.json" <<'END'
+{"id": "0123abcd", "site": "a-site",
+ "days": [{"name": "quiet-1", "seed": 5, "rules": {}},
+          {"name": "scale-1 --seed 77", "seed": 77, "rules": {"TWICE": 1}}]}
+END
+echo "scale-1 was played" >"$work/docs/findings/README.md"
+check() { scripts/unnamed-findings --journal "$work/journal" --docs "$work/docs"; }
+if told="$(check)" || [[ "$told" != "planted a-site scale-1 --seed 77: TWICE" ]]; then
+  echo "a play that no finding names is not told of"
+  exit 1
+fi
+echo "scale-1, seed 77" >"$work/docs/findings/README.md"
+check
+echo "0123*: a text that stands nowhere" >"$work/docs/findings/days.txt"
+if check 2>/dev/null; then
+  echo "a pattern may point nowhere"
+  exit 1
+fi
