Split the placing of single tasks

Placing, judging whether a step is plain, and keeping the books stood in one function of 45 lines. No behaviour changes: planning, placement, starvation and broken-runner tests pass as before.

--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -111,6 +111,17 @@
   /// True if a task that takes no more was found to fit nowhere in this pass.
   bool FitsNowhere(const Unit& unit) const;
   void PlaceSingles(Unit* unit, PlacementRequest* request);
+  /// What became of the tasks of a step that is no gang.
+  struct SinglesPlaced {
+    int tasks = 0;
+    /// Last attempts that no sure runner has room for.
+    int held = 0;
+  };
+  /// Places the tasks one by one, up to the first that fits nowhere.
+  SinglesPlaced PlaceWhatFits(Unit* unit, PlacementRequest* request);
+  /// True if the step may run on any runner of its service: what has no room
+  /// for it has none for others as large.
+  static bool IsPlain(const Unit& unit, const PlacementRequest& request);
   /// True if enough of the urgent racks stays idle, in accelerators and in
   /// cores, beside so many further tasks of the step.
   bool LeavesHeadroom(const Unit& unit, int tasks) const;
--- a/src/dispatch/planner_places.cc
+++ b/src/dispatch/planner_places.cc
@@ -214,41 +214,50 @@
     MakeRoom(*unit, *request);
     return;
   }
-  std::size_t placed = 0;
-  std::size_t held = 0;
+  const SinglesPlaced placed = PlaceWhatFits(unit, request);
+  request->count -= placed.tasks;
+  request->is_last_attempt = placed.held == request->count;
+  const bool nothing_fits = placed.tasks == 0 && placed.held == 0;
+  if (nothing_fits && IsPlain(*unit, *request)) {
+    fit_nowhere_[unit->policy.service].push_back(unit->spec->room());
+  }
+  if (request->count == 0) {
+    planner_.claims_.erase(unit->key);
+  } else {
+    MakeRoom(*unit, *request);
+  }
+}
+
+Planner::Pass::SinglesPlaced Planner::Pass::PlaceWhatFits(
+    Unit* unit, PlacementRequest* request) {
+  SinglesPlaced placed;
   for (const int index : unit->waiting) {
     request->is_suspect = false;
     if (unit->IsSuspectTask(index)) SpareOthers(request);
     request->is_last_attempt =
         MustNotFail(*unit, unit->step->tasks[index].failures);
     // Others of the step may fit where last attempts must not go.
-    const bool held_too = request->is_last_attempt && held > 0;
+    const bool held_too = request->is_last_attempt && placed.held > 0;
     Seat* seat = held_too ? nullptr : PlaceOne(*unit, *request);
     if (seat == nullptr && request->is_last_attempt) {
-      ++held;
+      ++placed.held;
       continue;
     }
     if (seat == nullptr) break;
     ++request->used[seat->runner->id()];
     const int run = unit->step->tasks[index].run + 1;
     Assign(*unit, index, run, seat, false);
-    ++placed;
-  }
-  request->count -= static_cast<int>(placed);
-  request->is_last_attempt = held == unit->waiting.size() - placed;
-  const bool plain = request->allowed == nullptr && request->anywhere &&
-                     request->urgent_racks != UrgentRacks::kClosed &&
-                     unit->spec->required_label.empty() &&
-                     unit->spec->sharing() == Sharing::kNone &&
-                     unit->spec->max_per_runner == 0;
-  if (placed == 0 && plain && held == 0) {
-    fit_nowhere_[unit->policy.service].push_back(unit->spec->room());
-  }
-  if (request->count == 0) {
-    planner_.claims_.erase(unit->key);
-  } else {
-    MakeRoom(*unit, *request);
+    ++placed.tasks;
   }
+  return placed;
+}
+
+bool Planner::Pass::IsPlain(const Unit& unit, const PlacementRequest& request) {
+  return request.allowed == nullptr && request.anywhere &&
+         request.urgent_racks != UrgentRacks::kClosed &&
+         unit.spec->required_label.empty() &&
+         unit.spec->sharing() == Sharing::kNone &&
+         unit.spec->max_per_runner == 0;
 }
 
 void Planner::Pass::Assign(const Unit& unit, int index, int run, Seat* seat,
