--- a/test/findings-test.sh
+++ b/test/findings-test.sh
@@ -22,6 +22,17 @@
 fi
 echo "scale-1, seed 77" >"$work/docs/findings/README.md"
 check
+cat >"$work/journal/two.json" <<'END'
+{"id": "4567cdef", "site": "a-site",
+ "days": [{"name": "scale-1 --seed 8", "seed": 8, "rules": {"LOST": 1}},
+          {"name": "scale-2 --seed 9", "seed": 9, "rules": {"TWICE": 1}}]}
+END
+echo "scale-1, seed 8, of 4567cdef" >>"$work/docs/findings/README.md"
+if told="$(check)" || [[ "$told" != "two a-site scale-2 --seed 9: TWICE" ]]; then
+  echo "a play hides behind another one of its entry"
+  exit 1
+fi
+rm "$work/journal/two.json"
 echo "0123*: a text that stands nowhere" >"$work/docs/findings/days.txt"
 if check 2>/dev/null; then
   echo "a pattern may point nowhere"
