--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -309,9 +309,11 @@
   bool TakeEnds(Context& ctx, Runner* runner,
                 const std::vector<ListedEnd>& ends);
   void TakeEnd(Context& ctx, Runner* runner, const ListedEnd& end);
-  /// True if the end must not be told as known: the platform would hold it
-  /// against the runs that its task had since.
-  bool MustNotBeNoted(Runner* runner, const ListedEnd& end);
+  /// True if the end of a run that nobody waits for must not be told as known
+  /// yet: the platform would hold it against the runs that its task had since.
+  /// `written_off`: the run was taken for over without an end.
+  bool MustNotBeNoted(const Runner& runner, const ListedEnd& end,
+                      bool written_off);
   /// Takes in an end of a run that nobody waited for any more.
   void TakeLateEnd(Context& ctx, const Runner& runner, const ListedEnd& end);
   void TakeRunning(Context& ctx, Runner* runner, const ListedRun& listed);
--- /dev/null
+++ b/src/dispatch/scheduler_health.cc
@@ -0,0 +1,100 @@
+/// @file
+/// What ends and silence tell the scheduler of runners: which ones rest, and
+/// which are looked at later.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <algorithm>
+
+#include "dispatch/scheduler.h"
+
+namespace limeledge::dispatch {
+
+namespace {
+
+constexpr int kFailuresBeforeRest = 2;
+constexpr int kMostDoublings = 4;
+constexpr int kHundred = 100;
+
+}  // namespace
+
+void Scheduler::Judge(Context& ctx, Runner* runner, const ListedEnd& end,
+                      const Run& run) {
+  const Duration lasted = ctx.now() - run.started_at;
+  const Duration quick =
+      std::max(options_.quick_failure,
+               run.expected * options_.quick_failure_percent / kHundred);
+  if (end.end == RunEnd::kDone) {
+    JudgeDone(runner, run);
+  } else if (end.end == RunEnd::kFailed) {
+    // The end may be listed before the start's own answer comes.
+    const bool at_once = run.phase == RunPhase::kStarting ||
+                         (run.phase == RunPhase::kRunning && lasted < quick);
+    JudgeFailed(ctx, runner, end.task.job, at_once);
+  }
+}
+
+void Scheduler::JudgeDone(Runner* runner, const Run& run) {
+  // What began before the last failure says nothing of what begins now.
+  if (run.started_at < runner->failed_at) return;
+  runner->failures_in_a_row = 0;
+  runner->failed_at_once = false;
+  runner->suspect_until = TimePoint();
+}
+
+void Scheduler::JudgeFailed(Context& ctx, Runner* runner, const JobId& job,
+                            bool at_once) {
+  runner->suspect_until = ctx.now() + options_.suspicion;
+  runner->failed_at = ctx.now();
+  if (at_once) {
+    runner->failed_at_once = true;
+    // Others that began with it tell nothing more.
+    if (ctx.now() >= runner->avoid_until) ++runner->failures_in_a_row;
+    Rest(ctx, runner, "a run failed as soon as it had begun");
+    return;
+  }
+  // One job that fails again and again says nothing of the runner.
+  if (runner->last_failed_job == job) return;
+  runner->last_failed_job = job;
+  ++runner->failures_in_a_row;
+  if (runner->failures_in_a_row < kFailuresBeforeRest) return;
+  Rest(ctx, runner, "failed runs of several jobs");
+}
+
+void Scheduler::Rest(Context& ctx, Runner* runner, const char* reason) {
+  const int doublings = std::clamp(
+      runner->failures_in_a_row - kFailuresBeforeRest, 0, kMostDoublings);
+  const Duration pause = std::min(options_.unwell_pause * (1 << doublings),
+                                  options_.longest_unwell_pause);
+  Avoid(ctx, runner, pause, reason);
+}
+
+void Scheduler::Avoid(Context& ctx, Runner* runner, Duration pause,
+                      const char* reason) {
+  runner->avoid_until = std::max(runner->avoid_until, ctx.now() + pause);
+  ctx.Log(LogId::kRunnerAvoidedFor, {{"runner", runner->id().value()},
+                                     {"pause_ms", std::to_string(pause.ms())},
+                                     {"reason", reason}});
+}
+
+void Scheduler::MissLook(Context& ctx, Runner* runner, OrderOutcome outcome) {
+  if (outcome == OrderOutcome::kLost && runner->look_grants) {
+    runner->late_orders.NoteGrant(ctx.now() + options_.late_order);
+  }
+  MissAnswer(ctx, runner);
+}
+
+void Scheduler::MissAnswer(Context& ctx, Runner* runner) {
+  if (runner->reachable()) {
+    ctx.Log(LogId::kRunnerSilent, {{"runner", runner->id().value()}});
+  }
+  runner->Missed(ctx.now());
+  // What waits to be started there is placed elsewhere.
+  orders_due_.insert(runner->id());
+  const Duration pause = std::min(options_.fleet.retry_pause * runner->misses(),
+                                  options_.fleet.longest_retry_pause);
+  runner->next_look_at = ctx.now() + pause;
+}
+
+}  // namespace limeledge::dispatch
