--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -195,6 +195,9 @@
       {LogId::kStoreLossJudged, kInfo, "store_loss_judged",
        "Peers told whether the store is lost here only or everywhere; callers "
        "are told by that when to come back."},
+      {LogId::kTraffic, kInfo, "traffic",
+       "Calls, bytes and rows that the process exchanged since its start, by "
+       "kind of call; every 30 s and at the end."},
       {LogId::kLinesDropped, kWarning, "lines_dropped",
        "Log lines were dropped to keep within the budget; the field says how "
        "many."},
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -100,6 +100,7 @@
   kSettingsReloaded = 943,
   kHallsEmptied = 944,
   kStoreLossJudged = 946,
+  kTraffic = 947,
   kLinesDropped = 950,
   kProcessBroken = 951,
 };
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -9,6 +9,7 @@
 
 #include <httplib.h>
 
+#include <cstddef>
 #include <string>
 
 #include "limeledge/clock.h"
@@ -37,10 +38,20 @@
   bool ok() const { return outcome == HttpOutcome::kAnswered && status == 200; }
 };
 
+/// The size of one finished call, including HTTP headers.
+struct HttpTraffic {
+  const char* kind = "other";
+  HttpOutcome outcome = HttpOutcome::kLost;
+  std::size_t sent_bytes = 0;
+  std::size_t received_bytes = 0;
+};
+
 /// An HTTP request with its destination and timeouts.
 struct HttpCall {
   /// The server, as "HOST:PORT".
   std::string address;
+  /// Names the kind of call in traffic counts. Must be a string literal.
+  const char* kind = "other";
   std::string method = "POST";
   std::string path;
   std::string body;
--- a/src/net/http_loop.cc
+++ b/src/net/http_loop.cc
@@ -151,6 +151,7 @@
   /// The call is not sent after this time, if there is one.
   std::optional<TimePoint> send_by;
   std::optional<http::response_parser<http::string_body>> parser;
+  HttpTraffic traffic;
   /// The entry of this exchange in `Impl::deadlines_`, or its end.
   std::multimap<TimePoint, Exchange*>::iterator deadline;
 };
@@ -161,8 +162,11 @@
 
 class HttpLoop::Impl {
  public:
-  explicit Impl(HttpLoopOptions options)
-      : options_(options), deadline_timer_(io_), sweep_timer_(io_) {
+  Impl(HttpLoopOptions options, TrafficObserver observer)
+      : options_(options),
+        observer_(std::move(observer)),
+        deadline_timer_(io_),
+        sweep_timer_(io_) {
     ScheduleSweep();
     thread_ = std::thread([this] { io_.run(); });
   }
@@ -247,25 +251,29 @@
       return;
     }
     SetDeadline(exchange.get(), exchange->call.timeout);
-    http::async_write(exchange->connection->socket(), exchange->request,
-                      [this, exchange](const error_code& failed, std::size_t) {
-                        if (failed) {
-                          Finish(exchange, HttpOutcome::kLost);
-                        } else {
-                          Receive(exchange);
-                        }
-                      });
+    http::async_write(
+        exchange->connection->socket(), exchange->request,
+        [this, exchange](const error_code& failed, std::size_t bytes) {
+          exchange->traffic.sent_bytes = bytes;
+          if (failed) {
+            Finish(exchange, HttpOutcome::kLost);
+          } else {
+            Receive(exchange);
+          }
+        });
   }
 
   void Receive(const ExchangePtr& exchange) {
     exchange->parser.emplace();
     exchange->parser->body_limit(kMaxResponseBytes);
-    http::async_read(exchange->connection->socket(),
-                     exchange->connection->buffer(), *exchange->parser,
-                     [this, exchange](const error_code& failed, std::size_t) {
-                       Finish(exchange, failed ? HttpOutcome::kLost
-                                               : HttpOutcome::kAnswered);
-                     });
+    http::async_read(
+        exchange->connection->socket(), exchange->connection->buffer(),
+        *exchange->parser,
+        [this, exchange](const error_code& failed, std::size_t bytes) {
+          exchange->traffic.received_bytes = bytes;
+          Finish(exchange,
+                 failed ? HttpOutcome::kLost : HttpOutcome::kAnswered);
+        });
   }
 
   void Finish(const ExchangePtr& exchange, HttpOutcome outcome) {
@@ -288,6 +296,11 @@
       idle_connections_.erase(exchange->call.address);
     }
     exchange->connection = nullptr;
+    if (observer_) {
+      exchange->traffic.kind = exchange->call.kind;
+      exchange->traffic.outcome = outcome;
+      observer_(exchange->traffic);
+    }
     exchange->done(std::move(reply));
   }
 
@@ -405,6 +418,7 @@
   }
 
   const HttpLoopOptions options_;
+  const TrafficObserver observer_;
   SteadyClock clock_;
   std::atomic<std::size_t> open_connections_ = 0;
   asio::io_context io_{1};
@@ -421,8 +435,8 @@
   std::thread thread_;
 };
 
-HttpLoop::HttpLoop(HttpLoopOptions options)
-    : impl_(std::make_unique<Impl>(options)) {}
+HttpLoop::HttpLoop(HttpLoopOptions options, TrafficObserver observer)
+    : impl_(std::make_unique<Impl>(options, std::move(observer))) {}
 
 HttpLoop::~HttpLoop() = default;
 
--- a/src/net/http_loop.h
+++ b/src/net/http_loop.h
@@ -39,8 +39,13 @@
   /// Receives the reply. Runs on the event loop thread and must not block.
   using Done = std::function<void(HttpReply)>;
 
+  /// Receives the size of each finished call, under the same conditions as
+  /// `Done`.
+  using TrafficObserver = std::function<void(const HttpTraffic&)>;
+
   /// Throws `std::system_error` if the thread cannot be started.
-  explicit HttpLoop(HttpLoopOptions options = {});
+  explicit HttpLoop(HttpLoopOptions options = {},
+                    TrafficObserver observer = nullptr);
   /// Aborts the calls in progress without calling their `Done`.
   ~HttpLoop();
   HttpLoop(const HttpLoop&) = delete;
--- a/test/http-loop-test.cc
+++ b/test/http-loop-test.cc
@@ -189,4 +189,18 @@
   LONGS_EQUAL(0, wide.connections());
 }
 
+TEST(HttpLoop, CallIsObservedWithItsSize) {
+  HttpTraffic seen;
+  HttpLoop observed({}, [&seen](const HttpTraffic& call) { seen = call; });
+  HttpCall call = MakeCall(
+      std::string(kLocal) + ":" + std::to_string(server->port()), kLongTimeout);
+  call.kind = "test";
+  CHECK(CallAndWait(&observed, call).ok());
+  STRCMP_EQUAL("test", seen.kind);
+  CHECK(seen.outcome == HttpOutcome::kAnswered);
+  // The body and the headers.
+  CHECK(seen.received_bytes > 40 && seen.received_bytes < 400);
+  CHECK(seen.sent_bytes > 10 && seen.sent_bytes < 400);
+}
+
 }  // namespace limeledge
