Read a bounded random sample of the peer rows

Cause: each node read up to 500 peer rows every 15 s, of which it asks three, so the bytes grew with the square of the nodes; over 500 nodes all read the same rows. And the first writes of 583 nodes overran their partition (200 a second) and were repeated each second by all.

Change: keys are hashed, and a node reads twelve rows from a random key, wrapping round; a sample that can not be read leaves the previous one. A first write that fails is repeated after a random part of five seconds. Rows that are gone are removed by those who sample them. The rows tell hall and processor time.

A read costs the same at 8 and at 10,000 nodes.

--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -27,7 +27,9 @@
     : options_(std::move(options)),
       leadership_(options_.leadership, options_.name, &store_timeout_),
       front_end_(options_.front_end, &store_timeout_),
-      peers_(options_.peers, options_.instance, options_.peer_address,
+      peers_(options_.peers, options_.instance,
+             {options_.peer_address, 0, options_.hall,
+              options_.leadership.capacity},
              &store_timeout_),
       catalog_(options_.catalog) {}
 
--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -47,6 +47,7 @@
   std::string instance;
   /// HOST:PORT at which peers reach this node; empty for none.
   std::string peer_address;
+  HallId hall;
 };
 
 /// Reduces events to effects. Deterministic: the only clock is the time in the
--- a/src/dispatch/peer_check.cc
+++ b/src/dispatch/peer_check.cc
@@ -9,15 +9,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "dispatch/row_codec.h"
 
 namespace limeledge::dispatch {
 
 namespace {
 
-// Maximum number of peer rows read; enough to ask different peers in each
-// round.
-constexpr int kMaxPeerRows = 500;
 // Maximum number of outdated rows that one renewal removes.
 constexpr std::size_t kMaxRemovedRows = 20;
 // A single silent peer may have shut down; two are needed to conclude that this
@@ -38,15 +36,17 @@
   return "";
 }
 
-PeerCheck::PeerCheck(PeerCheckOptions options, std::string instance,
-                     std::string address, const StoreTimeout* store_timeout)
+PeerCheck::PeerCheck(PeerCheckOptions options, const std::string& instance,
+                     PeerRecord self, const StoreTimeout* store_timeout)
     : options_(options),
-      instance_(std::move(instance)),
-      address_(std::move(address)),
-      store_timeout_(store_timeout) {}
+      key_(PeerKey(instance)),
+      self_(std::move(self)),
+      store_timeout_(store_timeout),
+      jitter_(key_),
+      next_list_interval_(options.first_list_interval) {}
 
 void PeerCheck::Work(Context& ctx, bool store_answers) {
-  if (address_.empty()) return;
+  if (self_.address.empty()) return;
   if (!store_answers) {
     if (!store_lost_) ask_at_ = ctx.now();
     store_lost_ = true;
@@ -62,12 +62,12 @@
   if (ctx.now() >= renew_at_) {
     Renew(ctx);
   } else if (ctx.now() >= read_at_) {
-    ReadPeers(ctx);
+    ReadSample(ctx);
   }
 }
 
 TimePoint PeerCheck::next_at() const {
-  if (address_.empty()) return kNever;
+  if (self_.address.empty()) return kNever;
   if (store_lost_) return ask_at_;
   return call_under_way_ ? kNever : std::min(renew_at_, read_at_);
 }
@@ -77,8 +77,8 @@
   call_ = ctx.NewTicket();
   RowTransaction renewal;
   renewal.partition = kPeerPartition;
-  renewal.puts.push_back(
-      {{kPeerTable, instance_}, EncodePeer({address_, ctx.wall_ms()})});
+  self_.renewed_wall_ms = ctx.wall_ms();
+  renewal.puts.push_back({{kPeerTable, key_}, EncodePeer(self_)});
   for (const std::string& key : outdated_rows_) {
     if (renewal.removes.size() == kMaxRemovedRows) break;
     renewal.removes.push_back({kPeerTable, key});
@@ -87,7 +87,14 @@
                       store_timeout_->For()});
 }
 
-void PeerCheck::ReadPeers(Context& ctx) {
+void PeerCheck::ReadSample(Context& ctx) {
+  sample_ = Sample();
+  sample_.start = absl::StrCat(absl::Hex(jitter_.Next(), absl::kZeroPad16));
+  ReadRange(ctx, sample_.start, "", options_.sample_rows);
+}
+
+void PeerCheck::ReadRange(Context& ctx, const std::string& from,
+                          const std::string& to, int limit) {
   call_under_way_ = true;
   call_ = ctx.NewTicket();
   ReadRows read;
@@ -95,44 +102,66 @@
   read.lane = StoreLane::kPeers;
   read.table = kPeerTable;
   read.partition = kPeerPartition;
-  read.limit = kMaxPeerRows;
+  read.from = from;
+  read.to = to;
+  read.limit = limit;
   read.timeout = store_timeout_->For();
   ctx.Emit(std::move(read));
 }
 
 void PeerCheck::Handle(Context& ctx, const CommitCompleted& answer) {
   call_under_way_ = false;
-  const bool done = answer.outcome == StoreOutcome::kDone;
-  if (done) outdated_rows_.clear();
-  renew_at_ =
-      ctx.now() + (done ? options_.renew_interval : options_.retry_pause);
+  if (answer.outcome == StoreOutcome::kDone) {
+    registered_ = true;
+    outdated_rows_.clear();
+    renew_at_ = ctx.now() + options_.renew_interval;
+    return;
+  }
+  renew_at_ = ctx.now() + options_.retry_pause;
+  if (!registered_) {
+    renew_at_ = renew_at_ + jitter_.Below(options_.first_renewal_spread);
+  }
 }
 
 void PeerCheck::Handle(Context& ctx, const ReadCompleted& answer) {
   call_under_way_ = false;
-  const bool done = answer.outcome == StoreOutcome::kDone;
-  read_at_ = ctx.now() + (done ? options_.list_interval : options_.retry_pause);
-  if (!done) return;
-  peers_.clear();
-  outdated_rows_.clear();
-  for (const Row& row : answer.rows) {
-    if (row.key.key == instance_) continue;
-    const absl::StatusOr<PeerRecord> peer = DecodePeer(row.value);
-    const bool fresh = peer.ok() && ctx.wall_ms() - peer->renewed_wall_ms <
-                                        options_.max_row_age.ms();
-    if (fresh) {
-      peers_.push_back(peer->address);
-    } else {
-      outdated_rows_.insert(row.key.key);
-    }
+  if (answer.outcome != StoreOutcome::kDone) {
+    // The previous sample remains in use.
+    read_at_ = ctx.now() + options_.retry_pause;
+    return;
+  }
+  for (const Row& row : answer.rows) AddToSample(ctx, row);
+  sample_.rows += static_cast<int>(answer.rows.size());
+  const std::string start = std::exchange(sample_.start, "");
+  const int missing = options_.sample_rows - sample_.rows;
+  if (!start.empty() && missing > 0) {
+    ReadRange(ctx, "", start, missing);
+    return;
+  }
+  peers_ = std::move(sample_.peers);
+  outdated_rows_ = std::move(sample_.outdated_rows);
+  next_peer_ = peers_.empty() ? 0 : jitter_.Next() % peers_.size();
+  read_at_ = ctx.now() + next_list_interval_;
+  next_list_interval_ =
+      std::min(next_list_interval_ * 2, options_.list_interval);
+}
+
+void PeerCheck::AddToSample(Context& ctx, const Row& row) {
+  if (row.key.key == key_) return;
+  const absl::StatusOr<PeerRecord> peer = DecodePeer(row.value);
+  const bool fresh = peer.ok() && ctx.wall_ms() - peer->renewed_wall_ms <
+                                      options_.max_row_age.ms();
+  if (fresh) {
+    sample_.peers.push_back(peer->address);
+  } else {
+    sample_.outdated_rows.insert(row.key.key);
   }
-  // Nodes start at different peers.
-  const std::size_t start = std::hash<std::string>()(instance_);
-  next_peer_ = peers_.empty() ? 0 : start % peers_.size();
 }
 
 void PeerCheck::Ask(Context& ctx) {
-  ask_at_ = ctx.now() + options_.round_interval;
+  ask_at_ = ctx.now() + (outage_ == StoreOutage::kLocal
+                             ? options_.local_outage_round_interval
+                             : options_.round_interval);
   asked_.clear();
   round_ = Round();
   const std::size_t count = std::min(
--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -241,6 +241,8 @@
   Json::Value json;
   json["address"] = record.address;
   json["renewed_ms"] = Json::Int64(record.renewed_wall_ms);
+  json["hall"] = record.hall.value();
+  json["capacity"] = Json::Int64(record.capacity);
   return WriteJson(json);
 }
 
@@ -249,6 +251,8 @@
     PeerRecord record;
     record.address = json["address"].asString();
     record.renewed_wall_ms = json["renewed_ms"].asInt64();
+    record.hall = HallId(json.get("hall", "").asString());
+    record.capacity = json.get("capacity", 0).asInt64();
     return record;
   });
 }
--- a/src/dispatch/row_codec.h
+++ b/src/dispatch/row_codec.h
@@ -53,6 +53,9 @@
   std::string address;
   /// Wall-clock time at which the node last wrote the row.
   std::int64_t renewed_wall_ms = 0;
+  HallId hall;
+  /// Processor time of the node in thousandths of a core.
+  std::int64_t capacity = 0;
 };
 
 std::string EncodePeer(const PeerRecord& record);
--- a/src/dispatch/rows.cc
+++ b/src/dispatch/rows.cc
@@ -1,5 +1,5 @@
 /// @file
-/// How job rows are distributed over the store's partitions.
+/// How rows are distributed over the store's partitions and keys.
 //
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
@@ -7,6 +7,7 @@
 #include "dispatch/rows.h"
 
 #include "absl/strings/str_cat.h"
+#include "limeledge/rendezvous.h"
 
 namespace limeledge::dispatch {
 
@@ -16,6 +17,11 @@
 
 }  // namespace
 
+std::string PeerKey(const std::string& instance) {
+  const std::uint64_t hash = RendezvousWeight("peer", InstanceId(instance));
+  return absl::StrCat(absl::Hex(hash, absl::kZeroPad16), "-", instance);
+}
+
 std::string JobPartition(const std::string& job) {
   // Job ids are random, so that their last characters are evenly distributed.
   const unsigned last_char =
--- a/src/dispatch/rows.h
+++ b/src/dispatch/rows.h
@@ -78,6 +78,10 @@
 /// Partition of the peer table, so that its writes do not wait for the
 /// scheduler's.
 inline constexpr char kPeerPartition[] = "peers";
+/// Returns the key of an instance's peer row. Keys are ordered by a hash of the
+/// instance, so that neighboring rows belong to nodes of different halls.
+/// Thread-safe.
+std::string PeerKey(const std::string& instance);
 /// Key of the row that holds the scheduler's lease.
 inline constexpr char kLeaderKey[] = "scheduler";
 /// Key of the row with the number of waiting jobs per queue.
--- a/test/peer-check-test.cc
+++ b/test/peer-check-test.cc
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,11 +19,17 @@
 /// A node that knows six peers, and whose calls to the store fail from 5 s on.
 TEST_GROUP(PeerCheck) {
   StoreTimeout store_timeout;
-  PeerCheck check{PeerCheckOptions(), "n0", "n0:7000", &store_timeout};
+  PeerCheck check{PeerCheckOptions(), "n0", Self(), &store_timeout};
   Ticket tickets;
   Effects effects;
   TimePoint now{1000};
 
+  static PeerRecord Self() {
+    PeerRecord self;
+    self.address = "n0:7000";
+    return self;
+  }
+
   Context NewContext() {
     effects.clear();
     return Context(now, now.ms(), &tickets, &effects);
@@ -67,12 +74,26 @@
     rows.outcome = StoreOutcome::kDone;
     for (const auto& [name, wall_ms] : renewed) {
       Row row;
-      row.key = {kPeerTable, name};
-      row.value = EncodePeer({name + ":7000", wall_ms});
+      row.key = {kPeerTable, PeerKey(name)};
+      PeerRecord peer;
+      peer.address = name + ":7000";
+      peer.renewed_wall_ms = wall_ms;
+      row.value = EncodePeer(peer);
       rows.rows.push_back(row);
     }
     Context ctx = NewContext();
     check.Handle(ctx, rows);
+    FinishSample();
+  }
+
+  /// Answers the second read of a sample, if there is one, with no rows.
+  void FinishSample() {
+    if (effects.empty()) return;
+    CHECK_TRUE(std::holds_alternative<ReadRows>(effects.front()));
+    ReadCompleted none;
+    none.outcome = StoreOutcome::kDone;
+    Context ctx = NewContext();
+    check.Handle(ctx, none);
   }
 
   std::vector<std::string> Asked() {
@@ -129,7 +150,7 @@
 }
 
 TEST(PeerCheck, OneSilentPeerIsInconclusive) {
-  PeerCheck alone(PeerCheckOptions(), "n0", "n0:7000", &store_timeout);
+  PeerCheck alone(PeerCheckOptions(), "n0", Self(), &store_timeout);
   check = alone;
   setup();
   now = now + PeerCheckOptions().list_interval;
@@ -183,7 +204,80 @@
   Work(true);
   const auto& renewal = std::get<CommitRows>(effects.front());
   LONGS_EQUAL(1, renewal.transaction.removes.size());
-  STRCMP_EQUAL("n1", renewal.transaction.removes.front().key.c_str());
+  STRCMP_EQUAL(PeerKey("n1").c_str(),
+               renewal.transaction.removes.front().key.c_str());
+}
+
+// All rows would be read by all nodes: the bytes grow with their square.
+TEST(PeerCheck, SampleIsBoundedAndStartsAtARandomKey) {
+  std::set<std::string> starts;
+  for (int i = 0; i < 10; ++i) {
+    now = now + PeerCheckOptions().list_interval;
+    Work(true);
+    if (std::holds_alternative<CommitRows>(effects.front())) {
+      CommitCompleted renewed;
+      renewed.outcome = StoreOutcome::kDone;
+      Context ctx = NewContext();
+      check.Handle(ctx, renewed);
+      Work(true);
+    }
+    const ReadRows read = std::get<ReadRows>(effects.front());
+    LONGS_EQUAL(PeerCheckOptions().sample_rows, read.limit);
+    starts.insert(read.from);
+    AnswerRows({});
+  }
+  LONGS_EQUAL(10, starts.size());
+}
+
+TEST(PeerCheck, SampleThatCannotBeReadLeavesThePreviousOne) {
+  now = now + PeerCheckOptions().list_interval;
+  Work(true);
+  Context ctx = NewContext();
+  check.Handle(ctx, ReadCompleted());
+  Work(false);
+  LONGS_EQUAL(PeerCheckOptions().peers_per_round, Asked().size());
+}
+
+TEST(PeerCheck, SampleThatReachesTheEndOfTheTableContinuesAtItsStart) {
+  now = now + PeerCheckOptions().list_interval;
+  Work(true);
+  const ReadRows first = std::get<ReadRows>(effects.front());
+  ReadCompleted rows;
+  rows.outcome = StoreOutcome::kDone;
+  for (int i = 0; i < 5; ++i) {
+    Row row;
+    row.key = {kPeerTable, PeerKey("n" + std::to_string(i + 1))};
+    rows.rows.push_back(row);
+  }
+  Context ctx = NewContext();
+  check.Handle(ctx, rows);
+  const ReadRows second = std::get<ReadRows>(effects.front());
+  STRCMP_EQUAL("", second.from.c_str());
+  STRCMP_EQUAL(first.from.c_str(), second.to.c_str());
+  LONGS_EQUAL(PeerCheckOptions().sample_rows - 5, second.limit);
+}
+
+// The store refuses most of the writes of hundreds of nodes that start
+// together.
+TEST(PeerCheck, RefusedFirstRenewalsOfAFleetAreSpread) {
+  std::set<std::int64_t> moments;
+  for (int i = 0; i < 20; ++i) {
+    PeerCheck started(PeerCheckOptions(), "m" + std::to_string(i), Self(),
+                      &store_timeout);
+    Context ctx = NewContext();
+    started.Work(ctx, true);
+    CommitCompleted refused;
+    refused.outcome = StoreOutcome::kNotApplied;
+    started.Handle(ctx, refused);
+    // The read that is due meanwhile fails too.
+    started.Work(ctx, true);
+    started.Handle(ctx, ReadCompleted());
+    const Duration delay = started.renew_at() - now;
+    CHECK_TRUE(delay <= PeerCheckOptions().first_renewal_spread +
+                            PeerCheckOptions().retry_pause);
+    moments.insert(delay.ms());
+  }
+  CHECK_TRUE(moments.size() > 10);
 }
 
 }  // namespace limeledge::dispatch
