Read the configuration once a version

Cause: the whole configuration, 46 KB on the fleet, was read again by each node every 6 s: 132 MB in 30 s.

Change: it is read at the start, after a failed watch, and when the leader's row names a newer version.

--- a/src/dispatch/catalog_watcher.cc
+++ b/src/dispatch/catalog_watcher.cc
@@ -15,10 +15,9 @@
 void CatalogWatcher::Work(Context& ctx) {
   if (in_flight_ || ctx.now() < next_at_) return;
   in_flight_ = true;
-  const bool full_read_due =
-      ctx.now() - full_read_at_ >= options_.reread_interval;
-  if (needs_full_read_ || full_read_due) {
-    full_read_at_ = ctx.now();
+  const bool behind =
+      catalog_.has_value() && known_version_ > catalog_->version;
+  if (needs_full_read_ || behind) {
     ctx.Emit(ReadCatalog{});
   } else {
     ctx.Emit(AwaitCatalog{watch_revision_, options_.wait,
@@ -35,7 +34,7 @@
             {{"error", answer.error}});
   }
   answers_ = answered;
-  // Changes may have been missed unless the watch call succeeded.
+  // Changes may have been missed unless the call succeeded.
   needs_full_read_ = !answered;
   if (!answered) {
     const bool retry_at_once =
--- a/src/dispatch/catalog_watcher.h
+++ b/src/dispatch/catalog_watcher.h
@@ -17,14 +17,13 @@
 
 /// Timing of reading and watching the catalog.
 struct CatalogWatcherOptions {
-  /// A watch call returns after this time if nothing changed.
+  /// A watch call returns after this time if nothing changed. Its end is the
+  /// only sign that its connection still works.
   Duration wait{2000};
   /// Additional time allowed for the response to a watch call.
   Duration slack{500};
   /// Pause after a failed call.
   Duration retry_pause{250};
-  /// Interval of full reads; a watch call may miss a change without an error.
-  Duration reread_interval{6000};
 };
 
 /// Reads the catalog, then watches for changes. An older version never replaces
@@ -40,6 +39,9 @@
   void Work(Context& ctx);
   TimePoint next_at() const { return in_flight_ ? kNever : next_at_; }
   void Handle(Context& ctx, const CatalogReceived& answer);
+  /// Records the version that another node knows. If it is newer than the one
+  /// here, the watch has missed a change, and the catalog is read again.
+  void SetKnownVersion(CatalogVersion version) { known_version_ = version; }
 
   /// Returns null until a first version has been read.
   const Catalog* catalog() const {
@@ -56,11 +58,11 @@
 
   CatalogWatcherOptions options_;
   std::optional<Catalog> catalog_;
+  CatalogVersion known_version_;
   std::set<HallId> drained_halls_;
   bool in_flight_ = false;
   bool needs_full_read_ = true;
   bool answers_ = false;
-  TimePoint full_read_at_;
   TimePoint next_at_;
   TimePoint confirmed_at_;
   Revision watch_revision_;
--- a/src/dispatch/leadership.cc
+++ b/src/dispatch/leadership.cc
@@ -176,7 +176,7 @@
   claim_.capacity = options_.capacity;
   claim_.largest_capacity = std::max(seen.largest_capacity, options_.capacity);
   claim_.nodes = seen.nodes;
-
+  claim_.catalog = seen.catalog;
   call_under_way_ = true;
   call_ = ctx.NewTicket();
   claim_sent_at_ = ctx.now();
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -207,7 +207,7 @@
   } else if (scheduler_ == nullptr && leadership_.Owns(event.ticket)) {
     const bool answered = leadership_.store_answers();
     leadership_.Handle(ctx, event);
-
+    catalog_.SetKnownVersion(leadership_.record().catalog);
     if (answered != leadership_.store_answers()) {
       ctx.Log(answered ? LogId::kStoreLost : LogId::kStoreBack, {});
     }
--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -222,7 +222,7 @@
   json["capacity"] = Json::Int64(record.capacity);
   json["largest_capacity"] = Json::Int64(record.largest_capacity);
   if (record.nodes > 0) json["nodes"] = Json::Int64(record.nodes);
-
+  json["catalog"] = Json::Int64(record.catalog.value());
   return WriteJson(json);
 }
 
@@ -236,7 +236,7 @@
     record.capacity = json.get("capacity", 0).asInt64();
     record.largest_capacity = json.get("largest_capacity", 0).asInt64();
     record.nodes = json.get("nodes", 0).asInt64();
-
+    record.catalog = CatalogVersion(json.get("catalog", 0).asInt64());
     return record;
   });
 }
--- a/src/dispatch/row_codec.h
+++ b/src/dispatch/row_codec.h
@@ -13,6 +13,7 @@
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
+#include "dispatch/catalog.h"
 #include "dispatch/job.h"
 #include "dispatch/job_spec.h"
 
@@ -33,6 +34,9 @@
   std::int64_t largest_capacity = 0;
   /// Number of nodes as the holder last counted them; 0 if it has not.
   std::int64_t nodes = 0;
+  /// The newest catalog that the holder knows. A node that knows only an older
+  /// one has missed a change.
+  CatalogVersion catalog;
 };
 
 std::string EncodeLeader(const LeaderRecord& record);
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -299,7 +299,7 @@
 
 void Scheduler::Work(Context& ctx, const Catalog& catalog) {
   catalog_ = &catalog;
-  writer_.Announce(nodes_);
+  writer_.Announce(nodes_, catalog.version);
   if (!writer_.MayAct()) {
     writer_.Flush(ctx);
     return;
--- a/src/dispatch/state_writer.cc
+++ b/src/dispatch/state_writer.cc
@@ -93,7 +93,7 @@
   next_record_.released = release_ && dirty_.empty();
   // Before this node has counted the others, its predecessor's number holds.
   if (nodes_ > 0) next_record_.nodes = nodes_;
-
+  next_record_.catalog = std::max(record_.catalog, announced_catalog_);
   transaction_.conditions.push_back({LeaderRowKey(), revision_});
   transaction_.puts.push_back({LeaderRowKey(), EncodeLeader(next_record_)});
 }
--- a/src/dispatch/state_writer.h
+++ b/src/dispatch/state_writer.h
@@ -85,7 +85,10 @@
   bool MayAct() const { return confirmed_at_ >= confirmation_required_since_; }
 
   /// Sets what each write tells the other nodes besides the lease.
-  void Announce(std::int64_t nodes) { nodes_ = nodes; }
+  void Announce(std::int64_t nodes, CatalogVersion catalog) {
+    nodes_ = nodes;
+    announced_catalog_ = catalog;
+  }
 
   /// Releases the lease with the next write; dirty rows are written first.
   void Release() { release_ = true; }
@@ -120,7 +123,7 @@
   const StoreTimeout* store_timeout_;
   LeaderRecord record_;
   std::int64_t nodes_ = 0;
-
+  CatalogVersion announced_catalog_;
   Revision revision_;
   TimePoint confirmed_at_;
   TimePoint confirmation_required_since_;
--- /dev/null
+++ b/test/catalog-watcher-test.cc
@@ -0,0 +1,89 @@
+/// @file
+/// Tests of reading and watching the catalog.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "CppUTest/TestHarness.h"
+#include "dispatch/catalog_watcher.h"
+
+namespace limeledge::dispatch {
+
+TEST_GROUP(CatalogWatcher) {
+  CatalogWatcher watcher;
+  TimePoint now{1000};
+  Ticket tickets;
+  Effects effects;
+
+  void Work() {
+    effects.clear();
+    Context ctx(now, 0, &tickets, &effects);
+    watcher.Work(ctx);
+  }
+
+  bool Reads() const {
+    return effects.size() == 1 &&
+           std::holds_alternative<ReadCatalog>(effects.front());
+  }
+
+  bool Watches() const {
+    return effects.size() == 1 &&
+           std::holds_alternative<AwaitCatalog>(effects.front());
+  }
+
+  void Answer(StoreOutcome outcome, int version = 0) {
+    CatalogReceived answer;
+    answer.outcome = outcome;
+    if (version > 0) {
+      answer.catalog = Catalog();
+      answer.catalog->version = CatalogVersion(version);
+    }
+    Context ctx(now, 0, &tickets, &effects);
+    watcher.Handle(ctx, answer);
+  }
+
+  void setup() override {
+    Work();
+    Answer(StoreOutcome::kDone, 5);
+  }
+};
+
+// Each read returns the whole configuration, so regular reads cost every node
+// its size again and again.
+TEST(CatalogWatcher, UnchangedCatalogIsReadOnce) {
+  for (int i = 0; i < 100; ++i) {
+    Work();
+    CHECK_TRUE(Watches());
+    now = now + CatalogWatcherOptions().wait;
+    Answer(StoreOutcome::kDone);
+  }
+}
+
+TEST(CatalogWatcher, CatalogIsReadAfterAFailedWatch) {
+  Work();
+  Answer(StoreOutcome::kUnknown);
+  now = now + CatalogWatcherOptions().retry_pause;
+  Work();
+  CHECK_TRUE(Reads());
+}
+
+TEST(CatalogWatcher, CatalogIsReadAtOnceWhenTheHistoryIsForgotten) {
+  Work();
+  Answer(StoreOutcome::kHistoryCompacted);
+  Work();
+  CHECK_TRUE(Reads());
+}
+
+TEST(CatalogWatcher, CatalogIsReadWhenAnotherNodeKnowsANewerVersion) {
+  Work();
+  watcher.SetKnownVersion(CatalogVersion(5));
+  Answer(StoreOutcome::kDone);
+  Work();
+  CHECK_TRUE(Watches());
+  watcher.SetKnownVersion(CatalogVersion(6));
+  Answer(StoreOutcome::kDone);
+  Work();
+  CHECK_TRUE(Reads());
+}
+
+}  // namespace limeledge::dispatch
