Let a scheduler that the store refuses offer its lease

Change: after two refusals in a row it offers the lease to one standby after the other, which claims it if the row still names that epoch. The offering node acts on until it is deposed, as when its lease expires unnoticed.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -198,6 +198,9 @@
       {LogId::kTraffic, kInfo, "traffic",
        "Calls, bytes and rows that the process exchanged since its start, by "
        "kind of call; every 30 s and at the end."},
+      {LogId::kLeaseOffered, kWarning, "lease_offered",
+       "The store refuses the scheduler's writes; it offers its lease to the "
+       "standby at `to`."},
       {LogId::kLinesDropped, kWarning, "lines_dropped",
        "Log lines were dropped to keep within the budget; the field says how "
        "many."},
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -101,6 +101,7 @@
   kHallsEmptied = 944,
   kStoreLossJudged = 946,
   kTraffic = 947,
+  kLeaseOffered = 948,
   kLinesDropped = 950,
   kProcessBroken = 951,
 };
--- a/src/dispatch/effect.h
+++ b/src/dispatch/effect.h
@@ -133,6 +133,8 @@
   std::string address;
   Duration timeout;
   PeerRequest request = PeerRequest::kNone;
+  /// Epoch of the lease that is offered.
+  Epoch epoch;
 };
 
 /// Responds to `PeerQueried`.
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -199,13 +199,16 @@
   kNone,
   /// The scheduler appoints the peer as a standby.
   kAppointStandby,
-
+  /// The scheduler, whose writes the store refuses, offers its lease.
+  kOfferLease,
 };
 
 /// A peer asks whether this node can reach the store.
 struct PeerQueried {
   CallId call;
   PeerRequest request = PeerRequest::kNone;
+  /// Epoch of the lease that is offered.
+  Epoch epoch;
 };
 
 /// The kind of an API call.
--- a/src/dispatch/leadership.cc
+++ b/src/dispatch/leadership.cc
@@ -55,6 +55,11 @@
   }
 }
 
+void Leadership::AcceptOffer(TimePoint now, Epoch epoch) {
+  offered_epoch_ = epoch;
+  if (!call_under_way_) next_at_ = now;
+}
+
 void Leadership::EndPause(TimePoint now) {
   const bool pauses =
       !call_under_way_ && next_at_ > now + options_.poll_interval;
@@ -143,7 +148,8 @@
   const bool held_by_this_node =
       record->holder == holder_ || earlier_incarnation;
   const bool expired = watch_.LapsedAt(ctx.now());
-  const bool offered = record->released && !IsSmall(*record);
+  const bool offered = (record->released && !IsSmall(*record)) ||
+                       offered_epoch_ == record->epoch;
   const bool claimable =
       offered || held_by_this_node || expired || IsMuchLargerThan(*record);
   if (claimable) {
--- a/src/dispatch/leadership.h
+++ b/src/dispatch/leadership.h
@@ -71,7 +71,9 @@
   TimePoint next_at() const { return call_under_way_ ? kNever : next_at_; }
   /// Makes this node a standby for a term.
   void Appoint(TimePoint now);
-
+  /// Claims the lease of `epoch`, whose holder offers it, as soon as a read
+  /// shows that the row still names that epoch.
+  void AcceptOffer(TimePoint now, Epoch epoch);
   /// Ends a pause between two looks, since there is a sign that the store does
   /// not answer.
   void EndPause(TimePoint now);
@@ -136,7 +138,8 @@
   bool probes_ = false;
   bool probe_in_flight_ = false;
   TimePoint standby_until_;
-
+  /// Epoch of the lease that its holder has offered to this node.
+  std::optional<Epoch> offered_epoch_;
   Jitter jitter_;
   /// Earliest time to create the row if it does not exist.
   std::optional<TimePoint> create_at_;
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -87,7 +87,9 @@
   RespondToPeers(ctx);
   if (!standbys_.has_value()) return;
   standbys_->Work(ctx, StoreAnswers());
-
+  if (scheduler_->store_refuses()) {
+    standbys_->OfferLease(ctx, scheduler_->epoch());
+  }
   scheduler_->SetNodeCount(standbys_->nodes());
 }
 
@@ -259,7 +261,9 @@
     case PeerRequest::kAppointStandby:
       leadership_.Appoint(ctx.now());
       break;
-
+    case PeerRequest::kOfferLease:
+      leadership_.AcceptOffer(ctx.now(), event.epoch);
+      break;
     case PeerRequest::kNone:
       break;
   }
--- a/src/dispatch/peer_check.cc
+++ b/src/dispatch/peer_check.cc
@@ -170,7 +170,8 @@
     const std::string& peer = peers_[next_peer_];
     next_peer_ = (next_peer_ + 1) % peers_.size();
     asked_.insert(peer);
-    ctx.Emit(QueryPeer{peer, options_.peer_timeout, PeerRequest::kNone});
+    ctx.Emit(
+        QueryPeer{peer, options_.peer_timeout, PeerRequest::kNone, Epoch()});
   }
   round_.asked = static_cast<int>(count);
 }
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -183,6 +183,8 @@
 
   Epoch epoch() const { return writer_.epoch(); }
   bool store_answers() const { return writer_.store_answers(); }
+  /// True if the store refuses this node's writes.
+  bool store_refuses() const { return writer_.refused(); }
 
  private:
   // Jobs.
--- a/src/dispatch/standby_keeper.cc
+++ b/src/dispatch/standby_keeper.cc
@@ -156,10 +156,21 @@
   for (const std::string& address : standbys_) {
     unanswered_.insert(address);
     ctx.Emit(QueryPeer{address, options_.check_timeout,
-                       PeerRequest::kAppointStandby});
+                       PeerRequest::kAppointStandby, Epoch()});
   }
 }
 
+void StandbyKeeper::OfferLease(Context& ctx, Epoch epoch) {
+  if (standbys_.empty() || ctx.now() < offer_at_) return;
+  offer_at_ = ctx.now() + options_.offer_interval;
+  const std::string& address = standbys_[next_offer_ % standbys_.size()];
+  ++next_offer_;
+  ctx.Log(LogId::kLeaseOffered,
+          {{"epoch", std::to_string(epoch.value())}, {"to", address}});
+  ctx.Emit(QueryPeer{address, options_.check_timeout, PeerRequest::kOfferLease,
+                     epoch});
+}
+
 void StandbyKeeper::Handle(const PeerReplied& answer) {
   const bool failed =
       !answer.answered || (store_answered_at_check_ && !answer.store_answers);
--- a/src/dispatch/standby_keeper.h
+++ b/src/dispatch/standby_keeper.h
@@ -37,7 +37,9 @@
   Duration check_timeout{250};
   /// A standby that fails this many checks in a row is replaced.
   int max_failed_checks = 2;
-
+  /// How long a standby has to claim a lease that was offered to it before the
+  /// next one is asked: many times what a read and a write take.
+  Duration offer_interval{200};
   /// A row that was not renewed for this long belongs to a node that is gone.
   Duration max_row_age{200000};
   /// Nodes whose capacity is within this factor of the largest are preferred.
@@ -79,6 +81,11 @@
   void Work(Context& ctx, bool store_answers);
   TimePoint next_at() const;
 
+  /// Offers the lease to the next standby, unless that was just done. For a
+  /// scheduler whose writes the store refuses: a standby that reaches the store
+  /// takes over without waiting for the lease to expire.
+  void OfferLease(Context& ctx, Epoch epoch);
+
   bool Owns(Ticket ticket) const { return read_under_way_ && call_ == ticket; }
   void Handle(Context& ctx, const ReadCompleted& answer);
   /// Processes the result of a check; ignores answers of other nodes.
@@ -114,7 +121,9 @@
   /// Standbys whose answer to the latest check is missing.
   std::set<std::string> unanswered_;
   bool store_answered_at_check_ = true;
-
+  /// When the lease may be offered again, and to which standby.
+  TimePoint offer_at_;
+  std::size_t next_offer_ = 0;
   /// Consecutive failed checks by address.
   std::map<std::string, int> failed_checks_;
 };
--- a/src/dispatch/state_writer.h
+++ b/src/dispatch/state_writer.h
@@ -97,7 +97,10 @@
   /// When the store last confirmed this node's lease.
   TimePoint confirmed_at() const { return confirmed_at_; }
   bool idle() const { return !in_flight_ && dirty_.empty(); }
-
+  /// Returns true if the store has refused several writes in a row. Unlike a
+  /// write without an answer, a refusal leaves no doubt that the lease is not
+  /// renewed.
+  bool refused() const { return rejections_ >= kMaxRejections; }
   /// Returns false if the store did not apply the newest write, or left several
   /// attempts of it without a response.
   bool store_answers() const {
@@ -105,6 +108,9 @@
   }
 
  private:
+  /// A single refusal may be due to a momentary load.
+  static constexpr int kMaxRejections = 2;
+
   struct Pending {
     Render render;
     bool remove = false;
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -30,7 +30,7 @@
   const bool leadership_changed =
       log.line.id == LogId::kLeaderClaimed || log.line.id == LogId::kLeaderLost;
   if (leadership_changed) leader_changed_at_ = now_;
-
+  if (log.line.id == LogId::kLeaderClaimed) newest_leader_ = node;
   std::string text =
       absl::StrCat("n", node, " ", CatalogueEntry(log.line.id).name.data());
   for (const LogField& field : log.line.fields) {
@@ -57,7 +57,7 @@
     const bool responds = peer.node != nullptr && peer.frozen_until <= now_ &&
                           request.address == absl::StrCat("n", i);
     if (!responds) continue;
-    const dispatch::PeerQueried query{call, request.request};
+    const dispatch::PeerQueried query{call, request.request, request.epoch};
     RunAt(now_ + options_.network,
           [this, peer_node = static_cast<int>(i),
            peer_incarnation = peer.incarnation,
@@ -139,7 +139,8 @@
   // Each partition applies its transactions one at a time.
   TimePoint& free_at = partition_free_at_[commit.transaction.partition];
   free_at = std::max(free_at, now_);
-  const bool refused = IsPartitionDown(commit.transaction.partition) ||
+  const bool refused = faults_.refused_nodes.count(node) != 0 ||
+                       IsPartitionDown(commit.transaction.partition) ||
                        free_at - now_ > kMaxPartitionQueue;
   if (refused) {
     lost.outcome = StoreOutcome::kNotApplied;
@@ -168,10 +169,12 @@
   lost.outcome = StoreOutcome::kUnknown;
   CallStore<dispatch::ReadCompleted>(
       node, read.timeout,
-      [this, read] {
+      [this, node, read] {
         dispatch::ReadCompleted answer;
         answer.outcome = StoreOutcome::kNotApplied;
-        if (!IsPartitionDown(read.partition)) {
+        const bool refused = faults_.refused_nodes.count(node) != 0 ||
+                             IsPartitionDown(read.partition);
+        if (!refused) {
           answer = store_.Read(read.table, read.partition, read.from, read.to,
                                read.limit);
         }
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -86,7 +86,8 @@
   /// Factor by which store calls take longer.
   int store_slowness = 1;
   std::set<int> nodes_without_store;
-
+  /// Nodes whose calls the store answers with a refusal.
+  std::set<int> refused_nodes;
   /// Partitions of the store that refuse calls while the others are available.
   std::set<std::string> partitions_down;
   std::set<RunnerId> unreachable_runners;
@@ -180,7 +181,8 @@
   }
   /// The first node that considers itself the leader; -1 if there is none.
   int leader() const;
-
+  /// The node that claimed the lease last; -1 if there is none.
+  int newest_leader() const { return newest_leader_; }
   /// The standbys of a node; empty if it does not lead.
   std::vector<int> StandbysOf(int node) const;
 
@@ -389,7 +391,7 @@
   std::map<std::string, TimePoint> partition_free_at_;
   int commits_ = 0;
   std::map<dispatch::StoreLane, ReadCount> reads_;
-
+  int newest_leader_ = -1;
   int polls_ = 0;
   ReducerUse reducer_use_;
   CrashCount crashes_;
--- a/test/fleet-calls-test.cc
+++ b/test/fleet-calls-test.cc
@@ -119,6 +119,20 @@
   }
 }
 
+// The lease of a scheduler whose calls the store refuses used to run out first,
+// for over a second in which nothing started and no end was stored.
+TEST(FleetCalls, SchedulerThatTheStoreRefusesHandsOverAtOnce) {
+  Start(60);
+  const int refused = system->leader();
+  system->faults().refused_nodes.insert(refused);
+  const TimePoint start = system->now();
+  while (system->newest_leader() == refused) {
+    system->Run(Duration(10));
+    CHECK_TRUE(system->now() - start < Duration(30000));
+  }
+  CHECK_TRUE(system->now() - start <= Duration(800));
+}
+
 // A node that hears from the store every few seconds does not know of an
 // outage. It must not send the call, whose outcome would be unknown.
 TEST(FleetCalls, CutOffNodeRefusesACallThatItDidNotSend) {
--- a/test/leadership-test.cc
+++ b/test/leadership-test.cc
@@ -182,6 +182,18 @@
   }
 }
 
+TEST(Leadership, OfferedLeaseIsClaimedAtOnce) {
+  POINTERS_EQUAL(nullptr, Read(Held(250), 1));
+  follower.AcceptOffer(now, Epoch(3));
+  CHECK_TRUE(follower.next_at() == now);
+  CHECK_TRUE(Read(Held(250), 1) != nullptr);
+}
+
+TEST(Leadership, OfferOfAnEarlierEpochIsIgnored) {
+  follower.AcceptOffer(now, Epoch(2));
+  POINTERS_EQUAL(nullptr, Read(Held(250), 1));
+}
+
 TEST(Leadership, ProbeEndsAPause) {
   LeaderRecord record = Held(250);
   record.nodes = 583;
--- a/test/standby-keeper-test.cc
+++ b/test/standby-keeper-test.cc
@@ -158,6 +158,24 @@
   }
 }
 
+TEST(StandbyKeeper, LeaseIsOfferedToOneStandbyAfterTheOther) {
+  Scan(PeerRows(10, kSmall));
+  std::set<std::string> asked;
+  for (int i = 0; i < 3; ++i) {
+    effects.clear();
+    Context ctx(now, now.ms(), &tickets, &effects);
+    keeper.OfferLease(ctx, Epoch(7));
+    keeper.OfferLease(ctx, Epoch(7));
+    LONGS_EQUAL(2, effects.size());
+    const auto& query = std::get<QueryPeer>(effects.back());
+    CHECK_TRUE(query.request == PeerRequest::kOfferLease);
+    LONGS_EQUAL(7, query.epoch.value());
+    asked.insert(query.address);
+    now = now + options.offer_interval;
+  }
+  LONGS_EQUAL(3, asked.size());
+}
+
 TEST(StandbyKeeper, RowThatWasNotRenewedIsNoNode) {
   std::vector<Row> rows = PeerRows(1, kSmall);
   now = now + options.max_row_age + Duration(1000);
