Pass calls on to a node that reaches the store

Cause: callers of a node that alone lost the store got 503 and were told to come back at once.

Change: a peer that reaches the store tells its callers' address with its answer, and calls are passed on to it, whole, once; it judges them by its own configuration. A call that was sent to the store without an answer is passed on too, since submits and cancels are idempotent. While callers wait, one lost answer is reason enough to ask peers.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -201,6 +201,9 @@
       {LogId::kLeaseOffered, kWarning, "lease_offered",
        "The store refuses the scheduler's writes; it offers its lease to the "
        "standby at `to`."},
+      {LogId::kCallForwarded, kInfo, "call_forwarded",
+       "The store does not answer this node alone; the call was passed on to "
+       "the node at `to`, which logs its answer."},
       {LogId::kLinesDropped, kWarning, "lines_dropped",
        "Log lines were dropped to keep within the budget; the field says how "
        "many."},
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -102,6 +102,7 @@
   kStoreLossJudged = 946,
   kTraffic = 947,
   kLeaseOffered = 948,
+  kCallForwarded = 949,
   kLinesDropped = 950,
   kProcessBroken = 951,
 };
--- a/src/dispatch/effect.h
+++ b/src/dispatch/effect.h
@@ -176,6 +176,16 @@
   std::optional<Duration> retry_after;
 };
 
+/// Passes an API call on to another node, whose response goes to the caller.
+struct ForwardCall {
+  CallReceived call;
+  /// Address at which the other node serves callers.
+  std::string address;
+  Duration timeout;
+  /// The call may have taken effect before.
+  bool may_be_applied = false;
+};
+
 /// Responds to `StateRequested` with the state as JSON.
 struct RespondWithState {
   CallId call;
@@ -198,8 +208,8 @@
 using Effect =
     std::variant<CommitRows, ReadRows, AwaitChanges, ReadCatalog, AwaitCatalog,
                  ListRunners, PollRunner, StartRun, StopRun, RequestAdvice,
-                 QueryPeer, RespondToPeer, RespondToCall, RespondWithState,
-                 SetReady, WriteLog, Exit>;
+                 QueryPeer, RespondToPeer, RespondToCall, ForwardCall,
+                 RespondWithState, SetReady, WriteLog, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -192,6 +192,8 @@
   bool store_answers = false;
   /// Time since the store last responded to the peer.
   Duration store_answer_age;
+  /// Address at which the peer serves callers.
+  std::string callers_address;
 };
 
 /// What a node asks of a peer, in addition to whether the store answers it.
@@ -228,6 +230,8 @@
   std::string spec_error;
   /// Time until the caller stops waiting for the response.
   Duration deadline{3000};
+  /// Another node passed the call on to this one.
+  bool forwarded = false;
 };
 
 /// The process was told to shut down.
--- a/src/dispatch/front_end.cc
+++ b/src/dispatch/front_end.cc
@@ -124,6 +124,10 @@
 void FrontEnd::Handle(Context& ctx, const CallReceived& call,
                       const Catalog* catalog, TimePoint catalog_confirmed_at,
                       bool store_answers) {
+  if (!store_answers && CanForward(call)) {
+    Forward(ctx, call, false);
+    return;
+  }
   if (catalog == nullptr) {
     Respond(ctx, call, CallResult::kNotAccepted, "no configuration yet");
     return;
@@ -153,6 +157,22 @@
   }
 }
 
+void FrontEnd::Forward(Context& ctx, const CallReceived& call,
+                       bool may_be_applied) {
+  ctx.Log(LogId::kCallForwarded, {{"call", ToString(call.kind)},
+                                  {"path", call.path},
+                                  {"to", *serving_peer_}});
+  ctx.Emit(ForwardCall{call, *serving_peer_,
+                       std::min(options_.forward_timeout, call.deadline),
+                       may_be_applied});
+}
+
+void FrontEnd::ForwardPending(Context& ctx, const Pending& pending) {
+  CallReceived call = pending.call;
+  call.deadline = pending.deadline - ctx.now();
+  Forward(ctx, call, pending.may_be_applied);
+}
+
 void FrontEnd::StartRead(Context& ctx, const CallReceived& call,
                          const Queue& queue, const JobId& id) {
   const bool counts_known =
@@ -271,6 +291,11 @@
   }
   const bool unknown = answer.outcome == StoreOutcome::kUnknown;
   pending.may_be_applied = pending.may_be_applied || unknown;
+  if (CanForward(pending.call) &&
+      pending.deadline - ctx.now() >= options_.min_attempt_time) {
+    ForwardPending(ctx, pending);
+    return;
+  }
   if (unknown && CanRetry(ctx.now(), pending, store_answers)) {
     // The conditions make the retry idempotent, and its response tells whether
     // an earlier attempt was applied.
@@ -314,6 +339,13 @@
   auto entry = calls_.extract(answer.ticket);
   Pending pending = std::move(entry.mapped());
   const bool no_response = answer.outcome == StoreOutcome::kUnknown;
+  const bool forwards =
+      answer.outcome != StoreOutcome::kDone && CanForward(pending.call) &&
+      pending.deadline - ctx.now() >= options_.min_attempt_time;
+  if (forwards) {
+    ForwardPending(ctx, pending);
+    return;
+  }
   if (no_response && CanRetry(ctx.now(), pending, store_answers)) {
     ++pending.unanswered;
     SendRead(ctx, std::move(pending));
--- a/src/dispatch/front_end.h
+++ b/src/dispatch/front_end.h
@@ -31,6 +31,9 @@
   /// The `Retry-After` of calls that were not served, unless another node can
   /// serve them immediately.
   Duration retry_after{1000};
+  /// A node to which a call is passed on has this long to respond; afterwards
+  /// the caller still has time for another attempt.
+  Duration forward_timeout{1000};
   /// Numbers of waiting jobs are read from the store again after this time.
   /// Together with the scheduler's interval for writing them, it stays below
   /// the age that callers accept.
@@ -64,8 +67,14 @@
   void Handle(Context& ctx, const CommitCompleted& answer, bool store_answers);
   void Handle(Context& ctx, const ReadCompleted& answer, bool store_answers);
 
-  /// Sets whether a store outage affects only this node.
-  void SetStoreOutage(StoreOutage outage) { outage_ = outage; }
+  /// Sets whether a store outage affects only this node, and the address at
+  /// which another node, which reaches the store, serves callers.
+  void SetStoreOutage(
+      StoreOutage outage,
+      const std::optional<std::string>& serving_peer = std::nullopt) {
+    outage_ = outage;
+    serving_peer_ = serving_peer;
+  }
 
   /// True if no call is pending.
   bool idle() const { return calls_.empty(); }
@@ -106,6 +115,17 @@
 
   /// The delay after which callers that were not served should retry.
   Duration RetryAfter() const;
+  /// Passes a call on to a node that reaches the store. That node also decides
+  /// whether the call is allowed, since its catalog is current. Submits and
+  /// cancels are idempotent, so that a call which `may_be_applied` can be
+  /// passed on too.
+  void Forward(Context& ctx, const CallReceived& call, bool may_be_applied);
+  /// True if another node can serve the call.
+  bool CanForward(const CallReceived& call) const {
+    return serving_peer_.has_value() && !call.forwarded;
+  }
+  /// Passes a call on whose request to the store got no answer.
+  void ForwardPending(Context& ctx, const Pending& pending);
   /// Returns the queue of the call and sets the workspace of its key. Responds
   /// to the call and returns null if the catalog does not allow it.
   const Queue* FindQueue(Context& ctx, const CallReceived& call,
@@ -144,6 +164,7 @@
   FrontEndOptions options_;
   const StoreTimeout* store_timeout_;
   StoreOutage outage_ = StoreOutage::kUnknown;
+  std::optional<std::string> serving_peer_;
   std::map<Ticket, Pending> calls_;
   /// Numbers of waiting jobs as last read, and when that read was sent.
   WaitingCounts waiting_counts_;
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -80,10 +80,11 @@
 void Node::WorkOnPeers(Context& ctx) {
   // While callers wait, a single call without an answer is reason enough to ask
   // peers.
+  const bool callers_wait = !evidence_gate_.empty() || !front_end_.idle();
   const bool doubtful =
-      !evidence_gate_.empty() && store_timeout_.failing_since().has_value();
+      callers_wait && store_timeout_.failing_since().has_value();
   peers_.Work(ctx, StoreAnswers() && !doubtful);
-  front_end_.SetStoreOutage(peers_.outage());
+  front_end_.SetStoreOutage(peers_.outage(), peers_.serving_peer());
   RespondToPeers(ctx);
   if (!standbys_.has_value()) return;
   standbys_->Work(ctx, StoreAnswers());
--- a/src/dispatch/peer_check.cc
+++ b/src/dispatch/peer_check.cc
@@ -188,7 +188,10 @@
     const bool after_failure =
         failing.has_value() &&
         answered_at > *failing + options_.min_answer_delay;
-    if (after_failure) SetOutage(ctx, StoreOutage::kLocal);
+    if (after_failure) {
+      SetOutage(ctx, StoreOutage::kLocal);
+      serving_peer_ = answer.callers_address;
+    }
     // The peer may not have noticed the outage; the next round shows.
     return;
   }
@@ -209,6 +212,7 @@
 void PeerCheck::SetOutage(Context& ctx, StoreOutage outage) {
   if (outage == outage_) return;
   outage_ = outage;
+  if (outage != StoreOutage::kLocal) serving_peer_.reset();
   if (outage == StoreOutage::kUnknown) return;
   ctx.Log(LogId::kStoreLossJudged,
           {{"store_lost", ToString(outage)},
--- a/src/dispatch/peer_check.h
+++ b/src/dispatch/peer_check.h
@@ -8,6 +8,7 @@
 #define LIMELEDGE_SRC_DISPATCH_PEER_CHECK_H_
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -94,6 +95,12 @@
   void Handle(Context& ctx, const PeerReplied& answer);
 
   StoreOutage outage() const { return outage_; }
+  /// Address at which a peer that reaches the store serves callers. Set only
+  /// during a local outage, and not if that was concluded from the silence of
+  /// all peers.
+  const std::optional<std::string>& serving_peer() const {
+    return serving_peer_;
+  }
 
  private:
   /// A sample that is being read: up to the end of the table, and then, if that
@@ -147,6 +154,7 @@
   std::set<std::string> asked_;
   Round round_;
   StoreOutage outage_ = StoreOutage::kUnknown;
+  std::optional<std::string> serving_peer_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -67,8 +67,10 @@
         [this, call] { FinishPeerCall(call, dispatch::PeerReplied()); });
 }
 
-void EmulatedSystem::Perform(int, const dispatch::RespondToPeer& response) {
+void EmulatedSystem::Perform(int node,
+                             const dispatch::RespondToPeer& response) {
   dispatch::PeerReplied reply;
+  reply.callers_address = AddressOf(node);
   reply.answered = true;
   reply.store_answers = response.store_answers;
   reply.store_answer_age = response.store_answer_age;
@@ -76,6 +78,16 @@
         [this, call = response.call, reply] { FinishPeerCall(call, reply); });
 }
 
+void EmulatedSystem::Perform(int, const dispatch::ForwardCall& effect) {
+  const int peer = NodeAt(effect.address);
+  dispatch::CallReceived call = effect.call;
+  call.forwarded = true;
+  RunAt(now_ + options_.network,
+        [this, peer, incarnation = processes_[peer].incarnation, call] {
+          Deliver(peer, incarnation, call);
+        });
+}
+
 void EmulatedSystem::FinishPeerCall(CallId call, dispatch::PeerReplied reply) {
   const auto found = peer_calls_.find(call);
   if (found == peer_calls_.end()) return;
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -91,7 +91,7 @@
   oracle_.RecordFault(now_);
   dispatch::NodeOptions options;
   options.name = absl::StrCat("n", node, "/", process.incarnation);
-  options.instance = absl::StrCat("n", node);
+  options.instance = AddressOf(node);
   options.peer_address = options.instance;
   options.scheduler.planner = options_.planner;
   options.scheduler.job_registry = options_.job_registry;
@@ -158,12 +158,19 @@
   std::vector<int> standbys;
   if (processes_[node].node == nullptr) return standbys;
   for (const std::string& address : processes_[node].node->standbys()) {
-    // A node's address is "n" and its number.
-    standbys.push_back(std::stoi(address.substr(1)));
+    standbys.push_back(NodeAt(address));
   }
   return standbys;
 }
 
+std::string EmulatedSystem::AddressOf(int node) {
+  return absl::StrCat("n", node);
+}
+
+int EmulatedSystem::NodeAt(const std::string& address) {
+  return std::stoi(address.substr(1));
+}
+
 void EmulatedSystem::Deliver(int node, int incarnation,
                              dispatch::EventBody body) {
   Process& process = processes_[node];
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -258,6 +258,9 @@
     }
   };
 
+  /// A node's address consists of "n" and its number.
+  static std::string AddressOf(int node);
+  static int NodeAt(const std::string& address);
   /// Schedules an action for time `at`, or for now if that is past. Actions for
   /// the same time run in the order in which they were scheduled.
   void RunAt(TimePoint at, std::function<void()> run);
@@ -290,6 +293,7 @@
   void Perform(int node, const dispatch::RequestAdvice& request);
   void Perform(int node, const dispatch::QueryPeer& request);
   void Perform(int node, const dispatch::RespondToPeer& response);
+  void Perform(int node, const dispatch::ForwardCall& effect);
   /// Delivers the reply to a peer's query, unless it was answered or has timed
   /// out.
   void FinishPeerCall(CallId call, dispatch::PeerReplied reply);
--- /dev/null
+++ b/test/caller-server-test.cc
@@ -0,0 +1,106 @@
+/// @file
+/// Tests of passing callers' requests on to another node.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <memory>
+#include <optional>
+
+#include "CppUTest/TestHarness.h"
+#include "absl/strings/str_cat.h"
+#include "platform/caller_server.h"
+
+namespace limeledge::platform {
+
+/// Two nodes: the first one passes each call on to the second one.
+TEST_GROUP(CallerServer) {
+  Metrics metrics;
+  HttpLoop http;
+  std::optional<dispatch::CallReceived> seen;
+  dispatch::RespondToCall answer;
+  bool second_answers = true;
+  int second_port = 0;
+  bool may_be_applied = false;
+  std::unique_ptr<CallerServer> first;
+  std::unique_ptr<CallerServer> second;
+
+  static Settings MakeSettings() {
+    Settings settings;
+    settings.callers = {"127.0.0.1", 0};
+    settings.readiness = {"127.0.0.1", 0};
+    return settings;
+  }
+
+  void setup() override {
+    second = std::make_unique<CallerServer>(
+        MakeSettings(), &metrics, &http, [this](dispatch::CallReceived call) {
+          answer.call = call.call;
+          seen = std::move(call);
+          if (second_answers) second->Respond(answer);
+        });
+    CHECK(second->Start().ok());
+    second_port = second->port();
+    first = std::make_unique<CallerServer>(
+        MakeSettings(), &metrics, &http, [this](dispatch::CallReceived call) {
+          dispatch::ForwardCall forward;
+          forward.call = std::move(call);
+          forward.address = absl::StrCat("127.0.0.1:", second_port);
+          forward.timeout = Duration(300);
+          forward.may_be_applied = may_be_applied;
+          first->Forward(std::move(forward));
+        });
+    CHECK(first->Start().ok());
+  }
+
+  void teardown() override {
+    first->StopWithin(Duration(1000));
+    second->StopWithin(Duration(1000));
+  }
+
+  httplib::Result Submit() const {
+    httplib::Client client("127.0.0.1", first->port());
+    const httplib::Headers headers = {{"Host", "queue.example"},
+                                      {"Authorization", "Bearer key-1"}};
+    return client.Post("/jobs/0123456789abcdef", headers,
+                       R"({"spec":"x","steps":[{"count":1}]})",
+                       "application/json");
+  }
+};
+
+TEST(CallerServer, AnswerOfTheOtherNodeIsPassedBack) {
+  answer.result = dispatch::CallResult::kNotAccepted;
+  answer.retry_after = Duration(2000);
+  const httplib::Result result = Submit();
+  LONGS_EQUAL(503, result->status);
+  STRCMP_EQUAL("2", result->get_header_value("Retry-After").c_str());
+}
+
+TEST(CallerServer, CallIsPassedOnWhole) {
+  LONGS_EQUAL(200, Submit()->status);
+  CHECK_TRUE(seen->forwarded);
+  CHECK_TRUE(seen->kind == dispatch::CallKind::kSubmit);
+  STRCMP_EQUAL("queue.example", seen->host.c_str());
+  STRCMP_EQUAL("/jobs/0123456789abcdef", seen->path.c_str());
+  STRCMP_EQUAL("key-1", seen->key.c_str());
+  STRCMP_EQUAL("x", seen->spec.payload.c_str());
+  LONGS_EQUAL(300, seen->deadline.ms());
+}
+
+TEST(CallerServer, CallWithoutAnAnswerMayHaveBeenAccepted) {
+  second_answers = false;
+  LONGS_EQUAL(504, Submit()->status);
+}
+
+TEST(CallerServer, CallThatCouldNotBePassedOnIsRefused) {
+  second_port = 1;
+  LONGS_EQUAL(503, Submit()->status);
+}
+
+TEST(CallerServer, CallThatMayHaveBeenAcceptedBeforeIsNotRefused) {
+  second_port = 1;
+  may_be_applied = true;
+  LONGS_EQUAL(504, Submit()->status);
+}
+
+}  // namespace limeledge::platform
--- a/test/desk-test.cc
+++ b/test/desk-test.cc
@@ -112,4 +112,47 @@
   CHECK_TRUE(front_end.idle());
 }
 
+// The callers of a node that alone lost the store used to be refused, and some
+// did not try again.
+TEST(Desk, CallIsPassedOnToANodeThatReachesTheStore) {
+  front_end.SetStoreOutage(StoreOutage::kLocal, "n7:80");
+  for (const CallKind kind :
+       {CallKind::kSubmit, CallKind::kQuery, CallKind::kCancel}) {
+    Start(kind, false);
+    STRCMP_EQUAL("n7:80", Last<ForwardCall>()->address.c_str());
+    CHECK_FALSE(Last<ForwardCall>()->may_be_applied);
+    CHECK_TRUE(Last<RespondToCall>() == nullptr);
+    CHECK_TRUE(front_end.idle());
+  }
+}
+
+TEST(Desk, CallThatWasPassedOnIsNotPassedOnAgain) {
+  front_end.SetStoreOutage(StoreOutage::kLocal, "n7:80");
+  CallReceived call;
+  call.kind = CallKind::kQuery;
+  call.host = emulator::kHost;
+  call.key = emulator::kKey;
+  call.path = std::string(emulator::PrefixOf(1)) + "00000000000000aa";
+  call.forwarded = true;
+  Context ctx = NewContext();
+  front_end.Handle(ctx, call, &catalog, now, false);
+  CHECK_TRUE(Last<ForwardCall>() == nullptr);
+  CHECK_TRUE(Last<RespondToCall>()->result == CallResult::kNotAccepted);
+}
+
+TEST(Desk, SubmitWithoutAnAnswerIsPassedOnAsPossiblyApplied) {
+  Start(CallKind::kSubmit);
+  front_end.SetStoreOutage(StoreOutage::kLocal, "n7:80");
+  LoseCommit(false);
+  CHECK_TRUE(Last<ForwardCall>()->may_be_applied);
+  CHECK_TRUE(front_end.idle());
+}
+
+TEST(Desk, QueryWithoutAnAnswerIsPassedOn) {
+  Start(CallKind::kQuery);
+  front_end.SetStoreOutage(StoreOutage::kLocal, "n7:80");
+  LoseRead(false);
+  CHECK_TRUE(Last<ForwardCall>() != nullptr);
+}
+
 }  // namespace limeledge::dispatch
--- a/test/peer-check-test.cc
+++ b/test/peer-check-test.cc
@@ -122,6 +122,7 @@
     reply.answered = true;
     reply.store_answers = store_answers;
     reply.store_answer_age = age;
+    reply.callers_address = "n:80";
     return reply;
   }
 };
@@ -129,6 +130,7 @@
 TEST(PeerCheck, StoreAnswerOfAPeerAfterTheFailureMeansALocalOutage) {
   Round(Reply(true, Duration(100)));
   CHECK_TRUE(check.outage() == StoreOutage::kLocal);
+  STRCMP_EQUAL("n:80", check.serving_peer()->c_str());
 }
 
 // Peers notice an outage some tenths of a second apart.
@@ -147,6 +149,7 @@
 TEST(PeerCheck, SilentPeersMeanThatThisNodeIsCutOff) {
   Round(PeerReplied());
   CHECK_TRUE(check.outage() == StoreOutage::kLocal);
+  CHECK_FALSE(check.serving_peer().has_value());
 }
 
 TEST(PeerCheck, OneSilentPeerIsInconclusive) {
@@ -178,6 +181,7 @@
   Round(Reply(false, Duration(2000)));
   Work(true);
   CHECK_TRUE(check.outage() == StoreOutage::kUnknown);
+  CHECK_FALSE(check.serving_peer().has_value());
 }
 
 TEST(PeerCheck, AnswerOfAnEarlierRoundIsIgnored) {
