Let nodes that are no standbys read seldom while the store does not answer

Change: a node that is no standby reads at random intervals of 1.5 s on average while the store does not answer, and at once when a call arrives.

--- a/src/dispatch/leadership.cc
+++ b/src/dispatch/leadership.cc
@@ -100,7 +100,11 @@
     // The holder may have renewed in the meantime, so the watch restarts.
     watch_ = WatchedLease(options_.lease);
     // A probe has a short timeout and is followed by a read with the usual one.
-    if (std::exchange(probe_in_flight_, false)) next_at_ = ctx.now();
+    if (std::exchange(probe_in_flight_, false)) {
+      next_at_ = ctx.now();
+    } else if (backup_ && !store_answers()) {
+      next_at_ = ctx.now() + jitter_.Below(options_.backup_retry_interval * 2);
+    }
     return;
   }
   probe_in_flight_ = false;
--- a/src/dispatch/leadership.h
+++ b/src/dispatch/leadership.h
@@ -31,6 +31,9 @@
   std::int64_t backup_looks_per_second = 20;
   /// A node is a standby for this long after it was appointed.
   Duration standby_term{5000};
+  /// While the store does not answer, a node that is no standby reads the row
+  /// at random intervals of this mean, and when a call arrives.
+  Duration backup_retry_interval{1500};
   /// Minimum time between a read and a probe.
   Duration min_probe_gap{50};
   /// The row must stay unchanged for this long, four renewal intervals, before
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -284,6 +284,7 @@
     leadership_.Probe(ctx.now());
     return;
   }
+  if (!StoreAnswers()) leadership_.Probe(ctx.now());
   front_end_.Handle(ctx, event, catalog_.catalog(), catalog_.confirmed_at(),
                     StoreAnswers());
 }
--- a/test/leadership-test.cc
+++ b/test/leadership-test.cc
@@ -204,6 +204,25 @@
   CHECK_TRUE(follower.next_at() == now);
 }
 
+TEST(Leadership, BackupReadsSeldomWhileTheStoreDoesNotAnswer) {
+  LeaderRecord record = Held(250);
+  record.nodes = 583;
+  Read(record, 1);
+  Read(record, 2);
+  Duration pauses;
+  constexpr int kReads = 50;
+  for (int i = 0; i < kReads; ++i) {
+    now = std::max(now, follower.next_at() - LeadershipOptions().poll_interval);
+    Read(record, 2, StoreOutcome::kNotApplied);
+    pauses = pauses + (follower.next_at() - now);
+  }
+  CHECK_TRUE(pauses.ms() / kReads > 1000);
+  // A caller waits.
+  now = now + Duration(100);
+  follower.Probe(now);
+  CHECK_TRUE(follower.next_at() == now);
+}
+
 TEST(Leadership, NodesOfUnknownNumberAllKeepReading) {
   for (int i = 0; i < 20; ++i) Read(Held(250), i);
   CHECK_FALSE(follower.is_backup());
