Start a gang again when its silent member is known to be over

Change: if all other members ended because another one did, the one that is left has ended; it counts as lost as soon as its runner misses an answer, unless a failure of it would be the gang's last attempt.

--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -137,6 +137,7 @@
   task->run = run;
   task->incarnation = incarnation;
   task->percent = 0;
+  task->gang_broken = false;
   task->assigned_at = now;
   has_begun_ = true;
   if (state_ == JobState::kQueued) state_ = JobState::kRunning;
@@ -169,6 +170,7 @@
   }
   task->incarnation = IncarnationId();
   task->phase = TaskPhase::kWaiting;
+  task->gang_broken = end == RunEnd::kGangBroken;
   if (step.gang) {
     EndGangRun(name, end, checkpoint, max_attempts);
     return true;
@@ -184,6 +186,22 @@
   return true;
 }
 
+bool Job::IsOverWithItsGang(const TaskName& name, int run,
+                            int max_attempts) const {
+  if (!spec_.steps[name.step].gang) return false;
+  const Step& step = occurrences_[name.occurrence].steps[name.step];
+  const Task& task = step.tasks[name.index];
+  const bool current = task.phase == TaskPhase::kAssigned && task.run == run;
+  if (!current || step.gang_failures + 1 >= max_attempts) return false;
+  for (const Task& member : step.tasks) {
+    if (&member == &task) continue;
+    const bool broken = member.phase == TaskPhase::kWaiting &&
+                        member.run == run && member.gang_broken;
+    if (!broken) return false;
+  }
+  return step.tasks.size() > 1;
+}
+
 void Job::EndGangRun(const TaskName& name, RunEnd end,
                      const std::string& checkpoint, int max_attempts) {
   Step& step = occurrences_[name.occurrence].steps[name.step];
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -71,6 +71,9 @@
   /// The task must not start until the fate of the runners on which it was lost
   /// is known.
   bool held_back = false;
+  /// The latest run was reported to have ended because another member of the
+  /// gang ended. Not known for runs that ended under a previous scheduler.
+  bool gang_broken = false;
   /// Last reported progress of the current run in percent.
   int percent = 0;
   TimePoint assigned_at;
@@ -158,6 +161,12 @@
   /// whole gang.
   int NextRun(const TaskName& name) const;
 
+  /// True if this run of a gang member is over although its end was not
+  /// reported: all other members of the gang's run reported that another member
+  /// had ended, and this is the only one left. False if a failure of this run
+  /// would be the gang's last of `max_attempts`, since that may be how it
+  /// ended.
+  bool IsOverWithItsGang(const TaskName& name, int run, int max_attempts) const;
   /// Records the end of a run. Returns false and changes nothing if `run` isn't
   /// the task's current run.
   bool EndRun(const TaskName& name, int run, RunEnd end,
--- a/src/dispatch/scheduler_pace.cc
+++ b/src/dispatch/scheduler_pace.cc
@@ -110,6 +110,7 @@
       EndExpiredRuns(ctx, runner.get());
       continue;
     }
+    if (silent) EndRunsOfBrokenGangs(ctx, runner.get());
     std::vector<TaskName> names;
     for (const auto& [name, run] : runner->runs()) names.push_back(name);
     for (const TaskName& name : names) {
--- a/test/scheduler-test.cc
+++ b/test/scheduler-test.cc
@@ -140,4 +140,23 @@
   CheckNoViolation();
 }
 
+// All other members of a gang report that a member ended when its runner loses
+// power. The gang used to wait until the lease of the lost runner expired.
+TEST(Scheduler, GangWithALostMemberStartsAgainBeforeTheLeaseExpires) {
+  dispatch::StepSpec gang = Step(3, 8, Duration(1500));
+  gang.gang = true;
+  const JobId job = Submit(gang);
+  system.Run(Duration(500));
+  RunnerId lost;
+  for (const RunnerId& id : system.RunnerIds()) {
+    system.FindRunner(id)->ForEachRun(
+        [&](const dispatch::TaskName&, int) { lost = id; });
+  }
+  // Neither the runner nor its entry tells of the crash.
+  system.CrashRunner(lost, Duration(60000));
+  system.Run(Duration(4500));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
 }  // namespace limeledge::emulator
