Cancel a start in flight on each later incarnation of its runner

It was cancelled on the next incarnation and forgotten; the incarnation after that carried it out, 1 s after the task was done and acknowledged.

Change: starts in flight are recorded as late starts of the runner, like those that got no answer, so that each later incarnation is told to cancel them.

--- a/src/dispatch/scheduler_incarnations.cc
+++ b/src/dispatch/scheduler_incarnations.cc
@@ -126,12 +126,14 @@
 
 Runner* Scheduler::ReplaceIncarnation(TimePoint now, Runner* previous,
                                       StartTime start_time) {
-  const bool start_in_flight = std::any_of(
-      previous->runs().begin(), previous->runs().end(), [](const auto& entry) {
-        return entry.second.phase == RunPhase::kStarting;
-      });
-  if (start_in_flight) {
-    previous->late_orders.RecordGrant(now + options_.late_order_window);
+  // The answer to a start in flight will not be handled. The start may reach
+  // any later incarnation, not only the next one.
+  const TimePoint latest_arrival = now + options_.late_order_window;
+  for (const auto& [name, run] : previous->runs()) {
+    if (run.phase != RunPhase::kStarting) continue;
+    previous->late_orders.RecordStart({name, run.number}, run.need, now,
+                                      latest_arrival);
+    previous->late_orders.RecordGrant(latest_arrival);
   }
   const bool poll_grants_lease = previous->poll_grants_lease;
   const TimePoint poll_sent_at = previous->poll_sent_at;
