--- a/test/fleet-calls-test.cc
+++ b/test/fleet-calls-test.cc
@@ -5,6 +5,7 @@
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -30,7 +31,7 @@
 
   /// Reads a second in a lane, over a minute.
   std::int64_t ReadsPerSecond(StoreLane lane) {
-    constexpr int kSeconds = 60;
+    constexpr std::int64_t kSeconds = 60;
     const std::int64_t before = system->reads(lane).calls;
     system->Run(Duration(kSeconds * 1000));
     return (system->reads(lane).calls - before) / kSeconds;
