--- a/test/reborn-fuzz-test.cc
+++ b/test/reborn-fuzz-test.cc
@@ -77,7 +77,7 @@
 // A start in flight at the end of an incarnation was cancelled on the next one
 // only, and carried out by the one after that, when its task was done.
 TEST(RebornFuzz, StartInFlightIsCancelledOnEachLaterIncarnation) {
-  constexpr std::uint64_t kSeed = 7291;
+  constexpr int kSeed = 7291;
   Simulation simulation(kSeed, dispatch::DefaultPlanningPolicy(),
                         RestartMode::kSameIds);
   for (const std::string& error : simulation.Run()) FAIL(error.c_str());
