--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -210,6 +210,10 @@
       {LogId::kProcessBroken, kError, "process_broken",
        "Something in the process broke; it ends at once, and the field says "
        "why."},
+      {LogId::kSpeedsInUse, kInfo, "speeds_in_use",
+       "The lasting speeds of runners influence decisions from now on, or no "
+       "longer; the fields say how much they differ and how many runners were "
+       "measured."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -105,6 +105,7 @@
   kCallForwarded = 949,
   kLinesDropped = 950,
   kProcessBroken = 951,
+  kSpeedsInUse = 952,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -7,6 +7,7 @@
 #include "dispatch/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <string_view>
 #include <tuple>
@@ -17,6 +18,15 @@
 
 namespace {
 
+// Differences in the chance to end in time below these steps do not matter: to
+// urgent work, and to work that leaves fast runners to urgent work.
+constexpr double kChanceStep = 0.04;
+constexpr double kCoarseChanceStep = 0.25;
+// Work that leaves fast runners ranks them by steps of this log pace.
+constexpr double kLeavingStep = 0.15;
+// Ranks of the chance are this far apart.
+constexpr int kChanceRank = 100;
+
 // Urgent work avoids runners that usually take this many times as long.
 constexpr double kSlightlySlowRunner = 1.07;
 
@@ -44,7 +54,7 @@
   if (avoided) return RunnerTrust::kAvoided;
   if (candidate.suspect) return RunnerTrust::kSuspect;
   if (candidate.runner->IsSlow()) return RunnerTrust::kSlow;
-  const bool leisurely = request.prefers_fast &&
+  const bool leisurely = request.prefers_fast && !request.pace.has_value() &&
                          candidate.runner->usual_pace() >= kSlightlySlowRunner;
   return leisurely ? RunnerTrust::kSlightlySlow : RunnerTrust::kSound;
 }
@@ -74,6 +84,46 @@
   return {trust >= RunnerTrust::kSuspect, far, trust};
 }
 
+int RankOf(double value, double step) {
+  return static_cast<int>(std::lround(value / step));
+}
+
+/// Ranks a pace for the request; smaller is better. `log_pace` is the mean of
+/// `pace`.
+int PaceRankOf(const PacePreference& preference, const PaceDistribution& pace,
+               double log_pace) {
+  const double risk = 1 - preference.on_time.Of(pace);
+  if (!preference.leaves_fast_runners) return RankOf(risk, kChanceStep);
+  return RankOf(risk, kCoarseChanceStep) * kChanceRank -
+         RankOf(log_pace, kLeavingStep);
+}
+
+/// Ranks the pace of a candidate for one task; 0 while speeds are not in use.
+int PaceRankOf(const Candidate& candidate, const PlacementRequest& request) {
+  if (!request.pace.has_value() || candidate.pace == nullptr) return 0;
+  if (request.pace->measures_runners && candidate.unmeasured) {
+    return -kChanceRank;
+  }
+  return PaceRankOf(*request.pace, *candidate.pace, candidate.log_pace);
+}
+
+/// Ranks the pace of a gang, which is that of its slowest member.
+int PaceRankOf(const std::vector<Candidate*>& candidates,
+               const PlacementRequest& request) {
+  if (!request.pace.has_value() || candidates.front()->pace == nullptr) {
+    return 0;
+  }
+  SlowestPace slowest;
+  double sum = 0;
+  for (const Candidate* candidate : candidates) {
+    slowest.Add(*candidate->pace);
+    sum += candidate->log_pace;
+  }
+  // Work that leaves fast runners counts all that it takes.
+  return PaceRankOf(*request.pace, slowest.Distribution(),
+                    sum / static_cast<double>(candidates.size()));
+}
+
 /// Work at risk if the request's tasks crash their runners.
 std::int64_t RiskOf(const Candidate& candidate,
                     const PlacementRequest& request) {
@@ -81,10 +131,11 @@
 }
 
 /// Ranks a place; smaller is better. Orders by the work at risk, the fitness of
-/// the runner, its accelerators left over (best fit), the free accelerators of
-/// its rack, so that whole racks stay free for gangs, and its cores left over.
-using PlacementCost =
-    std::tuple<std::int64_t, Fitness, std::int64_t, std::int64_t, std::int64_t>;
+/// the runner, its lasting pace, its accelerators left over (best fit), the
+/// free accelerators of its rack, so that whole racks stay free for gangs, and
+/// its cores left over.
+using PlacementCost = std::tuple<std::int64_t, Fitness, int, std::int64_t,
+                                 std::int64_t, std::int64_t>;
 
 PlacementCost PlacementCostOf(const Candidate& candidate,
                               const PlacementRequest& request,
@@ -93,7 +144,9 @@
   return {
       RiskOf(candidate, request),
       FitnessOf(TrustIn(candidate, request), IsFar(candidate, *request.step)),
-      candidate.room.accelerators - need.accelerators, rack_room,
+      PaceRankOf(candidate, request),
+      candidate.room.accelerators - need.accelerators,
+      rack_room,
       candidate.room.cpu_millis - need.cpu_millis};
 }
 
@@ -127,8 +180,10 @@
     return false;
   }
   if (request.is_last_attempt && candidate.suspect) return false;
-  const bool closed =
-      candidate.urgent_rack && request.urgent_racks == UrgentRacks::kClosed;
+  const bool measures = request.pace.has_value() &&
+                        request.pace->measures_runners && candidate.unmeasured;
+  const bool closed = candidate.urgent_rack && !measures &&
+                      request.urgent_racks == UrgentRacks::kClosed;
   if (closed || info.service != request.service) return false;
   if (request.allowed != nullptr &&
       request.allowed->count(candidate.runner->incarnation()) == 0) {
@@ -176,6 +231,7 @@
                          bool is_suspect) {
   candidate->room -= step.room();
   candidate->tried = true;
+  candidate->unmeasured = false;
   if (is_suspect) candidate->on_probation = true;
   free_accelerators_[candidate->rack_number] -= step.need.accelerators;
   if (step.sharing() == Sharing::kBestEffort) ++candidate->best_effort_runs;
@@ -244,7 +300,7 @@
   std::vector<Candidate*> best;
   // Prefers the fittest runners, then the fullest rack that fits, so that
   // emptier racks stay free for other gangs.
-  std::tuple<std::int64_t, Fitness, bool, std::int64_t> best_cost;
+  std::tuple<std::int64_t, Fitness, int, bool, std::int64_t> best_cost;
   for (const std::vector<Candidate*>& candidates : racks) {
     std::vector<Candidate*> chosen = PlaceWithin(request, candidates);
     if (chosen.empty()) continue;
@@ -258,8 +314,9 @@
     for (const Candidate* candidate : chosen) {
       risk += RiskOf(*candidate, request);
     }
-    const std::tuple<std::int64_t, Fitness, bool, std::int64_t> cost = {
-        risk, fitness, !preferred, free_accelerators_[first.rack_number]};
+    const std::tuple<std::int64_t, Fitness, int, bool, std::int64_t> cost = {
+        risk, fitness, PaceRankOf(chosen, request), !preferred,
+        free_accelerators_[first.rack_number]};
     if (!best.empty() && cost >= best_cost) continue;
     best = std::move(chosen);
     best_cost = cost;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -9,12 +9,14 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "dispatch/job.h"
 #include "dispatch/runner.h"
+#include "dispatch/runner_speeds.h"
 
 namespace limeledge::dispatch {
 
@@ -47,6 +49,12 @@
   /// pass.
   int best_effort_runs = 0;
   int latency_sensitive_runs = 0;
+  /// The lasting pace of the runner; null while speeds are not in use.
+  const PaceDistribution* pace = nullptr;
+  /// Mean of `pace`.
+  double log_pace = 0;
+  /// Nothing is known of the runner's lasting pace, and no run measures it.
+  bool unmeasured = false;
 
   int CountSharing(Sharing sharing) const {
     if (sharing == Sharing::kBestEffort) return best_effort_runs;
@@ -57,6 +65,18 @@
 /// Whether a request may use the racks reserved for urgent work.
 enum class UrgentRacks { kOpen, kPreferred, kClosed };
 
+/// How a request ranks runners by their lasting pace.
+struct PacePreference {
+  /// The chance to end in time by the pace of the slowest runner.
+  OnTimeChance on_time;
+  /// Prefers slow runners among those on which the tasks end in time about as
+  /// probably, so that fast ones stay free for urgent work.
+  bool leaves_fast_runners = false;
+  /// Prefers runners of unknown pace, and may use one for each of them in racks
+  /// that are closed to the request.
+  bool measures_runners = false;
+};
+
 /// Describes the tasks to place and the constraints on their runners.
 struct PlacementRequest {
   const StepSpec* step = nullptr;
@@ -70,8 +90,10 @@
   bool ignore_locality = false;
   /// Restricts placement to these runners; null for any.
   const std::set<IncarnationId>* allowed = nullptr;
-  /// Prefers runners that are usually faster.
+  /// Prefers runners that are usually faster. Not used with `pace`.
   bool prefers_fast = false;
+  /// Not set while speeds are not in use.
+  std::optional<PacePreference> pace;
   /// One more failure is final: skips runners that failed a run recently.
   bool is_last_attempt = false;
   /// The tasks are suspected of crashing their runners: prefers runners with
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -38,13 +38,15 @@
 
 Planner::Pass::Pass(Planner* planner, TimePoint now, std::int64_t wall_ms,
                     const Catalog& catalog, const RunTimeEstimator& times,
-                    const TicketCache& advice, JobRegistry* jobs, Fleet* fleet)
+                    const RunnerSpeeds* speeds, const TicketCache& advice,
+                    JobRegistry* jobs, Fleet* fleet)
     : planner_(*planner),
       options_(planner->options_),
       now_(now),
       wall_ms_(wall_ms),
       catalog_(catalog),
       times_(times),
+      speeds_(speeds),
       advice_(advice),
       jobs_(*jobs),
       pool_(fleet->Candidates(now, catalog.drained_halls)),
@@ -55,6 +57,7 @@
 
 Plan Planner::Pass::Decide() {
   SelectUrgentRacks();
+  SetPaces();
   CollectPendingSteps();
   SortPendingSteps();
   ++planner_.passes_;
@@ -114,9 +117,10 @@
 
 Plan Planner::Decide(TimePoint now, std::int64_t wall_ms,
                      const Catalog& catalog, const RunTimeEstimator& times,
-                     const TicketCache& advice, JobRegistry* jobs,
-                     Fleet* fleet) {
-  return Pass(this, now, wall_ms, catalog, times, advice, jobs, fleet).Decide();
+                     const RunnerSpeeds* speeds, const TicketCache& advice,
+                     JobRegistry* jobs, Fleet* fleet) {
+  return Pass(this, now, wall_ms, catalog, times, speeds, advice, jobs, fleet)
+      .Decide();
 }
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -7,6 +7,7 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_PLANNER_H_
 #define LIMELEDGE_SRC_DISPATCH_PLANNER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -19,6 +20,7 @@
 #include "dispatch/placement.h"
 #include "dispatch/planning_policy.h"
 #include "dispatch/run_time_estimator.h"
+#include "dispatch/runner_speeds.h"
 #include "dispatch/ticket_cache.h"
 
 namespace limeledge::dispatch {
@@ -99,6 +101,9 @@
   Duration expected;
   /// Expected run time near the data and with the whole gang in one rack.
   Duration expected_near;
+  /// Factor in both for the lasting pace of the task's runner, or of the
+  /// slowest runner of its gang.
+  double pace = 1;
 
   bool near() const { return expected == expected_near; }
 };
@@ -176,10 +181,11 @@
   explicit Planner(PlannerOptions options = {}) : options_(options) {}
 
   /// Runs one planning pass. Changes nothing in `jobs` and `fleet` except the
-  /// time since when steps are ready.
+  /// time since when steps are ready. `speeds` is null while the lasting speeds
+  /// of runners are not in use.
   Plan Decide(TimePoint now, std::int64_t wall_ms, const Catalog& catalog,
-              const RunTimeEstimator& times, const TicketCache& advice,
-              JobRegistry* jobs, Fleet* fleet);
+              const RunTimeEstimator& times, const RunnerSpeeds* speeds,
+              const TicketCache& advice, JobRegistry* jobs, Fleet* fleet);
   /// The next time at which a waiting step becomes due or one of its waits
   /// ends.
   TimePoint next_at() const { return next_at_; }
@@ -196,12 +202,19 @@
     StepRank rank;
     /// Latest start that meets the deadline.
     std::int64_t latest_start_wall_ms = 0;
+    /// The time from which the objective counts.
+    std::int64_t from_wall_ms = 0;
     std::vector<int> waiting;
 
     /// True if the task with that index is suspected of crashing its runners.
     bool IsSuspectTask(int index) const {
       return IsSuspect(step->tasks[index].losses);
     }
+    /// True if any of the waiting tasks is suspected of that.
+    bool IsAnySuspect() const {
+      return std::any_of(waiting.begin(), waiting.end(),
+                         [this](int index) { return IsSuspectTask(index); });
+    }
   };
   /// Capacity reserved for a step until the runs preempted for it have stopped.
   struct Reservation {
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -33,7 +33,8 @@
   /// All arguments must outlive the pass.
   Pass(Planner* planner, TimePoint now, std::int64_t wall_ms,
        const Catalog& catalog, const RunTimeEstimator& times,
-       const TicketCache& advice, JobRegistry* jobs, Fleet* fleet);
+       const RunnerSpeeds* speeds, const TicketCache& advice, JobRegistry* jobs,
+       Fleet* fleet);
 
   /// Runs the pass. Call it once.
   Plan Decide();
@@ -95,6 +96,12 @@
   // Placement of steps that fit.
   Duration LocalityWaitOf(const PendingStep& pending) const;
   PlacementRequest RequestFor(const PendingStep& pending);
+  /// How the step ranks runners by their pace. Precondition: speeds are in use.
+  PacePreference PacePreferenceOf(const PendingStep& pending) const;
+  /// Tells the candidates their paces, if speeds are in use.
+  void SetPaces();
+  /// Expected run time on these runners over that on an average runner.
+  double PaceOn(const std::vector<Candidate*>& candidates) const;
   /// True if one more failure after `failures` is final, and the step can still
   /// wait for a runner without recent failures.
   bool NeedsReliableRunner(const PendingStep& pending, int failures);
@@ -148,8 +155,9 @@
                                    const PlacementRequest& request);
   /// True if the step must start soon to meet its objective, or has missed it.
   bool IsNearDeadline(const PendingStep& pending) const;
+  /// `pace` is the expected run time over that on an average runner.
   void Assign(const PendingStep& pending, int index, int run,
-              Candidate* candidate, bool spread);
+              Candidate* candidate, bool spread, double pace);
 
   // Preemption and reservation for steps that do not fit.
   /// Keeps the step's reservation if it has one. Otherwise preempts runs for
@@ -226,6 +234,8 @@
   std::int64_t wall_ms_;
   const Catalog& catalog_;
   const RunTimeEstimator& times_;
+  /// Null while speeds are not in use.
+  const RunnerSpeeds* speeds_;
   const TicketCache& advice_;
   JobRegistry& jobs_;
   CandidatePool pool_;
--- a/src/dispatch/planner_placement.cc
+++ b/src/dispatch/planner_placement.cc
@@ -5,6 +5,7 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <utility>
 
@@ -12,6 +13,19 @@
 
 namespace limeledge::dispatch {
 
+namespace {
+
+// A runner whose log pace is known less well than this is worth a measurement.
+constexpr double kUnmeasuredDeviation = 0.2;
+// A step that reaches its objective less probably than this on an average
+// runner is placed so that it ends before it is worthless.
+constexpr double kMinOnTimeChance = 0.1;
+
+// The middle of the grid of log paces is an average runner.
+constexpr std::size_t kAverageBin = kPaceBins / 2;
+
+}  // namespace
+
 Duration Planner::Pass::LocalityWaitOf(const PendingStep& pending) const {
   return pending.policy.priority == 0 ? options_.urgent_locality_wait
                                       : options_.locality_wait;
@@ -37,9 +51,58 @@
   } else if (!mostly_idle_ || !request.ignore_locality) {
     request.urgent_racks = UrgentRacks::kClosed;
   }
+  if (speeds_ != nullptr) request.pace.emplace(PacePreferenceOf(pending));
   return request;
 }
 
+void Planner::Pass::SetPaces() {
+  if (speeds_ == nullptr) return;
+  for (Candidate& candidate : pool_.candidates()) {
+    const Runner& runner = *candidate.runner;
+    candidate.pace = &speeds_->PaceOf(runner.incarnation());
+    candidate.log_pace = MeanOf(*candidate.pace);
+    const bool under_way = std::any_of(
+        runner.runs().begin(), runner.runs().end(),
+        [](const auto& entry) { return entry.second.measures_runner; });
+    candidate.unmeasured =
+        !under_way && DeviationOf(*candidate.pace) > kUnmeasuredDeviation;
+  }
+}
+
+PacePreference Planner::Pass::PacePreferenceOf(
+    const PendingStep& pending) const {
+  const RunnerSpeeds::Prediction prediction =
+      speeds_->Predict(pending.job->spec().queue, pending.spec->estimate);
+  const std::int64_t left =
+      pending.latest_start_wall_ms - wall_ms_ + ExpectedTimeNear(pending).ms();
+  const auto slack_of = [&prediction](std::int64_t ms) {
+    return std::log(static_cast<double>(std::max<std::int64_t>(1, ms))) -
+           prediction.log_ms;
+  };
+  OnTimeChance on_time(slack_of(left), prediction.deviation);
+  if (on_time.AtBin(kAverageBin) < kMinOnTimeChance) {
+    const std::int64_t objective =
+        pending.rank.deadline_wall_ms - pending.from_wall_ms;
+    on_time = OnTimeChance(
+        slack_of(left + objective * (options_.worthless_after - 1)),
+        prediction.deviation);
+  }
+  PacePreference preference{on_time};
+  const bool urgent = pending.policy.priority == 0;
+  preference.leaves_fast_runners = !urgent;
+  preference.measures_runners = !urgent && !pending.spec->gang &&
+                                pending.spec->preemptible() &&
+                                !pending.IsAnySuspect();
+  return preference;
+}
+
+double Planner::Pass::PaceOn(const std::vector<Candidate*>& candidates) const {
+  if (speeds_ == nullptr) return 1;
+  SlowestPace slowest;
+  for (const Candidate* candidate : candidates) slowest.Add(*candidate->pace);
+  return std::exp(MeanOf(slowest.Distribution()));
+}
+
 bool Planner::Pass::NeedsReliableRunner(const PendingStep& pending,
                                         int failures) {
   if (failures + 1 < pending.policy.max_attempts) return false;
@@ -145,10 +208,7 @@
 }
 
 void Planner::Pass::PlaceGang(PendingStep* pending, PlacementRequest* request) {
-  const bool has_suspect = std::any_of(
-      pending->waiting.begin(), pending->waiting.end(),
-      [pending](int index) { return pending->IsSuspectTask(index); });
-  if (has_suspect) MinimizeWorkAtRisk(request);
+  if (pending->IsAnySuspect()) MinimizeWorkAtRisk(request);
   request->is_last_attempt =
       NeedsReliableRunner(*pending, pending->step->gang_failures);
   if (FinishesSoonerByWaiting(*pending, *request)) {
@@ -165,8 +225,9 @@
   std::set<std::string> racks;
   for (const Candidate* candidate : candidates) racks.insert(candidate->rack);
   const bool far = pending->spec->same_rack && racks.size() > 1;
+  const double pace = PaceOn(candidates);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    Assign(*pending, pending->waiting[i], run, candidates[i], far);
+    Assign(*pending, pending->waiting[i], run, candidates[i], far, pace);
   }
   planner_.reservations_.erase(pending->key);
 }
@@ -269,7 +330,7 @@
     if (candidate == nullptr) break;
     ++request->tasks_per_runner[candidate->runner->id()];
     const int run = pending->step->tasks[index].run + 1;
-    Assign(*pending, index, run, candidate, false);
+    Assign(*pending, index, run, candidate, false, PaceOn({candidate}));
     ++placed.tasks;
   }
   return placed;
@@ -285,20 +346,22 @@
 }
 
 void Planner::Pass::Assign(const PendingStep& pending, int index, int run,
-                           Candidate* candidate, bool spread) {
+                           Candidate* candidate, bool spread, double pace) {
   const StepSpec& spec = *pending.spec;
   const bool off_data =
       !spec.data_rack.empty() &&
       candidate->runner->info().labels.count(spec.data_rack) == 0;
   const bool far = spread || off_data;
-  const Duration near_time = ExpectedTimeNear(pending);
+  const Duration near_time(
+      std::llround(pace * static_cast<double>(ExpectedTimeNear(pending).ms())));
   const Duration expected = far ? near_time * kRemoteSlowdown : near_time;
   plan_.assignments.push_back(
       {{pending.key.job, pending.key.occurrence, pending.key.step, index},
        run,
        candidate->runner,
        expected,
-       near_time});
+       near_time,
+       pace});
 }
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/planner_steps.cc
+++ b/src/dispatch/planner_steps.cc
@@ -157,6 +157,7 @@
   const double stretched = pending->policy.stretch * static_cast<double>(chain);
   const std::int64_t objective =
       static_cast<std::int64_t>(stretched) + pending->policy.slack.ms();
+  pending->from_wall_ms = from;
   pending->rank.deadline_wall_ms = from + objective;
   const Duration left =
       times_.ExpectedTime(spec.queue, pending->job->CriticalPathFrom(step));
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -126,6 +126,8 @@
   TimePoint answered_at;
   /// Expected duration of the whole run.
   Duration expected;
+  /// Factor in `expected` for the lasting pace of the run's runners.
+  double expected_pace = 1;
   TimePoint assigned_at;
   TimePoint started_at;
   int percent = 0;
@@ -134,9 +136,15 @@
   /// Where the latest measurement of the run's pace began.
   TimePoint pace_measured_from;
   int pace_percent = 0;
-  /// The run started from the beginning and near its data, so its duration can
-  /// be used for estimates.
+  /// The run started from the beginning and near its data.
+  bool began_near_data = false;
+  /// Its duration can be used for estimates, and was not so far.
   bool usable_for_estimates = false;
+  /// The run is independent of others, so that its duration measures the
+  /// lasting speed of its runner.
+  bool measures_runner = false;
+  /// Progress at which the speed was last measured.
+  int speed_percent = 0;
   /// Whether and how the run shares the runner's processors with other runs.
   Sharing sharing = Sharing::kNone;
   /// Its task may have crashed runners before.
--- a/src/dispatch/runner_speeds.h
+++ b/src/dispatch/runner_speeds.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "dispatch/catalog.h"
@@ -49,26 +50,59 @@
   TimePoint measured_at;
 };
 
+/// For each log pace, the chance that a run ends in time on a runner of that
+/// pace.
+///
+/// Thread safety: immutable.
+class OnTimeChance {
+ public:
+  /// `slack` is the logarithm of the time that is left over the run time that
+  /// is expected on an average runner, and `deviation` the standard deviation
+  /// of the logarithm of that run time. Precondition: `deviation > 0`.
+  OnTimeChance(double slack, double deviation);
+
+  double AtBin(std::size_t bin) const { return chance_[bin]; }
+  /// The chance on a runner with this distribution of the log pace.
+  double Of(const PaceDistribution& pace) const;
+
+ private:
+  std::array<float, kPaceBins> chance_;
+};
+
 /// Distribution of the log pace of the slowest of several runners, at which a
 /// gang runs.
 ///
 /// Thread safety: none; use it from one thread.
 class SlowestPace {
  public:
+  SlowestPace() { cumulative_.fill(1); }
+
   /// Adds a runner.
   void Add(const PaceDistribution& pace);
-  /// Chance that a run of log duration `log_duration` on an average runner,
-  /// known up to the standard deviation `deviation`, takes no longer than
-  /// `log_limit`. Precondition: at least one runner was added; `deviation > 0`.
-  double ChanceWithin(double log_duration, double deviation,
-                      double log_limit) const;
-  /// Mean of the slowest log pace. Precondition: at least one runner was added.
-  double Mean() const;
+  /// The distribution. Precondition: at least one runner was added.
+  PaceDistribution Distribution() const;
 
  private:
   /// Probability that the slowest log pace is at most that of the bin.
-  std::array<double, kPaceBins> cumulative_;
-  bool empty_ = true;
+  std::array<float, kPaceBins> cumulative_;
+};
+
+/// Mean and standard deviation of a log pace. Thread-safe.
+double MeanOf(const PaceDistribution& pace);
+double DeviationOf(const PaceDistribution& pace);
+
+/// Sums of a one-way analysis of variance of log run times: by how much they
+/// differ between runners and between the tasks on one runner.
+struct VarianceTerms {
+  double between = 0;
+  double within = 0;
+  double between_freedom = 0;
+  double within_freedom = 0;
+  /// Tasks per runner, weighted by the degrees of freedom between runners.
+  double weighted_size = 0;
+
+  VarianceTerms& operator+=(const VarianceTerms& other);
+  VarianceTerms& operator-=(const VarianceTerms& other);
 };
 
 /// Limits of the estimates.
@@ -88,8 +122,8 @@
 /// Estimates the lasting log pace of each incarnation from measured runs.
 ///
 /// The duration of a run is the caller's estimate times a factor of its step,
-/// times the pace of its runner. Independent tasks of one step are compared with
-/// each other. The members of a gang advance together at the pace of the
+/// times the pace of its runner. Independent tasks of one step are compared
+/// with each other. The members of a gang advance together at the pace of the
 /// slowest, so a gang is one measurement of the slowest of its runners: a slow
 /// gang shows that one of them is slow, and a gang that is not slow shows that
 /// none of them is. Measurements allow for outliers, so that a long task or a
@@ -124,12 +158,84 @@
   SpeedEstimate EstimateOf(const IncarnationId& runner) const;
   /// Number of runners with at least one measurement.
   int measured_runners() const;
-  /// Standard deviation of lasting log paces among the measured runners, apart
-  /// from the uncertainty of each. 0 if too few were measured.
+  /// A lower bound, by one standard error, on the standard deviation of lasting
+  /// log paces among runners; 0 if too little was measured.
   double Spread() const;
+  /// The run time that a run with the caller's `estimate` is expected to take
+  /// on an average runner, and the standard deviation of its logarithm.
+  struct Prediction {
+    double log_ms = 0;
+    double deviation = 0;
+  };
+  Prediction Predict(const QueueId& queue, Duration estimate) const;
   /// Adds what an earlier process stored about a runner that has no
   /// measurement here. Does nothing if it has one.
   void Restore(const IncarnationId& runner, const SpeedEstimate& stored);
+
+ private:
+  /// Logarithm of the likelihood of a measurement for each log pace.
+  using LogLikelihood = std::array<float, kPaceBins>;
+
+  /// What the measurements of one incarnation add up to.
+  struct Evidence {
+    LogLikelihood log_likelihood{};
+    int runs = 0;
+    TimePoint measured_at;
+    /// Posterior for the present prior; valid if `prior_version` is current.
+    PaceDistribution pace{};
+    int prior_version = -1;
+  };
+  /// Logarithm of the factor between callers' estimates and run times on an
+  /// average runner.
+  struct EstimateError {
+    double mean = 0;
+    /// Initial value: estimates are off by a factor of about 1.6.
+    double variance = 0.25;
+    int count = 0;
+    void Add(double value, double known_variance);
+  };
+  /// A measured run of an independent task.
+  struct TaskRecord {
+    IncarnationId runner;
+    /// Logarithm of the duration over the caller's estimate.
+    double log_ratio = 0;
+    /// What the evidence of the runner contains for this record.
+    LogLikelihood applied{};
+  };
+  /// The measured runs of one step of independent tasks.
+  struct TaskStep {
+    QueueId queue;
+    std::map<std::pair<int, IncarnationId>, TaskRecord> records;
+    /// Records that changed since the step was last evaluated.
+    int changed = 0;
+    VarianceTerms terms;
+    bool error_recorded = false;
+  };
+  /// The measurement of a gang.
+  struct GangRecord {
+    std::vector<IncarnationId> runners;
+    std::vector<LogLikelihood> applied;
+    double log_ratio = 0;
+  };
+
+  void Evaluate(TaskStep* step);
+  void Apply(const IncarnationId& runner, const LogLikelihood& added,
+             const LogLikelihood& removed);
+  PaceDistribution Posterior(const LogLikelihood& evidence) const;
+  LogLikelihood LikelihoodOf(double residual, double variance) const;
+  void UpdatePrior(TimePoint now);
+
+  RunnerSpeedOptions options_;
+  /// Logarithm of the distribution of an unmeasured runner.
+  LogLikelihood log_prior_{};
+  PaceDistribution prior_{};
+  int prior_version_ = 0;
+  TimePoint prior_updated_at_;
+  mutable std::map<IncarnationId, Evidence> evidence_;
+  std::map<QueueId, EstimateError> errors_;
+  std::map<StepName, TaskStep> steps_;
+  std::map<StepName, GangRecord> gangs_;
+  VarianceTerms variance_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -166,6 +166,7 @@
       {kProgressTable, id.value()},
       [this, id](Context& later) { jobs_.RecordFinalStored(id, later.now()); });
   ticket_cache_.Forget(id);
+  speeds_.Forget(id);
   jobs_.MarkFinal(id);
 }
 
@@ -224,8 +225,12 @@
   run.sharing = job->step_spec(name.step).sharing();
   run.assigned_at = ctx.now();
   run.expected = assignment.expected;
-  run.usable_for_estimates =
+  run.expected_pace = assignment.pace;
+  run.began_near_data =
       assignment.near() && job->Find(name)->checkpoint.empty();
+  run.usable_for_estimates = run.began_near_data;
+  const StepSpec& step = job->step_spec(name.step);
+  run.measures_runner = run.began_near_data && !step.gang && !step.long_running;
   run.suspect = IsSuspect(job->Find(name)->losses);
   assignment.runner->Add(name, run);
   const std::string near_ms =
@@ -266,9 +271,10 @@
 void Scheduler::RunPlanningPass(Context& ctx) {
   plan_due_ = false;
   last_pass_at_ = ctx.now();
-  const Plan plan =
-      planner_.Decide(ctx.now(), ctx.wall_ms(), *catalog_, run_time_estimator_,
-                      ticket_cache_, &jobs_, &fleet_);
+  UpdateSpeedUse(ctx);
+  const Plan plan = planner_.Decide(
+      ctx.now(), ctx.wall_ms(), *catalog_, run_time_estimator_,
+      speeds_in_use_ ? &speeds_ : nullptr, ticket_cache_, &jobs_, &fleet_);
   next_pass_at_ = ctx.now() + options_.min_pass_interval +
                   options_.pass_interval_per_hundred_steps * plan.steps_tried /
                       kStepsPerDelay;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -22,12 +22,23 @@
 #include "dispatch/job_registry.h"
 #include "dispatch/loss_tracker.h"
 #include "dispatch/planner.h"
+#include "dispatch/runner_speeds.h"
 #include "dispatch/state_writer.h"
 
 namespace limeledge::dispatch {
 
+/// When the lasting speeds of runners influence decisions.
+enum class RunnerSpeedUse {
+  /// When they differ so much that some runners alone make urgent work miss its
+  /// objective.
+  kAuto,
+  kOn,
+  kOff,
+};
+
 /// Options of the scheduler and its parts.
 struct SchedulerOptions {
+  RunnerSpeedUse runner_speeds = RunnerSpeedUse::kAuto;
   FleetOptions fleet;
   PlannerOptions planner;
   StateWriterOptions writer;
@@ -367,6 +378,23 @@
   /// Adds the run's duration to the estimates, once for each step, when enough
   /// of the run is done.
   void LearnRunTime(Context& ctx, Job* job, const TaskName& name, Run* run);
+
+  // Lasting speeds (scheduler_speeds.cc).
+  /// Measures the speed of a run's runner, or of the runners of its gang, by
+  /// the progress that was reported just now. `ended`: the run is done.
+  void MeasureSpeed(Context& ctx, const Runner& runner, const Job& job,
+                    const TaskName& name, Run* run, bool ended);
+  /// The runners of all members of a gang, and when the last of them started;
+  /// nothing if not all of them run.
+  struct GangRunners {
+    std::vector<IncarnationId> runners;
+    TimePoint started_at;
+  };
+  std::optional<GangRunners> FindGangRunners(const Job& job,
+                                             const TaskName& name, int number);
+  /// Decides whether speeds influence decisions from now on.
+  void UpdateSpeedUse(Context& ctx);
+
   /// Moves a run off a runner that became slow, if that saves time.
   void MoveOffSlowRunner(Context& ctx, Runner* runner, const TaskName& name,
                          const Run& run, Duration remaining, Duration expected);
@@ -407,6 +435,8 @@
   Fleet fleet_;
   LossTracker losses_;
   RunTimeEstimator run_time_estimator_;
+  RunnerSpeeds speeds_;
+  bool speeds_in_use_ = false;
   TicketCache ticket_cache_;
   Planner planner_;
   const Catalog* catalog_ = nullptr;
--- a/src/dispatch/scheduler_pace.cc
+++ b/src/dispatch/scheduler_pace.cc
@@ -19,6 +19,11 @@
 
 constexpr int kComplete = 100;
 
+Duration OnAverageRunner(const Run& run, Duration duration) {
+  return Duration(
+      std::llround(static_cast<double>(duration.ms()) / run.expected_pace));
+}
+
 }  // namespace
 
 void Scheduler::MeasurePace(Context& ctx, Runner* runner, Job* job,
@@ -34,6 +39,7 @@
       static_cast<double>((elapsed * kComplete).ms()) / progress;
   run->pace_measured_from = ctx.now();
   run->pace_percent = run->percent;
+  MeasureSpeed(ctx, *runner, *job, name, run, false);
   EvaluatePace(ctx, runner, job, name, *run, duration_ms);
   LearnRunTime(ctx, job, name, run);
 }
@@ -80,8 +86,9 @@
   step.duration_known = true;
   const Duration full_duration =
       (ctx.now() - run->started_at) * kComplete / run->percent;
-  run_time_estimator_.AddSample(
-      job->spec().queue, job->step_spec(name.step).estimate, full_duration);
+  run_time_estimator_.AddSample(job->spec().queue,
+                                job->step_spec(name.step).estimate,
+                                OnAverageRunner(*run, full_duration));
 }
 
 void Scheduler::MoveOffSlowRunner(Context& ctx, Runner* runner,
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -299,7 +299,7 @@
                           const ReportedEnd& end) {
   if (end.number <= runner->newest_end) return;
   runner->newest_end = end.number;
-  const Run* run = runner->FindRun(end.task, end.run);
+  Run* run = runner->FindRun(end.task, end.run);
   if (run == nullptr) {
     const bool presumed_over =
         runner->presumed_over.erase({end.task, end.run}) != 0;
@@ -312,6 +312,10 @@
     HandleLateEnd(ctx, *runner, end);
   } else {
     UpdateRunnerHealth(ctx, runner, end, *run);
+    const Job* job = jobs_.Find(end.task.job);
+    if (end.end == RunEnd::kDone && job != nullptr) {
+      MeasureSpeed(ctx, *runner, *job, end.task, run, true);
+    }
     EndRun(ctx, runner, end.task, end.end, end.checkpoint);
   }
   // A job that was closed just now may not be stored either.
--- /dev/null
+++ b/src/dispatch/scheduler_speeds.cc
@@ -0,0 +1,108 @@
+/// @file
+/// Measurements of the lasting speeds of runners, and when they are in use.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <algorithm>
+#include <cmath>
+
+#include "absl/strings/str_cat.h"
+#include "dispatch/scheduler.h"
+
+namespace limeledge::dispatch {
+
+namespace {
+
+constexpr int kComplete = 100;
+// Reported progress is rounded down to whole percent.
+constexpr int kTwiceRounding = 1;
+// Deviations of the log pace that a runner may lie from the mean without being
+// an exception.
+constexpr double kUsualDeviations = 2;
+
+/// The logarithm of the smallest factor by which an urgent run may take longer
+/// than expected; nothing if no queue is urgent.
+std::optional<double> SmallestUrgentSlack(const Catalog& catalog) {
+  std::optional<double> smallest;
+  for (const Queue& queue : catalog.queues) {
+    const bool limits = queue.policy.priority == 0 && queue.policy.stretch > 1;
+    if (!limits) continue;
+    const double slack = std::log(queue.policy.stretch);
+    smallest = smallest.has_value() ? std::min(*smallest, slack) : slack;
+  }
+  return smallest;
+}
+
+}  // namespace
+
+void Scheduler::MeasureSpeed(Context& ctx, const Runner& runner, const Job& job,
+                             const TaskName& name, Run* run, bool ended) {
+  const StepSpec& step = job.step_spec(name.step);
+  if (options_.runner_speeds == RunnerSpeedUse::kOff) return;
+  if (!run->began_near_data || step.long_running) return;
+  const int percent = ended ? kComplete : run->percent;
+  // A measurement is repeated when it has become about twice as precise.
+  const bool due = ended || percent >= 2 * run->speed_percent;
+  if (!due || percent < options_.min_learn_percent) return;
+  TimePoint started_at = run->started_at;
+  std::optional<GangRunners> gang;
+  if (step.gang) {
+    // One member measures for all.
+    if (name.index != 0 && !ended) return;
+    gang = FindGangRunners(job, name, run->number);
+    if (!gang.has_value()) return;
+    started_at = gang->started_at;
+  }
+  run->speed_percent = percent;
+  const std::int64_t worked = ended ? 2 * kComplete : 2 * percent + kTwiceRounding;
+  const Duration duration =
+      (ctx.now() - started_at) * (2 * kComplete) / worked;
+  const QueueId& queue = job.spec().queue;
+  if (gang.has_value()) {
+    speeds_.RecordGang(ctx.now(), {name.job, name.occurrence, name.step}, queue,
+                       gang->runners, step.estimate, duration);
+  } else {
+    speeds_.RecordTask(ctx.now(), name, queue, runner.incarnation(),
+                       step.estimate, duration);
+  }
+}
+
+std::optional<Scheduler::GangRunners> Scheduler::FindGangRunners(
+    const Job& job, const TaskName& name, int number) {
+  const Step& step = job.occurrences()[name.occurrence].steps[name.step];
+  GangRunners gang;
+  TaskName member = name;
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    member.index = static_cast<int>(i);
+    const Task& task = step.tasks[i];
+    if (task.run != number) return std::nullopt;
+    const auto found = fleet_.runners().find(task.incarnation.runner);
+    if (found == fleet_.runners().end()) return std::nullopt;
+    Runner* runner = found->second.get();
+    if (runner->incarnation() != task.incarnation) return std::nullopt;
+    gang.runners.push_back(task.incarnation);
+    // The run of a member that has just ended may be gone.
+    const Run* run = runner->FindRun(member, number);
+    if (run == nullptr) continue;
+    if (run->phase != RunPhase::kRunning) return std::nullopt;
+    gang.started_at = std::max(gang.started_at, run->started_at);
+  }
+  return gang;
+}
+
+void Scheduler::UpdateSpeedUse(Context& ctx) {
+  bool in_use = options_.runner_speeds == RunnerSpeedUse::kOn;
+  if (options_.runner_speeds == RunnerSpeedUse::kAuto) {
+    const std::optional<double> slack = SmallestUrgentSlack(*catalog_);
+    in_use = slack.has_value() && kUsualDeviations * speeds_.Spread() > *slack;
+  }
+  if (in_use == speeds_in_use_) return;
+  speeds_in_use_ = in_use;
+  ctx.Log(LogId::kSpeedsInUse,
+          {{"in_use", in_use ? "yes" : "no"},
+           {"spread", absl::StrCat(speeds_.Spread())},
+           {"measured", std::to_string(speeds_.measured_runners())}});
+}
+
+}  // namespace limeledge::dispatch
--- a/src/dispatch/tuning.cc
+++ b/src/dispatch/tuning.cc
@@ -7,6 +7,7 @@
 #include "dispatch/tuning.h"
 
 #include <cstdint>
+#include <utility>
 #include <variant>
 
 #include "absl/strings/numbers.h"
@@ -16,7 +17,8 @@
 
 namespace {
 
-using Field = std::variant<Duration*, double*, int*, std::int64_t*, bool*>;
+using Field = std::variant<Duration*, double*, int*, std::int64_t*, bool*,
+                           RunnerSpeedUse*>;
 
 /// An option that can be set by name.
 struct Tunable {
@@ -56,6 +58,7 @@
       {"learn-percent", &scheduler.min_learn_percent},
       {"busy-wait", &fleet.busy_wait},
       {"idle-wait", &fleet.idle_wait},
+      {"runner-speeds", &scheduler.runner_speeds},
       {"run-lease", &fleet.run_lease},
       {"leader-lease", &options->leadership.lease},
       {"leader-poll", &options->leadership.poll_interval},
@@ -85,6 +88,27 @@
   return absl::SimpleAtob(text, field);
 }
 
+constexpr std::pair<RunnerSpeedUse, const char*> kSpeedUses[] = {
+    {RunnerSpeedUse::kAuto, "auto"},
+    {RunnerSpeedUse::kOn, "on"},
+    {RunnerSpeedUse::kOff, "off"}};
+
+bool Parse(const std::string& text, RunnerSpeedUse* field) {
+  for (const auto& [use, name] : kSpeedUses) {
+    if (text != name) continue;
+    *field = use;
+    return true;
+  }
+  return false;
+}
+
+std::string Format(const RunnerSpeedUse* field) {
+  for (const auto& [use, name] : kSpeedUses) {
+    if (use == *field) return name;
+  }
+  return "";
+}
+
 std::string Format(const Duration* field) { return absl::StrCat(field->ms()); }
 std::string Format(const bool* field) { return *field ? "true" : "false"; }
 template <typename Number>
