--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -324,6 +324,19 @@
   const bool one_rack_only =
       request.step->same_rack && !request.ignore_locality;
   if (best.empty() && !one_rack_only) best = PlaceWithin(request, all);
+  // Racks do not matter to other gangs, so that they may combine the best
+  // runners of several.
+  if (request.pace.has_value() && !request.step->same_rack && !best.empty()) {
+    std::vector<Candidate*> chosen = PlaceWithin(request, all);
+    const auto cost_of = [&request](const std::vector<Candidate*>& gang) {
+      return std::make_pair(FitnessOf(LowestTrustIn(gang, request),
+                                      AnyIsFar(gang, *request.step)),
+                            PaceRankOf(gang, request));
+    };
+    if (!request.is_suspect && cost_of(chosen) < cost_of(best)) {
+      best = std::move(chosen);
+    }
+  }
   for (Candidate* candidate : best) {
     Take(candidate, *request.step, request.is_suspect);
   }
--- a/src/dispatch/scheduler_speeds.cc
+++ b/src/dispatch/scheduler_speeds.cc
@@ -20,6 +20,9 @@
 // Deviations of the log pace that a runner may lie from the mean without being
 // an exception.
 constexpr double kUsualDeviations = 2;
+// Speeds stay in use until the spread falls below this part of the limit, so
+// that an estimate near the limit does not switch them on and off.
+constexpr double kReleaseShare = 0.75;
 
 /// The logarithm of the smallest factor by which an urgent run may take longer
 /// than expected; nothing if no queue is urgent.
@@ -55,9 +58,9 @@
     started_at = gang->started_at;
   }
   run->speed_percent = percent;
-  const std::int64_t worked = ended ? 2 * kComplete : 2 * percent + kTwiceRounding;
-  const Duration duration =
-      (ctx.now() - started_at) * (2 * kComplete) / worked;
+  const std::int64_t worked =
+      ended ? 2 * kComplete : 2 * percent + kTwiceRounding;
+  const Duration duration = (ctx.now() - started_at) * (2 * kComplete) / worked;
   const QueueId& queue = job.spec().queue;
   if (gang.has_value()) {
     speeds_.RecordGang(ctx.now(), {name.job, name.occurrence, name.step}, queue,
@@ -95,7 +98,9 @@
   bool in_use = options_.runner_speeds == RunnerSpeedUse::kOn;
   if (options_.runner_speeds == RunnerSpeedUse::kAuto) {
     const std::optional<double> slack = SmallestUrgentSlack(*catalog_);
-    in_use = slack.has_value() && kUsualDeviations * speeds_.Spread() > *slack;
+    const double share = speeds_in_use_ ? kReleaseShare : 1;
+    in_use = slack.has_value() &&
+             kUsualDeviations * speeds_.Spread() > *slack * share;
   }
   if (in_use == speeds_in_use_) return;
   speeds_in_use_ = in_use;
