Reserve the fastest runners for urgent work in place of whole racks

While speeds are in use, a third of each reserved rack was slow, so that urgent work preempted batch work on fast runners elsewhere.

--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -100,6 +100,9 @@
   PacePreference PacePreferenceOf(const PendingStep& pending) const;
   /// Tells the candidates their paces, if speeds are in use.
   void SetPaces();
+  /// Reserves the runners that are fastest with some certainty for urgent work,
+  /// in place of whole racks. Precondition: the paces are set.
+  void ReserveFastRunners();
   /// Expected run time on these runners over that on an average runner.
   double PaceOn(const std::vector<Candidate*>& candidates) const;
   /// True if one more failure after `failures` is final, and the step can still
--- a/src/dispatch/planner_placement.cc
+++ b/src/dispatch/planner_placement.cc
@@ -55,6 +55,30 @@
   return request;
 }
 
+void Planner::Pass::ReserveFastRunners() {
+  std::vector<Candidate*> order;
+  for (Candidate& candidate : pool_.candidates()) {
+    candidate.urgent_rack = false;
+    order.push_back(&candidate);
+  }
+  const auto bound = [](const Candidate* candidate) {
+    return candidate->log_pace + DeviationOf(*candidate->pace);
+  };
+  std::vector<std::pair<double, Candidate*>> by_pace;
+  for (Candidate* candidate : order) {
+    by_pace.emplace_back(bound(candidate), candidate);
+  }
+  std::sort(by_pace.begin(), by_pace.end());
+  const double share =
+      options_.urgent_share * static_cast<double>(by_pace.size());
+  by_pace.resize(static_cast<std::size_t>(std::lround(share)));
+  urgent_total_ = Resources();
+  for (const auto& [pace, candidate] : by_pace) {
+    candidate->urgent_rack = true;
+    urgent_total_ += candidate->runner->info().room;
+  }
+}
+
 void Planner::Pass::SetPaces() {
   if (speeds_ == nullptr) return;
   for (Candidate& candidate : pool_.candidates()) {
@@ -67,6 +91,7 @@
     candidate.unmeasured =
         !under_way && DeviationOf(*candidate.pace) > kUnmeasuredDeviation;
   }
+  ReserveFastRunners();
 }
 
 PacePreference Planner::Pass::PacePreferenceOf(
