--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -57,8 +57,8 @@
 
 Plan Planner::Pass::Decide() {
   SelectUrgentRacks();
-  SetPaces();
   CollectPendingSteps();
+  SetPaces();
   SortPendingSteps();
   ++planner_.passes_;
   for (PendingStep& pending : pending_steps_) {
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -229,6 +229,8 @@
   /// Reasons from the previous pass.
   std::map<StepName, WaitReason> waits_;
   int passes_ = 0;
+  /// Accelerators of an urgent gang, as an average of those that waited lately.
+  double urgent_gang_accelerators_ = 0;
   TimePoint next_at_;
 };
 
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -100,8 +100,11 @@
   PacePreference PacePreferenceOf(const PendingStep& pending) const;
   /// Tells the candidates their paces, if speeds are in use.
   void SetPaces();
-  /// Reserves the runners that are fastest with some certainty for urgent work,
-  /// in place of whole racks. Precondition: the paces are set.
+  /// Number of runners that a rack keeps for urgent gangs, by their usual size.
+  /// Precondition: the pending steps are collected.
+  std::size_t ReservedPerRack();
+  /// Reserves the fastest runners of each rack for urgent work, in place of
+  /// whole racks. Precondition: the paces are set.
   void ReserveFastRunners();
   /// Expected run time on these runners over that on an average runner.
   double PaceOn(const std::vector<Candidate*>& candidates) const;
--- a/src/dispatch/planner_placement.cc
+++ b/src/dispatch/planner_placement.cc
@@ -21,6 +21,11 @@
 // runner is placed so that it ends before it is worthless.
 constexpr double kMinOnTimeChance = 0.1;
 
+// Number of urgent gangs of the usual size for which a rack keeps fast runners.
+constexpr double kGangsPerRack = 2;
+// Weight of one pass in the usual size of urgent gangs.
+constexpr double kGangSizeWeight = 0.05;
+
 // The middle of the grid of log paces is an average runner.
 constexpr std::size_t kAverageBin = kPaceBins / 2;
 
@@ -55,27 +60,54 @@
   return request;
 }
 
+std::size_t Planner::Pass::ReservedPerRack() {
+  double sum = 0;
+  int gangs = 0;
+  for (const PendingStep& pending : pending_steps_) {
+    if (pending.policy.priority != 0 || !pending.spec->gang) continue;
+    sum += static_cast<double>(pending.spec->need.accelerators *
+                               pending.spec->count);
+    ++gangs;
+  }
+  double& usual = planner_.urgent_gang_accelerators_;
+  if (gangs > 0) usual += kGangSizeWeight * (sum / gangs - usual);
+  std::int64_t most = 1;
+  for (const Candidate& candidate : pool_.candidates()) {
+    most = std::max(most, candidate.runner->info().room.accelerators);
+  }
+  const double runners = kGangsPerRack * usual / static_cast<double>(most);
+  return static_cast<std::size_t>(std::max(1.0, std::ceil(runners)));
+}
+
 void Planner::Pass::ReserveFastRunners() {
-  std::vector<Candidate*> order;
+  using RankedRunner = std::pair<double, Candidate*>;
+  std::vector<std::vector<RankedRunner>> racks(pool_.rack_count());
   for (Candidate& candidate : pool_.candidates()) {
     candidate.urgent_rack = false;
-    order.push_back(&candidate);
+    // A runner that is probably fast but may be slow is not reserved.
+    const double pace = candidate.log_pace + DeviationOf(*candidate.pace);
+    racks[candidate.rack_number].emplace_back(pace, &candidate);
   }
-  const auto bound = [](const Candidate* candidate) {
-    return candidate->log_pace + DeviationOf(*candidate->pace);
-  };
-  std::vector<std::pair<double, Candidate*>> by_pace;
-  for (Candidate* candidate : order) {
-    by_pace.emplace_back(bound(candidate), candidate);
+  // Ranks racks by the slowest of the runners that are reserved there.
+  const std::size_t per_rack = ReservedPerRack();
+  std::vector<std::pair<double, std::size_t>> order;
+  for (std::size_t rack = 0; rack < racks.size(); ++rack) {
+    std::sort(racks[rack].begin(), racks[rack].end());
+    if (racks[rack].size() > per_rack) racks[rack].resize(per_rack);
+    if (!racks[rack].empty()) {
+      order.emplace_back(racks[rack].back().first, rack);
+    }
   }
-  std::sort(by_pace.begin(), by_pace.end());
-  const double share =
-      options_.urgent_share * static_cast<double>(by_pace.size());
-  by_pace.resize(static_cast<std::size_t>(std::lround(share)));
+  std::sort(order.begin(), order.end());
+  auto left = std::llround(options_.urgent_share *
+                           static_cast<double>(pool_.candidates().size()));
   urgent_total_ = Resources();
-  for (const auto& [pace, candidate] : by_pace) {
-    candidate->urgent_rack = true;
-    urgent_total_ += candidate->runner->info().room;
+  for (const auto& [pace, rack] : order) {
+    for (const auto& [runner_pace, candidate] : racks[rack]) {
+      if (left-- <= 0) return;
+      candidate->urgent_rack = true;
+      urgent_total_ += candidate->runner->info().room;
+    }
   }
 }
 
