--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -22,10 +22,8 @@
 // urgent work, and to work that leaves fast runners to urgent work.
 constexpr double kChanceStep = 0.04;
 constexpr double kCoarseChanceStep = 0.25;
-// Work that leaves fast runners ranks them by steps of this log pace.
-constexpr double kLeavingStep = 0.15;
-// Ranks of the chance are this far apart.
-constexpr int kChanceRank = 100;
+// Puts a runner whose pace a task would measure before all others.
+constexpr int kMeasuringRank = -1;
 
 // Urgent work avoids runners that usually take this many times as long.
 constexpr double kSlightlySlowRunner = 1.07;
@@ -84,27 +82,20 @@
   return {trust >= RunnerTrust::kSuspect, far, trust};
 }
 
-int RankOf(double value, double step) {
-  return static_cast<int>(std::lround(value / step));
-}
-
-/// Ranks a pace for the request; smaller is better. `log_pace` is the mean of
-/// `pace`.
-int PaceRankOf(const PacePreference& preference, const PaceDistribution& pace,
-               double log_pace) {
-  const double risk = 1 - preference.on_time.Of(pace);
-  if (!preference.leaves_fast_runners) return RankOf(risk, kChanceStep);
-  return RankOf(risk, kCoarseChanceStep) * kChanceRank -
-         RankOf(log_pace, kLeavingStep);
+/// Ranks a pace for the request; smaller is better.
+int PaceRankOf(const PacePreference& preference, const PaceDistribution& pace) {
+  const double step = preference.has_slack ? kCoarseChanceStep : kChanceStep;
+  return static_cast<int>(
+      std::lround((1 - preference.on_time.Of(pace)) / step));
 }
 
 /// Ranks the pace of a candidate for one task; 0 while speeds are not in use.
 int PaceRankOf(const Candidate& candidate, const PlacementRequest& request) {
   if (!request.pace.has_value() || candidate.pace == nullptr) return 0;
   if (request.pace->measures_runners && candidate.unmeasured) {
-    return -kChanceRank;
+    return kMeasuringRank;
   }
-  return PaceRankOf(*request.pace, *candidate.pace, candidate.log_pace);
+  return PaceRankOf(*request.pace, *candidate.pace);
 }
 
 /// Ranks the pace of a gang, which is that of its slowest member.
@@ -114,14 +105,8 @@
     return 0;
   }
   SlowestPace slowest;
-  double sum = 0;
-  for (const Candidate* candidate : candidates) {
-    slowest.Add(*candidate->pace);
-    sum += candidate->log_pace;
-  }
-  // Work that leaves fast runners counts all that it takes.
-  return PaceRankOf(*request.pace, slowest.Distribution(),
-                    sum / static_cast<double>(candidates.size()));
+  for (const Candidate* candidate : candidates) slowest.Add(*candidate->pace);
+  return PaceRankOf(*request.pace, slowest.Distribution());
 }
 
 /// Work at risk if the request's tasks crash their runners.
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -69,9 +69,9 @@
 struct PacePreference {
   /// The chance to end in time by the pace of the slowest runner.
   OnTimeChance on_time;
-  /// Prefers slow runners among those on which the tasks end in time about as
-  /// probably, so that fast ones stay free for urgent work.
-  bool leaves_fast_runners = false;
+  /// Ranks only large differences in that chance, so that the tasks are packed
+  /// and do not compete with urgent work for the last percent.
+  bool has_slack = false;
   /// Prefers runners of unknown pace, and may use one for each of them in racks
   /// that are closed to the request.
   bool measures_runners = false;
--- a/src/dispatch/planner_placement.cc
+++ b/src/dispatch/planner_placement.cc
@@ -146,7 +146,7 @@
   }
   PacePreference preference{on_time};
   const bool urgent = pending.policy.priority == 0;
-  preference.leaves_fast_runners = !urgent;
+  preference.has_slack = !urgent;
   preference.measures_runners = !urgent && !pending.spec->gang &&
                                 pending.spec->preemptible() &&
                                 !pending.IsAnySuspect();
