Keep runners reserved until others are clearly faster

A runner that is reserved anew is full of other work for seconds, and estimates move with each measurement.

--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -231,6 +232,8 @@
   int passes_ = 0;
   /// Accelerators of an urgent gang, as an average of those that waited lately.
   double urgent_gang_accelerators_ = 0;
+  /// Runners that the previous pass reserved for urgent work by their speed.
+  std::set<RunnerId> reserved_runners_;
   TimePoint next_at_;
 };
 
--- a/src/dispatch/planner_placement.cc
+++ b/src/dispatch/planner_placement.cc
@@ -26,6 +26,11 @@
 // Weight of one pass in the usual size of urgent gangs.
 constexpr double kGangSizeWeight = 0.05;
 
+// A reserved runner stays reserved until another one is faster by this log
+// pace. A runner that is reserved anew is usually full of other work for
+// seconds.
+constexpr double kKeptPace = 0.15;
+
 // The middle of the grid of log paces is an average runner.
 constexpr std::size_t kAverageBin = kPaceBins / 2;
 
@@ -85,7 +90,10 @@
   for (Candidate& candidate : pool_.candidates()) {
     candidate.urgent_rack = false;
     // A runner that is probably fast but may be slow is not reserved.
-    const double pace = candidate.log_pace + DeviationOf(*candidate.pace);
+    double pace = candidate.log_pace + DeviationOf(*candidate.pace);
+    if (planner_.reserved_runners_.count(candidate.runner->id()) != 0) {
+      pace -= kKeptPace;
+    }
     racks[candidate.rack_number].emplace_back(pace, &candidate);
   }
   // Ranks racks by the slowest of the runners that are reserved there.
@@ -102,10 +110,12 @@
   auto left = std::llround(options_.urgent_share *
                            static_cast<double>(pool_.candidates().size()));
   urgent_total_ = Resources();
+  planner_.reserved_runners_.clear();
   for (const auto& [pace, rack] : order) {
     for (const auto& [runner_pace, candidate] : racks[rack]) {
       if (left-- <= 0) return;
       candidate->urgent_rack = true;
+      planner_.reserved_runners_.insert(candidate->runner->id());
       urgent_total_ += candidate->runner->info().room;
     }
   }
