Add the planning policy `share`

Also, under every policy, an urgent step beyond its guarantee that can earn nothing any more preempts lower priorities that are in time, and any such step is placed before lower priorities.

Change: under `share`, and only there, urgent steps are selected, other steps of equal priority and deadline status go by the weighted use of their workspaces while room is short, and worthless steps beyond their guarantee go after all others and preempt nothing. Steps deferred for as long as their objective count as overdue. LL959 names deferred steps, the dump shows weighted uses, `--tune share-window` sets the window.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -214,6 +214,9 @@
        "The lasting speeds of runners influence decisions from now on, or no "
        "longer; the fields say how much they differ and how many runners were "
        "measured."},
+      {LogId::kStepDeferred, kInfo, "step_deferred",
+       "Not all waiting urgent steps can be in time; this one is placed after "
+       "the others, and the field says why it."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -106,6 +106,7 @@
   kLinesDropped = 950,
   kProcessBroken = 951,
   kSpeedsInUse = 952,
+  kStepDeferred = 959,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -59,7 +59,13 @@
   SelectUrgentRacks();
   SetPaces();
   CollectPendingSteps();
+  const bool shares_capacity = options_.policy->SharesCapacity();
+  if (shares_capacity) SelectUrgentSteps();
   SortPendingSteps();
+  if (shares_capacity && IsRoomShort()) {
+    OrderByShares();
+    SortPendingSteps();
+  }
   ++planner_.passes_;
   for (PendingStep& pending : pending_steps_) {
     if (IsBlocked(pending)) {
@@ -70,6 +76,7 @@
       KeepWaitReason(pending);
     }
   }
+  if (shares_capacity) RecordStarts();
   DropExpiredReservations();
   plan_.steps_waiting = static_cast<int>(waits_.size());
   plan_.idle_accelerators = MeasureIdleAccelerators();
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -17,11 +18,13 @@
 #include "dispatch/catalog.h"
 #include "dispatch/fleet.h"
 #include "dispatch/job_registry.h"
+#include "dispatch/on_time_selection.h"
 #include "dispatch/placement.h"
 #include "dispatch/planning_policy.h"
 #include "dispatch/run_time_estimator.h"
 #include "dispatch/runner_speeds.h"
 #include "dispatch/ticket_cache.h"
+#include "dispatch/workspace_shares.h"
 
 namespace limeledge::dispatch {
 
@@ -90,6 +93,14 @@
   int remaining_gangs_interval = 5;
   /// Weight of an accelerator, in cores, in the cost of a preemption.
   int cores_per_accelerator = 8;
+  /// Time constant of the average use of a workspace. A few of the longest runs
+  /// of urgent work, so that a workspace that was served before waits for the
+  /// others, but not for use long past.
+  Duration share_window{8000};
+  /// How often the runs of all runners are counted for the use of workspaces
+  /// and the capacity that becomes available. Counting them in each pass would
+  /// take most of a pass on thousands of runners.
+  Duration use_count_interval{100};
 };
 
 /// A task and the runner to start it on. All tasks of a gang are assigned in
@@ -164,6 +175,8 @@
   std::vector<Preemption> preemptions;
   std::vector<StepWait> waits;
   std::vector<AdviceRequest> advice_requests;
+  /// Urgent steps that were deferred for the first time.
+  std::vector<Deferral> deferrals;
   IdleAccelerators idle_accelerators;
   /// Steps that wait for any reason.
   int steps_waiting = 0;
@@ -178,7 +191,8 @@
 /// Thread safety: none; use it from one thread.
 class Planner {
  public:
-  explicit Planner(PlannerOptions options = {}) : options_(options) {}
+  explicit Planner(PlannerOptions options = {})
+      : options_(options), shares_(options.share_window) {}
 
   /// Runs one planning pass. Changes nothing in `jobs` and `fleet` except the
   /// time since when steps are ready. `speeds` is null while the lasting speeds
@@ -189,6 +203,13 @@
   /// The next time at which a waiting step becomes due or one of its waits
   /// ends.
   TimePoint next_at() const { return next_at_; }
+  /// Counts what the runs of all runners take, for policies that share
+  /// capacity. Does nothing under other policies, or if the last count is
+  /// recent enough. Call it before `Decide`.
+  void CountUse(TimePoint now, const Catalog& catalog, JobRegistry* jobs,
+                const Fleet& fleet);
+  /// Has no records unless the policy shares capacity.
+  const WorkspaceShares& shares() const { return shares_; }
 
  private:
   /// A step with tasks to start.
@@ -230,6 +251,11 @@
   std::map<StepName, WaitReason> waits_;
   int passes_ = 0;
   TimePoint next_at_;
+  WorkspaceShares shares_;
+  OnTimeSelection selection_;
+  /// Capacity of each service by the latest count, none of it free.
+  std::map<ServiceId, ServiceRoom> room_;
+  std::optional<TimePoint> use_counted_at_;
 };
 
 /// The policy that applies to a job: its queue's current one, or the one it was
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -81,6 +81,22 @@
   void CollectPendingSteps();
   /// Sorts the steps by the policy, first to place first.
   void SortPendingSteps();
+
+  // Selection and shares (planner_shares.cc).
+  /// Excludes a worthless step beyond its guarantee from everything that would
+  /// put it before steps that still earn something, whatever their priority.
+  void DemoteIfWorthless(PendingStep* pending) const;
+  /// Defers urgent steps if not all of them can be in time.
+  void SelectUrgentSteps();
+  /// Precondition: the steps are sorted.
+  void OrderByShares();
+  /// True if steps waited in the previous pass, or those pending need more than
+  /// is free.
+  bool IsRoomShort() const;
+  /// Adds the runs that this pass starts to the use of their workspaces.
+  void RecordStarts();
+  static Resources NeedOf(const PendingStep& pending);
+
   void CollectOccurrence(Job* job, int number);
   void CollectStep(Job* job, int number, int index);
   /// True if a start could exceed a runner's capacity: some runs or current
--- a/src/dispatch/planner_steps.cc
+++ b/src/dispatch/planner_steps.cc
@@ -163,6 +163,7 @@
       times_.ExpectedTime(spec.queue, pending->job->CriticalPathFrom(step));
   pending->latest_start_wall_ms = pending->rank.deadline_wall_ms - left.ms();
   pending->rank.deadline_status = DeadlineStatusOf(*pending, objective);
+  if (options_.policy->SharesCapacity()) DemoteIfWorthless(pending);
 }
 
 DeadlineStatus Planner::Pass::DeadlineStatusOf(const PendingStep& pending,
--- a/src/dispatch/planning_policy.cc
+++ b/src/dispatch/planning_policy.cc
@@ -28,6 +28,32 @@
   bool PreemptsNearDeadline() const override { return true; }
   bool PreemptsBeyondGuarantee() const override { return true; }
   int MaxReservedGangs(int limit) const override { return limit; }
+  bool SharesCapacity() const override { return false; }
+};
+
+/// Like `DeadlinePolicy`, but defers urgent steps that were not selected, and
+/// orders by the shares of workspaces before deadlines.
+class SharePolicy : public DeadlinePolicy {
+ public:
+  std::string_view name() const override { return "share"; }
+  bool Precedes(const StepRank& a, const StepRank& b) const override {
+    const int group_of_a = GroupOf(a);
+    const int group_of_b = GroupOf(b);
+    return std::tie(a.priority, group_of_a, a.share_position,
+                    a.deadline_wall_ms,
+                    a.name) < std::tie(b.priority, group_of_b, b.share_position,
+                                       b.deadline_wall_ms, b.name);
+  }
+  bool SharesCapacity() const override { return true; }
+
+ private:
+  /// The deadline status, with deferred steps between those on time and those
+  /// that are late.
+  static int GroupOf(const StepRank& rank) {
+    const bool deferred =
+        rank.deferred && rank.deadline_status == DeadlineStatus::kOnTime;
+    return 2 * static_cast<int>(rank.deadline_status) + (deferred ? 1 : 0);
+  }
 };
 
 /// First in, first out, without backfill; a baseline.
@@ -42,6 +68,7 @@
   bool PreemptsNearDeadline() const override { return false; }
   bool PreemptsBeyondGuarantee() const override { return false; }
   int MaxReservedGangs(int) const override { return 0; }
+  bool SharesCapacity() const override { return false; }
 };
 
 /// Like `FifoPolicy`, but with backfill; reserves capacity for the first gang
@@ -53,12 +80,13 @@
   int MaxReservedGangs(int) const override { return 1; }
 };
 
-const std::array<const PlanningPolicy*, 3>& AllPolicies() {
+const std::array<const PlanningPolicy*, 4>& AllPolicies() {
   static const DeadlinePolicy* const deadline = new DeadlinePolicy;
   static const FifoPolicy* const fifo = new FifoPolicy;
   static const BackfillPolicy* const backfill = new BackfillPolicy;
+  static const SharePolicy* const share = new SharePolicy;
   static const auto* const all =
-      new std::array<const PlanningPolicy*, 3>{deadline, fifo, backfill};
+      new std::array<const PlanningPolicy*, 4>{deadline, fifo, backfill, share};
   return *all;
 }
 
--- a/src/dispatch/planning_policy.h
+++ b/src/dispatch/planning_policy.h
@@ -42,6 +42,12 @@
   DeadlineStatus deadline_status = DeadlineStatus::kOnTime;
   std::int64_t accepted_wall_ms = 0;
   std::int64_t deadline_wall_ms = 0;
+  /// The step is urgent and was not selected, since not all urgent steps can be
+  /// in time.
+  bool deferred = false;
+  /// Position by the shares of the workspaces among the steps of equal priority
+  /// and deadline status; 0 for all of them while room is not short.
+  int share_position = 0;
 };
 
 /// Ordering, preemption and reservation rules of the planner. Guarantees hold
@@ -65,6 +71,9 @@
   /// Number of gangs, at limit `limit`, that may have capacity reserved at
   /// once.
   virtual int MaxReservedGangs(int limit) const = 0;
+  /// True if the policy uses `deferred` and `share_position`, and places
+  /// worthless steps beyond their guarantee after all others.
+  virtual bool SharesCapacity() const = 0;
 };
 
 /// True if `a` is placed before `b`. Steps within their guarantee precede all
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -192,6 +192,11 @@
                                 {"tasks", std::to_string(wait.tasks)},
                                 {"reason", ToString(wait.reason)}});
   }
+  for (const Deferral& deferral : plan.deferrals) {
+    ctx.Log(LogId::kStepDeferred, {{"job", deferral.step.job.value()},
+                                   {"step", ToString(deferral.step)},
+                                   {"reason", ToString(deferral.reason)}});
+  }
   for (const AdviceRequest& request : plan.advice_requests) {
     ticket_cache_.RequestTickets(ctx, request.step, request.runners);
   }
@@ -272,6 +277,7 @@
   plan_due_ = false;
   last_pass_at_ = ctx.now();
   UpdateSpeedUse(ctx);
+  planner_.CountUse(ctx.now(), *catalog_, &jobs_, fleet_);
   const Plan plan = planner_.Decide(
       ctx.now(), ctx.wall_ms(), *catalog_, run_time_estimator_,
       speeds_in_use_ ? &speeds_ : nullptr, ticket_cache_, &jobs_, &fleet_);
--- a/src/dispatch/scheduler_dump.cc
+++ b/src/dispatch/scheduler_dump.cc
@@ -72,6 +72,9 @@
   for (const JobId& id : jobs_.active()) {
     json["jobs"][id.value()] = DumpJob(*jobs_.Find(id));
   }
+  for (const auto& [id, use] : planner_.shares().WeightedUses()) {
+    json["weighted_uses"][id.value()] = use;
+  }
   json["runners"] = Json::Value(Json::objectValue);
   for (const auto& [id, runner] : fleet_.runners()) {
     json["runners"][id.value()] = DumpRunner(*runner, now);
--- a/src/dispatch/tuning.cc
+++ b/src/dispatch/tuning.cc
@@ -45,6 +45,7 @@
       {"urgent-headroom", &planner.urgent_headroom},
       {"late-headroom", &planner.late_headroom},
       {"urgent-victim-weight", &planner.urgent_victim_weight},
+      {"share-window", &planner.share_window},
       {"suspicion", &scheduler.failure_penalty},
       {"quick-failure-percent", &scheduler.early_failure_percent},
       {"unwell-pause", &scheduler.unhealthy_backoff},
--- a/src/emulator/emulated_callers.cc
+++ b/src/emulator/emulated_callers.cc
@@ -29,7 +29,7 @@
   last_call_ = last_call_.Next();
   const CallId id = last_call_;
   call.call = id;
-  call.key = kKey;
+  if (call.key.empty()) call.key = kKey;
   call.host = kHost;
   calls_[id] = std::move(done);
   const int first = static_cast<int>(random_() % processes_.size());
@@ -77,6 +77,8 @@
   call.path = absl::StrCat(PrefixOf(oracle_.Find(job)->spec.policy.priority),
                            job.value());
   call.spec = watch.spec;
+  const WorkspaceId& workspace = watch.spec.workspace;
+  if (!workspace.value().empty()) call.key = KeyOf(workspace);
   SendCall(call, [this, job](const dispatch::RespondToCall* answer) {
     JobWatch& submitted = *oracle_.Find(job);
     if (answer != nullptr && answer->result == CallResult::kDone) {
--- a/src/emulator/emulated_catalog.cc
+++ b/src/emulator/emulated_catalog.cc
@@ -67,7 +67,12 @@
   return absl::StartsWith(ticket, TicketPrefix(step, incarnation));
 }
 
-dispatch::Catalog MakeCatalog(int attempts) {
+std::string KeyOf(const WorkspaceId& workspace) {
+  return absl::StrCat("key-of-", workspace.value());
+}
+
+dispatch::Catalog MakeCatalog(int attempts,
+                              const std::vector<WorkspaceId>& unguaranteed) {
   dispatch::Catalog catalog;
   catalog.version = dispatch::CatalogVersion(1);
   catalog.queues.push_back(MakeQueue("patient", kPrefix, 1));
@@ -84,6 +89,10 @@
   workspace.guaranteed_accelerators = 16;
   catalog.workspaces[workspace.id] = workspace;
   catalog.workspace_by_key[kKey] = workspace.id;
+  for (const WorkspaceId& id : unguaranteed) {
+    catalog.workspaces[id].id = id;
+    catalog.workspace_by_key[KeyOf(id)] = id;
+  }
   return catalog;
 }
 
--- a/src/emulator/emulated_catalog.h
+++ b/src/emulator/emulated_catalog.h
@@ -9,6 +9,7 @@
 #define LIMELEDGE_SRC_EMULATOR_EMULATED_CATALOG_H_
 
 #include <string>
+#include <vector>
 
 #include "dispatch/catalog.h"
 #include "dispatch/incarnation.h"
@@ -43,9 +44,15 @@
 bool IsTicketFor(const std::string& ticket, const dispatch::StepName& step,
                  const dispatch::IncarnationId& incarnation);
 
+/// Returns the API key of the callers of a workspace. Thread-safe.
+std::string KeyOf(const WorkspaceId& workspace);
+
 /// Returns a catalog with one queue of each priority, one service and one
-/// workspace. Each queue allows `attempts` attempts per task. Thread-safe.
-dispatch::Catalog MakeCatalog(int attempts = kMaxAttempts);
+/// workspace. Each queue allows `attempts` attempts per task. `unguaranteed`
+/// are further workspaces, without a guarantee. Thread-safe.
+dispatch::Catalog MakeCatalog(
+    int attempts = kMaxAttempts,
+    const std::vector<WorkspaceId>& unguaranteed = {});
 
 }  // namespace limeledge::emulator
 
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -39,7 +39,7 @@
     : options_(options),
       random_(options.seed),
       capacity_history_(options.capacity_notice),
-      catalog_(MakeCatalog(options.attempts)),
+      catalog_(MakeCatalog(options.attempts, options.unguaranteed)),
       oracle_(options.attempts, CancelBoundsFor(options.bounds)) {
   for (auto& [id, service] : catalog_.services) {
     service.enforces_capacity = options.enforces_capacity;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -38,6 +38,8 @@
   RunnerBounds bounds;
   /// Number of attempts that queues allow per task.
   int attempts = kMaxAttempts;
+  /// Workspaces without a guarantee, in addition to that of `MakeCatalog`.
+  std::vector<WorkspaceId> unguaranteed;
   /// Whether runners refuse starts that exceed their capacity; the catalog says
   /// the same of their service.
   bool enforces_capacity = true;
@@ -132,7 +134,8 @@
   TimePoint now() const { return now_; }
 
   /// Submits a job at a random node, and retries with the same id until the job
-  /// is accepted.
+  /// is accepted. Without a workspace in `spec`, the caller is of the workspace
+  /// with a guarantee.
   JobId Submit(dispatch::JobSpec spec, std::vector<TaskTruth> truths);
   /// Cancels a job at a random node, and retries until that is acknowledged.
   void Cancel(const JobId& job);
