--- a/bench/scheduler-bench.cc
+++ b/bench/scheduler-bench.cc
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <random>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -77,8 +78,10 @@
   std::mt19937_64 random_{kSeed};
 };
 
-void Measure(int runners, double load, int seconds) {
+void Measure(int runners, double load, int seconds,
+             const dispatch::PlanningPolicy& policy) {
   SystemOptions options;
+  options.planner.policy = &policy;
   options.nodes = 1;
   options.runners = runners;
   options.runners_per_rack = kRunnersPerRack;
@@ -104,17 +107,28 @@
 }  // namespace
 }  // namespace limeledge::emulator
 
-/// Usage: scheduler-bench [LOAD [SECONDS [RUNNERS...]]]
+/// Usage: scheduler-bench [--policy NAME] [LOAD [SECONDS [RUNNERS...]]]
 int main(int argc, char** argv) {
+  namespace dispatch = limeledge::dispatch;
+  const dispatch::PlanningPolicy* policy = &dispatch::DefaultPlanningPolicy();
+  if (argc > 2 && std::string_view(argv[1]) == "--policy") {
+    policy = dispatch::FindPlanningPolicy(argv[2]);
+    if (policy == nullptr) {
+      fmt::print(stderr, "scheduler-bench: unknown policy '{}'\n", argv[2]);
+      return 2;
+    }
+    argc -= 2;
+    argv += 2;
+  }
   const double load = argc > 1 ? std::atof(argv[1]) : 1;
   const int seconds = argc > 2 ? std::atoi(argv[2]) : 20;
   std::vector<int> sizes;
   for (int i = 3; i < argc; ++i) sizes.push_back(std::atoi(argv[i]));
-  if (sizes.empty()) sizes = {48, 350, 1100};
+  if (sizes.empty()) sizes = {48, 350, 1100, 6000};
   fmt::print("{:>7} {:>5} {:>8} {:>9} {:>9} {:>8} {:>7}\n", "runners", "load",
              "cores", "us/event", "events/s", "starts", "jobs");
   for (const int runners : sizes) {
-    limeledge::emulator::Measure(runners, load, seconds);
+    limeledge::emulator::Measure(runners, load, seconds, *policy);
   }
   return 0;
 }
