--- a/test/share-policy-test.cc
+++ b/test/share-policy-test.cc
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -149,6 +150,27 @@
   shared.CheckNoViolation();
 }
 
+// Urgent gangs ask for about twice the capacity. A line per pass would drown
+// all others.
+TEST(SharePolicy, DeferredStepIsLoggedOnce) {
+  ShortSystem shared("share");
+  std::vector<std::string> lines;
+  shared.system().SetTrace([&lines](const std::string& line) {
+    const std::size_t at = line.find("step_deferred");
+    if (at != std::string::npos) lines.push_back(line.substr(at));
+  });
+  for (int i = 0; i < 24; ++i) {
+    dispatch::StepSpec gang =
+        SchedulerFixture::Step(1 + i % 6, kRunnerAccelerators, kWork);
+    gang.gang = true;
+    shared.Submit(TenWorkspaces()[i % kWorkspaces], gang, 0);
+    shared.system().Run(Duration(400));
+  }
+  const std::set<std::string> unique(lines.begin(), lines.end());
+  CHECK_COMPARE(lines.size(), >, 0U);
+  LONGS_EQUAL(unique.size(), lines.size());
+}
+
 // Urgent work that earned nothing any more stopped work that was in time.
 TEST(SharePolicy, WorthlessUrgentWorkPreemptsNothing) {
   for (const char* policy : {"deadline", "share"}) {
