Test that a worthless urgent gang preempts nothing under `share`

Cause: the test before shows only that it is placed after lower priorities.

Change: a gang of eight runners that earns nothing any more waits while a runner of lower-priority work is all that it lacks. By deadline it preempts that work, under `share` it does not.

Conclusion: the fault exists under `deadline` and is left there, since nothing changes under the other policies.

--- a/test/share-policy-test.cc
+++ b/test/share-policy-test.cc
@@ -172,7 +172,36 @@
 }
 
 // Urgent work that earned nothing any more stopped work that was in time.
-TEST(SharePolicy, WorthlessUrgentWorkPreemptsNothing) {
+TEST(SharePolicy, WorthlessUrgentGangPreemptsNothing) {
+  for (const char* policy : {"deadline", "share"}) {
+    ShortSystem shared(policy);
+    const auto submit = [&shared](int tasks, int priority, Duration estimate) {
+      dispatch::StepSpec step =
+          SchedulerFixture::Step(tasks, kRunnerAccelerators, estimate);
+      step.gang = true;
+      return shared.Submit(TenWorkspaces()[0], step, priority, Duration(30000));
+    };
+    const JobId seven = submit(7, 0, Duration(30000));
+    const JobId one = submit(1, 0, Duration(30000));
+    shared.system().Run(Duration(1000));
+    const JobId worthless = submit(8, 0, Duration(200));
+    // Three times its objective of 1.6 s.
+    shared.system().Run(Duration(8000));
+    shared.system().Cancel(one);
+    const JobId patient = submit(1, 1, Duration(30000));
+    shared.system().Run(Duration(2000));
+    LONGS_EQUAL(1, shared.system().jobs().at(patient).starts.size());
+    shared.system().Cancel(seven);
+    shared.system().Run(Duration(3000));
+    const bool shares = std::string(policy) == "share";
+    LONGS_EQUAL(shares ? 0 : 8,
+                shared.system().jobs().at(worthless).starts.size());
+    shared.CheckNoViolation();
+  }
+}
+
+// The same, without preemption: it took capacity that became free.
+TEST(SharePolicy, WorthlessUrgentWorkGoesAfterLowerPriorities) {
   for (const char* policy : {"deadline", "share"}) {
     ShortSystem shared(policy);
     dispatch::StepSpec urgent =
