Keep the speeds of runners in the store across schedulers

Cause: each change of the scheduler lost all that was known about the lasting speeds of runners, and urgent work was placed blindly until they were measured again.

A new scheduler reads the table once, without waiting for it, restores the speeds of the incarnations that are present, and keeps speeds in use until its own measurements suffice to decide. Log events 954 and 955 report restored speeds and unreadable rows. The dump and `limeledge node runners` show log pace, deviation, runs and age.

Rows are found through the runners that were measured since the last look.

--- a/src/cli/node_commands.cc
+++ b/src/cli/node_commands.cc
@@ -182,6 +182,19 @@
   return kExitDone;
 }
 
+/// Formats log pace, deviation, number of measured runs and time since the last
+/// of them; null if the runner was not measured.
+std::string SpeedColumns(const Json::Value& speed) {
+  constexpr double kMsPerSecond = 1000;
+  if (speed.isNull()) {
+    return fmt::format("{:>8} {:>9} {:>8} {:>10}", "-", "-", 0, "-");
+  }
+  return fmt::format("{:>8.2f} {:>9.2f} {:>8} {:>8.1f} s",
+                     speed["log_pace"].asDouble(),
+                     speed["deviation"].asDouble(), speed["runs"].asInt(),
+                     speed["age_ms"].asDouble() / kMsPerSecond);
+}
+
 int ListRunners(const Target& target, const cxxopts::ParseResult&,
                 const std::vector<std::string>& arguments) {
   const std::vector<NodeState> nodes = ReadNodes(target, arguments);
@@ -189,16 +202,19 @@
   if (scheduler == nullptr) return ReportNoScheduler();
   const Json::Value& runners = (*scheduler)["runners"];
   if (PrintIfJson(target, WriteJson(runners))) return kExitDone;
-  fmt::print("{:<14} {:<8} {:<10} {:<8} {:>5} {:>6} {:>9} {:>9}\n", "RUNNER",
-             "RACK", "ANSWERS", "LEAVES", "RUNS", "FREE", "SLOWNESS",
-             "AVOIDED");
+  fmt::print(
+      "{:<14} {:<8} {:<10} {:<8} {:>5} {:>6} {:>9} {:>9} {:>8} {:>9} {:>8} "
+      "{:>10}\n",
+      "RUNNER", "RACK", "ANSWERS", "LEAVES", "RUNS", "FREE", "SLOWNESS",
+      "AVOIDED", "LOG PACE", "DEVIATION", "MEASURED", "LAST");
   for (const std::string& id : runners.getMemberNames()) {
     const Json::Value& runner = runners[id];
-    fmt::print("{:<14} {:<8} {:<10} {:<8} {:>5} {:>6} {:>9.2f} {:>6} ms\n", id,
-               runner["rack"].asString(), YesNo(runner["reachable"]),
+    fmt::print("{:<14} {:<8} {:<10} {:<8} {:>5} {:>6} {:>9.2f} {:>6} ms {}\n",
+               id, runner["rack"].asString(), YesNo(runner["reachable"]),
                YesNo(runner["draining"]), runner["runs"].size(),
                runner["free_accelerators"].asInt64(),
-               runner["slowness"].asDouble(), runner["avoided_ms"].asInt64());
+               runner["slowness"].asDouble(), runner["avoided_ms"].asInt64(),
+               SpeedColumns(runner["speed"]));
   }
   return kExitDone;
 }
--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -214,6 +214,13 @@
        "The lasting speeds of runners influence decisions from now on, or no "
        "longer; the fields say how much they differ and how many runners were "
        "measured."},
+      {LogId::kSpeedsRestored, kInfo, "speeds_restored",
+       "Speeds of runners that an earlier scheduler stored are used; the "
+       "fields say of how many runners, the largest age, and how many stored "
+       "entries match no known runner so far."},
+      {LogId::kSpeedRowUnreadable, kWarning, "speed_row_unreadable",
+       "A stored row with speeds of runners could not be read and is skipped; "
+       "the fields give its key and the error."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -106,6 +106,8 @@
   kLinesDropped = 950,
   kProcessBroken = 951,
   kSpeedsInUse = 952,
+  kSpeedsRestored = 954,
+  kSpeedRowUnreadable = 955,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/effect.h
+++ b/src/dispatch/effect.h
@@ -27,7 +27,7 @@
   /// Requests of the scheduler about jobs, with one lane for each partition. A
   /// take-over must not queue behind requests of callers that get no response.
   kScheduler,
-  /// Rows with the addresses of peers; never urgent.
+  /// Rows with the addresses of peers or with speeds of runners; never urgent.
   kPeers,
 };
 
--- a/src/dispatch/rows.h
+++ b/src/dispatch/rows.h
@@ -75,6 +75,7 @@
 inline constexpr char kJobTable[] = "job";
 inline constexpr char kProgressTable[] = "progress";
 inline constexpr char kPeerTable[] = "peer";
+inline constexpr char kSpeedTable[] = "speed";
 /// Partition of the peer table, so that its writes do not wait for the
 /// scheduler's.
 inline constexpr char kPeerPartition[] = "peers";
--- a/src/dispatch/runner_speeds.cc
+++ b/src/dispatch/runner_speeds.cc
@@ -189,6 +189,7 @@
     evidence.log_likelihood[bin] += added[bin] - removed[bin];
   }
   evidence.prior_version = -1;
+  changed_.insert(runner);
 }
 
 void RunnerSpeeds::RecordTask(TimePoint now, const TaskName& task,
@@ -292,16 +293,23 @@
   variance_ += terms;
 }
 
-double RunnerSpeeds::Spread() const {
+double RunnerSpeeds::Spread() const { return SpreadAt(-1).value_or(0); }
+
+double RunnerSpeeds::MaxSpread() const {
+  return SpreadAt(1).value_or(std::numeric_limits<double>::infinity());
+}
+
+std::optional<double> RunnerSpeeds::SpreadAt(double errors) const {
   const VarianceTerms& sum = variance_;
   if (sum.between_freedom < kMinFreedom || sum.within_freedom < kMinFreedom) {
-    return 0;
+    return std::nullopt;
   }
   const double between = sum.between / sum.between_freedom;
   const double within = sum.within / sum.within_freedom;
   const double size = sum.weighted_size / sum.between_freedom;
   const double relative_error = std::sqrt(2 / sum.between_freedom);
-  const double variance = (between * (1 - relative_error) - within) / size;
+  const double variance =
+      (between * (1 + errors * relative_error) - within) / size;
   return variance <= 0 ? 0 : std::sqrt(variance);
 }
 
@@ -423,6 +431,7 @@
 void RunnerSpeeds::Restore(const IncarnationId& runner,
                            const SpeedEstimate& stored) {
   if (evidence_.count(runner) != 0) return;
+  changed_.insert(runner);
   Evidence& evidence = evidence_[runner];
   const double variance = stored.deviation * stored.deviation;
   for (std::size_t bin = 0; bin < kPaceBins; ++bin) {
--- a/src/dispatch/runner_speeds.h
+++ b/src/dispatch/runner_speeds.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -156,11 +157,19 @@
   /// The log pace of a runner, as far as it is known.
   const PaceDistribution& PaceOf(const IncarnationId& runner) const;
   SpeedEstimate EstimateOf(const IncarnationId& runner) const;
+  bool IsMeasured(const IncarnationId& runner) const {
+    return evidence_.count(runner) != 0;
+  }
+  /// Returns the runners that were measured or restored since the last call.
+  std::set<IncarnationId> TakeChanged() { return std::exchange(changed_, {}); }
   /// Number of runners with at least one measurement.
   int measured_runners() const;
   /// A lower bound, by one standard error, on the standard deviation of lasting
   /// log paces among runners; 0 if too little was measured.
   double Spread() const;
+  /// An upper bound, by one standard error, on the same; infinite if too little
+  /// was measured.
+  double MaxSpread() const;
   /// The run time that a run with the caller's `estimate` is expected to take
   /// on an average runner, and the standard deviation of its logarithm.
   struct Prediction {
@@ -224,6 +233,9 @@
   PaceDistribution Posterior(const LogLikelihood& evidence) const;
   LogLikelihood LikelihoodOf(double residual, double variance) const;
   void UpdatePrior(TimePoint now);
+  /// The spread, off by this number of standard errors; nothing if too little
+  /// was measured.
+  std::optional<double> SpreadAt(double errors) const;
 
   RunnerSpeedOptions options_;
   /// Logarithm of the distribution of an unmeasured runner.
@@ -232,6 +244,7 @@
   int prior_version_ = 0;
   TimePoint prior_updated_at_;
   mutable std::map<IncarnationId, Evidence> evidence_;
+  std::set<IncarnationId> changed_;
   std::map<QueueId, EstimateError> errors_;
   std::map<StepName, TaskStep> steps_;
   std::map<StepName, GangRecord> gangs_;
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -44,10 +44,12 @@
       cleaner_(options.cleaner),
       fleet_(options.fleet),
       losses_(options.loss),
+      speed_keeper_(store_timeout, now, options.speed_keeper),
       planner_(options.planner) {}
 
 bool Scheduler::Owns(Ticket ticket) const {
-  return writer_.Owns(ticket) || jobs_.Owns(ticket) || cleaner_.Owns(ticket);
+  return writer_.Owns(ticket) || jobs_.Owns(ticket) || cleaner_.Owns(ticket) ||
+         speed_keeper_.Owns(ticket);
 }
 
 void Scheduler::Release() {
@@ -66,6 +68,11 @@
 }
 
 void Scheduler::Handle(Context& ctx, const ReadCompleted& answer) {
+  if (speed_keeper_.Owns(answer.ticket)) {
+    speed_keeper_.Handle(ctx, answer);
+    speed_keeper_.Restore(ctx, fleet_, &speeds_);
+    return;
+  }
   HandleChanges(ctx, jobs_.Handle(ctx, answer));
 }
 
@@ -76,6 +83,7 @@
 void Scheduler::Handle(Context& ctx, const RunnersListed& answer) {
   fleet_.Handle(ctx, answer);
   ResolveReplacedIncarnations(ctx, answer);
+  speed_keeper_.Restore(ctx, fleet_, &speeds_);
   // A runner's capacity may have shrunk below what its queued starts need.
   for (const RunnerInfo& info : answer.runners) {
     const Runner& runner = *fleet_.runners().at(info.id);
@@ -258,7 +266,10 @@
   CheckRuns(ctx);
   ResolveOverdueLosses(ctx);
   fleet_.RemoveGone(ctx);
-  if (!releasing_) cleaner_.Work(ctx, &jobs_, &writer_);
+  if (releasing_) return;
+  cleaner_.Work(ctx, &jobs_, &writer_);
+  if (options_.runner_speeds == RunnerSpeedUse::kOff) return;
+  speed_keeper_.Write(ctx, fleet_, speeds_in_use_, &speeds_, &writer_);
 }
 
 bool Scheduler::IsPassDue(TimePoint now) const {
@@ -314,6 +325,7 @@
   // Inherited runs can only be matched with runners once the list of runners
   // was read.
   if (fleet_.listed_once()) jobs_.Work(ctx);
+  if (options_.runner_speeds != RunnerSpeedUse::kOff) speed_keeper_.Read(ctx);
   const bool may_renew =
       ctx.now() - writer_.confirmed_at() < options_.fleet.longest_unconfirmed;
   RunPeriodicChecks(ctx);
@@ -332,6 +344,9 @@
   next =
       std::min(next, jobs_.loaded() ? fleet_.next_at() : fleet_.next_list_at());
   if (fleet_.listed_once()) next = std::min(next, jobs_.next_at());
+  if (options_.runner_speeds != RunnerSpeedUse::kOff) {
+    next = std::min(next, speed_keeper_.next_at());
+  }
   // A pass that is not possible now runs once the store answers again.
   if (!jobs_.loaded() || releasing_ || !writer_.store_answers()) return next;
   if (plan_due_) next = std::min(next, next_pass_at_);
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -23,6 +23,7 @@
 #include "dispatch/loss_tracker.h"
 #include "dispatch/planner.h"
 #include "dispatch/runner_speeds.h"
+#include "dispatch/speed_keeper.h"
 #include "dispatch/state_writer.h"
 
 namespace limeledge::dispatch {
@@ -44,6 +45,7 @@
   StateWriterOptions writer;
   JobRegistryOptions job_registry;
   JobCleanerOptions cleaner;
+  SpeedKeeperOptions speed_keeper;
   LossRules loss;
   /// Minimum time between two planning passes, plus an extra delay for each
   /// hundred steps that the last pass tried. The delay is about five times what
@@ -394,6 +396,10 @@
                                              const TaskName& name, int number);
   /// Decides whether speeds influence decisions from now on.
   void UpdateSpeedUse(Context& ctx);
+  /// True if the measurements show that speeds should be used. Speeds that an
+  /// earlier scheduler had in use stay in use until the measurements of this
+  /// one suffice to tell.
+  bool ShouldUseSpeeds();
 
   /// Moves a run off a runner that became slow, if that saves time.
   void MoveOffSlowRunner(Context& ctx, Runner* runner, const TaskName& name,
@@ -436,7 +442,10 @@
   LossTracker losses_;
   RunTimeEstimator run_time_estimator_;
   RunnerSpeeds speeds_;
+  SpeedKeeper speed_keeper_;
   bool speeds_in_use_ = false;
+  /// The measurements of this scheduler suffice to decide on the use of speeds.
+  bool speed_use_decided_ = false;
   TicketCache ticket_cache_;
   Planner planner_;
   const Catalog* catalog_ = nullptr;
--- a/src/dispatch/scheduler_dump.cc
+++ b/src/dispatch/scheduler_dump.cc
@@ -61,6 +61,15 @@
   return json;
 }
 
+Json::Value DumpSpeed(const SpeedEstimate& speed, TimePoint now) {
+  Json::Value json;
+  json["log_pace"] = speed.log_pace;
+  json["deviation"] = speed.deviation;
+  json["runs"] = speed.runs;
+  json["age_ms"] = Json::Int64((now - speed.measured_at).ms());
+  return json;
+}
+
 }  // namespace
 
 Json::Value Scheduler::Dump(TimePoint now) {
@@ -72,9 +81,13 @@
   for (const JobId& id : jobs_.active()) {
     json["jobs"][id.value()] = DumpJob(*jobs_.Find(id));
   }
+  json["speeds_in_use"] = speeds_in_use_;
   json["runners"] = Json::Value(Json::objectValue);
   for (const auto& [id, runner] : fleet_.runners()) {
-    json["runners"][id.value()] = DumpRunner(*runner, now);
+    Json::Value& entry = json["runners"][id.value()];
+    entry = DumpRunner(*runner, now);
+    const SpeedEstimate speed = speeds_.EstimateOf(runner->incarnation());
+    if (speed.runs > 0) entry["speed"] = DumpSpeed(speed, now);
   }
   return json;
 }
--- a/src/dispatch/scheduler_speeds.cc
+++ b/src/dispatch/scheduler_speeds.cc
@@ -94,14 +94,26 @@
   return gang;
 }
 
-void Scheduler::UpdateSpeedUse(Context& ctx) {
-  bool in_use = options_.runner_speeds == RunnerSpeedUse::kOn;
-  if (options_.runner_speeds == RunnerSpeedUse::kAuto) {
-    const std::optional<double> slack = SmallestUrgentSlack(*catalog_);
-    const double share = speeds_in_use_ ? kReleaseShare : 1;
-    in_use = slack.has_value() &&
-             kUsualDeviations * speeds_.Spread() > *slack * share;
+bool Scheduler::ShouldUseSpeeds() {
+  if (options_.runner_speeds == RunnerSpeedUse::kOff) return false;
+  if (options_.runner_speeds == RunnerSpeedUse::kOn) return true;
+  const std::optional<double> slack = SmallestUrgentSlack(*catalog_);
+  if (!slack.has_value()) return false;
+  const double release = *slack * kReleaseShare;
+  const double limit = speeds_in_use_ ? release : *slack;
+  if (kUsualDeviations * speeds_.Spread() > limit) {
+    speed_use_decided_ = true;
+    return true;
   }
+  if (speed_use_decided_ || !speed_keeper_.restored()) return false;
+  // The first measurements give a lower bound on the spread that is far too
+  // low, so they must not end the use of speeds.
+  speed_use_decided_ = kUsualDeviations * speeds_.MaxSpread() <= release;
+  return !speed_use_decided_;
+}
+
+void Scheduler::UpdateSpeedUse(Context& ctx) {
+  const bool in_use = ShouldUseSpeeds();
   if (in_use == speeds_in_use_) return;
   speeds_in_use_ = in_use;
   ctx.Log(LogId::kSpeedsInUse,
