Test that speed rows are read and written only as the option says

Cause: no test guarded that deployments with even runners, or with `runner-speeds=off`, pay nothing for the rows.

Conclusion: `off` neither reads nor writes, `auto` reads, `on` reads and writes.

--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -47,6 +47,7 @@
   dispatch::PlannerOptions planner;
   dispatch::JobRegistryOptions job_registry;
   dispatch::LossRules loss;
+  dispatch::RunnerSpeedUse runner_speeds = dispatch::RunnerSpeedUse::kAuto;
   /// One-way delay between any two parties.
   Duration network{1};
   Duration store_time{4};
--- a/test/speed-keeper-test.cc
+++ b/test/speed-keeper-test.cc
@@ -753,10 +753,19 @@
 
 namespace {
 
+/// Submits independent tasks for most of a small fleet again and again.
+void WorkFor(emulator::EmulatedSystem* system, Duration time) {
+  constexpr Duration kInterval{2000};
+  for (Duration passed; passed < time; passed = passed + kInterval) {
+    emulator::SchedulerFixture::SubmitTo(
+        system, emulator::SchedulerFixture::Step(100, 1, Duration(1000)));
+    system->Run(kInterval);
+  }
+}
+
 /// Runs batch work on a fleet with fast and slow runners, ends the scheduler,
 /// and returns how long its successor takes to use speeds, in milliseconds.
 std::int64_t TimeToUseSpeeds(bool keep_rows) {
-  constexpr Duration kInterval{2000};
   emulator::SystemOptions options;
   options.runners = 16;
   emulator::EmulatedSystem system(options);
@@ -773,14 +782,7 @@
     system.FindRunner(id)->SetSlowness(slow ? 1.5 : 0.2);
     slow = !slow;
   }
-  const auto work_for = [&system, kInterval](Duration time) {
-    for (Duration passed; passed < time; passed = passed + kInterval) {
-      emulator::SchedulerFixture::SubmitTo(
-          &system, emulator::SchedulerFixture::Step(100, 1, Duration(1000)));
-      system.Run(kInterval);
-    }
-  };
-  work_for(Duration(30000));
+  WorkFor(&system, Duration(30000));
   CHECK_TRUE(in_use_at.has_value());
   if (!keep_rows) {
     RowTransaction transaction;
@@ -795,7 +797,7 @@
   const TimePoint ended_at = system.now();
   const int ended = system.leader();
   system.KillNode(ended, Duration(60000));
-  work_for(Duration(30000));
+  WorkFor(&system, Duration(30000));
   CHECK_TRUE(system.leader() != ended);
   // The successor's first measurements must not end the use of speeds.
   CHECK_FALSE(ended_use);
@@ -806,6 +808,35 @@
 
 }  // namespace
 
+// Deployments with even runners, or with speeds switched off, pay nothing for
+// the rows.
+TEST(SpeedKeeper, RowsAreReadAndWrittenOnlyAsTheOptionSays) {
+  struct Expected {
+    RunnerSpeedUse use;
+    bool read;
+    bool written;
+  };
+  for (const Expected& expected : {Expected{RunnerSpeedUse::kOff, false, false},
+                                   Expected{RunnerSpeedUse::kAuto, true, false},
+                                   Expected{RunnerSpeedUse::kOn, true, true}}) {
+    emulator::SystemOptions options;
+    options.runner_speeds = expected.use;
+    emulator::EmulatedSystem system(options);
+    RowTransaction transaction;
+    transaction.puts.push_back({{kSpeedTable, "unreadable"}, "?"});
+    system.store().Commit(transaction);
+    bool read = false;
+    system.SetTrace([&read](const std::string& line) {
+      read = read || absl::StrContains(line, "speed_row_unreadable");
+    });
+    system.Run(Duration(3000));
+    WorkFor(&system, Duration(20000));
+    CHECK_EQUAL(expected.read, read);
+    const ReadCompleted rows = system.store().Read(kSpeedTable, "", "", "", 9);
+    CHECK_EQUAL(expected.written, rows.rows.size() > 1);
+  }
+}
+
 // Each change of the scheduler used to lose all that was known about runners.
 TEST(SpeedKeeper, SuccessorUsesStoredSpeedsAtOnce) {
   const std::int64_t stored = TimeToUseSpeeds(true);
