Store the speeds of runners that report no start time

Such a runner gets a new id with each start, so that the id identifies the incarnation. The rows of these runners were written by none and, once written, rejected by the decoder, so that take-overs on the users' deployments lost all speeds.

--- a/src/dispatch/speed_keeper.cc
+++ b/src/dispatch/speed_keeper.cc
@@ -103,8 +103,11 @@
   for (auto it = unmatched_.begin(); it != unmatched_.end();) {
     const Duration age = ctx.now() - it->second.measured_at;
     const auto found = fleet.runners().find(it->first.runner);
-    const bool known = found != fleet.runners().end() &&
-                       IsReported(found->second->incarnation().start_time);
+    // A runner that reports start times may not have answered so far.
+    const bool known =
+        found != fleet.runners().end() &&
+        (!IsReported(it->first.start_time) ||
+         IsReported(found->second->incarnation().start_time));
     if (!known && age <= options_.max_age) {
       ++it;
       continue;
@@ -129,10 +132,7 @@
 std::optional<SpeedEstimate> SpeedKeeper::EstimateToStore(
     TimePoint now, const RunnerSpeeds& speeds,
     const IncarnationId& runner) const {
-  // Without a start time, the next incarnation could not be told from this one.
-  if (!IsReported(runner.start_time) || !speeds.IsMeasured(runner)) {
-    return std::nullopt;
-  }
+  if (!speeds.IsMeasured(runner)) return std::nullopt;
   const SpeedEstimate estimate = speeds.EstimateOf(runner);
   if (now - estimate.measured_at > options_.max_age) return std::nullopt;
   return estimate;
--- a/src/dispatch/speed_rows.cc
+++ b/src/dispatch/speed_rows.cc
@@ -55,7 +55,7 @@
   speed.runs = json[4].asInt();
   speed.age = Duration(json[5].asInt64());
   const bool in_range =
-      !speed.runner.runner.empty() && IsReported(speed.runner.start_time) &&
+      !speed.runner.runner.empty() && speed.runner.start_time.value() >= 0 &&
       std::abs(log_pace) <= kMaxThousandths && deviation > 0 &&
       deviation <= kMaxThousandths && speed.runs > 0 && speed.age.ms() >= 0;
   if (!in_range) {
