--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -8,6 +8,8 @@
 
 #include <json/json.h>
 
+#include <array>
+#include <cmath>
 #include <utility>
 
 #include "codec/json.h"
@@ -211,8 +213,106 @@
   return known ? kJobStates[state] : JobState::kQueued;
 }
 
+constexpr int kForecastVersion = 1;
+constexpr int kPercent = 100;
+
+Json::Value EncodeAmounts(
+    const std::array<std::int64_t, kResourceKinds>& amounts) {
+  Json::Value json(Json::arrayValue);
+  for (const std::int64_t amount : amounts) json.append(Json::Int64(amount));
+  return json;
+}
+
+Resources DecodeAmounts(const Json::Value& json) {
+  return {json[0].asInt64(), json[1].asInt64(), json[2].asInt64()};
+}
+
+Json::Value EncodeWaits(const std::array<Duration, kResourceKinds>& waits) {
+  Json::Value json(Json::arrayValue);
+  for (const Duration wait : waits) json.append(Json::Int64(wait.ms()));
+  return json;
+}
+
+std::array<Duration, kResourceKinds> DecodeWaits(const Json::Value& json) {
+  std::array<Duration, kResourceKinds> waits;
+  for (Json::ArrayIndex i = 0; i < kResourceKinds; ++i) {
+    waits[i] = Duration(json[i].asInt64());
+  }
+  return waits;
+}
+
+ServiceCapacity DecodeServiceCapacity(const Json::Value& json) {
+  ServiceCapacity capacity;
+  capacity.largest = DecodeAmounts(json["largest"]);
+  capacity.sum = DecodeAmounts(json["sum"]);
+  // A list that is missing is unknown, not empty.
+  capacity.has_all_labels = json.isMember("labels");
+  for (const Json::Value& label : json["labels"]) {
+    capacity.labels.insert(label.asString());
+  }
+  return capacity;
+}
+
+QueueWait DecodeQueueWait(const Json::Value& json) {
+  QueueWait wait;
+  wait.earliest = DecodeWaits(json["earliest"]);
+  wait.expected = DecodeWaits(json["expected"]);
+  wait.free = DecodeAmounts(json["free"]);
+  wait.largest_free = DecodeAmounts(json["largest_free"]);
+  wait.estimate_factor = json["estimate_percent"].asDouble() / kPercent;
+  return wait;
+}
+
+/// Decodes the forecast in a leader's row; nothing if it has another version or
+/// is malformed. The lease must be readable all the same.
+std::optional<CapacitySummary> DecodeForecast(const Json::Value& row) {
+  try {
+    const Json::Value& json = row["forecast"];
+    if (json["v"].asInt() != kForecastVersion) return std::nullopt;
+    CapacitySummary summary;
+    summary.confirmed_wall_ms = json["at"].asInt64();
+    const Json::Value& services = json["services"];
+    for (const std::string& name : services.getMemberNames()) {
+      summary.services[ServiceId(name)] = DecodeServiceCapacity(services[name]);
+    }
+    const Json::Value& waits = json["waits"];
+    for (const std::string& name : waits.getMemberNames()) {
+      summary.waits[QueueId(name)] = DecodeQueueWait(waits[name]);
+    }
+    return summary;
+  } catch (const Json::Exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
+Json::Value ForecastToJson(const CapacitySummary& summary) {
+  Json::Value json;
+  json["v"] = kForecastVersion;
+  json["at"] = Json::Int64(summary.confirmed_wall_ms);
+  for (const auto& [id, capacity] : summary.services) {
+    Json::Value& service = json["services"][id.value()];
+    service["largest"] = EncodeAmounts(AmountsOf(capacity.largest));
+    service["sum"] = EncodeAmounts(AmountsOf(capacity.sum));
+    if (!capacity.has_all_labels) continue;
+    service["labels"] = Json::Value(Json::arrayValue);
+    for (const std::string& label : capacity.labels) {
+      service["labels"].append(label);
+    }
+  }
+  for (const auto& [id, wait] : summary.waits) {
+    Json::Value& queue = json["waits"][id.value()];
+    queue["earliest"] = EncodeWaits(wait.earliest);
+    queue["expected"] = EncodeWaits(wait.expected);
+    queue["free"] = EncodeAmounts(AmountsOf(wait.free));
+    queue["largest_free"] = EncodeAmounts(AmountsOf(wait.largest_free));
+    queue["estimate_percent"] =
+        Json::Int64(std::llround(wait.estimate_factor * kPercent));
+  }
+  return json;
+}
+
 std::string EncodeLeader(const LeaderRecord& record) {
   Json::Value json;
   json["epoch"] = Json::Int64(record.epoch.value());
@@ -223,6 +323,9 @@
   json["largest_capacity"] = Json::Int64(record.largest_capacity);
   if (record.nodes > 0) json["nodes"] = Json::Int64(record.nodes);
   json["catalog"] = Json::Int64(record.catalog.value());
+  if (record.forecast.has_value()) {
+    json["forecast"] = ForecastToJson(*record.forecast);
+  }
   return WriteJson(json);
 }
 
@@ -237,6 +340,7 @@
     record.largest_capacity = json.get("largest_capacity", 0).asInt64();
     record.nodes = json.get("nodes", 0).asInt64();
     record.catalog = CatalogVersion(json.get("catalog", 0).asInt64());
+    if (json.isMember("forecast")) record.forecast = DecodeForecast(json);
     return record;
   });
 }
--- a/src/dispatch/row_codec.h
+++ b/src/dispatch/row_codec.h
@@ -7,12 +7,16 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_ROW_CODEC_H_
 #define LIMELEDGE_SRC_DISPATCH_ROW_CODEC_H_
 
+#include <json/json.h>
+
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
+#include "dispatch/capacity_forecast.h"
 #include "dispatch/catalog.h"
 #include "dispatch/job.h"
 #include "dispatch/job_spec.h"
@@ -37,8 +41,15 @@
   /// The newest catalog that the holder knows. A node that knows only an older
   /// one has missed a change.
   CatalogVersion catalog;
+  /// What the holder knows of capacity; not set if it knows too little, and in
+  /// rows of versions that did not forecast it. Versions that do not know the
+  /// field ignore it.
+  std::optional<CapacitySummary> forecast;
 };
 
+/// The forecast as it is stored in the leader's row, and shown in dumps.
+Json::Value ForecastToJson(const CapacitySummary& summary);
+
 std::string EncodeLeader(const LeaderRecord& record);
 /// All decoders fail with `kInvalidArgument` on malformed text.
 absl::StatusOr<LeaderRecord> DecodeLeader(const std::string& text);
