Tell all nodes the forecast of capacity in the leader's row

Cause: every node answers callers, but only the scheduler knows the capacity.

Change: the scheduler makes a forecast once a second and announces it with the writes that renew its lease, so that no call to the store is added. It is dropped while the list is not confirmed, not all jobs are read, the process was paused or the lease is released. `Leadership` bounds the age of a row by the read that last showed an earlier revision. The dump shows the forecast; LL956 tells which services and queues it describes.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -214,6 +214,15 @@
        "The lasting speeds of runners influence decisions from now on, or no "
        "longer; the fields say how much they differ and how many runners were "
        "measured."},
+      {LogId::kForecastChanged, kInfo, "forecast_changed",
+       "The forecast that the scheduler tells all nodes describes other "
+       "services, or waits of other queues, than before; `services` is empty "
+       "while too little is known to refuse anything."},
+      {LogId::kSubmitRefused, kInfo, "submit_refused",
+       "A submit was refused and its job not stored, since it can never run or "
+       "would end too late to be of use; `earliest_ms` is the shortest wait "
+       "that the forecast allows, `bearable_ms` the longest one after which "
+       "the job would be of use."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -106,6 +106,8 @@
   kLinesDropped = 950,
   kProcessBroken = 951,
   kSpeedsInUse = 952,
+  kForecastChanged = 956,
+  kSubmitRefused = 957,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -168,6 +168,8 @@
   bool KnowsCapacities(TimePoint now) const {
     return now - capacities_read_at_ <= options_.max_capacity_age;
   }
+  /// The time whose capacities the list describes.
+  TimePoint capacities_read_at() const { return capacities_read_at_; }
   /// Records that the process was paused: the answer to a list request in
   /// flight describes the state at the time of the request.
   void HandleProcessPause() { list_is_outdated_ = list_in_flight_; }
--- a/src/dispatch/leadership.cc
+++ b/src/dispatch/leadership.cc
@@ -136,6 +136,7 @@
     return;
   }
   record_ = *record;
+  RecordRevision(row.revision);
   const Duration latency = ctx.now() - read_sent_at_;
   const Duration extra_wait =
       IsSmall(*record) ? options_.small_process_delay : Duration(0);
@@ -167,6 +168,14 @@
   if (backup_ && renewed) Pause(ctx.now(), record_.nodes);
 }
 
+void Leadership::RecordRevision(Revision revision) {
+  if (record_revision_.has_value() && *record_revision_ != revision) {
+    record_written_after_ = answered_read_sent_at_;
+  }
+  record_revision_ = revision;
+  answered_read_sent_at_ = read_sent_at_;
+}
+
 bool Leadership::IsSmall(const LeaderRecord& record) const {
   return static_cast<double>(options_.capacity) * options_.capacity_factor <
          static_cast<double>(record.largest_capacity);
--- a/src/dispatch/leadership.h
+++ b/src/dispatch/leadership.h
@@ -88,6 +88,10 @@
   bool is_backup() const { return backup_; }
   /// The row as last read.
   const LeaderRecord& record() const { return record_; }
+  /// The row as last read was written after this moment: when the latest read
+  /// that showed an earlier revision was sent. A single read does not tell how
+  /// old a row is.
+  TimePoint record_written_after() const { return record_written_after_; }
 
   /// The lease that a successful claim gave this node.
   struct Claimed {
@@ -115,7 +119,12 @@
   }
 
  private:
+  /// A time in the distant past.
+  static constexpr TimePoint kNeverWritten{INT64_MIN / 4};
+
   void Observe(Context& ctx, const Row& row);
+  /// Updates the bound on the age of the row.
+  void RecordRevision(Revision revision);
   /// Creates the row, which does not exist, unless another node may do so at
   /// the same moment.
   void CreateRow(Context& ctx);
@@ -133,6 +142,10 @@
   Ticket call_;
   bool call_under_way_ = false;
   LeaderRecord record_;
+  TimePoint record_written_after_ = kNeverWritten;
+  std::optional<Revision> record_revision_;
+  /// When the latest read that was answered was sent.
+  TimePoint answered_read_sent_at_ = kNeverWritten;
   /// The row's revision when the present look began; not set before its first
   /// read.
   std::optional<Revision> first_revision_;
--- a/src/dispatch/run_time_estimator.cc
+++ b/src/dispatch/run_time_estimator.cc
@@ -75,6 +75,14 @@
   return Duration(std::llround(std::exp(expected)));
 }
 
+std::optional<RunTimeEstimator::EstimateError> RunTimeEstimator::ErrorOf(
+    const QueueId& queue) const {
+  const QueueStatistics* statistics = FindStatistics(queue);
+  if (statistics == nullptr) return std::nullopt;
+  return EstimateError{statistics->error.mean,
+                       1 / std::sqrt(statistics->error.Precision())};
+}
+
 std::optional<double> RunTimeEstimator::UpperBoundFactor(
     const QueueId& queue) const {
   const QueueStatistics* statistics = FindStatistics(queue);
--- a/src/dispatch/run_time_estimator.h
+++ b/src/dispatch/run_time_estimator.h
@@ -29,6 +29,13 @@
   /// Factor above the expected time that a run on a sound runner rarely
   /// exceeds; nothing if too few runs of the queue were observed.
   std::optional<double> UpperBoundFactor(const QueueId& queue) const;
+  /// How far callers' estimates of a queue are off, as logarithms.
+  struct EstimateError {
+    double mean = 0;
+    double deviation = 0;
+  };
+  /// Nothing if too few runs of the queue were observed.
+  std::optional<EstimateError> ErrorOf(const QueueId& queue) const;
 
  private:
   /// Exponentially weighted mean and variance of a logarithm.
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -44,6 +44,7 @@
       cleaner_(options.cleaner),
       fleet_(options.fleet),
       losses_(options.loss),
+      forecast_(options.forecast),
       planner_(options.planner) {}
 
 bool Scheduler::Owns(Ticket ticket) const {
@@ -52,6 +53,7 @@
 
 void Scheduler::Release() {
   releasing_ = true;
+  DropForecast();
   for (const auto& [id, runner] : fleet_.runners()) orders_due_.insert(id);
   writer_.Release();
 }
@@ -299,6 +301,7 @@
   writer_.RequireConfirmation(ctx.now());
   fleet_.HandleProcessPause();
   ticket_cache_.HandleProcessPause(time);
+  DropForecast();
   ctx.Log(LogId::kStoodStill, {{"ms", std::to_string(time.ms())},
                                {"epoch", std::to_string(epoch().value())}});
 }
@@ -318,6 +321,7 @@
       ctx.now() - writer_.confirmed_at() < options_.fleet.longest_unconfirmed;
   RunPeriodicChecks(ctx);
   if (IsPassDue(ctx.now())) RunPlanningPass(ctx);
+  UpdateForecast(ctx);
   SendOrders(ctx);
   // The runs of a runner are only known completely once all jobs are read.
   if (jobs_.loaded()) {
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "dispatch/capacity_forecast.h"
 #include "dispatch/catalog.h"
 #include "dispatch/context.h"
 #include "dispatch/fleet.h"
@@ -39,6 +40,9 @@
 /// Options of the scheduler and its parts.
 struct SchedulerOptions {
   RunnerSpeedUse runner_speeds = RunnerSpeedUse::kAuto;
+  /// Whether capacity is forecast and told to all nodes.
+  bool forecasts_capacity = true;
+  CapacityForecastOptions forecast;
   FleetOptions fleet;
   PlannerOptions planner;
   StateWriterOptions writer;
@@ -193,6 +197,11 @@
   Json::Value Dump(TimePoint now);
 
   Epoch epoch() const { return writer_.epoch(); }
+  /// The forecast that the leader row tells; null if there is none, or if this
+  /// node may no longer hold the lease.
+  const CapacitySummary* forecast() const;
+  /// When the store last confirmed the lease.
+  TimePoint confirmed_at() const { return writer_.confirmed_at(); }
   bool store_answers() const { return writer_.store_answers(); }
   /// True if the store refuses this node's writes.
   bool store_refuses() const { return writer_.refused(); }
@@ -379,6 +388,26 @@
   /// of the run is done.
   void LearnRunTime(Context& ctx, Job* job, const TaskName& name, Run* run);
 
+  // Forecast of capacity (scheduler_forecast.cc).
+  /// Makes and announces a new forecast if that is due.
+  void UpdateForecast(Context& ctx);
+  /// Discards the forecast and its history.
+  void DropForecast();
+  /// Adds up the capacity of the listed runners, their runs and what waits.
+  CapacitySnapshot TakeSnapshot(const Context& ctx);
+  /// Adds the remaining work of a runner's runs, and what they take to `used`.
+  void AddRuns(TimePoint now, const Runner& runner, CapacitySnapshot* snapshot,
+               CapacitySnapshot::UsedByPriority* used);
+  /// Adds the ready tasks of a job that wait, unless it is past all use and is
+  /// placed last. Returns whether any were added.
+  bool AddWaitingSteps(std::int64_t wall_ms, const Job& job,
+                       CapacitySnapshot* snapshot);
+  /// Standard deviation of the logarithm of a run time of the queue.
+  double EstimateDeviation(const QueueId& queue) const;
+  std::vector<CapacityForecast::QueueInput> ForecastQueues() const;
+  /// Logs which services and queues the forecast describes, if that changed.
+  void LogForecast(Context& ctx);
+
   // Lasting speeds (scheduler_speeds.cc).
   /// Measures the speed of a run's runner, or of the runners of its gang, by
   /// the progress that was reported just now. `ended`: the run is done.
@@ -437,6 +466,10 @@
   RunTimeEstimator run_time_estimator_;
   RunnerSpeeds speeds_;
   bool speeds_in_use_ = false;
+  CapacityForecast forecast_;
+  TimePoint next_forecast_at_;
+  /// The services and queues that the latest `LL956` named.
+  std::string logged_forecast_;
   TicketCache ticket_cache_;
   Planner planner_;
   const Catalog* catalog_ = nullptr;
--- a/src/dispatch/state_writer.h
+++ b/src/dispatch/state_writer.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "dispatch/context.h"
@@ -89,6 +90,18 @@
     nodes_ = nodes;
     announced_catalog_ = catalog;
   }
+  /// Sets the forecast that each write tells the other nodes, if any.
+  void AnnounceForecast(std::optional<CapacitySummary> forecast) {
+    announced_forecast_ = std::move(forecast);
+  }
+  /// Sets the wall-clock time as of which the announced forecast holds.
+  void ConfirmForecast(std::int64_t wall_ms) {
+    if (!announced_forecast_.has_value()) return;
+    announced_forecast_->confirmed_wall_ms = wall_ms;
+  }
+  const std::optional<CapacitySummary>& announced_forecast() const {
+    return announced_forecast_;
+  }
 
   /// Releases the lease with the next write; dirty rows are written first.
   void Release() { release_ = true; }
@@ -130,6 +143,7 @@
   LeaderRecord record_;
   std::int64_t nodes_ = 0;
   CatalogVersion announced_catalog_;
+  std::optional<CapacitySummary> announced_forecast_;
   Revision revision_;
   TimePoint confirmed_at_;
   TimePoint confirmation_required_since_;
--- a/test/leadership-test.cc
+++ b/test/leadership-test.cc
@@ -91,6 +91,23 @@
   CHECK_TRUE(Read(record, 5) != nullptr);
 }
 
+// Guards against taking an old row for a new one: a lost scheduler's row can be
+// read at any time.
+TEST(Leadership, AgeOfARowIsKnownOnceAReadShowsAnotherRevision) {
+  Read(Held(250), 1);
+  const TimePoint first = now;
+  CHECK_TRUE(follower.record_written_after() < TimePoint(0));
+  Read(Held(250), 1);
+  CHECK_TRUE(follower.record_written_after() < TimePoint(0));
+  const TimePoint second = now;
+  Read(Held(250), 2);
+  CHECK_TRUE(first < second);
+  LONGS_EQUAL(second.ms(), follower.record_written_after().ms());
+  Read(Held(250), 2);
+  Read(Held(250), 3, StoreOutcome::kUnknown);
+  LONGS_EQUAL(second.ms(), follower.record_written_after().ms());
+}
+
 // Guards against waiting for the whole lease after a power failure of all
 // machines although the holder's own next incarnation is up.
 TEST(Leadership, LeaseOfAnEarlierIncarnationIsTakenOverAtOnce) {
--- a/test/state-writer-test.cc
+++ b/test/state-writer-test.cc
@@ -74,6 +74,25 @@
              call.transaction.conditions.front().key);
 }
 
+// Guards against a row that goes on telling a forecast which is no longer known
+// to hold.
+TEST(StateWriter, RowTellsTheAnnouncedForecastUntilItIsDropped) {
+  CapacitySummary summary;
+  summary.services[ServiceId("compute")].sum.accelerators = 8;
+  writer.AnnounceForecast(summary);
+  writer.ConfirmForecast(1234);
+  Mark("a");
+  CommitRows call = *Flush();
+  const auto told = DecodeLeader(LeaderRowOf(call).value);
+  CHECK_TRUE(told->forecast.has_value());
+  LONGS_EQUAL(1234, told->forecast->confirmed_wall_ms);
+  Answer(call, StoreOutcome::kDone);
+  writer.AnnounceForecast(std::nullopt);
+  Mark("b");
+  call = *Flush();
+  CHECK_FALSE(DecodeLeader(LeaderRowOf(call).value)->forecast.has_value());
+}
+
 TEST(StateWriter, OneWriteIsInFlightAtATime) {
   Mark("a");
   const CommitRows call = *Flush();
