Refuse submits that can never run or would be of no use

Change: before the first write of a submit, the front end judges it by the forecast of the leader's row. A job that can never run gets 503 with the reason, one that would end past three times its objective 429 with `Retry-After`. A read of the job's row precedes each refusal, since an earlier attempt may have reached another node; without an answer the job is accepted. Submits that this node sent to the store before and forwarded calls are never refused. The option `admission` (auto, on, off) is the switch. LL957 and `limeledge_events_total` tell the refusals by reason.

--- a/src/dispatch/effect.h
+++ b/src/dispatch/effect.h
@@ -158,6 +158,11 @@
   kConflict,
   /// Not accepted: this call stored nothing and never will.
   kNotAccepted,
+  /// Refused like `kNotAccepted`, because the job would end too late to be of
+  /// use. The caller may come back.
+  kPastUse,
+  /// Refused like `kNotAccepted`, because no runner can ever run the job.
+  kNeverServable,
   /// The outcome is unknown: the call may have been accepted.
   kUnknown,
 };
--- a/src/dispatch/front_end.cc
+++ b/src/dispatch/front_end.cc
@@ -58,6 +58,10 @@
       return "conflict";
     case CallResult::kNotAccepted:
       return "not taken";
+    case CallResult::kPastUse:
+      return "past use";
+    case CallResult::kNeverServable:
+      return "never servable";
     case CallResult::kUnknown:
       return "unknown";
   }
@@ -79,7 +83,8 @@
 
 void FrontEnd::Respond(Context& ctx, const CallReceived& call,
                        CallResult result, const std::string& message,
-                       const std::string& state, std::int64_t waiting) {
+                       const std::string& state, std::int64_t waiting,
+                       std::optional<Duration> retry_after) {
   const bool should_retry =
       result == CallResult::kNotAccepted || result == CallResult::kUnknown;
   ctx.Log(LogId::kCallAnswered, {{"call", ToString(call.kind)},
@@ -87,8 +92,7 @@
                                  {"result", ToString(result)},
                                  {"state", state},
                                  {"reason", message}});
-  RespondToCall answer{call.call, result,  state,
-                       waiting,   message, std::nullopt};
+  RespondToCall answer{call.call, result, state, waiting, message, retry_after};
   if (should_retry) answer.retry_after = RetryAfter();
   ctx.Emit(std::move(answer));
 }
@@ -153,7 +157,7 @@
   } else if (!call.spec_error.empty()) {
     Respond(ctx, call, CallResult::kInvalid, call.spec_error);
   } else {
-    Submit(ctx, call, *queue, workspace, id);
+    Submit(ctx, call, *catalog, *queue, workspace, id);
   }
 }
 
@@ -196,8 +200,8 @@
 }
 
 void FrontEnd::Submit(Context& ctx, const CallReceived& call,
-                      const Queue& queue, const WorkspaceId& workspace,
-                      const JobId& id) {
+                      const Catalog& catalog, const Queue& queue,
+                      const WorkspaceId& workspace, const JobId& id) {
   JobSpec spec = call.spec;
   spec.id = id;
   spec.queue = queue.id;
@@ -216,9 +220,66 @@
   pending.transaction.partition = JobPartition(id.value());
   pending.transaction.conditions.push_back({key, Revision()});
   pending.transaction.puts.push_back({key, pending.encoded_spec});
+  // A call that was passed on may have been sent to the store before.
+  const bool may_be_stored = call.forwarded || stored_id_set_.count(id) != 0;
+  if (!may_be_stored) {
+    pending.refusal =
+        admission_.Judge(ctx.now(), ctx.wall_ms(), spec, catalog, forecast_);
+  }
+  if (pending.refusal.has_value()) {
+    Read(ctx, std::move(pending), Stage::kReadBeforeRefusal);
+  } else {
+    Store(ctx, std::move(pending));
+  }
+}
+
+void FrontEnd::Store(Context& ctx, Pending pending) {
+  pending.stage = Stage::kSubmit;
+  pending.unanswered = 0;
+  if (stored_id_set_.insert(pending.job).second) {
+    stored_ids_.push_back(pending.job);
+  }
+  if (stored_ids_.size() > options_.max_remembered_ids) {
+    stored_id_set_.erase(stored_ids_.front());
+    stored_ids_.pop_front();
+  }
   SendCommit(ctx, std::move(pending));
 }
 
+void FrontEnd::HandleReadBeforeRefusal(Context& ctx, Pending pending,
+                                       const ReadCompleted& answer) {
+  const bool absent =
+      answer.outcome == StoreOutcome::kDone && answer.rows.empty();
+  // A job that is stored is answered like any repeated submit.
+  if (!absent || ctx.now() >= pending.refusal->valid_until) {
+    Store(ctx, std::move(pending));
+  } else {
+    Refuse(ctx, pending);
+  }
+}
+
+void FrontEnd::Refuse(Context& ctx, const Pending& pending) {
+  const Refusal& refusal = *pending.refusal;
+  const bool for_load = refusal.reason == RefusalReason::kPastUse;
+  std::vector<LogField> fields = {{"job", pending.job.value()},
+                                  {"queue", pending.queue.value()},
+                                  {"workspace", pending.workspace.value()},
+                                  {"reason", ToString(refusal.reason)}};
+  if (for_load) {
+    admission_.RecordRefusal(ctx.now());
+    fields.push_back({"earliest_ms", std::to_string(refusal.earliest.ms())});
+    fields.push_back({"bearable_ms", std::to_string(refusal.bearable.ms())});
+  }
+  if (refusal.retry_after.has_value()) {
+    fields.push_back(
+        {"retry_after_ms", std::to_string(refusal.retry_after->ms())});
+  }
+  ctx.Log(LogId::kSubmitRefused, std::move(fields));
+  Respond(ctx, pending.call,
+          for_load ? CallResult::kPastUse : CallResult::kNeverServable,
+          refusal.message, "", -1, refusal.retry_after);
+}
+
 bool FrontEnd::CanRetry(TimePoint now, const Pending& pending,
                         bool store_answers) const {
   if (!store_answers && pending.unanswered + 1 >= kMaxUnanswered) return false;
@@ -244,7 +305,8 @@
     read.table = kLeadershipTable;
     read.from = kWaitingKey;
   } else {
-    const bool job = stage == Stage::kReadJob;
+    const bool job =
+        stage == Stage::kReadJob || stage == Stage::kReadBeforeRefusal;
     read.table = job ? kJobTable : kProgressTable;
     if (job) read.partition = JobPartition(pending.job.value());
     read.from = pending.job.value();
@@ -338,6 +400,10 @@
                       bool store_answers) {
   auto entry = calls_.extract(answer.ticket);
   Pending pending = std::move(entry.mapped());
+  if (pending.stage == Stage::kReadBeforeRefusal) {
+    HandleReadBeforeRefusal(ctx, std::move(pending), answer);
+    return;
+  }
   const bool no_response = answer.outcome == StoreOutcome::kUnknown;
   const bool forwards =
       answer.outcome != StoreOutcome::kDone && CanForward(pending.call) &&
--- a/src/dispatch/front_end.h
+++ b/src/dispatch/front_end.h
@@ -7,10 +7,13 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_FRONT_END_H_
 #define LIMELEDGE_SRC_DISPATCH_FRONT_END_H_
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
+#include "dispatch/admission.h"
 #include "dispatch/catalog.h"
 #include "dispatch/context.h"
 #include "dispatch/peer_check.h"
@@ -42,6 +45,9 @@
   /// it does not allow are told to retry instead of being rejected. Longer than
   /// the long poll that watches the catalog.
   Duration max_catalog_age{3500};
+  /// Ids of submits whose job may be stored are remembered up to this number:
+  /// at ten submits per second, the callers' retries of several minutes.
+  std::size_t max_remembered_ids = 4096;
 };
 
 /// Handles API calls, and keeps those that wait for the store.
@@ -50,8 +56,11 @@
 class FrontEnd {
  public:
   /// `store_timeout` must outlive this object.
-  FrontEnd(FrontEndOptions options, const StoreTimeout* store_timeout)
-      : options_(options), store_timeout_(store_timeout) {}
+  FrontEnd(FrontEndOptions options, const StoreTimeout* store_timeout,
+           AdmissionOptions admission = {})
+      : options_(options),
+        store_timeout_(store_timeout),
+        admission_(admission) {}
 
   /// Starts a call or responds to it immediately. `store_answers` is false if
   /// this node considers the store unavailable.
@@ -76,6 +85,10 @@
     serving_peer_ = serving_peer;
   }
 
+  /// Sets the forecast by which submits are refused. It is used until the next
+  /// call of this function, and must live until then.
+  void SetForecast(const KnownSummary& forecast) { forecast_ = forecast; }
+
   /// True if no call is pending.
   bool idle() const { return calls_.empty(); }
 
@@ -83,6 +96,9 @@
   /// The store request that a call waits for.
   enum class Stage {
     kSubmit,
+    /// Reads the job row before a submit is refused: an earlier attempt at
+    /// another node may have stored it.
+    kReadBeforeRefusal,
     /// Reads the progress row, for a query.
     kReadProgress,
     /// Reads the job row, for a query or before a cancel.
@@ -100,6 +116,8 @@
     WorkspaceId workspace;
     /// The encoded job of a submit.
     std::string encoded_spec;
+    /// Why the submit is refused if its job is not stored.
+    std::optional<Refusal> refusal;
     RowTransaction transaction;
     /// The current read request, kept for retries.
     ReadRows read;
@@ -134,8 +152,15 @@
   /// Starts a query, a count or a cancel.
   void StartRead(Context& ctx, const CallReceived& call, const Queue& queue,
                  const JobId& id);
-  void Submit(Context& ctx, const CallReceived& call, const Queue& queue,
-              const WorkspaceId& workspace, const JobId& id);
+  void Submit(Context& ctx, const CallReceived& call, const Catalog& catalog,
+              const Queue& queue, const WorkspaceId& workspace,
+              const JobId& id);
+  /// Starts the first write of a submit. From then on the job may be stored.
+  void Store(Context& ctx, Pending pending);
+  /// Refuses a submit unless its job is stored.
+  void HandleReadBeforeRefusal(Context& ctx, Pending pending,
+                               const ReadCompleted& answer);
+  void Refuse(Context& ctx, const Pending& pending);
   void SendCommit(Context& ctx, Pending pending);
   /// Starts the read of a stage.
   void Read(Context& ctx, Pending pending, Stage stage);
@@ -159,13 +184,19 @@
                         const QueueId& queue);
   void Respond(Context& ctx, const CallReceived& call, CallResult result,
                const std::string& message = "", const std::string& state = "",
-               std::int64_t waiting = -1);
+               std::int64_t waiting = -1,
+               std::optional<Duration> retry_after = std::nullopt);
 
   FrontEndOptions options_;
   const StoreTimeout* store_timeout_;
   StoreOutage outage_ = StoreOutage::kUnknown;
   std::optional<std::string> serving_peer_;
   std::map<Ticket, Pending> calls_;
+  Admission admission_;
+  KnownSummary forecast_;
+  /// Ids of submits that this node sent to the store, the oldest first.
+  std::deque<JobId> stored_ids_;
+  std::set<JobId> stored_id_set_;
   /// Numbers of waiting jobs as last read, and when that read was sent.
   WaitingCounts waiting_counts_;
   std::optional<TimePoint> counts_read_at_;
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -32,13 +32,16 @@
 Node::Node(NodeOptions options)
     : options_(std::move(options)),
       leadership_(options_.leadership, options_.name, &store_timeout_),
-      front_end_(options_.front_end, &store_timeout_),
+      front_end_(options_.front_end, &store_timeout_, options_.admission),
       peers_(options_.peers, options_.instance,
              {options_.peer_address, 0, options_.hall,
               options_.leadership.capacity},
              &store_timeout_),
       evidence_gate_(options_.evidence),
-      catalog_(options_.catalog) {}
+      catalog_(options_.catalog) {
+  options_.scheduler.forecasts_capacity =
+      options_.admission.use != AdmissionUse::kOff;
+}
 
 Effects Node::Reduce(const Event& event) {
   return ReduceAll(event.now, event.wall_ms, {event.body});
@@ -116,9 +119,24 @@
       !StoreAnswers() || peers_.outage() == StoreOutage::kLocal;
   for (const EvidenceGate::ReleasedCall& released : evidence_gate_.Release(
            ctx.now(), store_timeout_.answered_at(), known_lost)) {
-    front_end_.Handle(ctx, released.call, catalog_.catalog(),
-                      catalog_.confirmed_at(), released.store_answers);
+    HandleCall(ctx, released.call, released.store_answers);
+  }
+}
+
+void Node::HandleCall(Context& ctx, const CallReceived& call,
+                      bool store_answers) {
+  KnownSummary known;
+  if (scheduler_ != nullptr) {
+    known = {scheduler_->forecast(), scheduler_->confirmed_at()};
+  } else if (leadership_.record().forecast.has_value()) {
+    known = {&*leadership_.record().forecast,
+             leadership_.record_written_after()};
   }
+  front_end_.SetForecast(known);
+  front_end_.Handle(ctx, call, catalog_.catalog(), catalog_.confirmed_at(),
+                    store_answers);
+  // The forecast may change before the next call.
+  front_end_.SetForecast({});
 }
 
 void Node::CheckForProcessPause(Context& ctx) {
@@ -285,8 +303,7 @@
     return;
   }
   if (!StoreAnswers()) leadership_.Probe(ctx.now());
-  front_end_.Handle(ctx, event, catalog_.catalog(), catalog_.confirmed_at(),
-                    StoreAnswers());
+  HandleCall(ctx, event, StoreAnswers());
 }
 
 void Node::Handle(Context& ctx, const ShutdownRequested&) {
--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -33,6 +33,7 @@
   LeadershipOptions leadership;
   SchedulerOptions scheduler;
   FrontEndOptions front_end;
+  AdmissionOptions admission;
   CatalogWatcherOptions catalog;
   PeerCheckOptions peers;
   StandbyOptions standbys;
@@ -113,6 +114,8 @@
   void CheckLease(Context& ctx, Scheduler::LeaseStatus status);
   /// Notifies the scheduler if this process was paused.
   void CheckForProcessPause(Context& ctx);
+  /// Handles an API call, with the newest forecast that this node knows.
+  void HandleCall(Context& ctx, const CallReceived& call, bool store_answers);
   /// Handles the held calls for which the state of the store is known by now.
   void ReleaseHeldCalls(Context& ctx);
   /// Asks peers about the store, and maintains the standbys while leading.
--- a/src/dispatch/tuning.cc
+++ b/src/dispatch/tuning.cc
@@ -18,7 +18,7 @@
 namespace {
 
 using Field = std::variant<Duration*, double*, int*, std::int64_t*, bool*,
-                           RunnerSpeedUse*>;
+                           RunnerSpeedUse*, AdmissionUse*>;
 
 /// An option that can be set by name.
 struct Tunable {
@@ -59,6 +59,7 @@
       {"busy-wait", &fleet.busy_wait},
       {"idle-wait", &fleet.idle_wait},
       {"runner-speeds", &scheduler.runner_speeds},
+      {"admission", &options->admission.use},
       {"run-lease", &fleet.run_lease},
       {"leader-lease", &options->leadership.lease},
       {"leader-poll", &options->leadership.poll_interval},
@@ -88,13 +89,14 @@
   return absl::SimpleAtob(text, field);
 }
 
-constexpr std::pair<RunnerSpeedUse, const char*> kSpeedUses[] = {
-    {RunnerSpeedUse::kAuto, "auto"},
-    {RunnerSpeedUse::kOn, "on"},
-    {RunnerSpeedUse::kOff, "off"}};
+/// Names of the values of a switch.
+template <typename Use>
+constexpr std::pair<Use, const char*> kUses[] = {
+    {Use::kAuto, "auto"}, {Use::kOn, "on"}, {Use::kOff, "off"}};
 
-bool Parse(const std::string& text, RunnerSpeedUse* field) {
-  for (const auto& [use, name] : kSpeedUses) {
+template <typename Use>
+bool ParseUse(const std::string& text, Use* field) {
+  for (const auto& [use, name] : kUses<Use>) {
     if (text != name) continue;
     *field = use;
     return true;
@@ -102,13 +104,25 @@
   return false;
 }
 
-std::string Format(const RunnerSpeedUse* field) {
-  for (const auto& [use, name] : kSpeedUses) {
-    if (use == *field) return name;
+bool Parse(const std::string& text, RunnerSpeedUse* field) {
+  return ParseUse(text, field);
+}
+
+bool Parse(const std::string& text, AdmissionUse* field) {
+  return ParseUse(text, field);
+}
+
+template <typename Use>
+std::string FormatUse(Use value) {
+  for (const auto& [use, name] : kUses<Use>) {
+    if (use == value) return name;
   }
   return "";
 }
 
+std::string Format(const RunnerSpeedUse* field) { return FormatUse(*field); }
+std::string Format(const AdmissionUse* field) { return FormatUse(*field); }
+
 std::string Format(const Duration* field) { return absl::StrCat(field->ms()); }
 std::string Format(const bool* field) { return *field ? "true" : "false"; }
 template <typename Number>
--- a/src/emulator/emulated_callers.cc
+++ b/src/emulator/emulated_callers.cc
@@ -85,7 +85,9 @@
       return;
     }
     const bool refused =
-        answer != nullptr && answer->result == CallResult::kNotAccepted;
+        answer != nullptr && (answer->result == CallResult::kNotAccepted ||
+                              answer->result == CallResult::kPastUse ||
+                              answer->result == CallResult::kNeverServable);
     if (!refused) submitted.may_be_accepted = true;
     RunAt(now_ + kCallerRetry, [this, job] { SendSubmit(job); });
   });
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -96,6 +96,7 @@
   options.scheduler.planner = options_.planner;
   options.scheduler.job_registry = options_.job_registry;
   options.scheduler.loss = options_.loss;
+  options.admission = options_.admission;
   process.node = std::make_unique<dispatch::Node>(options);
   Reduce(node, dispatch::TimerFired());
 }
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -47,6 +47,7 @@
   dispatch::PlannerOptions planner;
   dispatch::JobRegistryOptions job_registry;
   dispatch::LossRules loss;
+  dispatch::AdmissionOptions admission;
   /// One-way delay between any two parties.
   Duration network{1};
   Duration store_time{4};
--- a/test/caller-server-test.cc
+++ b/test/caller-server-test.cc
@@ -76,6 +76,26 @@
   STRCMP_EQUAL("2", result->get_header_value("Retry-After").c_str());
 }
 
+// Guards against a retry of a submit that can never succeed, and against a
+// return at the wrong time.
+TEST(CallerServer, RefusalsTellWhetherToComeBack) {
+  answer.result = dispatch::CallResult::kPastUse;
+  answer.retry_after = Duration(7000);
+  httplib::Result result = Submit();
+  LONGS_EQUAL(429, result->status);
+  STRCMP_EQUAL("7", result->get_header_value("Retry-After").c_str());
+  answer.retry_after.reset();
+  result = Submit();
+  LONGS_EQUAL(429, result->status);
+  CHECK_FALSE(result->has_header("Retry-After"));
+  answer.result = dispatch::CallResult::kNeverServable;
+  answer.message = "can never run";
+  result = Submit();
+  LONGS_EQUAL(503, result->status);
+  CHECK_FALSE(result->has_header("Retry-After"));
+  CHECK_TRUE(result->body.find("can never run") != std::string::npos);
+}
+
 TEST(CallerServer, CallIsPassedOnWhole) {
   LONGS_EQUAL(200, Submit()->status);
   CHECK_TRUE(seen->forwarded);
--- a/test/tuning-test.cc
+++ b/test/tuning-test.cc
@@ -25,6 +25,17 @@
   LONGS_EQUAL(2, options.scheduler.planner.max_reserved_gangs);
 }
 
+TEST(Tuning, SetsTheSwitchOfAdmission) {
+  CHECK_TRUE(options.admission.use == AdmissionUse::kAuto);
+  Tune("admission=off", &options, &findings);
+  CHECK_TRUE(options.admission.use == AdmissionUse::kOff);
+  Tune("admission=on", &options, &findings);
+  CHECK_TRUE(options.admission.use == AdmissionUse::kOn);
+  CHECK_TRUE(findings.empty());
+  Tune("admission=maybe", &options, &findings);
+  LONGS_EQUAL(1, findings.all().size());
+}
+
 TEST(Tuning, ReportsInvalidSettingsAndChangesNothing) {
   const std::vector<std::string> before = ListTuning(options);
   Tune("patience=soon", &options, &findings);
