Show that the switch of admission leaves the leader's row as it was

Cause: the test of the switch looked only at the answer to the caller.

Change: it also reads the leader's row, with the switch off and on.

--- a/test/admission-system-test.cc
+++ b/test/admission-system-test.cc
@@ -25,6 +25,13 @@
     return step;
   }
 
+  /// True if the leader's row holds a forecast.
+  static bool TellsForecast(EmulatedSystem * other) {
+    const auto read = other->store().Read(dispatch::kLeadershipTable, "",
+                                          dispatch::kLeaderKey, "", 1);
+    return dispatch::DecodeLeader(read.rows.front().value)
+        ->forecast.has_value();
+  }
   bool HasRow(const JobId& job) {
     return !system.store()
                 .Read(dispatch::kJobTable, dispatch::JobPartition(job.value()),
@@ -46,7 +53,8 @@
   CheckNoViolation();
 }
 
-// Load: the same. Guards against refusals with the switch off.
+// Load: the same. Guards against refusals, and against a different row, with
+// the switch off.
 TEST(AdmissionSystem, SwitchOffAcceptsEverything) {
   SystemOptions options;
   options.admission.use = dispatch::AdmissionUse::kOff;
@@ -55,6 +63,9 @@
   const JobId job = SubmitTo(&off, NeverServable());
   off.Run(Duration(1000));
   CHECK_TRUE(off.jobs().at(job).accepted);
+  CHECK_FALSE(TellsForecast(&off));
+  system.Run(kWarmUp);
+  CHECK_TRUE(TellsForecast(&system));
 }
 
 // Load: the same, right after a take-over. Guards against refusals by a
