--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -221,6 +221,15 @@
       {LogId::kSpeedRowUnreadable, kWarning, "speed_row_unreadable",
        "A stored row with speeds of runners could not be read and is skipped; "
        "the fields give its key and the error."},
+      {LogId::kForecastChanged, kInfo, "forecast_changed",
+       "The forecast that the scheduler tells all nodes describes other "
+       "services, or waits of other queues, than before; `services` is empty "
+       "while too little is known to refuse anything."},
+      {LogId::kSubmitRefused, kInfo, "submit_refused",
+       "A submit was refused and its job not stored, since it can never run or "
+       "would end too late to be of use; `earliest_ms` is the shortest wait "
+       "that the forecast allows, `bearable_ms` the longest one after which "
+       "the job would be of use."},
       {LogId::kStepDeferred, kInfo, "step_deferred",
        "Not all waiting urgent steps can be in time; this one is placed after "
        "the others, and the field says why it."},
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -108,6 +108,8 @@
   kSpeedsInUse = 952,
   kSpeedsRestored = 954,
   kSpeedRowUnreadable = 955,
+  kForecastChanged = 956,
+  kSubmitRefused = 957,
   kStepDeferred = 959,
 };
 
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -50,6 +50,7 @@
   dispatch::JobRegistryOptions job_registry;
   dispatch::LossRules loss;
   dispatch::RunnerSpeedUse runner_speeds = dispatch::RunnerSpeedUse::kAuto;
+  dispatch::AdmissionOptions admission;
   /// One-way delay between any two parties.
   Duration network{1};
   Duration store_time{4};
