Compare whole runners within a step, and keep evidence bounded

The factor of a step is now integrated out over a grid, from the other runners only. - Evidence of dropped incarnations was taken back from nothing and made them known again. - A stored deviation of 0, a value that is not finite or a narrow prior made estimates not a number. - Queues with single tasks never learned the error of their estimates, and long gangs widened that of their queue. - Evidence grew without bound, so a runner that changed stayed as it was. - The mean log pace drifted, since only differences can be measured. - Steps of recurring jobs were kept until the job ended. - Slowness of some seconds counted as lasting spread. Products between different steps on one runner now bound it. - The cost of a gang grew with the square of its size.

Change: the above. `Evaluate` and `RecordGang` are split.

--- a/src/dispatch/runner_speeds.h
+++ b/src/dispatch/runner_speeds.h
@@ -32,8 +32,8 @@
 /// The log pace that a bin stands for. Precondition: `bin < kPaceBins`.
 /// Thread-safe.
 inline constexpr double LogPaceOf(std::size_t bin) {
-  return (static_cast<double>(bin) - static_cast<double>(kPaceBins / 2)) *
-         kPaceStep;
+  constexpr std::size_t kMiddle = kPaceBins / 2;
+  return (static_cast<double>(bin) - static_cast<double>(kMiddle)) * kPaceStep;
 }
 
 /// Probability of each log pace.
@@ -79,7 +79,7 @@
 
   /// Adds a runner.
   void Add(const PaceDistribution& pace);
-  /// The distribution. Precondition: at least one runner was added.
+  /// The distribution. Without any runner, the fastest log pace is certain.
   PaceDistribution Distribution() const;
 
  private:
@@ -103,6 +103,7 @@
 
   VarianceTerms& operator+=(const VarianceTerms& other);
   VarianceTerms& operator-=(const VarianceTerms& other);
+  VarianceTerms& operator*=(double factor);
 };
 
 /// Limits of the estimates.
@@ -113,6 +114,9 @@
   /// Probability that a measurement says nothing about the runner: the task
   /// itself takes many times as long, or the runner is slow for some seconds.
   double outlier_share = 0.06;
+  /// Probability that all runs of a step on one runner say nothing about it,
+  /// since the runner is slow for some seconds.
+  double passing_share = 0.003;
   /// Standard deviation of log paces in a fleet of which nothing is known.
   double initial_deviation = 0.25;
   /// Number of measured runners that outweigh the initial deviation.
@@ -150,7 +154,8 @@
   /// Drops the comparison between the runs of a job that is over. What they
   /// told about the runners is kept.
   void Forget(const JobId& job);
-  /// Drops all knowledge about incarnations that are not in `present`.
+  /// Drops all knowledge about incarnations that are not in `present`. What
+  /// their runs told about other runners is kept.
   void RetainOnly(const std::set<IncarnationId>& present);
 
   /// The log pace of a runner, as far as it is known.
@@ -158,6 +163,8 @@
   SpeedEstimate EstimateOf(const IncarnationId& runner) const;
   /// Number of runners with at least one measurement.
   int measured_runners() const;
+  /// Number of steps and gangs whose runs may still be compared or replaced.
+  std::size_t open_comparisons() const { return steps_.size() + gangs_.size(); }
   /// A lower bound, by one standard error, on the standard deviation of lasting
   /// log paces among runners; 0 if too little was measured.
   double Spread() const;
@@ -169,7 +176,8 @@
   };
   Prediction Predict(const QueueId& queue, Duration estimate) const;
   /// Adds what an earlier process stored about a runner that has no
-  /// measurement here. Does nothing if it has one.
+  /// measurement here. Does nothing if it has one, or if a stored value is not
+  /// a finite number.
   void Restore(const IncarnationId& runner, const SpeedEstimate& stored);
 
  private:
@@ -184,6 +192,17 @@
     /// Posterior for the present prior; valid if `prior_version` is current.
     PaceDistribution pace{};
     int prior_version = -1;
+    /// Sum and number of the runner's mean log durations in settled steps,
+    /// relative to those of the other runners.
+    double residuals = 0;
+    double residual_count = 0;
+  };
+  /// Products of what two different steps found on one runner. Slowness that
+  /// passes between the steps does not contribute.
+  struct CrossTerms {
+    double sum = 0;
+    double squares = 0;
+    double pairs = 0;
   };
   /// Logarithm of the factor between callers' estimates and run times on an
   /// average runner.
@@ -193,49 +212,83 @@
     double variance = 0.25;
     int count = 0;
     void Add(double value, double known_variance);
+    /// Variance of the error of the next step, including that of `mean`.
+    double PredictiveVariance() const;
   };
-  /// A measured run of an independent task.
-  struct TaskRecord {
-    IncarnationId runner;
-    /// Logarithm of the duration over the caller's estimate.
-    double log_ratio = 0;
-    /// What the evidence of the runner contains for this record.
+  /// The runs of one step of independent tasks on one runner.
+  struct RunnerTasks {
+    /// By task, the logarithm of the duration over the caller's estimate.
+    std::map<int, double> log_ratios;
+    /// What the evidence of the runner contains for these runs.
     LogLikelihood applied{};
+    bool evaluated = false;
   };
   /// The measured runs of one step of independent tasks.
   struct TaskStep {
     QueueId queue;
-    std::map<std::pair<int, IncarnationId>, TaskRecord> records;
+    std::map<IncarnationId, RunnerTasks> runners;
+    int records = 0;
     /// Records that changed since the step was last evaluated.
     int changed = 0;
+    TimePoint changed_at;
     VarianceTerms terms;
     bool error_recorded = false;
   };
+  using TaskSteps = std::map<StepName, TaskStep>;
   /// The measurement of a gang.
   struct GangRecord {
     std::vector<IncarnationId> runners;
+    /// What the evidence of each runner contains for this gang.
     std::vector<LogLikelihood> applied;
-    double log_ratio = 0;
+    TimePoint changed_at;
   };
 
-  void Evaluate(TaskStep* step);
+  /// Compares the runs of a step. `last` if no more of them are expected.
+  void Evaluate(TaskStep* step, bool last);
+  /// What is known about a runner apart from its runs in a step.
+  PaceDistribution PaceWithout(const IncarnationId& runner,
+                               const LogLikelihood& applied) const;
+  /// Median of the step's log durations. Precondition: it has records.
+  static double CenterOf(const TaskStep& step);
+  /// Replaces what the step contributes to the spread.
+  void UpdateVariance(TaskStep* step);
+  /// Compares what the step found on its runners with earlier steps.
+  void UpdateCrossTerms(const TaskStep& step);
+  /// An upper bound, by one standard error, on the variance of lasting log
+  /// paces; infinite if too little was measured.
+  double LargestLastingVariance() const;
+  /// Drops the comparison within a step, and keeps what it told.
+  TaskSteps::iterator Settle(TaskSteps::iterator step);
+  /// Takes back what the record told about its runners.
+  void Revoke(const GangRecord& record);
+  void ApplyGang(GangRecord* record, const EstimateError& error,
+                 double log_ratio, const std::vector<PaceDistribution>& paces);
   void Apply(const IncarnationId& runner, const LogLikelihood& added,
              const LogLikelihood& removed);
+  /// Reduces the weight of older measurements, so that a runner whose lasting
+  /// pace changes is not judged by its past for good.
+  void Age(const IncarnationId& runner);
   PaceDistribution Posterior(const LogLikelihood& evidence) const;
-  LogLikelihood LikelihoodOf(double residual, double variance) const;
-  void UpdatePrior(TimePoint now);
+  void SetPrior(const PaceDistribution& prior);
+  void UpdatePrior();
+  /// Does what is due once a second.
+  void Maintain(TimePoint now);
+  void SettleOld(TimePoint now);
 
   RunnerSpeedOptions options_;
-  /// Logarithm of the distribution of an unmeasured runner.
-  LogLikelihood log_prior_{};
+  /// Distribution of an unmeasured runner, and its logarithm.
   PaceDistribution prior_{};
+  LogLikelihood log_prior_{};
   int prior_version_ = 0;
-  TimePoint prior_updated_at_;
+  TimePoint maintained_at_;
   mutable std::map<IncarnationId, Evidence> evidence_;
   std::map<QueueId, EstimateError> errors_;
-  std::map<StepName, TaskStep> steps_;
+  TaskSteps steps_;
   std::map<StepName, GangRecord> gangs_;
+  /// Of the steps in `steps_`, and of those that were settled.
   VarianceTerms variance_;
+  VarianceTerms settled_variance_;
+  CrossTerms cross_terms_;
 };
 
 }  // namespace limeledge::dispatch
