Drop the speeds of incarnations that are gone

Cause: nothing called `RunnerSpeeds::RetainOnly`, so each incarnation that ever ran a task was kept. Runs of a job that is over were still measured until they stopped, which counted them twice and reopened the comparison.

Change: every ten seconds, while the runner list is known, the scheduler keeps only the incarnations of the fleet. Final jobs are not measured.

Conclusion: memory is bounded by the fleet.

--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -258,6 +258,7 @@
   CheckRuns(ctx);
   ResolveOverdueLosses(ctx);
   fleet_.RemoveGone(ctx);
+  DropSpeedsOfGoneRunners(ctx);
   if (!releasing_) cleaner_.Work(ctx, &jobs_, &writer_);
 }
 
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -392,6 +392,8 @@
   };
   std::optional<GangRunners> FindGangRunners(const Job& job,
                                              const TaskName& name, int number);
+  /// Drops what was measured on incarnations that are gone.
+  void DropSpeedsOfGoneRunners(Context& ctx);
   /// Decides whether speeds influence decisions from now on.
   void UpdateSpeedUse(Context& ctx);
 
@@ -437,6 +439,7 @@
   RunTimeEstimator run_time_estimator_;
   RunnerSpeeds speeds_;
   bool speeds_in_use_ = false;
+  TimePoint next_speed_cleanup_at_;
   TicketCache ticket_cache_;
   Planner planner_;
   const Catalog* catalog_ = nullptr;
--- a/src/dispatch/scheduler_speeds.cc
+++ b/src/dispatch/scheduler_speeds.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 #include "absl/strings/str_cat.h"
 #include "dispatch/scheduler.h"
@@ -23,6 +24,9 @@
 // Speeds stay in use until the spread falls below this part of the limit, so
 // that an estimate near the limit does not switch them on and off.
 constexpr double kReleaseShare = 0.75;
+// Each call takes a copy of all ids. In this time a few runners are replaced,
+// whose estimates take a few hundred bytes each.
+constexpr Duration kSpeedCleanupInterval{10000};
 
 /// The logarithm of the smallest factor by which an urgent run may take longer
 /// than expected; nothing if no queue is urgent.
@@ -44,6 +48,9 @@
   const StepSpec& step = job.step_spec(name.step);
   if (options_.runner_speeds == RunnerSpeedUse::kOff) return;
   if (!run->began_near_data || step.long_running) return;
+  // What a job that is over told was kept already. Its runs that have yet to
+  // stop would count twice.
+  if (IsFinal(job.state())) return;
   const int percent = ended ? kComplete : run->percent;
   // A measurement is repeated when it has become about twice as precise.
   const bool due = ended || percent >= 2 * run->speed_percent;
@@ -59,7 +66,7 @@
   }
   run->speed_percent = percent;
   const std::int64_t worked =
-      ended ? 2 * kComplete : 2 * percent + kTwiceRounding;
+      ended ? 2 * kComplete : std::int64_t{2} * percent + kTwiceRounding;
   const Duration duration = (ctx.now() - started_at) * (2 * kComplete) / worked;
   const QueueId& queue = job.spec().queue;
   if (gang.has_value()) {
@@ -94,6 +101,18 @@
   return gang;
 }
 
+void Scheduler::DropSpeedsOfGoneRunners(Context& ctx) {
+  // While the list is not known, a runner may be missing that is present.
+  if (ctx.now() < next_speed_cleanup_at_) return;
+  if (!fleet_.KnowsCapacities(ctx.now())) return;
+  next_speed_cleanup_at_ = ctx.now() + kSpeedCleanupInterval;
+  std::set<IncarnationId> present;
+  for (const auto& [id, runner] : fleet_.runners()) {
+    present.insert(runner->incarnation());
+  }
+  speeds_.RetainOnly(present);
+}
+
 void Scheduler::UpdateSpeedUse(Context& ctx) {
   bool in_use = options_.runner_speeds == RunnerSpeedUse::kOn;
   if (options_.runner_speeds == RunnerSpeedUse::kAuto) {
