Give emulated runners lasting speeds and let gangs advance in step

Cause: no emulated load showed what runner speeds are for. All runners were alike, and a gang ended when its fastest member was done.

Change: options for lasting paces of runners, gangs that advance at the pace of their slowest member, tasks with tails, the objective of urgent jobs and the use of speeds.

--- a/src/emulator/emulated_runner.cc
+++ b/src/emulator/emulated_runner.cc
@@ -54,6 +54,12 @@
   return kClockStart + (now_ - created_at_).ms();
 }
 
+double EmulatedRunner::PaceOf(const TaskName& name,
+                              const ActiveRun& run) const {
+  if (!bounds_.gangs_in_step || run.truth.gang_size == 0) return pace();
+  return gang_registry_->SlowestPaceOf(name, run.number);
+}
+
 dispatch::Resources EmulatedRunner::UsedCapacity() const {
   dispatch::Resources used;
   for (const auto& [name, run] : runs_) used += run.truth.need;
@@ -112,7 +118,7 @@
     End(name, RunEnd::kFailed);
     return;
   }
-  run->worked_ms += static_cast<double>(step.ms()) / slowness_;
+  run->worked_ms += static_cast<double>(step.ms()) / PaceOf(name, *run);
   const bool crashes =
       truth.crashes_after.has_value() &&
       run->worked_ms >= static_cast<double>(truth.crashes_after->ms());
@@ -159,7 +165,7 @@
     const double left =
         (static_cast<double>(std::min(until, run.truth.work).ms()) -
          run.worked_ms) *
-        slowness_;
+        PaceOf(name, run);
     next = std::min(
         next,
         now_ + Duration(1 + static_cast<std::int64_t>(std::max(0.0, left))));
@@ -379,6 +385,16 @@
   }
 }
 
+double GangRegistry::SlowestPaceOf(const TaskName& name, int run) const {
+  const auto found = gangs_.find(MakeKey(name, run));
+  if (found == gangs_.end()) return 1;
+  double slowest = 0;
+  for (const Member& member : found->second) {
+    slowest = std::max(slowest, member.runner->pace());
+  }
+  return slowest;
+}
+
 int GangRegistry::CountMembers(const TaskName& name, int run) const {
   const auto found = gangs_.find(MakeKey(name, run));
   return found == gangs_.end() ? 0 : static_cast<int>(found->second.size());
--- a/src/emulator/emulated_runner.h
+++ b/src/emulator/emulated_runner.h
@@ -26,6 +26,10 @@
   bool saves_progress = false;
   /// Number of members of the task's gang; 0 if it belongs to none.
   int gang_size = 0;
+  /// Share of the tasks, or of the gangs, that take `tail_factor` times as much
+  /// work. The name of the task decides which, so every run of it is alike.
+  double tail_share = 0;
+  double tail_factor = 1;
   /// Every run fails once it has finished its work.
   bool always_fails = false;
   /// Every runner that executes the task crashes once it has done this much of
@@ -44,6 +48,10 @@
   /// If not 0, a lease lasts this long from the arrival of its order, whatever
   /// expiry time the order names.
   Duration lease_from_arrival;
+  /// Members of a gang advance at the pace of the slowest of their runners.
+  /// Otherwise each advances by itself, and the first one that is done ends the
+  /// gang.
+  bool gangs_in_step = false;
   /// Runners refuse starts that exceed their capacity.
   bool guards_room = true;
 };
@@ -100,6 +108,11 @@
   /// True if the runner's lease has expired at some time since the run ended.
   bool LeaseExpiredSince(std::int64_t end) const;
 
+  /// Multiplies the duration of work by `factor` for good, in addition to
+  /// `SetSlowness`. Precondition: no run is active.
+  void SetPace(double factor) { pace_ = factor; }
+  /// Factor by which work takes longer at present.
+  double pace() const { return pace_ * slowness_; }
   /// Multiplies the duration of work by `factor` from now on.
   void SetSlowness(double factor) { slowness_ = factor; }
   /// While set, every run fails once its work is done.
@@ -143,6 +156,8 @@
   };
 
   std::int64_t clock_ms() const;
+  /// Factor by which the work of this run takes longer at present.
+  double PaceOf(const dispatch::TaskName& name, const ActiveRun& run) const;
   bool AcceptsEpoch(Epoch epoch);
   /// Starts the run, or returns why it is refused.
   dispatch::OrderOutcome ExecuteStart(const dispatch::StartRun& order);
@@ -165,6 +180,7 @@
   std::optional<TimePoint> first_poll_at_;
   Epoch fence_;
   std::int64_t lease_until_ms_ = 0;
+  double pace_ = 1;
   double slowness_ = 1;
   bool failing_ = false;
   bool broken_ = false;
@@ -194,6 +210,9 @@
   void Leave(const dispatch::TaskName& name, int run, dispatch::RunEnd end);
   /// Number of members of the run that are present.
   int CountMembers(const dispatch::TaskName& name, int run) const;
+  /// The largest factor by which work takes longer on a member's runner; 1 if
+  /// no member is present.
+  double SlowestPaceOf(const dispatch::TaskName& name, int run) const;
 
  private:
   struct Member {
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -41,6 +41,11 @@
       capacity_history_(options.capacity_notice),
       catalog_(MakeCatalog(options.attempts)),
       oracle_(options.attempts, CancelBoundsFor(options.bounds)) {
+  for (dispatch::Queue& queue : catalog_.queues) {
+    if (queue.policy.priority != 0) continue;
+    queue.policy.stretch = options.urgent_stretch;
+    queue.policy.slack = options.urgent_slack;
+  }
   for (auto& [id, service] : catalog_.services) {
     service.enforces_capacity = options.enforces_capacity;
   }
@@ -93,6 +98,7 @@
   options.name = absl::StrCat("n", node, "/", process.incarnation);
   options.instance = AddressOf(node);
   options.peer_address = options.instance;
+  options.scheduler.runner_speeds = options_.runner_speeds;
   options.scheduler.planner = options_.planner;
   options.scheduler.job_registry = options_.job_registry;
   options.scheduler.loss = options_.loss;
@@ -239,6 +245,10 @@
       info, options_.bounds,
       [this](const TaskName& name) { return oracle_.TruthOf(name); },
       &gang_registry_, now_);
+  const std::vector<double>& paces = options_.runner_paces;
+  if (paces.empty()) return;
+  runners_[info.id]->SetPace(
+      paces[static_cast<std::size_t>(index) % paces.size()]);
 }
 
 EmulatedRunner* EmulatedSystem::FindRunner(const RunnerId& runner) {
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -36,6 +36,9 @@
   int runners_per_rack = 4;
   dispatch::Resources room{64000, 262144, 8};
   RunnerBounds bounds;
+  /// Lasting factors by which work takes longer on runners, repeated over the
+  /// runner indexes; empty if all runners are alike.
+  std::vector<double> runner_paces;
   /// Number of attempts that queues allow per task.
   int attempts = kMaxAttempts;
   /// Whether runners refuse starts that exceed their capacity; the catalog says
@@ -43,7 +46,11 @@
   bool enforces_capacity = true;
   /// Starts have to respect a reduced capacity this long after the change.
   Duration capacity_notice{4500};
+  /// Objective of jobs in the urgent queue.
+  double urgent_stretch = 3;
+  Duration urgent_slack{1000};
   /// Options of the scheduler of every node.
+  dispatch::RunnerSpeedUse runner_speeds = dispatch::RunnerSpeedUse::kAuto;
   dispatch::PlannerOptions planner;
   dispatch::JobRegistryOptions job_registry;
   dispatch::LossRules loss;
--- a/src/emulator/promise_oracle.cc
+++ b/src/emulator/promise_oracle.cc
@@ -7,6 +7,10 @@
 #include "emulator/promise_oracle.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
+#include <random>
+#include <string>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -24,6 +28,18 @@
 constexpr int kMaxCrashes = 3;
 constexpr int kFirstForbiddenStart = 3;
 
+/// True if the task, or its gang, is one of those that take more work.
+bool HasTail(const TaskName& name, const TaskTruth& truth) {
+  if (truth.tail_share <= 0) return false;
+  std::seed_seq seed{
+      static_cast<std::size_t>(name.occurrence),
+      static_cast<std::size_t>(name.step),
+      static_cast<std::size_t>(truth.gang_size > 0 ? 0 : name.index),
+      std::hash<std::string>()(name.job.value())};
+  std::mt19937 random(seed);
+  return std::bernoulli_distribution(truth.tail_share)(random);
+}
+
 }  // namespace
 
 JobWatch& PromiseOracle::Watch(const dispatch::JobSpec& spec,
@@ -48,6 +64,10 @@
   truth.need = step.need;
   truth.saves_progress = step.saves_progress;
   truth.gang_size = step.gang ? step.count : 0;
+  if (HasTail(name, truth)) {
+    truth.work = Duration(
+        std::llround(static_cast<double>(truth.work.ms()) * truth.tail_factor));
+  }
   const bool unaffected =
       truth.crashing_index >= 0 && truth.crashing_index != name.index;
   if (unaffected) truth.crashes_after.reset();
