Show in the state dump how many runners were measured

Cause: no test covered that the scheduler drops the speeds of incarnations that are gone.

Change: `speeds` (in use, spread, measured) in the scheduler's dump, and a test on the emulated system.

--- a/src/dispatch/scheduler_dump.cc
+++ b/src/dispatch/scheduler_dump.cc
@@ -68,6 +68,9 @@
   json["epoch"] = Json::Int64(writer_.epoch().value());
   json["confirmed_ms_ago"] = Json::Int64((now - writer_.confirmed_at()).ms());
   json["jobs_read"] = jobs_.loaded();
+  json["speeds"]["in_use"] = speeds_in_use_;
+  json["speeds"]["spread"] = speeds_.Spread();
+  json["speeds"]["measured"] = speeds_.measured_runners();
   json["jobs"] = Json::Value(Json::objectValue);
   for (const JobId& id : jobs_.active()) {
     json["jobs"][id.value()] = DumpJob(*jobs_.Find(id));
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -101,8 +101,8 @@
   RunAt(now_ + options_.network, [this, answer] { HandleResponse(answer); });
 }
 
-void EmulatedSystem::Perform(int, const dispatch::RespondWithState&) {
-  // Simulated callers never request a state dump.
+void EmulatedSystem::Perform(int, const dispatch::RespondWithState& answer) {
+  state_dump_ = answer.text;
 }
 
 // The store.
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -152,6 +152,11 @@
   Deliver(node, processes_[node].incarnation, dispatch::ShutdownRequested());
 }
 
+std::string EmulatedSystem::DumpOf(int node) {
+  Deliver(node, processes_[node].incarnation, dispatch::StateRequested());
+  return state_dump_;
+}
+
 int EmulatedSystem::leader() const {
   for (std::size_t i = 0; i < processes_.size(); ++i) {
     const auto& node = processes_[i].node;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -150,6 +150,10 @@
   /// there is no response.
   std::string StateOf(const JobId& job);
 
+  /// The state of a node as JSON, as its operator sees it. Precondition: the
+  /// node runs and is not frozen.
+  std::string DumpOf(int node);
+
   /// Sets a function that is called with a line of text for each log line of a
   /// node and for events such as starts, stops and crashes of runners.
   void SetTrace(std::function<void(const std::string&)> trace) {
@@ -430,6 +434,7 @@
   CallId last_call_;
   std::map<CallId, std::function<void(const dispatch::RespondToCall*)>> calls_;
   std::function<void(const std::string&)> trace_;
+  std::string state_dump_;
   std::int64_t last_job_ = 0;
 };
 
--- a/test/uneven-fleet-test.cc
+++ b/test/uneven-fleet-test.cc
@@ -4,7 +4,10 @@
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
 
+#include <json/json.h>
+
 #include <memory>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -89,6 +92,29 @@
   CHECK_TRUE(CountSlowGangs(dispatch::RunnerSpeedUse::kAuto) <= 10);
 }
 
+// Guards against a scheduler that keeps what it measured on every runner that
+// ever was.
+TEST(UnevenFleet, SpeedsOfRunnersThatAreGoneAreDropped) {
+  const auto own = MakeSystem(dispatch::RunnerSpeedUse::kAuto);
+  const auto measured = [&own] {
+    Json::Value dump;
+    std::istringstream(own->DumpOf(own->leader())) >> dump;
+    return dump["scheduler"]["speeds"]["measured"].asInt();
+  };
+  for (int i = 0; i < 10; ++i) {
+    SubmitBatch(own.get());
+    own->Run(Duration(1400));
+  }
+  // Long tasks end, so that none is measured on the next incarnations.
+  own->Run(Duration(40000));
+  CHECK_TRUE(measured() > 6);
+  for (const RunnerId& id : own->RunnerIds()) {
+    own->KillRunner(id, Duration(1000));
+  }
+  own->Run(Duration(30000));
+  LONGS_EQUAL(0, measured());
+}
+
 // Guards against gangs that end when their fastest member is done.
 TEST(UnevenFleet, GangAdvancesAtThePaceOfItsSlowestMember) {
   SystemOptions options;
