--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -273,6 +273,7 @@
   CheckRuns(ctx);
   ResolveOverdueLosses(ctx);
   fleet_.RemoveGone(ctx);
+  DropSpeedsOfGoneRunners(ctx);
   if (releasing_) return;
   cleaner_.Work(ctx, &jobs_, &writer_);
   if (options_.runner_speeds == RunnerSpeedUse::kOff) return;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -423,6 +423,8 @@
   };
   std::optional<GangRunners> FindGangRunners(const Job& job,
                                              const TaskName& name, int number);
+  /// Drops what was measured on incarnations that are gone.
+  void DropSpeedsOfGoneRunners(Context& ctx);
   /// Decides whether speeds influence decisions from now on.
   void UpdateSpeedUse(Context& ctx);
   /// True if the measurements show that speeds should be used. Speeds that an
@@ -473,6 +475,7 @@
   RunnerSpeeds speeds_;
   SpeedKeeper speed_keeper_;
   bool speeds_in_use_ = false;
+  TimePoint next_speed_cleanup_at_;
   /// The measurements of this scheduler suffice to decide on the use of speeds.
   bool speed_use_decided_ = false;
   CapacityForecast forecast_;
--- a/src/dispatch/scheduler_dump.cc
+++ b/src/dispatch/scheduler_dump.cc
@@ -78,6 +78,8 @@
   json["confirmed_ms_ago"] = Json::Int64((now - writer_.confirmed_at()).ms());
   json["jobs_read"] = jobs_.loaded();
   if (forecast() != nullptr) json["forecast"] = ForecastToJson(*forecast());
+  json["speeds"]["spread"] = speeds_.Spread();
+  json["speeds"]["measured"] = speeds_.measured_runners();
   json["jobs"] = Json::Value(Json::objectValue);
   for (const JobId& id : jobs_.active()) {
     json["jobs"][id.value()] = DumpJob(*jobs_.Find(id));
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -36,6 +36,9 @@
   int runners_per_rack = 4;
   dispatch::Resources room{64000, 262144, 8};
   RunnerBounds bounds;
+  /// Lasting factors by which work takes longer on runners, repeated over the
+  /// runner indexes; empty if all runners are alike.
+  std::vector<double> runner_paces;
   /// Number of attempts that queues allow per task.
   int attempts = kMaxAttempts;
   /// Workspaces without a guarantee, in addition to that of `MakeCatalog`.
@@ -45,7 +48,11 @@
   bool enforces_capacity = true;
   /// Starts have to respect a reduced capacity this long after the change.
   Duration capacity_notice{4500};
+  /// Objective of jobs in the urgent queue.
+  double urgent_stretch = 3;
+  Duration urgent_slack{1000};
   /// Options of the scheduler of every node.
+  dispatch::RunnerSpeedUse runner_speeds = dispatch::RunnerSpeedUse::kAuto;
   dispatch::PlannerOptions planner;
   dispatch::JobRegistryOptions job_registry;
   dispatch::LossRules loss;
@@ -148,6 +155,10 @@
   /// there is no response.
   std::string StateOf(const JobId& job);
 
+  /// The state of a node as JSON, as its operator sees it. Precondition: the
+  /// node runs and is not frozen.
+  std::string DumpOf(int node);
+
   /// Sets a function that is called with a line of text for each log line of a
   /// node and for events such as starts, stops and crashes of runners.
   void SetTrace(std::function<void(const std::string&)> trace) {
@@ -428,6 +439,7 @@
   CallId last_call_;
   std::map<CallId, std::function<void(const dispatch::RespondToCall*)>> calls_;
   std::function<void(const std::string&)> trace_;
+  std::string state_dump_;
   std::int64_t last_job_ = 0;
 };
 
