Settle lint findings of the speed measurements and the emulator

Cause: clang-tidy reported implicit widening in `MeasureSpeed` and a copied parameter of `EmulatedSystem`, whose options now hold a list.

--- a/src/dispatch/scheduler_speeds.cc
+++ b/src/dispatch/scheduler_speeds.cc
@@ -65,9 +65,10 @@
     started_at = gang->started_at;
   }
   run->speed_percent = percent;
+  constexpr std::int64_t kTwiceComplete = std::int64_t{2} * kComplete;
   const std::int64_t worked =
-      ended ? 2 * kComplete : std::int64_t{2} * percent + kTwiceRounding;
-  const Duration duration = (ctx.now() - started_at) * (2 * kComplete) / worked;
+      ended ? kTwiceComplete : std::int64_t{2} * percent + kTwiceRounding;
+  const Duration duration = (ctx.now() - started_at) * kTwiceComplete / worked;
   const QueueId& queue = job.spec().queue;
   if (gang.has_value()) {
     speeds_.RecordGang(ctx.now(), {name.job, name.occurrence, name.step}, queue,
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -36,20 +36,20 @@
 }  // namespace
 
 EmulatedSystem::EmulatedSystem(SystemOptions options)
-    : options_(options),
-      random_(options.seed),
-      capacity_history_(options.capacity_notice),
-      catalog_(MakeCatalog(options.attempts)),
-      oracle_(options.attempts, CancelBoundsFor(options.bounds)) {
+    : options_(std::move(options)),
+      random_(options_.seed),
+      capacity_history_(options_.capacity_notice),
+      catalog_(MakeCatalog(options_.attempts)),
+      oracle_(options_.attempts, CancelBoundsFor(options_.bounds)) {
   for (dispatch::Queue& queue : catalog_.queues) {
     if (queue.policy.priority != 0) continue;
-    queue.policy.stretch = options.urgent_stretch;
-    queue.policy.slack = options.urgent_slack;
+    queue.policy.stretch = options_.urgent_stretch;
+    queue.policy.slack = options_.urgent_slack;
   }
   for (auto& [id, service] : catalog_.services) {
-    service.enforces_capacity = options.enforces_capacity;
+    service.enforces_capacity = options_.enforces_capacity;
   }
-  options_.bounds.guards_room = options.enforces_capacity;
+  options_.bounds.guards_room = options_.enforces_capacity;
   for (int i = 0; i < options_.runners; ++i) AddRunner(i, 1);
   processes_.resize(options_.nodes);
   for (int i = 0; i < options_.nodes; ++i) StartNode(i);
