Let the members of an emulated gang advance in step

Cause: each emulated member advanced at the pace of its own runner, so that a comparison of the members told which runner was slow. The members of real gangs differ by less than 1%.

Change: a member advances at the pace of the slowest runner of its gang. No test slowed a runner down before, so none changes.

--- a/src/emulator/emulated_runner.cc
+++ b/src/emulator/emulated_runner.cc
@@ -112,7 +112,7 @@
     End(name, RunEnd::kFailed);
     return;
   }
-  run->worked_ms += static_cast<double>(step.ms()) / slowness_;
+  run->worked_ms += static_cast<double>(step.ms()) / SlownessOf(name, *run);
   const bool crashes =
       truth.crashes_after.has_value() &&
       run->worked_ms >= static_cast<double>(truth.crashes_after->ms());
@@ -129,6 +129,12 @@
   End(name, fails ? RunEnd::kFailed : RunEnd::kDone);
 }
 
+double EmulatedRunner::SlownessOf(const TaskName& name,
+                                  const ActiveRun& run) const {
+  if (run.truth.gang_size == 0) return slowness_;
+  return gang_registry_->SlownessOf(name, run.number);
+}
+
 void EmulatedRunner::Save(const TaskName&, ActiveRun* run) {
   run->saved_ms = run->worked_ms;
   run->checkpoint = absl::StrCat(static_cast<std::int64_t>(run->worked_ms));
@@ -159,7 +165,7 @@
     const double left =
         (static_cast<double>(std::min(until, run.truth.work).ms()) -
          run.worked_ms) *
-        slowness_;
+        SlownessOf(name, run);
     next = std::min(
         next,
         now_ + Duration(1 + static_cast<std::int64_t>(std::max(0.0, left))));
@@ -384,4 +390,12 @@
   return found == gangs_.end() ? 0 : static_cast<int>(found->second.size());
 }
 
+double GangRegistry::SlownessOf(const TaskName& name, int run) const {
+  double slowness = 0;
+  for (const Member& member : gangs_.at(MakeKey(name, run))) {
+    slowness = std::max(slowness, member.runner->slowness());
+  }
+  return slowness;
+}
+
 }  // namespace limeledge::emulator
--- a/src/emulator/emulated_runner.h
+++ b/src/emulator/emulated_runner.h
@@ -102,6 +102,7 @@
 
   /// Multiplies the duration of work by `factor` from now on.
   void SetSlowness(double factor) { slowness_ = factor; }
+  double slowness() const { return slowness_; }
   /// While set, every run fails once its work is done.
   void SetFailing(bool failing) { failing_ = failing; }
   /// While set, every run that starts fails immediately.
@@ -155,6 +156,8 @@
                   Duration step);
   void End(const dispatch::TaskName& name, dispatch::RunEnd end);
   void Save(const dispatch::TaskName& name, ActiveRun* run);
+  /// The members of a gang advance together, as slowly as the slowest.
+  double SlownessOf(const dispatch::TaskName& name, const ActiveRun& run) const;
 
   dispatch::RunnerInfo info_;
   RunnerBounds bounds_;
@@ -194,6 +197,9 @@
   void Leave(const dispatch::TaskName& name, int run, dispatch::RunEnd end);
   /// Number of members of the run that are present.
   int CountMembers(const dispatch::TaskName& name, int run) const;
+  /// The largest slowness among the members' runners. Precondition: a member is
+  /// present.
+  double SlownessOf(const dispatch::TaskName& name, int run) const;
 
  private:
   struct Member {
