Decide moves and preemptions by their expected gain

Cause: moving one member of a gang stopped all of them, whichever runner was slow, and the comparison of its members hid what other runs had shown. A preemption counted at most one second of lost work, and was made even where capacity became free sooner than a stop would end.

Moves use run_move, with what is known of the runners from other runs, from the run's own change of pace and from lasting speeds. Preemptions use the time of the last checkpoint, which is kept now, for all members of a gang. A step waits for capacity that becomes free by itself, for at most one stop in total. Stops because of a stall or a leaving runner stop the whole gang while this is on, as moves do: the end of one member ends the others anyway.

--- a/src/cli/merged_log.cc
+++ b/src/cli/merged_log.cc
@@ -46,6 +46,12 @@
     {"run_moved",
      "{task} is slow on runner {runner} ({left_ms} ms left at {percent} "
      "percent), and is moved"},
+    {"move_declined",
+     "{task} takes long on runner {runner} and is not moved: {reason} "
+     "({here_ms} ms left here, {elsewhere_ms} ms elsewhere)"},
+    {"preemption_delayed",
+     "step {step} preempts nothing, since room becomes free in {free_in_ms} ms "
+     "and a stop takes {stop_ms} ms"},
     {"run_lost",
      "run {run} of {task} went with runner {runner}, which fell silent "
      "{lasted_ms} ms after the start ({runner_end})"},
--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -214,6 +214,13 @@
        "The lasting speeds of runners influence decisions from now on, or no "
        "longer; the fields say how much they differ and how many runners were "
        "measured."},
+      {LogId::kMoveDeclined, kInfo, "move_declined",
+       "A run takes long or is on a slow runner, but is not moved; the field "
+       "says why. At most once a run."},
+      {LogId::kPreemptionDelayed, kInfo, "preemption_delayed",
+       "A step waits for capacity that becomes free by itself, instead of "
+       "preempting runs; the fields say how soon and how long a stop would "
+       "take."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -106,6 +106,8 @@
   kLinesDropped = 950,
   kProcessBroken = 951,
   kSpeedsInUse = 952,
+  kMoveDeclined = 960,
+  kPreemptionDelayed = 961,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -50,6 +50,7 @@
       advice_(advice),
       jobs_(*jobs),
       pool_(fleet->Candidates(now, catalog.drained_halls)),
+      fleet_(*fleet),
       free_capacity_known_(fleet->KnowsFreeCapacity(now)),
       capacities_known_(fleet->KnowsCapacities(now)) {
   planner_.next_at_ = kNever;
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -88,6 +88,11 @@
   /// backlog.
   int gangs_per_pass = 24;
   int remaining_gangs_interval = 5;
+  /// How long a stop takes if none was seen, and the time within which a
+  /// workspace must get its guaranteed capacity at every site. Used to decide
+  /// whether a step waits for capacity that becomes free by itself.
+  Duration default_stop_time{900};
+  Duration guarantee_time{2700};
   /// Weight of an accelerator, in cores, in the cost of a preemption.
   int cores_per_accelerator = 8;
 };
@@ -159,8 +164,20 @@
   std::int64_t open = 0;
 };
 
+/// A step that waits for capacity that becomes free by itself, instead of
+/// preempting runs for it.
+struct PreemptionDelay {
+  StepName step;
+  /// The time until the capacity is expected to be free, and the time that a
+  /// stop would take.
+  Duration free_in;
+  Duration stop_time;
+};
+
 struct Plan {
   std::vector<Assignment> assignments;
+  /// Each step once.
+  std::vector<PreemptionDelay> delays;
   std::vector<Preemption> preemptions;
   std::vector<StepWait> waits;
   std::vector<AdviceRequest> advice_requests;
@@ -186,6 +203,13 @@
   Plan Decide(TimePoint now, std::int64_t wall_ms, const Catalog& catalog,
               const RunTimeEstimator& times, const RunnerSpeeds* speeds,
               const TicketCache& advice, JobRegistry* jobs, Fleet* fleet);
+  /// Sets whether preemptions are decided by what they lose, and the longest
+  /// stop that was seen; 0 if none was.
+  void SetPreemptionByLoss(bool by_loss, Duration longest_stop) {
+    preempts_by_loss_ = by_loss;
+    stop_time_ =
+        longest_stop > Duration(0) ? longest_stop : options_.default_stop_time;
+  }
   /// The next time at which a waiting step becomes due or one of its waits
   /// ends.
   TimePoint next_at() const { return next_at_; }
@@ -228,6 +252,10 @@
   std::map<StepName, Reservation> reservations_;
   /// Reasons from the previous pass.
   std::map<StepName, WaitReason> waits_;
+  /// Since when steps wait for capacity that becomes free by itself.
+  std::map<StepName, TimePoint> delayed_since_;
+  bool preempts_by_loss_ = false;
+  Duration stop_time_;
   int passes_ = 0;
   TimePoint next_at_;
 };
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -176,6 +176,16 @@
                  const std::vector<RunnerId>& runners);
   /// Work lost by stopping the run, in weighted core-milliseconds.
   std::int64_t PreemptionCost(const TaskName& name, const Run& run);
+  /// The same from the progress that the run and all members of its gang have
+  /// not saved.
+  std::int64_t UnsavedWork(const TaskName& name, const Run& run,
+                           std::int64_t weight);
+  std::int64_t UnsavedGangWork(const Step& step, const TaskName& name,
+                               const Run& run, std::int64_t weight);
+  /// True if the step waits for capacity that becomes free by itself sooner
+  /// than a stop would free it. Reserves that capacity.
+  bool WaitsForFreeCapacity(const PendingStep& pending,
+                            const PlacementRequest& request);
   /// True if the step may preempt this run. A step preempts lower priorities;
   /// within its guarantee it also preempts urgent work beyond its own
   /// guarantee.
@@ -239,6 +249,7 @@
   const TicketCache& advice_;
   JobRegistry& jobs_;
   CandidatePool pool_;
+  Fleet& fleet_;
   std::set<JobId> jobs_within_guarantee_;
   /// Total capacity of the urgent racks, free or not.
   Resources urgent_total_;
@@ -250,6 +261,8 @@
   /// True if the list of runners is recent enough to trust their capacities.
   bool capacities_known_ = false;
   std::set<TaskName> preempted_;
+  /// Unsaved work of gangs that may be preempted.
+  std::map<StepName, std::int64_t> unsaved_gang_work_;
   std::vector<PendingStep> pending_steps_;
   int reserved_gangs_ = 0;
   int gangs_seen_ = 0;
--- a/src/dispatch/planner_preemption.cc
+++ b/src/dispatch/planner_preemption.cc
@@ -5,11 +5,13 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
+#include <cstddef>
 #include <iterator>
 #include <limits>
 #include <utility>
 
 #include "dispatch/planner_pass.h"
+#include "dispatch/preemption_cost.h"
 
 namespace limeledge::dispatch {
 
@@ -20,6 +22,15 @@
 // loss by a stop.
 constexpr Duration kUnsavedProgress{1000};
 
+/// What a preemption of the run at `now` loses, if its progress was saved last
+/// at `saved_at`.
+RunAtRisk AtRisk(const Run& run, TimePoint saved_at, TimePoint now) {
+  if (run.phase != RunPhase::kRunning) return {run.need, Duration(0)};
+  // The start of a run that a poll confirmed first is not known.
+  const TimePoint from = std::max({saved_at, run.started_at, run.assigned_at});
+  return {run.need, now - from};
+}
+
 }  // namespace
 
 void Planner::Pass::AcquireCapacity(const PendingStep& pending,
@@ -48,6 +59,7 @@
   }
   WaitReason reason = WaitReason::kNoCapacity;
   if (MayPreemptAny(pending)) {
+    if (WaitsForFreeCapacity(pending, request)) return WaitReason::kNoCapacity;
     reason = Preempt(pending, request);
     // No step has a higher priority, so free capacity needs no reservation.
     if (pending.policy.priority == 0) return reason;
@@ -97,6 +109,9 @@
   const Job* job = jobs_.Find(name.job);
   if (job == nullptr) return 0;
   const StepSpec& spec = job->step_spec(name.step);
+  const bool urgent = PolicyOf(*job, catalog_).priority == 0;
+  const std::int64_t weight = urgent ? options_.urgent_victim_weight : 1;
+  if (planner_.preempts_by_loss_) return UnsavedWork(name, run, weight);
   const std::int64_t cores =
       run.need.cpu_millis +
       run.need.accelerators * options_.cores_per_accelerator * kMillisPerCore;
@@ -104,11 +119,85 @@
       run.phase == RunPhase::kRunning ? now_ - run.started_at : Duration(0);
   if (spec.saves_progress) lost = std::min(lost, kUnsavedProgress);
   const int members = spec.gang ? spec.count : 1;
-  const bool urgent = PolicyOf(*job, catalog_).priority == 0;
-  const std::int64_t weight = urgent ? options_.urgent_victim_weight : 1;
   return cores / kMillisPerCore * (lost.ms() + 1) * members * weight;
 }
 
+std::int64_t Planner::Pass::UnsavedWork(const TaskName& name, const Run& run,
+                                        std::int64_t weight) {
+  const Job* job = jobs_.Find(name.job);
+  if (!job->step_spec(name.step).gang) {
+    return dispatch::PreemptionCost(AtRisk(run, run.saved_at, now_),
+                                    {options_.cores_per_accelerator, weight});
+  }
+  // All members have the same cost, and each of them may be asked for.
+  const StepName gang{name.job, name.occurrence, name.step};
+  const auto known = unsaved_gang_work_.find(gang);
+  if (known != unsaved_gang_work_.end()) return known->second;
+  const Step& step = job->occurrences()[name.occurrence].steps[name.step];
+  return unsaved_gang_work_[gang] = UnsavedGangWork(step, name, run, weight);
+}
+
+std::int64_t Planner::Pass::UnsavedGangWork(const Step& step,
+                                            const TaskName& name,
+                                            const Run& run,
+                                            std::int64_t weight) {
+  std::vector<const Run*> members;
+  TaskName member = name;
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    member.index = static_cast<int>(i);
+    const auto found = fleet_.runners().find(step.tasks[i].incarnation.runner);
+    if (found == fleet_.runners().end()) continue;
+    const Run* other = found->second->FindRun(member, run.number);
+    if (other != nullptr) members.push_back(other);
+  }
+  // A checkpoint of one member is one of the whole gang.
+  TimePoint saved_at;
+  for (const Run* other : members) {
+    saved_at = std::max(saved_at, other->saved_at);
+  }
+  std::vector<RunAtRisk> at_risk;
+  for (const Run* other : members) {
+    at_risk.push_back(AtRisk(*other, saved_at, now_));
+  }
+  return dispatch::PreemptionCost(at_risk,
+                                  {options_.cores_per_accelerator, weight});
+}
+
+bool Planner::Pass::WaitsForFreeCapacity(const PendingStep& pending,
+                                         const PlacementRequest& request) {
+  if (!planner_.preempts_by_loss_) return false;
+  const auto since = planner_.delayed_since_.find(pending.key);
+  const bool first = since == planner_.delayed_since_.end();
+  PreemptionChoice choice;
+  choice.stop_time = planner_.stop_time_;
+  choice.waited = now_ - pending.step->ready_since;
+  choice.delayed = first ? Duration(0) : now_ - since->second;
+  choice.within_guarantee = pending.rank.within_guarantee;
+  choice.guarantee_time = options_.guarantee_time;
+  // Spares the forecast to steps that wait no more, however soon there is room.
+  if (!ShouldWaitForCapacity(choice)) return false;
+  std::optional<CapacityForecast> best;
+  for (const auto& [rack, candidates] : GroupCandidates(pending, request)) {
+    std::optional<CapacityForecast> forecast =
+        EarliestCapacity(candidates, request);
+    if (!forecast.has_value()) continue;
+    if (best.has_value() && best->until <= forecast->until) continue;
+    best = std::move(forecast);
+  }
+  if (!best.has_value()) return false;
+  choice.free_in = best->until;
+  if (!ShouldWaitForCapacity(choice)) return false;
+  if (first) {
+    planner_.delayed_since_[pending.key] = now_;
+    plan_.delays.push_back({pending.key, choice.free_in, choice.stop_time});
+  }
+  WakeAt(now_ + choice.stop_time - choice.delayed);
+  for (Candidate* candidate : best->candidates) {
+    candidate->room -= pending.spec->room();
+  }
+  return true;
+}
+
 bool Planner::Pass::MayPreempt(const PendingStep& pending, const TaskName& name,
                                const Run& run) {
   if (run.stopping || preempted_.count(name) != 0) return false;
@@ -389,6 +478,12 @@
     const bool old = now_ - it->second.since > options_.reservation_time * 2;
     it = old ? planner_.reservations_.erase(it) : std::next(it);
   }
+  // A step that no longer waits may wait again later, with another run.
+  for (auto it = planner_.delayed_since_.begin();
+       it != planner_.delayed_since_.end();) {
+    it = waits_.count(it->first) == 0 ? planner_.delayed_since_.erase(it)
+                                      : std::next(it);
+  }
 }
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/preemption_cost.cc
+++ b/src/dispatch/preemption_cost.cc
@@ -14,16 +14,19 @@
 
 }  // namespace
 
+std::int64_t PreemptionCost(const RunAtRisk& run,
+                            const PreemptionWeights& weights) {
+  const std::int64_t cores =
+      run.need.cpu_millis +
+      run.need.accelerators * weights.cores_per_accelerator * kMillisPerCore;
+  return cores * (run.unsaved.ms() + 1) / kMillisPerCore * weights.factor;
+}
+
 std::int64_t PreemptionCost(const std::vector<RunAtRisk>& runs,
                             const PreemptionWeights& weights) {
   std::int64_t cost = 0;
-  for (const RunAtRisk& run : runs) {
-    const std::int64_t cores =
-        run.need.cpu_millis +
-        run.need.accelerators * weights.cores_per_accelerator * kMillisPerCore;
-    cost += cores * (run.unsaved.ms() + 1) / kMillisPerCore;
-  }
-  return cost * weights.factor;
+  for (const RunAtRisk& run : runs) cost += PreemptionCost(run, weights);
+  return cost;
 }
 
 bool ShouldWaitForCapacity(const PreemptionChoice& choice) {
--- a/src/dispatch/preemption_cost.h
+++ b/src/dispatch/preemption_cost.h
@@ -30,9 +30,12 @@
   std::int64_t factor = 1;
 };
 
-/// The work that ends unsaved, in weighted core-milliseconds. A run without
-/// unsaved work counts as one millisecond, so that of two runs that have just
-/// saved the smaller one is cheaper. Thread-safe.
+/// The work of one run that ends unsaved, in weighted core-milliseconds.
+/// Without unsaved work it counts as one millisecond, so that of two runs that
+/// have just saved the smaller one is cheaper. Thread-safe.
+std::int64_t PreemptionCost(const RunAtRisk& run,
+                            const PreemptionWeights& weights);
+/// The same for all members of a gang.
 std::int64_t PreemptionCost(const std::vector<RunAtRisk>& runs,
                             const PreemptionWeights& weights);
 
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -70,6 +70,16 @@
   if (!obeyed) sent_at_.reset();
 }
 
+void RecordSave(int percent, const std::string& checkpoint, TimePoint now,
+                Run* run) {
+  const bool resumed = !run->checkpoint.empty();
+  if (resumed && run->percent == 0) run->saved_percent = percent;
+  if (checkpoint.empty() || checkpoint == run->checkpoint) return;
+  run->checkpoint = checkpoint;
+  run->saved_at = now;
+  run->saved_percent = percent;
+}
+
 Duration TimeLeft(const Run& run, TimePoint now) {
   if (run.phase != RunPhase::kRunning) return run.expected;
   const Duration elapsed = now - run.started_at;
@@ -156,11 +166,6 @@
       std::pow(slowness_, 1 - kPaceWeight) * std::pow(bounded, kPaceWeight);
 }
 
-bool Runner::IsSlowExcluding(const JobId& job) const {
-  const double slowness = job == pace_job_ ? slowness_before_ : slowness_;
-  return slowness >= kSlowRunnerRatio;
-}
-
 void Runner::RecordUsualPace(double ratio) {
   if (ratio > kUnusualPace || ratio < 1 / kUnusualPace) return;
   usual_pace_ += kUsualPaceWeight * (std::log(ratio) - usual_pace_);
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -98,6 +98,8 @@
   bool in_flight() const { return in_flight_; }
   /// True while the stop is queued or its answer is pending.
   bool open() const { return queued_ || in_flight_; }
+  /// When the stop was sent last; nothing if it was not, or had no effect.
+  std::optional<TimePoint> sent_at() const { return sent_at_; }
 
  private:
   bool queued_ = false;
@@ -136,6 +138,26 @@
   /// Where the latest measurement of the run's pace began.
   TimePoint pace_measured_from;
   int pace_percent = 0;
+  /// Projected duration over the expected one at the latest measurement of the
+  /// pace, the lowest such value so far, and how many percent each measured; 0
+  /// if there is none. Kept only while moves are decided by gain.
+  double pace_ratio = 0;
+  int pace_ratio_percent = 0;
+  double best_pace_ratio = 0;
+  int best_pace_percent = 0;
+  TimePoint pace_measured_at;
+  /// The expected duration at that measurement was confirmed by runs of the
+  /// step on other runners.
+  bool pace_compared = false;
+  /// The latest checkpoint that the run reported, or that it resumed from.
+  std::string checkpoint;
+  /// When that checkpoint was reported first, and the progress then, in
+  /// percent. The time is that of the start, and the progress the first that
+  /// was reported, while the run has saved nothing itself.
+  TimePoint saved_at;
+  int saved_percent = 0;
+  /// It was logged that a move of the run was considered and not made.
+  bool move_declined = false;
   /// The run started from the beginning and near its data.
   bool began_near_data = false;
   /// Its duration can be used for estimates, and was not so far.
@@ -170,6 +192,12 @@
   bool may_start_late = false;
 };
 
+/// Records that a running run reported this progress and checkpoint at `now`.
+/// Precondition: `run->percent` is still the progress reported before.
+/// Thread-safe for different runs.
+void RecordSave(int percent, const std::string& checkpoint, TimePoint now,
+                Run* run);
+
 /// Estimates the remaining time of a run, from its progress if it reported any.
 /// Thread-safe.
 Duration TimeLeft(const Run& run, TimePoint now);
@@ -381,7 +409,16 @@
   bool IsSlow() const { return slowness_ >= kSlowRunnerRatio; }
   /// True if the runner counts as slow because of other jobs than `job`. A run
   /// whose duration was estimated too short is as slow on every runner.
-  bool IsSlowExcluding(const JobId& job) const;
+  bool IsSlowExcluding(const JobId& job) const {
+    return SlownessExcluding(job) >= kSlowRunnerRatio;
+  }
+  /// The slowness without the latest measurements if they are from `job`.
+  double SlownessExcluding(const JobId& job) const {
+    return job == pace_job_ ? slowness_before_ : slowness_;
+  }
+  /// Since when the runs here have taken much longer than expected; nothing if
+  /// they do not. Kept only while moves are decided by gain.
+  std::optional<TimePoint> slow_since;
   /// Updates the usual pace: a run here takes `ratio` times as long as the runs
   /// of its step on other runners.
   void RecordUsualPace(double ratio);
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -121,6 +121,8 @@
         run.assigned_at = ctx.now();
         run.started_at = ctx.now();
         run.progressed_at = ctx.now();
+        run.checkpoint = task.checkpoint;
+        run.saved_at = ctx.now();
         run.suspect = IsSuspect(task.losses);
         runner->Add(name, run);
         // Rows of versions that did not store start times name no incarnation.
@@ -195,6 +197,13 @@
   for (const AdviceRequest& request : plan.advice_requests) {
     ticket_cache_.RequestTickets(ctx, request.step, request.runners);
   }
+  for (const PreemptionDelay& delay : plan.delays) {
+    ctx.Log(LogId::kPreemptionDelayed,
+            {{"job", delay.step.job.value()},
+             {"step", ToString(delay.step)},
+             {"free_in_ms", std::to_string(delay.free_in.ms())},
+             {"stop_ms", std::to_string(delay.stop_time.ms())}});
+  }
   for (const Preemption& preemption : plan.preemptions) {
     Preempt(ctx, preemption);
   }
@@ -228,6 +237,7 @@
   run.expected_pace = assignment.pace;
   run.began_near_data =
       assignment.near() && job->Find(name)->checkpoint.empty();
+  run.checkpoint = job->Find(name)->checkpoint;
   run.usable_for_estimates = run.began_near_data;
   const StepSpec& step = job->step_spec(name.step);
   run.measures_runner = run.began_near_data && !step.gang && !step.long_running;
@@ -272,12 +282,15 @@
   plan_due_ = false;
   last_pass_at_ = ctx.now();
   UpdateSpeedUse(ctx);
+  planner_.SetPreemptionByLoss(DecidesByGain(), longest_stop_);
   const Plan plan = planner_.Decide(
       ctx.now(), ctx.wall_ms(), *catalog_, run_time_estimator_,
       speeds_in_use_ ? &speeds_ : nullptr, ticket_cache_, &jobs_, &fleet_);
   next_pass_at_ = ctx.now() + options_.min_pass_interval +
                   options_.pass_interval_per_hundred_steps * plan.steps_tried /
                       kStepsPerDelay;
+  idle_accelerators_ = plan.idle_accelerators;
+  steps_waiting_ = plan.steps_waiting;
   ApplyPlan(ctx, plan);
   LogIdleAccelerators(ctx, plan);
   WriteWaitingCounts(ctx);
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -22,6 +22,7 @@
 #include "dispatch/job_registry.h"
 #include "dispatch/loss_tracker.h"
 #include "dispatch/planner.h"
+#include "dispatch/run_move.h"
 #include "dispatch/runner_speeds.h"
 #include "dispatch/state_writer.h"
 
@@ -36,9 +37,19 @@
   kOff,
 };
 
+/// When moves and preemptions are decided by their expected gain.
+enum class MovesByGain {
+  /// While the lasting speeds of runners influence decisions.
+  kAuto,
+  kOn,
+  kOff,
+};
+
 /// Options of the scheduler and its parts.
 struct SchedulerOptions {
   RunnerSpeedUse runner_speeds = RunnerSpeedUse::kAuto;
+  MovesByGain moves_by_gain = MovesByGain::kAuto;
+  MoveRules move_rules;
   FleetOptions fleet;
   PlannerOptions planner;
   StateWriterOptions writer;
@@ -373,8 +384,10 @@
                    Run* run);
   /// Compares a run's projected duration `duration_ms`, in milliseconds, with
   /// that of its step's runs on other runners and with the expected one.
+  /// `progress`: how many percent were measured.
   void EvaluatePace(Context& ctx, Runner* runner, Job* job,
-                    const TaskName& name, const Run& run, double duration_ms);
+                    const TaskName& name, Run* run, double duration_ms,
+                    int progress);
   /// Adds the run's duration to the estimates, once for each step, when enough
   /// of the run is done.
   void LearnRunTime(Context& ctx, Job* job, const TaskName& name, Run* run);
@@ -395,6 +408,47 @@
   /// Decides whether speeds influence decisions from now on.
   void UpdateSpeedUse(Context& ctx);
 
+  // Moves by expected gain (scheduler_moves.cc).
+  bool DecidesByGain() const;
+  /// Records the projected duration of a run over the expected one, and since
+  /// when its runner is slow. `progress`: how many percent were measured.
+  void RecordPaceRatio(Context& ctx, Runner* runner, const Job& job,
+                       const TaskName& name, Run* run, double ratio,
+                       bool compared, int progress);
+  /// Logarithms of the paces that other runs on the runner show at present,
+  /// relative to the expected ones.
+  std::vector<double> PacesOfOthers(TimePoint now, const Runner& runner,
+                                    const TaskName& name);
+  /// How slow the runner is at present without what the run `name` on it tells,
+  /// except that an independent run became slow itself.
+  PaceKnowledge TransientPace(TimePoint now, const Runner& runner,
+                              const TaskName& name, const Run& run, bool gang);
+  /// The same with the lasting pace, relative to the pace that the run was
+  /// placed with.
+  PaceKnowledge KnownPace(TimePoint now, const Runner& runner,
+                          const TaskName& name, const Run& run, bool gang);
+  /// Moves a run, or its gang, if it is expected to end earlier elsewhere.
+  /// `duration_ms`: its projected duration in milliseconds.
+  void ConsiderMove(Context& ctx, Runner* runner, const Job& job,
+                    const TaskName& name, Run* run, double duration_ms);
+  /// What is known of a run, or of its gang; nothing if a member does not run.
+  /// The place where it would continue is not set.
+  std::optional<MoveQuery> MakeMoveQuery(TimePoint now, const Job& job,
+                                         const TaskName& name, const Run& run,
+                                         double duration_ms);
+  /// Sets where the run would continue, `slow` being the runner to leave. False
+  /// if nothing is known to become free for it.
+  bool FindPlaceElsewhere(TimePoint now, const Runner& slow, const Job& job,
+                          const StepSpec& step, const Run& run,
+                          MoveQuery* query);
+  /// Stops a run and its gang, to continue without the slow runner.
+  void MoveByGain(Context& ctx, Runner* runner, const TaskName& name,
+                  const Run& run, const MoveDecision& decision,
+                  Duration remaining, const Runner& slow);
+  /// Stops a run that must leave its runner, together with its gang if
+  /// decisions are made by gain.
+  void StopToMove(Context& ctx, Runner* runner, const TaskName& name);
+
   /// Moves a run off a runner that became slow, if that saves time.
   void MoveOffSlowRunner(Context& ctx, Runner* runner, const TaskName& name,
                          const Run& run, Duration remaining, Duration expected);
@@ -437,6 +491,12 @@
   RunTimeEstimator run_time_estimator_;
   RunnerSpeeds speeds_;
   bool speeds_in_use_ = false;
+  /// The longest time from sending a stop to the end of the run, bounded by the
+  /// time after which a stop is sent again; 0 if none was seen.
+  Duration longest_stop_;
+  /// Result of the latest planning pass.
+  IdleAccelerators idle_accelerators_;
+  int steps_waiting_ = 0;
   TicketCache ticket_cache_;
   Planner planner_;
   const Catalog* catalog_ = nullptr;
--- a/src/dispatch/scheduler_pace.cc
+++ b/src/dispatch/scheduler_pace.cc
@@ -40,15 +40,21 @@
   run->pace_measured_from = ctx.now();
   run->pace_percent = run->percent;
   MeasureSpeed(ctx, *runner, *job, name, run, false);
-  EvaluatePace(ctx, runner, job, name, *run, duration_ms);
+  EvaluatePace(ctx, runner, job, name, run, duration_ms, progress);
   LearnRunTime(ctx, job, name, run);
 }
 
 void Scheduler::EvaluatePace(Context& ctx, Runner* runner, Job* job,
-                             const TaskName& name, const Run& run,
-                             double duration_ms) {
+                             const TaskName& name, Run* run, double duration_ms,
+                             int progress) {
   Step& step = job->occurrences()[name.occurrence].steps[name.step];
-  const Duration elsewhere = step.MeanDurationElsewhere(runner->incarnation());
+  const bool by_gain = DecidesByGain();
+  // Members of a gang advance together, so that a comparison of their paces
+  // says nothing about their runners.
+  const bool comparable = !by_gain || !job->step_spec(name.step).gang;
+  const Duration elsewhere =
+      comparable ? step.MeanDurationElsewhere(runner->incarnation())
+                 : Duration(0);
   const Duration measured(std::llround(duration_ms));
   if (elsewhere > Duration(0)) {
     runner->RecordUsualPace(duration_ms / static_cast<double>(elsewhere.ms()));
@@ -58,10 +64,16 @@
   const std::optional<double> factor =
       run_time_estimator_.UpperBoundFactor(job->spec().queue);
   if (!factor.has_value()) return;
-  const Duration expected = std::max({run.expected, elsewhere, Duration(1)});
+  const Duration expected = std::max({run->expected, elsewhere, Duration(1)});
   const double ratio = duration_ms / static_cast<double>(expected.ms());
+  if (by_gain) {
+    RecordPaceRatio(ctx, runner, *job, name, run, ratio,
+                    elsewhere > Duration(0), progress);
+    ConsiderMove(ctx, runner, *job, name, run, duration_ms);
+    return;
+  }
   runner->RecordPace(ratio, job->spec().id);
-  const double remaining = duration_ms * (kComplete - run.percent) / kComplete;
+  const double remaining = duration_ms * (kComplete - run->percent) / kComplete;
   // Measured durations of the step's other runs are more reliable than
   // estimates.
   const double max_ratio = elsewhere > Duration(0)
@@ -70,8 +82,8 @@
   const bool confirmed_by_others =
       elsewhere > Duration(0) || runner->IsSlowExcluding(job->spec().id);
   if (ratio > max_ratio && confirmed_by_others) {
-    MoveOffSlowRunner(ctx, runner, name, run, Duration(std::llround(remaining)),
-                      expected);
+    MoveOffSlowRunner(ctx, runner, name, *run,
+                      Duration(std::llround(remaining)), expected);
   }
 }
 
@@ -144,7 +156,7 @@
                                {"runner", runner->id().value()},
                                {"percent", std::to_string(run->percent)}});
   BackOff(ctx, runner, options_.stall_backoff, "a run stalled");
-  RequestStop(ctx, runner, name);
+  StopToMove(ctx, runner, name);
 }
 
 void Scheduler::CheckDraining(Context& ctx, Runner* runner,
@@ -166,7 +178,7 @@
   ctx.Log(LogId::kRunEvacuated, {{"task", ToString(name)},
                                  {"runner", runner->id().value()},
                                  {"percent", std::to_string(run.percent)}});
-  RequestStop(ctx, runner, name);
+  StopToMove(ctx, runner, name);
 }
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -67,6 +68,7 @@
     run->started_at = ctx.now();
     run->progressed_at = ctx.now();
     run->pace_measured_from = ctx.now();
+    run->saved_at = ctx.now();
     if (run->stopping) RequestStop(ctx, runner, answer.task);
     return LeaseStatus::kHeld;
   }
@@ -153,6 +155,12 @@
   const auto found = runner->runs().find(name);
   if (found == runner->runs().end()) return;
   const int number = found->second.number;
+  const std::optional<TimePoint> stop_sent = found->second.stop.sent_at();
+  if (end == RunEnd::kStopped && stop_sent.has_value()) {
+    const Duration took = ctx.now() - *stop_sent;
+    longest_stop_ =
+        std::max(longest_stop_, std::min(took, options_.stop_retry_interval));
+  }
   const Duration ran = found->second.phase == RunPhase::kRunning
                            ? ctx.now() - found->second.started_at
                            : Duration(0);
@@ -394,6 +402,7 @@
   }
   const bool progressed = reported.percent != run->percent;
   if (progressed) run->progressed_at = ctx.now();
+  RecordSave(reported.percent, reported.checkpoint, ctx.now(), run);
   run->percent = reported.percent;
   if (run->phase == RunPhase::kInherited ||
       run->phase == RunPhase::kUnconfirmed) {
--- a/src/dispatch/tuning.cc
+++ b/src/dispatch/tuning.cc
@@ -6,8 +6,8 @@
 
 #include "dispatch/tuning.h"
 
+#include <cstddef>
 #include <cstdint>
-#include <utility>
 #include <variant>
 
 #include "absl/strings/numbers.h"
@@ -18,7 +18,7 @@
 namespace {
 
 using Field = std::variant<Duration*, double*, int*, std::int64_t*, bool*,
-                           RunnerSpeedUse*>;
+                           RunnerSpeedUse*, MovesByGain*>;
 
 /// An option that can be set by name.
 struct Tunable {
@@ -59,6 +59,7 @@
       {"busy-wait", &fleet.busy_wait},
       {"idle-wait", &fleet.idle_wait},
       {"runner-speeds", &scheduler.runner_speeds},
+      {"moves-by-gain", &scheduler.moves_by_gain},
       {"run-lease", &fleet.run_lease},
       {"leader-lease", &options->leadership.lease},
       {"leader-poll", &options->leadership.poll_interval},
@@ -88,27 +89,54 @@
   return absl::SimpleAtob(text, field);
 }
 
-constexpr std::pair<RunnerSpeedUse, const char*> kSpeedUses[] = {
+template <typename Use>
+struct NamedUse {
+  Use value;
+  const char* name;
+};
+constexpr NamedUse<RunnerSpeedUse> kSpeedUses[] = {
     {RunnerSpeedUse::kAuto, "auto"},
     {RunnerSpeedUse::kOn, "on"},
     {RunnerSpeedUse::kOff, "off"}};
-
-bool Parse(const std::string& text, RunnerSpeedUse* field) {
-  for (const auto& [use, name] : kSpeedUses) {
-    if (text != name) continue;
-    *field = use;
+constexpr NamedUse<MovesByGain> kGainUses[] = {{MovesByGain::kAuto, "auto"},
+                                               {MovesByGain::kOn, "on"},
+                                               {MovesByGain::kOff, "off"}};
+
+template <typename Use, std::size_t kCount>
+bool ParseUse(const NamedUse<Use> (&uses)[kCount], const std::string& text,
+              Use* field) {
+  for (const NamedUse<Use>& use : uses) {
+    if (text != use.name) continue;
+    *field = use.value;
     return true;
   }
   return false;
 }
 
-std::string Format(const RunnerSpeedUse* field) {
-  for (const auto& [use, name] : kSpeedUses) {
-    if (use == *field) return name;
+template <typename Use, std::size_t kCount>
+std::string FormatUse(const NamedUse<Use> (&uses)[kCount], Use value) {
+  for (const NamedUse<Use>& use : uses) {
+    if (use.value == value) return use.name;
   }
   return "";
 }
 
+bool Parse(const std::string& text, RunnerSpeedUse* field) {
+  return ParseUse(kSpeedUses, text, field);
+}
+
+bool Parse(const std::string& text, MovesByGain* field) {
+  return ParseUse(kGainUses, text, field);
+}
+
+std::string Format(const RunnerSpeedUse* field) {
+  return FormatUse(kSpeedUses, *field);
+}
+
+std::string Format(const MovesByGain* field) {
+  return FormatUse(kGainUses, *field);
+}
+
 std::string Format(const Duration* field) { return absl::StrCat(field->ms()); }
 std::string Format(const bool* field) { return *field ? "true" : "false"; }
 template <typename Number>
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -94,6 +94,7 @@
   options.instance = AddressOf(node);
   options.peer_address = options.instance;
   options.scheduler.planner = options_.planner;
+  options.scheduler.moves_by_gain = options_.moves_by_gain;
   options.scheduler.job_registry = options_.job_registry;
   options.scheduler.loss = options_.loss;
   process.node = std::make_unique<dispatch::Node>(options);
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -45,6 +45,7 @@
   Duration capacity_notice{4500};
   /// Options of the scheduler of every node.
   dispatch::PlannerOptions planner;
+  dispatch::MovesByGain moves_by_gain = dispatch::MovesByGain::kAuto;
   dispatch::JobRegistryOptions job_registry;
   dispatch::LossRules loss;
   /// One-way delay between any two parties.
--- a/test/tuning-test.cc
+++ b/test/tuning-test.cc
@@ -19,6 +19,8 @@
   Tune("patience=900", &options, &findings);
   Tune("urgent-share=0.5", &options, &findings);
   Tune("kept-gangs=2", &options, &findings);
+  Tune("moves-by-gain=off", &options, &findings);
+  CHECK_TRUE(options.scheduler.moves_by_gain == MovesByGain::kOff);
   CHECK_TRUE(findings.empty());
   LONGS_EQUAL(900, options.scheduler.planner.locality_wait.ms());
   DOUBLES_EQUAL(0.5, options.scheduler.planner.urgent_share, 1e-9);
@@ -28,9 +30,10 @@
 TEST(Tuning, ReportsInvalidSettingsAndChangesNothing) {
   const std::vector<std::string> before = ListTuning(options);
   Tune("patience=soon", &options, &findings);
+  Tune("moves-by-gain=sometimes", &options, &findings);
   Tune("no-such-thing=1", &options, &findings);
   Tune("patience", &options, &findings);
-  LONGS_EQUAL(3, findings.all().size());
+  LONGS_EQUAL(4, findings.all().size());
   CHECK_TRUE(before == ListTuning(options));
 }
 
