--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -233,6 +233,13 @@
       {LogId::kStepDeferred, kInfo, "step_deferred",
        "Not all waiting urgent steps can be in time; this one is placed after "
        "the others, and the field says why it."},
+      {LogId::kMoveDeclined, kInfo, "move_declined",
+       "A run takes long or is on a slow runner, but is not moved; the field "
+       "says why. At most once a run."},
+      {LogId::kPreemptionDelayed, kInfo, "preemption_delayed",
+       "A step waits for capacity that becomes free by itself, instead of "
+       "preempting runs; the fields say how soon and how long a stop would "
+       "take."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -111,6 +111,8 @@
   kForecastChanged = 956,
   kSubmitRefused = 957,
   kStepDeferred = 959,
+  kMoveDeclined = 960,
+  kPreemptionDelayed = 961,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/tuning.cc
+++ b/src/dispatch/tuning.cc
@@ -6,8 +6,8 @@
 
 #include "dispatch/tuning.h"
 
+#include <cstddef>
 #include <cstdint>
-#include <utility>
 #include <variant>
 
 #include "absl/strings/numbers.h"
@@ -18,7 +18,7 @@
 namespace {
 
 using Field = std::variant<Duration*, double*, int*, std::int64_t*, bool*,
-                           RunnerSpeedUse*, AdmissionUse*>;
+                           RunnerSpeedUse*, AdmissionUse*, MovesByGain*>;
 
 /// An option that can be set by name.
 struct Tunable {
@@ -61,6 +61,7 @@
       {"idle-wait", &fleet.idle_wait},
       {"runner-speeds", &scheduler.runner_speeds},
       {"admission", &options->admission.use},
+      {"moves-by-gain", &scheduler.moves_by_gain},
       {"run-lease", &fleet.run_lease},
       {"leader-lease", &options->leadership.lease},
       {"leader-poll", &options->leadership.poll_interval},
@@ -113,6 +114,10 @@
   return ParseUse(text, field);
 }
 
+bool Parse(const std::string& text, MovesByGain* field) {
+  return ParseUse(text, field);
+}
+
 template <typename Use>
 std::string FormatUse(Use value) {
   for (const auto& [use, name] : kUses<Use>) {
@@ -123,6 +128,7 @@
 
 std::string Format(const RunnerSpeedUse* field) { return FormatUse(*field); }
 std::string Format(const AdmissionUse* field) { return FormatUse(*field); }
+std::string Format(const MovesByGain* field) { return FormatUse(*field); }
 
 std::string Format(const Duration* field) { return absl::StrCat(field->ms()); }
 std::string Format(const bool* field) { return *field ? "true" : "false"; }
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -100,9 +100,9 @@
   options.peer_address = options.instance;
   options.scheduler.runner_speeds = options_.runner_speeds;
   options.scheduler.planner = options_.planner;
+  options.scheduler.moves_by_gain = options_.moves_by_gain;
   options.scheduler.job_registry = options_.job_registry;
   options.scheduler.loss = options_.loss;
-  options.scheduler.runner_speeds = options_.runner_speeds;
   options.admission = options_.admission;
   process.node = std::make_unique<dispatch::Node>(options);
   Reduce(node, dispatch::TimerFired());
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -54,9 +54,9 @@
   /// Options of the scheduler of every node.
   dispatch::RunnerSpeedUse runner_speeds = dispatch::RunnerSpeedUse::kAuto;
   dispatch::PlannerOptions planner;
+  dispatch::MovesByGain moves_by_gain = dispatch::MovesByGain::kAuto;
   dispatch::JobRegistryOptions job_registry;
   dispatch::LossRules loss;
-  dispatch::RunnerSpeedUse runner_speeds = dispatch::RunnerSpeedUse::kAuto;
   dispatch::AdmissionOptions admission;
   /// One-way delay between any two parties.
   Duration network{1};
