--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -109,14 +109,6 @@
   return PaceRankOf(*request.pace, slowest.Distribution());
 }
 
-/// False if the request excludes the candidate for its pace.
-bool IsFastEnough(const Candidate& candidate, const PlacementRequest& request) {
-  if (!request.pace.has_value() || candidate.pace == nullptr) return true;
-  const PacePreference& preference = *request.pace;
-  return preference.min_chance <= 0 ||
-         preference.on_time.Of(*candidate.pace) >= preference.min_chance;
-}
-
 /// Work at risk if the request's tasks crash their runners.
 std::int64_t RiskOf(const Candidate& candidate,
                     const PlacementRequest& request) {
@@ -193,7 +185,6 @@
   if (candidate.CountSharing(ConflictingSharing(step.sharing())) > 0) {
     return false;
   }
-  if (!IsFastEnough(candidate, request)) return false;
   return MaxTasksOn(request, candidate) > 0;
 }
 
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -75,8 +75,6 @@
   /// Prefers runners of unknown pace, and may use one for each of them in racks
   /// that are closed to the request.
   bool measures_runners = false;
-  /// Excludes runners on which the chance to end in time is smaller.
-  double min_chance = 0;
 };
 
 /// Describes the tasks to place and the constraints on their runners.
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -229,15 +229,7 @@
   /// rack, and all of them under an empty key.
   std::map<std::string, std::vector<Candidate*>> GroupCandidates(
       const PendingStep& pending, const PlacementRequest& request);
-  /// The cheapest runs whose preemption frees capacity for the whole step;
-  /// empty if there are too few.
-  std::vector<PreemptionOption> FindPreemptions(
-      const PendingStep& pending, const PlacementRequest& request);
-  /// The request without the runners on which the step is much less probably in
-  /// time than on the best one. Precondition: it has a `pace`.
-  PlacementRequest OnFastRunners(const PlacementRequest& request);
-  /// Preempts the cheapest runs that free capacity for the whole step, on fast
-  /// runners if there are enough.
+  /// Preempts the cheapest runs that free capacity for the whole step.
   WaitReason Preempt(const PendingStep& pending,
                      const PlacementRequest& request);
   /// Adds the best-effort runs on a candidate that are not being stopped to
--- a/src/dispatch/planner_preemption.cc
+++ b/src/dispatch/planner_preemption.cc
@@ -18,9 +18,6 @@
 namespace {
 
 constexpr std::int64_t kMillisPerCore = 1000;
-// Runs are preempted first on runners whose chance to end the step in time is
-// this close to the best one.
-constexpr double kChanceTolerance = 0.2;
 // Runs that save their progress do so every second or two, which bounds the
 // loss by a stop.
 constexpr Duration kUnsavedProgress{1000};
@@ -312,8 +309,8 @@
   return groups;
 }
 
-std::vector<Planner::Pass::PreemptionOption> Planner::Pass::FindPreemptions(
-    const PendingStep& pending, const PlacementRequest& request) {
+WaitReason Planner::Pass::Preempt(const PendingStep& pending,
+                                  const PlacementRequest& request) {
   std::vector<PreemptionOption> best;
   std::int64_t best_cost = std::numeric_limits<std::int64_t>::max();
   for (const auto& [rack, candidates] : GroupCandidates(pending, request)) {
@@ -326,30 +323,6 @@
     best_cost = cost;
     best = std::move(options);
   }
-  return best;
-}
-
-PlacementRequest Planner::Pass::OnFastRunners(const PlacementRequest& request) {
-  double best_chance = 0;
-  for (const Candidate& candidate : pool_.candidates()) {
-    if (candidate.pace == nullptr) continue;
-    best_chance =
-        std::max(best_chance, request.pace->on_time.Of(*candidate.pace));
-  }
-  PlacementRequest fast = request;
-  fast.pace->min_chance = best_chance - kChanceTolerance;
-  return fast;
-}
-
-WaitReason Planner::Pass::Preempt(const PendingStep& pending,
-                                  const PlacementRequest& request) {
-  std::vector<PreemptionOption> best;
-  // The cheapest runs to stop are often on slow runners, where the step would
-  // be late in spite of them.
-  if (request.pace.has_value() && !request.pace->has_slack) {
-    best = FindPreemptions(pending, OnFastRunners(request));
-  }
-  if (best.empty()) best = FindPreemptions(pending, request);
   if (best.empty()) return WaitReason::kNotEnoughPreemptible;
   CommitPreemptions(pending, best);
   return WaitReason::kPreempting;
