--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -73,6 +73,13 @@
          candidate.runner->info().labels.count(step.data_rack) == 0;
 }
 
+/// True if a task of the request would measure the candidate. A run away from
+/// its data yields no measurement.
+bool Measures(const Candidate& candidate, const PlacementRequest& request) {
+  return request.pace.has_value() && request.pace->measures_runners &&
+         candidate.unmeasured && !IsFar(candidate, *request.step);
+}
+
 /// Ranks a place regardless of its capacity; smaller is better. A run far from
 /// its data takes three times as long, which is worse than a slow runner but
 /// better than one that may fail the run.
@@ -92,9 +99,7 @@
 /// Ranks the pace of a candidate for one task; 0 while speeds are not in use.
 int PaceRankOf(const Candidate& candidate, const PlacementRequest& request) {
   if (!request.pace.has_value() || candidate.pace == nullptr) return 0;
-  if (request.pace->measures_runners && candidate.unmeasured) {
-    return kMeasuringRank;
-  }
+  if (Measures(candidate, request)) return kMeasuringRank;
   return PaceRankOf(*request.pace, *candidate.pace);
 }
 
@@ -165,10 +170,9 @@
     return false;
   }
   if (request.is_last_attempt && candidate.suspect) return false;
-  const bool measures = request.pace.has_value() &&
-                        request.pace->measures_runners && candidate.unmeasured;
-  const bool closed = candidate.urgent_rack && !measures &&
-                      request.urgent_racks == UrgentRacks::kClosed;
+  const bool closed = candidate.urgent_rack &&
+                      request.urgent_racks == UrgentRacks::kClosed &&
+                      !Measures(candidate, request);
   if (closed || info.service != request.service) return false;
   if (request.allowed != nullptr &&
       request.allowed->count(candidate.runner->incarnation()) == 0) {
@@ -292,16 +296,19 @@
     // A gang is as slow as its slowest member and fails if any member fails.
     const Fitness fitness = FitnessOf(LowestTrustIn(chosen, request),
                                       AnyIsFar(chosen, *request.step));
-    const Candidate& first = *candidates.front();
-    const bool preferred =
-        first.urgent_rack && request.urgent_racks == UrgentRacks::kPreferred;
+    // While speeds are in use, only some runners of a rack are reserved.
+    const bool preferred = request.urgent_racks == UrgentRacks::kPreferred &&
+                           std::all_of(chosen.begin(), chosen.end(),
+                                       [](const Candidate* candidate) {
+                                         return candidate->urgent_rack;
+                                       });
     std::int64_t risk = 0;
     for (const Candidate* candidate : chosen) {
       risk += RiskOf(*candidate, request);
     }
     const std::tuple<std::int64_t, Fitness, int, bool, std::int64_t> cost = {
         risk, fitness, PaceRankOf(chosen, request), !preferred,
-        free_accelerators_[first.rack_number]};
+        free_accelerators_[candidates.front()->rack_number]};
     if (!best.empty() && cost >= best_cost) continue;
     best = std::move(chosen);
     best_cost = cost;
--- a/src/dispatch/planner_placement.cc
+++ b/src/dispatch/planner_placement.cc
@@ -381,7 +381,14 @@
 Planner::Pass::TaskPlacementResult Planner::Pass::PlaceFittingTasks(
     PendingStep* pending, PlacementRequest* request) {
   TaskPlacementResult placed;
+  const bool measures =
+      request->pace.has_value() && request->pace->measures_runners;
   for (const int index : pending->waiting) {
+    // A run that resumes from a checkpoint yields no measurement.
+    if (measures) {
+      request->pace->measures_runners =
+          pending->step->tasks[index].checkpoint.empty();
+    }
     request->is_suspect = false;
     if (pending->IsSuspectTask(index)) MinimizeWorkAtRisk(request);
     request->is_last_attempt =
