Switch admission control off by default

A review showed two false refusals in auto: a short job that the planner would place first by its deadline is refused for the work behind it, and a job whose label is away for some seconds is told that it can never run.

--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -34,7 +34,9 @@
 
 /// Limits of the decision.
 struct AdmissionOptions {
-  AdmissionUse use = AdmissionUse::kAuto;
+  /// Off by default: the forecast still counts work of equal priority that the
+  /// planner would place later, and a label may be missing only for a while.
+  AdmissionUse use = AdmissionUse::kOff;
   /// Maximum age of the summary, by both clocks.
   Duration max_age{3000};
   /// Refusals of this last time widen the interval over which refused callers
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -57,7 +57,7 @@
   dispatch::MovesByGain moves_by_gain = dispatch::MovesByGain::kAuto;
   dispatch::JobRegistryOptions job_registry;
   dispatch::LossRules loss;
-  dispatch::AdmissionOptions admission;
+  dispatch::AdmissionOptions admission{dispatch::AdmissionUse::kAuto};
   /// One-way delay between any two parties.
   Duration network{1};
   Duration store_time{4};
--- a/test/tuning-test.cc
+++ b/test/tuning-test.cc
@@ -28,6 +28,8 @@
 }
 
 TEST(Tuning, SetsTheSwitchOfAdmission) {
+  CHECK_TRUE(options.admission.use == AdmissionUse::kOff);
+  Tune("admission=auto", &options, &findings);
   CHECK_TRUE(options.admission.use == AdmissionUse::kAuto);
   Tune("admission=off", &options, &findings);
   CHECK_TRUE(options.admission.use == AdmissionUse::kOff);
