Count decisions by reason, and show runner speeds as metrics

The counter of events has the reasons of moves by gain, declined moves and deferred steps, as of refused submits before. LL915 has a reason if the move was decided by gain. Gauges show whether speeds are in use, their spread and the number of measured runners.

--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -80,6 +80,10 @@
   TimePoint next_at() const;
 
   bool leads() const { return scheduler_ != nullptr; }
+  /// The default unless this node leads.
+  SpeedStatus speed_status() const {
+    return leads() ? scheduler_->speed_status() : SpeedStatus();
+  }
   /// False while this node considers the store unavailable.
   bool StoreAnswers() const;
   /// Whether a store outage affects only this node, as far as peers could tell.
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -47,6 +47,14 @@
   kOff,
 };
 
+/// What is known of the lasting speeds of runners.
+struct SpeedStatus {
+  bool in_use = false;
+  /// Lower bound on the standard deviation of log paces among runners.
+  double spread = 0;
+  int measured_runners = 0;
+};
+
 /// Options of the scheduler and its parts.
 struct SchedulerOptions {
   RunnerSpeedUse runner_speeds = RunnerSpeedUse::kAuto;
@@ -213,6 +221,9 @@
   /// The forecast that the leader row tells; null if there is none, or if this
   /// node may no longer hold the lease.
   const CapacitySummary* forecast() const;
+  SpeedStatus speed_status() const {
+    return {speeds_in_use_, speeds_.Spread(), speeds_.measured_runners()};
+  }
   /// When the store last confirmed the lease.
   TimePoint confirmed_at() const { return writer_.confirmed_at(); }
   bool store_answers() const { return writer_.store_answers(); }
--- /dev/null
+++ b/test/metrics-test.cc
@@ -0,0 +1,67 @@
+/// @file
+/// Tests of the metrics of decisions.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "platform/metrics.h"
+
+#include <string>
+
+#include "CppUTest/TestHarness.h"
+
+namespace limeledge::platform {
+
+TEST_GROUP(Metrics) {
+  Metrics metrics;
+
+  void Count(LogId id, const std::string& reason) {
+    metrics.CountEvent({id, {{"job", "a1"}, {"reason", reason}}});
+  }
+
+  void CheckLine(const std::string& line) {
+    const std::string text = metrics.Text();
+    const bool found =
+        ("\n" + text).find("\n" + line + "\n") != std::string::npos;
+    CHECK_TEXT(found, ("missing: " + line + " in\n" + text).c_str());
+  }
+};
+
+// Guards against totals that hide which reason prevails.
+TEST(Metrics, DecisionsAreCountedByReason) {
+  Count(LogId::kSubmitRefused, "step too large");
+  Count(LogId::kSubmitRefused, "too late to be of use");
+  Count(LogId::kSubmitRefused, "too late to be of use");
+  Count(LogId::kMoveDeclined, "r");
+  Count(LogId::kRunMoved, "r");
+  Count(LogId::kStepDeferred, "r");
+  CheckLine(
+      "limeledge_events_total{event=\"submit_refused\",reason=\"step too "
+      "large\"} 1");
+  CheckLine(
+      "limeledge_events_total{event=\"submit_refused\",reason=\"too late to "
+      "be of use\"} 2");
+  CheckLine("limeledge_events_total{event=\"move_declined\",reason=\"r\"} 1");
+  CheckLine("limeledge_events_total{event=\"run_moved\",reason=\"r\"} 1");
+  CheckLine("limeledge_events_total{event=\"step_deferred\",reason=\"r\"} 1");
+}
+
+// Guards against one time series for each error text.
+TEST(Metrics, EventWithAFreeTextIsCountedWithoutIt) {
+  Count(LogId::kLeaderLost, "error 17 of call 4711");
+  CheckLine("limeledge_events_total{event=\"leader_lost\",reason=\"\"} 1");
+}
+
+// Guards against values of an earlier term that stay visible.
+TEST(Metrics, SpeedsAreZeroAgainAfterTheTerm) {
+  metrics.SetSpeeds({true, 0.25, 7});
+  CheckLine("limeledge_speeds_in_use 1");
+  CheckLine("limeledge_speed_spread 0.25");
+  CheckLine("limeledge_measured_runners 7");
+  metrics.SetSpeeds({});
+  CheckLine("limeledge_speeds_in_use 0");
+  CheckLine("limeledge_speed_spread 0");
+  CheckLine("limeledge_measured_runners 0");
+}
+
+}  // namespace limeledge::platform
--- a/test/moves-test.cc
+++ b/test/moves-test.cc
@@ -93,6 +93,7 @@
   for (const auto& [name, starts] : trial.Watch(job).starts) {
     LONGS_EQUAL(2, starts);
   }
+  CHECK_TRUE(trial.CountLines("reason=it ends sooner elsewhere") > 0);
   CHECK_TRUE(trial.system.violations().empty());
 }
 
