--- a/src/cli/job_history.cc
+++ b/src/cli/job_history.cc
@@ -47,6 +47,16 @@
   return RunFate::kStopped;
 }
 
+/// Returns the decision about a job that an event records; empty for other
+/// events.
+std::string DecisionOf(const std::string& event) {
+  if (event == "submit_refused") return "submit refused";
+  if (event == "step_deferred") return "step placed after the others";
+  if (event == "move_declined") return "run not moved";
+  if (event == "preemption_delayed") return "waited instead of preempting";
+  return "";
+}
+
 /// Builds the histories from log lines that are added in order of time.
 class HistoryReader {
  public:
@@ -68,6 +78,7 @@
   void AddStop(const LogEntry& entry, RunFate fate);
   void AddEnd(const LogEntry& entry);
   void AddWait(const LogEntry& entry);
+  void AddDecision(const LogEntry& entry, const std::string& decision);
   void AddSettled(const LogEntry& entry);
   void AddLeadership(const LogEntry& entry);
   void EndLeadershipTerm(const std::string& instance, std::int64_t at_ms);
@@ -177,6 +188,17 @@
        static_cast<int>(IntFieldOf(entry, "tasks"))});
 }
 
+void HistoryReader::AddDecision(const LogEntry& entry,
+                                const std::string& decision) {
+  // Lines about runs name the task and not the job.
+  const std::string& id = entry.Field("job");
+  JobHistory* job = id.empty() ? TaskOf(entry).job : JobOf(id);
+  if (job == nullptr) return;
+  const std::string& reason = entry.Field("reason");
+  job->decisions.push_back(
+      {entry.wall_ms, reason.empty() ? decision : decision + ": " + reason});
+}
+
 void HistoryReader::AddSettled(const LogEntry& entry) {
   JobHistory* job = JobOf(entry.Field("job"));
   // A new scheduler may settle the job again if the first time was not stored.
@@ -210,6 +232,7 @@
 void HistoryReader::Add(const LogEntry& entry) {
   const std::string& event = entry.event;
   const RunFate stop = FateOfStop(event);
+  const std::string decision = DecisionOf(event);
   if (event == "call_answered") {
     AddCall(entry);
   } else if (event == "job_accepted") {
@@ -224,6 +247,8 @@
     AddEnd(entry);
   } else if (event == "step_waits") {
     AddWait(entry);
+  } else if (!decision.empty()) {
+    AddDecision(entry, decision);
   } else if (event == "job_settled") {
     AddSettled(entry);
   } else if (event == "leader_claimed" || event == "leader_lost" ||
--- a/src/cli/job_history.h
+++ b/src/cli/job_history.h
@@ -96,6 +96,13 @@
   int tasks = 0;
 };
 
+/// A decision of the scheduler or of a front end about a job, in words, such as
+/// a refused submit or a move that was declined.
+struct LoggedDecision {
+  std::int64_t at_ms = 0;
+  std::string text;
+};
+
 /// Occurrence and step.
 using StepKey = std::pair<int, int>;
 
@@ -124,6 +131,8 @@
   std::map<TaskKey, std::vector<LoggedRun>> tasks;
   /// Waits of each step, in order of time.
   std::map<StepKey, std::vector<LoggedWait>> waits;
+  /// In order of time.
+  std::vector<LoggedDecision> decisions;
 };
 
 /// A time span in which one process was the scheduler.
--- a/src/cli/merged_log.cc
+++ b/src/cli/merged_log.cc
@@ -52,6 +52,19 @@
     {"preemption_delayed",
      "step {step} preempts nothing, since room becomes free in {free_in_ms} ms "
      "and a stop takes {stop_ms} ms"},
+    {"submit_refused",
+     "the submit to queue {queue} of {workspace} is refused, and the job not "
+     "stored: {reason}"},
+    {"step_deferred", "step {step} is placed after the others: {reason}"},
+    {"speeds_in_use",
+     "lasting speeds of runners influence decisions: {in_use} (spread "
+     "{spread}, {measured} runners measured)"},
+    {"speeds_restored",
+     "stored speeds of {runners} runners are used, the oldest of {oldest_ms} "
+     "ms ago"},
+    {"forecast_changed",
+     "the capacity told to all nodes is that of services [{services}], with "
+     "waits for queues [{waits}]"},
     {"run_lost",
      "run {run} of {task} went with runner {runner}, which fell silent "
      "{lasted_ms} ms after the start ({runner_end})"},
@@ -101,6 +114,13 @@
          event == "write_in_doubt" || event == "stood_still";
 }
 
+/// Events about what decisions on jobs in general depend on: the use of runner
+/// speeds, and the forecast by which submits are refused.
+bool ConcernsDecisions(const std::string& event) {
+  return event == "speeds_in_use" || event == "speeds_restored" ||
+         event == "forecast_changed";
+}
+
 bool ConcernsRunner(const std::string& event) {
   return absl::StartsWith(event, "runner_");
 }
@@ -289,6 +309,7 @@
       if (entry.event == "run_ended") --runners[runner];
       lines.push_back(entry);
     } else if (ConcernsSchedulerOrStore(entry.event) ||
+               ConcernsDecisions(entry.event) ||
                (ConcernsRunner(entry.event) && runners[runner] > 0)) {
       lines.push_back(entry);
     }
--- a/src/cli/report_command.cc
+++ b/src/cli/report_command.cc
@@ -79,6 +79,17 @@
   return json;
 }
 
+Json::Value ToJson(const std::map<std::string, DecisionTotal>& decisions) {
+  Json::Value json(Json::objectValue);
+  for (const auto& [text, total] : decisions) {
+    Json::Value& row = json[text];
+    row["decisions"] = total.decisions;
+    row["jobs"] = total.jobs;
+    row["most"] = limeledge::ToJson(total.top_jobs);
+  }
+  return json;
+}
+
 Json::Value ToJson(const std::vector<SecondTotal>& seconds) {
   Json::Value json(Json::arrayValue);
   for (const SecondTotal& total : seconds) {
@@ -103,6 +114,7 @@
   json["workspaces"] = ToJson(report.workspaces);
   json["thrown_away"] = ToJson(report.waste);
   json["displacing"] = ToJson(report.preemptions);
+  json["decisions"] = ToJson(report.decisions);
   json["worst_seconds"] = ToJson(report.worst_seconds);
   json["standings"] = limeledge::ToJson(report.queue_summaries);
   json["accelerator_use"] = limeledge::ToJson(report.use);
@@ -163,6 +175,17 @@
   }
 }
 
+void PrintDecisions(const std::map<std::string, DecisionTotal>& decisions) {
+  if (decisions.empty()) return;
+  fmt::print("\nDecisions about jobs\n");
+  fmt::print("  {:>5} {:>5}  {:<70} {}\n", "TIMES", "JOBS", "DECISION",
+             "MOST FOR");
+  for (const auto& [text, total] : decisions) {
+    fmt::print("  {:>5} {:>5}  {:<70} {}\n", total.decisions, total.jobs, text,
+               JoinJobs(total.top_jobs));
+  }
+}
+
 void PrintSeconds(const std::vector<SecondTotal>& seconds) {
   if (seconds.empty()) return;
   fmt::print("\nSeconds whose jobs lost most, from the first line\n");
@@ -181,6 +204,7 @@
   PrintGroups("Workspace", report.workspaces);
   PrintWaste(report.waste);
   PrintPreemptions(report.preemptions);
+  PrintDecisions(report.decisions);
   PrintSeconds(report.worst_seconds);
   PrintQueueSummaries(report.queue_summaries);
   PrintUse(report.use);
--- a/src/cli/work_report.cc
+++ b/src/cli/work_report.cc
@@ -107,6 +107,17 @@
   total.top_jobs.Add(AcceleratorSeconds(run), job.id);
 }
 
+void AddDecisions(const JobHistory& job, WorkReport* report) {
+  std::map<std::string, int> counts;
+  for (const LoggedDecision& decision : job.decisions) ++counts[decision.text];
+  for (const auto& [text, count] : counts) {
+    DecisionTotal& total = report->decisions[text];
+    total.decisions += count;
+    ++total.jobs;
+    total.top_jobs.Add(count, job.id);
+  }
+}
+
 /// Returns the job's first run that starts at or after `from_ms`; null if there
 /// is none. `runner`: the runner of the run; any runner if empty.
 const LoggedRun* FirstStartFrom(const JobHistory& job, std::int64_t from_ms,
@@ -175,6 +186,7 @@
     for (const auto& [key, runs] : job.tasks) {
       for (const LoggedRun& run : runs) AddWaste(job, run, &report);
     }
+    AddDecisions(job, &report);
     const bool open = job.accepted_ms != 0 && job.settled_ms == 0;
     if (open) report.open_jobs.push_back(id);
     // The caller decided how long a cancelled job lasted, so its time is not
--- a/src/cli/work_report.h
+++ b/src/cli/work_report.h
@@ -59,6 +59,13 @@
   int waits = 0;
 };
 
+/// Totals of one kind of decision with one reason.
+struct DecisionTotal {
+  int decisions = 0;
+  int jobs = 0;
+  TopJobs top_jobs;
+};
+
 /// Totals of the jobs that were submitted within one second.
 struct SecondTotal {
   std::int64_t second = 0;
@@ -79,6 +86,9 @@
   std::map<std::string, GroupTotal> workspaces;
   std::map<RunFate, WasteTotal> waste;
   std::map<std::string, PreemptionTotal> preemptions;
+  /// Refused submits, deferred steps, declined moves and delayed preemptions,
+  /// by their text.
+  std::map<std::string, DecisionTotal> decisions;
   /// In descending order of lost time.
   std::vector<SecondTotal> worst_seconds;
   std::map<std::string, QueueSummary> queue_summaries;
--- a/test/log-story-test.cc
+++ b/test/log-story-test.cc
@@ -6,7 +6,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "cli/merged_log.h"
 
@@ -64,6 +67,68 @@
                Describe(log.LinesOf(job)[2]).c_str());
 }
 
+// Guards against decisions about a job that are shown as bare fields.
+TEST(LogStory, DecisionsAboutAJobAreDescribedInWords) {
+  const auto describe = [](const std::string& event,
+                           std::map<std::string, std::string> fields) {
+    LogEntry entry;
+    entry.event = event;
+    entry.fields = std::move(fields);
+    return Describe(entry);
+  };
+  STRCMP_EQUAL(
+      "the submit to queue check of roads is refused, and the job not stored: "
+      "step too large",
+      describe("submit_refused", {{"queue", "check"},
+                                  {"workspace", "roads"},
+                                  {"reason", "step too large"}})
+          .c_str());
+  STRCMP_EQUAL("step a1.0.0 is placed after the others: it is the largest",
+               describe("step_deferred",
+                        {{"step", "a1.0.0"}, {"reason", "it is the largest"}})
+                   .c_str());
+  STRCMP_EQUAL(
+      "a1.0.0.0 takes long on runner i-1 and is not moved: long by itself (30 "
+      "ms left here, 40 ms elsewhere)",
+      describe("move_declined", {{"task", "a1.0.0.0"},
+                                 {"runner", "i-1"},
+                                 {"reason", "long by itself"},
+                                 {"here_ms", "30"},
+                                 {"elsewhere_ms", "40"}})
+          .c_str());
+  STRCMP_EQUAL(
+      "step a1.0.0 preempts nothing, since room becomes free in 20 ms and a "
+      "stop takes 900 ms",
+      describe("preemption_delayed",
+               {{"step", "a1.0.0"}, {"free_in_ms", "20"}, {"stop_ms", "900"}})
+          .c_str());
+}
+
+// Guards against a history that hides why placement or admission changed while
+// the job was open.
+TEST(LogStory, LinesAroundIncludeChangesOfSpeedUseAndOfTheForecast) {
+  log.Add(
+      "{\"wall_ms\":1120,\"event\":\"speeds_in_use\",\"in_use\":\"yes\","
+      "\"spread\":\"0.3\",\"measured\":\"7\"}\n"
+      "{\"wall_ms\":1130,\"event\":\"speeds_restored\",\"runners\":\"5\","
+      "\"oldest_ms\":\"800\"}\n"
+      "{\"wall_ms\":1140,\"event\":\"forecast_changed\",\"services\":\"s\","
+      "\"waits\":\"check\"}\n"
+      "{\"wall_ms\":1500,\"event\":\"speeds_in_use\",\"in_use\":\"no\"}\n");
+  const std::vector<LogEntry> lines = log.LinesAround(job);
+  LONGS_EQUAL(8, lines.size());
+  STRCMP_EQUAL(
+      "lasting speeds of runners influence decisions: yes (spread 0.3, 7 "
+      "runners measured)",
+      Describe(lines[2]).c_str());
+  STRCMP_EQUAL("stored speeds of 5 runners are used, the oldest of 800 ms ago",
+               Describe(lines[3]).c_str());
+  STRCMP_EQUAL(
+      "the capacity told to all nodes is that of services [s], with waits for "
+      "queues [check]",
+      Describe(lines[4]).c_str());
+}
+
 TEST(LogStory, EventWithoutATemplateIsListedWithItsFields) {
   LogEntry entry;
   entry.event = "new_event";
--- a/test/work-report-test.cc
+++ b/test/work-report-test.cc
@@ -197,6 +197,33 @@
   LONGS_EQUAL(100, check.wait.ms());
 }
 
+// Guards against decisions that are counted for another job, or not at all
+// because their line names a task instead of a job.
+TEST(WorkReport, DecisionsAreTotalledByTextAndJob) {
+  Line(1100, "submit_refused", {{"job", "bb"}, {"reason", "step too large"}});
+  Line(1200, "submit_refused", {{"job", "bb"}, {"reason", "step too large"}});
+  Line(1200, "submit_refused", {{"job", "cc"}, {"reason", "step too large"}});
+  Line(1300, "step_deferred",
+       {{"job", "aa"}, {"step", "aa.0.0"}, {"reason", "largest"}});
+  Line(1400, "preemption_delayed", {{"job", "aa"}, {"step", "aa.0.0"}});
+  Assign(1500, "aa.0.0.0", 1);
+  Line(1600, "move_declined", {{"task", "aa.0.0.0"}, {"reason", "no gain"}});
+  const WorkReport report = MakeWorkReport(lines, 10);
+  LONGS_EQUAL(4, report.decisions.size());
+  const DecisionTotal& refused =
+      report.decisions.at("submit refused: step too large");
+  LONGS_EQUAL(3, refused.decisions);
+  LONGS_EQUAL(2, refused.jobs);
+  STRCMP_EQUAL("bb", refused.top_jobs.jobs().front().c_str());
+  for (const char* text :
+       {"step placed after the others: largest", "waited instead of preempting",
+        "run not moved: no gain"}) {
+    const DecisionTotal& total = report.decisions.at(text);
+    LONGS_EQUAL(1, total.decisions);
+    STRCMP_EQUAL("aa", total.top_jobs.jobs().front().c_str());
+  }
+}
+
 TEST(WorkReport, JobsAreTotalledByQueueWorkspaceAndSecond) {
   Assign(1400, "aa.0.0.0", 1);
   End(3400, "aa.0.0.0", 1, "done");
