--- a/src/dispatch/speed_keeper.cc
+++ b/src/dispatch/speed_keeper.cc
@@ -104,10 +104,9 @@
     const Duration age = ctx.now() - it->second.measured_at;
     const auto found = fleet.runners().find(it->first.runner);
     // A runner that reports start times may not have answered so far.
-    const bool known =
-        found != fleet.runners().end() &&
-        (!IsReported(it->first.start_time) ||
-         IsReported(found->second->incarnation().start_time));
+    const bool known = found != fleet.runners().end() &&
+                       (!IsReported(it->first.start_time) ||
+                        IsReported(found->second->incarnation().start_time));
     if (!known && age <= options_.max_age) {
       ++it;
       continue;
