--- a/test/admission-open-test.cc
+++ b/test/admission-open-test.cc
@@ -22,7 +22,7 @@
   // The time until capacity is known.
   own.Run(Duration(11000));
   for (int i = 1; i <= 8; ++i) {
-    SubmitTo(&own, Step(1, 8, Duration(4000 * (i + 2))));
+    SubmitTo(&own, Step(1, 8, Duration(4000) * (i + 2)));
   }
   own.Run(Duration(500));
   SubmitTo(&own, Step(150, 8, Duration(30000)));
