--- a/src/dispatch/admission.cc
+++ b/src/dispatch/admission.cc
@@ -67,14 +67,6 @@
                      });
 }
 
-std::int64_t PeakAccelerators(const JobSpec& spec) {
-  std::int64_t peak = 0;
-  for (const StepSpec& step : spec.steps) {
-    peak = std::max(peak, step.need.accelerators * step.count);
-  }
-  return peak * spec.occurrences();
-}
-
 /// True if the job fits into the guarantee of its workspace. What the
 /// workspace uses of it is not counted: it may become free at any moment.
 bool FitsGuarantee(const JobSpec& spec, const Catalog& catalog) {
--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -62,6 +62,14 @@
   return "";
 }
 
+std::int64_t PeakAccelerators(const JobSpec& spec) {
+  std::int64_t max_needed = 0;
+  for (const StepSpec& step : spec.steps) {
+    max_needed = std::max(max_needed, step.need.accelerators * step.count);
+  }
+  return max_needed * spec.occurrences();
+}
+
 int Step::CountIn(TaskPhase phase) const {
   return static_cast<int>(
       std::count_if(tasks.begin(), tasks.end(),
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -106,6 +106,10 @@
   Duration MeanDurationElsewhere(const IncarnationId& incarnation) const;
 };
 
+/// The largest number of accelerators that the steps of a job need, each for
+/// all its tasks, in all occurrences together. Thread-safe.
+std::int64_t PeakAccelerators(const JobSpec& spec);
+
 /// One repetition of a job's steps.
 struct Occurrence {
   std::vector<Step> steps;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -170,7 +170,7 @@
     return false;
   }
   if (request.is_last_attempt && candidate.suspect) return false;
-  const bool closed = candidate.urgent_rack &&
+  const bool closed = candidate.reserved &&
                       request.urgent_racks == UrgentRacks::kClosed &&
                       !Measures(candidate, request);
   if (closed || info.service != request.service) return false;
@@ -300,7 +300,7 @@
     const bool preferred = request.urgent_racks == UrgentRacks::kPreferred &&
                            std::all_of(chosen.begin(), chosen.end(),
                                        [](const Candidate* candidate) {
-                                         return candidate->urgent_rack;
+                                         return candidate->reserved;
                                        });
     std::int64_t risk = 0;
     for (const Candidate* candidate : chosen) {
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -26,8 +26,8 @@
   std::string rack;
   /// Index of the rack, from 0; set by `CandidatePool`.
   std::size_t rack_number = 0;
-  /// The rack is reserved for urgent work.
-  bool urgent_rack = false;
+  /// The runner, or its whole rack, is reserved for urgent work.
+  bool reserved = false;
   /// Capacity left after the decisions of this pass.
   Resources room;
   /// Capacity that will be freed by runs that are being stopped.
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -101,7 +101,7 @@
         std::clamp<std::int64_t>(candidate.room.accelerators, 0, idle);
     room.all += candidate.runner->info().room.accelerators;
     room.kept += idle - open;
-    (candidate.urgent_rack ? room.urgent_racks : room.open) += open;
+    (candidate.reserved ? room.urgent_racks : room.open) += open;
   }
   return room;
 }
--- a/src/dispatch/planner_steps.cc
+++ b/src/dispatch/planner_steps.cc
@@ -13,18 +13,6 @@
 
 namespace limeledge::dispatch {
 
-namespace {
-
-std::int64_t PeakAccelerators(const JobSpec& spec) {
-  std::int64_t max_needed = 0;
-  for (const StepSpec& step : spec.steps) {
-    max_needed = std::max(max_needed, step.need.accelerators * step.count);
-  }
-  return max_needed * spec.occurrences();
-}
-
-}  // namespace
-
 void Planner::Pass::SelectUrgentRacks() {
   std::vector<std::int64_t> size_of_rack(pool_.rack_count());
   std::map<std::string_view, std::size_t> number_of_rack;
@@ -51,8 +39,8 @@
     is_urgent[number] = true;
   }
   for (Candidate& candidate : pool_.candidates()) {
-    candidate.urgent_rack = is_urgent[candidate.rack_number];
-    if (candidate.urgent_rack) urgent_total_ += candidate.runner->info().room;
+    candidate.reserved = is_urgent[candidate.rack_number];
+    if (candidate.reserved) urgent_total_ += candidate.runner->info().room;
   }
 }
 
--- a/src/dispatch/runner_speeds.cc
+++ b/src/dispatch/runner_speeds.cc
@@ -62,15 +62,12 @@
 constexpr float kMinProbability = 1e-6F;
 // Keeps logarithms finite, whatever the number of runs.
 constexpr double kMinLikelihood = 1e-30;
-constexpr double kSqrtTwo = 1.4142135623730951;
 
 double LogOf(Duration duration) {
   return std::log(
       static_cast<double>(std::max<std::int64_t>(1, duration.ms())));
 }
 
-double NormalCumulative(double x) { return std::erfc(-x / kSqrtTwo) / 2; }
-
 double NormalDensity(double x, double variance) {
   constexpr double kTwoPi = 6.283185307179586;
   return std::exp(-x * x / (2 * variance)) / std::sqrt(kTwoPi * variance);
@@ -279,57 +276,6 @@
 
 }  // namespace
 
-OnTimeChance::OnTimeChance(double slack, double deviation) {
-  for (std::size_t bin = 0; bin < kPaceBins; ++bin) {
-    chance_[bin] = static_cast<float>(
-        NormalCumulative((slack - LogPaceOf(bin)) / deviation));
-  }
-}
-
-double OnTimeChance::Of(const PaceDistribution& pace) const {
-  float sum = 0;
-  for (std::size_t bin = 0; bin < kPaceBins; ++bin) {
-    sum += pace[bin] * chance_[bin];
-  }
-  return sum;
-}
-
-void SlowestPace::Add(const PaceDistribution& pace) {
-  float sum = 0;
-  for (std::size_t bin = 0; bin < kPaceBins; ++bin) {
-    sum += pace[bin];
-    cumulative_[bin] *= sum;
-  }
-}
-
-PaceDistribution SlowestPace::Distribution() const {
-  PaceDistribution pace;
-  float below = 0;
-  for (std::size_t bin = 0; bin < kPaceBins; ++bin) {
-    pace[bin] = cumulative_[bin] - below;
-    below = cumulative_[bin];
-  }
-  return pace;
-}
-
-double MeanOf(const PaceDistribution& pace) {
-  double mean = 0;
-  for (std::size_t bin = 0; bin < kPaceBins; ++bin) {
-    mean += pace[bin] * LogPaceOf(bin);
-  }
-  return mean;
-}
-
-double DeviationOf(const PaceDistribution& pace) {
-  const double mean = MeanOf(pace);
-  double variance = 0;
-  for (std::size_t bin = 0; bin < kPaceBins; ++bin) {
-    const double off = LogPaceOf(bin) - mean;
-    variance += pace[bin] * off * off;
-  }
-  return std::sqrt(variance);
-}
-
 VarianceTerms& VarianceTerms::operator+=(const VarianceTerms& other) {
   between += other.between;
   within += other.within;
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -105,7 +105,7 @@
   request.ignore_locality = true;
   request.urgent_racks = UrgentRacks::kPreferred;
   CandidatePool pool = Pool();
-  pool.candidates()[0].urgent_rack = true;
+  pool.candidates()[0].reserved = true;
   const std::vector<Candidate*> candidates = pool.PlaceAll(request);
   LONGS_EQUAL(2, candidates.size());
   STRCMP_EQUAL("near", candidates[0]->runner->id().value().c_str());
@@ -145,7 +145,7 @@
   PlacementRequest request = Request(1);
   request.urgent_racks = UrgentRacks::kClosed;
   CandidatePool pool = Pool();
-  pool.candidates()[0].urgent_rack = true;
+  pool.candidates()[0].reserved = true;
   POINTERS_EQUAL(nullptr, pool.PlaceOne(request));
 }
 
@@ -357,7 +357,7 @@
   AddUnmeasured("new-closed", "r1-2");
   CandidatePool pool = PacedPool();
   for (Candidate& candidate : pool.candidates()) {
-    candidate.urgent_rack = candidate.rack == "r1-2";
+    candidate.reserved = candidate.rack == "r1-2";
   }
   STRCMP_EQUAL("new-closed", IdOf(pool.PlaceOne(MeasuringRequest())).c_str());
   for (int i = 0; i < 8; ++i) {
@@ -372,7 +372,7 @@
   PlacementRequest request = MeasuringRequest();
   request.pace->measures_runners = false;
   CandidatePool pool = PacedPool();
-  pool.candidates()[0].urgent_rack = true;
+  pool.candidates()[0].reserved = true;
   POINTERS_EQUAL(nullptr, pool.PlaceOne(request));
 }
 
@@ -384,7 +384,7 @@
   PlacementRequest request = MeasuringRequest();
   request.ignore_locality = true;
   CandidatePool pool = PacedPool();
-  pool.candidates()[0].urgent_rack = true;
+  pool.candidates()[0].reserved = true;
   POINTERS_EQUAL(nullptr, pool.PlaceOne(request));
 }
 
@@ -399,8 +399,8 @@
   Add("b-1", "r1-2", kFast);
   Add("b-2", "r1-2", kFast);
   CandidatePool pool = PacedPool();
-  pool.candidates()[3].urgent_rack = true;
-  pool.candidates()[4].urgent_rack = true;
+  pool.candidates()[3].reserved = true;
+  pool.candidates()[4].reserved = true;
   PlacementRequest request = UrgentRequest(2);
   request.urgent_racks = UrgentRacks::kPreferred;
   CHECK_TRUE(IdsOf(pool.PlaceAll(request)) ==
@@ -418,7 +418,7 @@
   PlacementRequest request = Request(1);
   request.urgent_racks = UrgentRacks::kClosed;
   for (Candidate& candidate : pool.candidates()) {
-    candidate.urgent_rack = candidate.rack != "r1-2";
+    candidate.reserved = candidate.rack != "r1-2";
   }
   STRCMP_EQUAL("slow", IdOf(pool.PlaceOne(request)).c_str());
   POINTERS_EQUAL(nullptr, pool.PlaceOne(request));
