--- a/test/dispatch-admission-test.cc
+++ b/test/dispatch-admission-test.cc
@@ -15,7 +15,7 @@
 namespace limeledge::dispatch {
 
 TEST_GROUP(DispatchAdmission) {
-  AdmissionOptions options;
+  AdmissionOptions options{AdmissionUse::kAuto};
   Catalog catalog;
   CapacitySummary summary;
   TimePoint now{10000};
--- a/test/front-end-test.cc
+++ b/test/front-end-test.cc
@@ -93,7 +93,8 @@
 // Submits under a forecast by which the job can never run.
 TEST_GROUP(FrontEndRefusal) {
   StoreTimeout store_timeout;
-  FrontEnd front_end{FrontEndOptions(), &store_timeout};
+  FrontEnd front_end{FrontEndOptions(), &store_timeout,
+                     AdmissionOptions{AdmissionUse::kAuto}};
   Catalog catalog;
   CapacitySummary summary;
   Ticket tickets;
