--- a/test/caller-server-test.cc
+++ b/test/caller-server-test.cc
@@ -117,6 +117,16 @@
   LONGS_EQUAL(503, Submit()->status);
 }
 
+// Guards against "not run" for a job whose first write got no answer at this
+// node and is applied later, while the other node's write is refused.
+TEST(CallerServer, RefusalByTheOtherNodeIsUncertainAfterAWriteHere) {
+  may_be_applied = true;
+  answer.result = dispatch::CallResult::kNotAccepted;
+  LONGS_EQUAL(504, Submit()->status);
+  answer.result = dispatch::CallResult::kPastUse;
+  LONGS_EQUAL(504, Submit()->status);
+}
+
 TEST(CallerServer, CallThatMayHaveBeenAcceptedBeforeIsNotRefused) {
   second_port = 1;
   may_be_applied = true;
