Log by which configuration a call was decided, and how a passed-on call ended

Cause: LL900 and LL949 name no version, and a node does not log what another node answered for it, so that the hypotheses on a configuration older than shown can not be told apart.

Nothing is decided by it.

Conclusion: the log of a node now shows each answer at that node with the version behind it.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -98,7 +98,8 @@
       {LogId::kListUnavailable, kWarning, "list_unavailable",
        "The instance list could not be read; the last one is kept."},
       {LogId::kCallAnswered, kInfo, "call_answered",
-       "A caller's call was answered; the fields say how and why."},
+       "A caller's call was answered; the fields say how and why, and by which "
+       "`version` of the configuration."},
       {LogId::kJobSettled, kInfo, "job_settled",
        "A job reached a final state, which is being stored."},
       {LogId::kJobsNotCleared, kWarning, "jobs_not_cleared",
@@ -203,7 +204,8 @@
        "standby at `to`."},
       {LogId::kCallForwarded, kInfo, "call_forwarded",
        "The store does not answer this node alone; the call was passed on to "
-       "the node at `to`, which logs its answer."},
+       "the node at `to`, which logs its answer; `version` is this node's "
+       "configuration."},
       {LogId::kLinesDropped, kWarning, "lines_dropped",
        "Log lines were dropped to keep within the budget; the field says how "
        "many."},
@@ -240,6 +242,9 @@
        "A step waits for capacity that becomes free by itself, instead of "
        "preempting runs; the fields say how soon and how long a stop would "
        "take."},
+      {LogId::kForwardCompleted, kInfo, "forward_completed",
+       "A call that was passed on was answered by the node at `from`, by that "
+       "`version` of its configuration, or got no response."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -113,6 +113,7 @@
   kStepDeferred = 959,
   kMoveDeclined = 960,
   kPreemptionDelayed = 961,
+  kForwardCompleted = 962,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/effect.h
+++ b/src/dispatch/effect.h
@@ -147,28 +147,6 @@
   Duration store_answer_age;
 };
 
-/// The result of an API call.
-enum class CallResult {
-  kDone,
-  /// The job does not exist.
-  kUnknownJob,
-  kUnknownKey,
-  kUnknownQueue,
-  /// The call is malformed and changed nothing.
-  kInvalid,
-  /// The id belongs to another job.
-  kConflict,
-  /// Not accepted: this call stored nothing and never will.
-  kNotAccepted,
-  /// Refused like `kNotAccepted`, because the job would end too late to be of
-  /// use. The caller may come back.
-  kPastUse,
-  /// Refused like `kNotAccepted`, because no runner can ever run the job.
-  kNeverServable,
-  /// The outcome is unknown: the call may have been accepted.
-  kUnknown,
-};
-
 /// Responds to an API call.
 struct RespondToCall {
   CallId call;
@@ -181,6 +159,8 @@
   /// How long the caller should wait before a retry; not set if a retry
   /// would not help.
   std::optional<Duration> retry_after;
+  /// The catalog by which the call was decided; 0 if by none.
+  CatalogVersion version;
 };
 
 /// Passes an API call on to another node, whose response goes to the caller.
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -220,6 +220,31 @@
 /// The kind of an API call.
 enum class CallKind { kSubmit, kQuery, kCancel, kOther };
 
+/// The result of an API call.
+enum class CallResult {
+  kDone,
+  /// The job does not exist.
+  kUnknownJob,
+  kUnknownKey,
+  kUnknownQueue,
+  /// The call is malformed and changed nothing.
+  kInvalid,
+  /// The id belongs to another job.
+  kConflict,
+  /// Not accepted: this call stored nothing and never will.
+  kNotAccepted,
+  /// Refused like `kNotAccepted`, because the job would end too late to be of
+  /// use. The caller may come back.
+  kPastUse,
+  /// Refused like `kNotAccepted`, because no runner can ever run the job.
+  kNeverServable,
+  /// The outcome is unknown: the call may have been accepted.
+  kUnknown,
+};
+
+/// Returns the result's name in logs.
+const char* ToString(CallResult result);
+
 /// An API call, not yet matched to a queue of the catalog.
 struct CallReceived {
   CallId call;
@@ -236,6 +261,21 @@
   Duration deadline{3000};
   /// Another node passed the call on to this one.
   bool forwarded = false;
+  /// The catalog by which the front end decides the call. The front end sets
+  /// it.
+  CatalogVersion version;
+};
+
+/// The outcome of `ForwardCall`. The response itself goes to the caller.
+struct ForwardCompleted {
+  CallId call;
+  std::string path;
+  /// The node to which the call was passed on.
+  std::string address;
+  /// Not set if that node did not respond.
+  std::optional<CallResult> result;
+  /// The catalog by which that node decided the call; 0 if by none.
+  CatalogVersion version;
 };
 
 /// The process was told to shut down.
@@ -254,8 +294,8 @@
     std::variant<TimerFired, CommitCompleted, ReadCompleted, ChangesReceived,
                  CatalogReceived, RunnersListed, RunnerPolled,
                  StartRunCompleted, StopRunCompleted, AdviceReceived,
-                 PeerReplied, PeerQueried, CallReceived, ShutdownRequested,
-                 SettingsReloaded, StateRequested>;
+                 PeerReplied, PeerQueried, CallReceived, ForwardCompleted,
+                 ShutdownRequested, SettingsReloaded, StateRequested>;
 
 /// One input of the reducer, with the time at which it is processed.
 struct Event {
--- a/src/dispatch/front_end.cc
+++ b/src/dispatch/front_end.cc
@@ -42,6 +42,25 @@
   return "";
 }
 
+/// Returns the version's number in logs; empty if there is none.
+std::string ToString(CatalogVersion version) {
+  if (version == CatalogVersion()) return "";
+  return std::to_string(version.value());
+}
+
+/// True if both rows hold the same job, regardless of when it was submitted.
+bool SameJob(const std::string& a, const std::string& b) {
+  absl::StatusOr<JobSpec> first = DecodeJobSpec(a);
+  absl::StatusOr<JobSpec> second = DecodeJobSpec(b);
+  if (!first.ok() || !second.ok()) return false;
+  // The policy and the time are set by the server, not by the caller.
+  first->policy = second->policy;
+  first->accepted_wall_ms = second->accepted_wall_ms;
+  return EncodeJobSpec(*first) == EncodeJobSpec(*second);
+}
+
+}  // namespace
+
 const char* ToString(CallResult result) {
   switch (result) {
     case CallResult::kDone:
@@ -68,19 +87,6 @@
   return "";
 }
 
-/// True if both rows hold the same job, regardless of when it was submitted.
-bool SameJob(const std::string& a, const std::string& b) {
-  absl::StatusOr<JobSpec> first = DecodeJobSpec(a);
-  absl::StatusOr<JobSpec> second = DecodeJobSpec(b);
-  if (!first.ok() || !second.ok()) return false;
-  // The policy and the time are set by the server, not by the caller.
-  first->policy = second->policy;
-  first->accepted_wall_ms = second->accepted_wall_ms;
-  return EncodeJobSpec(*first) == EncodeJobSpec(*second);
-}
-
-}  // namespace
-
 void FrontEnd::Respond(Context& ctx, const CallReceived& call,
                        CallResult result, const std::string& message,
                        const std::string& state, std::int64_t waiting,
@@ -91,8 +97,10 @@
                                  {"path", call.path},
                                  {"result", ToString(result)},
                                  {"state", state},
-                                 {"reason", message}});
-  RespondToCall answer{call.call, result, state, waiting, message, retry_after};
+                                 {"reason", message},
+                                 {"version", ToString(call.version)}});
+  RespondToCall answer{call.call, result,      state,       waiting,
+                       message,   retry_after, call.version};
   if (should_retry) answer.retry_after = RetryAfter();
   ctx.Emit(std::move(answer));
 }
@@ -125,9 +133,9 @@
   return nullptr;
 }
 
-void FrontEnd::Handle(Context& ctx, const CallReceived& call,
-                      const Catalog* catalog, TimePoint catalog_confirmed_at,
-                      bool store_answers) {
+void FrontEnd::Handle(Context& ctx, CallReceived call, const Catalog* catalog,
+                      TimePoint catalog_confirmed_at, bool store_answers) {
+  if (catalog != nullptr) call.version = catalog->version;
   if (!store_answers && CanForward(call)) {
     Forward(ctx, call, false);
     return;
@@ -165,12 +173,22 @@
                        bool may_be_applied) {
   ctx.Log(LogId::kCallForwarded, {{"call", ToString(call.kind)},
                                   {"path", call.path},
-                                  {"to", *serving_peer_}});
+                                  {"to", *serving_peer_},
+                                  {"version", ToString(call.version)}});
   ctx.Emit(ForwardCall{call, *serving_peer_,
                        std::min(options_.forward_timeout, call.deadline),
                        may_be_applied});
 }
 
+void FrontEnd::Handle(Context& ctx, const ForwardCompleted& outcome) {
+  const bool responded = outcome.result.has_value();
+  ctx.Log(LogId::kForwardCompleted,
+          {{"path", outcome.path},
+           {"from", outcome.address},
+           {"result", responded ? ToString(*outcome.result) : "no response"},
+           {"version", ToString(outcome.version)}});
+}
+
 void FrontEnd::ForwardPending(Context& ctx, const Pending& pending) {
   CallReceived call = pending.call;
   call.deadline = pending.deadline - ctx.now();
--- a/src/dispatch/front_end.h
+++ b/src/dispatch/front_end.h
@@ -64,8 +64,10 @@
 
   /// Starts a call or responds to it immediately. `store_answers` is false if
   /// this node considers the store unavailable.
-  void Handle(Context& ctx, const CallReceived& call, const Catalog* catalog,
+  void Handle(Context& ctx, CallReceived call, const Catalog* catalog,
               TimePoint catalog_confirmed_at, bool store_answers);
+  /// Logs how another node answered a call.
+  void Handle(Context& ctx, const ForwardCompleted& outcome);
 
   /// True if the store request belongs to a call of this front end.
   bool Owns(Ticket ticket) const { return calls_.count(ticket) != 0; }
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -306,6 +306,10 @@
   HandleCall(ctx, event, StoreAnswers());
 }
 
+void Node::Handle(Context& ctx, const ForwardCompleted& event) {
+  front_end_.Handle(ctx, event);
+}
+
 void Node::Handle(Context& ctx, const ShutdownRequested&) {
   if (shutting_down_) return;
   shutting_down_ = true;
--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -86,6 +86,11 @@
   }
   /// False while this node considers the store unavailable.
   bool StoreAnswers() const;
+  /// The catalog in force; 0 if there is none yet.
+  CatalogVersion catalog_version() const {
+    const Catalog* catalog = catalog_.catalog();
+    return catalog != nullptr ? catalog->version : CatalogVersion();
+  }
   /// Whether a store outage affects only this node, as far as peers could tell.
   StoreOutage store_loss() const { return peers_.outage(); }
   /// Addresses of the standbys; empty unless this node leads.
@@ -108,6 +113,7 @@
   void Handle(Context& ctx, const PeerReplied& event);
   void Handle(Context& ctx, const PeerQueried& event);
   void Handle(Context& ctx, const CallReceived& event);
+  void Handle(Context& ctx, const ForwardCompleted& event);
   void Handle(Context& ctx, const ShutdownRequested& event);
   void Handle(Context& ctx, const SettingsReloaded& event);
   void Handle(Context& ctx, const StateRequested& event);
--- a/test/caller-server-test.cc
+++ b/test/caller-server-test.cc
@@ -18,6 +18,8 @@
   Metrics metrics;
   HttpLoop http;
   std::optional<dispatch::CallReceived> seen;
+  /// What the first node learned of the call that it passed on.
+  std::optional<dispatch::ForwardCompleted> completed;
   dispatch::RespondToCall answer;
   bool second_answers = true;
   int second_port = 0;
@@ -34,17 +36,22 @@
 
   void setup() override {
     second = std::make_unique<CallerServer>(
-        MakeSettings(), &metrics, &http, [this](dispatch::CallReceived call) {
-          answer.call = call.call;
-          seen = std::move(call);
+        MakeSettings(), &metrics, &http, [this](dispatch::EventBody event) {
+          seen = std::get<dispatch::CallReceived>(std::move(event));
+          answer.call = seen->call;
           if (second_answers) second->Respond(answer);
         });
     CHECK(second->Start().ok());
     second_port = second->port();
     first = std::make_unique<CallerServer>(
-        MakeSettings(), &metrics, &http, [this](dispatch::CallReceived call) {
+        MakeSettings(), &metrics, &http, [this](dispatch::EventBody event) {
+          auto* outcome = std::get_if<dispatch::ForwardCompleted>(&event);
+          if (outcome != nullptr) {
+            completed = std::move(*outcome);
+            return;
+          }
           dispatch::ForwardCall forward;
-          forward.call = std::move(call);
+          forward.call = std::get<dispatch::CallReceived>(std::move(event));
           forward.address = absl::StrCat("127.0.0.1:", second_port);
           forward.timeout = Duration(300);
           forward.may_be_applied = may_be_applied;
@@ -96,6 +103,14 @@
   CHECK_TRUE(result->body.find("can never run") != std::string::npos);
 }
 
+TEST(CallerServer, NodeLearnsByWhichCatalogACallWasDecidedElsewhere) {
+  answer.result = dispatch::CallResult::kUnknownQueue;
+  answer.version = dispatch::CatalogVersion(48);
+  LONGS_EQUAL(404, Submit()->status);
+  CHECK_TRUE(completed->result == dispatch::CallResult::kUnknownQueue);
+  LONGS_EQUAL(48, completed->version.value());
+}
+
 TEST(CallerServer, CallIsPassedOnWhole) {
   LONGS_EQUAL(200, Submit()->status);
   CHECK_TRUE(seen->forwarded);
