Add failing tests of nodes that answer by an older configuration

The emulator had one version of it, and its soak probe looks for the newest route only, with a slack of 2 s.

Change: the emulator delivers versions to watches, tells a node how a call that it passed on was decided, and checks each answer of a probe against the versions that allow it. Configuration has the two ways of the incident as scenarios, ConfigFuzz random ones. No logic of the product changes.

--- a/src/emulator/emulated_callers.cc
+++ b/src/emulator/emulated_callers.cc
@@ -23,15 +23,7 @@
 
 }  // namespace
 
-CallId EmulatedSystem::SendCall(
-    dispatch::CallReceived call,
-    std::function<void(const dispatch::RespondToCall*)> done) {
-  last_call_ = last_call_.Next();
-  const CallId id = last_call_;
-  call.call = id;
-  if (call.key.empty()) call.key = kKey;
-  call.host = kHost;
-  calls_[id] = std::move(done);
+CallId EmulatedSystem::SendCall(dispatch::CallReceived call, CallDone done) {
   const int first = static_cast<int>(random_() % processes_.size());
   int node = first;
   for (std::size_t i = 0; i < processes_.size(); ++i) {
@@ -41,10 +33,22 @@
     node = other;
     break;
   }
+  return SendCallTo(node, std::move(call), std::move(done));
+}
+
+CallId EmulatedSystem::SendCallTo(int node, dispatch::CallReceived call,
+                                  CallDone done) {
+  last_call_ = last_call_.Next();
+  const CallId id = last_call_;
+  call.call = id;
+  if (call.key.empty()) call.key = kKey;
+  call.host = kHost;
+  calls_[id] = std::move(done);
   const int incarnation = processes_[node].incarnation;
   RunAt(now_ + options_.network,
         [this, node, incarnation, call] { Deliver(node, incarnation, call); });
   RunAt(now_ + kCallerDeadline, [this, id] {
+    forwarded_calls_.erase(id);
     const auto open = calls_.find(id);
     if (open == calls_.end()) return;
     const auto unanswered = std::move(open->second);
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -78,10 +78,12 @@
         [this, call = response.call, reply] { FinishPeerCall(call, reply); });
 }
 
-void EmulatedSystem::Perform(int, const dispatch::ForwardCall& effect) {
+void EmulatedSystem::Perform(int node, const dispatch::ForwardCall& effect) {
   const int peer = NodeAt(effect.address);
   dispatch::CallReceived call = effect.call;
   call.forwarded = true;
+  forwarded_calls_[call.call] = {node, processes_[node].incarnation, call.path,
+                                 effect.address};
   RunAt(now_ + options_.network,
         [this, peer, incarnation = processes_[peer].incarnation, call] {
           Deliver(peer, incarnation, call);
@@ -97,8 +99,28 @@
   Deliver(asked.node, asked.incarnation, std::move(reply));
 }
 
-void EmulatedSystem::Perform(int, const dispatch::RespondToCall& answer) {
-  RunAt(now_ + options_.network, [this, answer] { HandleResponse(answer); });
+void EmulatedSystem::Perform(int node, const dispatch::RespondToCall& answer) {
+  const auto found = forwarded_calls_.find(answer.call);
+  const bool passed_on =
+      found != forwarded_calls_.end() && found->second.node != node;
+  if (!passed_on) {
+    RunAt(now_ + options_.network, [this, answer] { HandleResponse(answer); });
+    return;
+  }
+  const ForwardedCall forwarded = std::move(found->second);
+  forwarded_calls_.erase(found);
+  const Process& forwarder = processes_[forwarded.node];
+  RunAt(std::max(now_ + options_.network, forwarder.frozen_until),
+        [this, forwarded, answer] {
+          if (processes_[forwarded.node].incarnation != forwarded.incarnation) {
+            return;
+          }
+          Deliver(forwarded.node, forwarded.incarnation,
+                  dispatch::ForwardCompleted{answer.call, forwarded.path,
+                                             forwarded.address, answer.result,
+                                             answer.version});
+          HandleResponse(answer);
+        });
 }
 
 void EmulatedSystem::Perform(int, const dispatch::RespondWithState& answer) {
@@ -224,28 +246,6 @@
   });
 }
 
-void EmulatedSystem::Perform(int node, const dispatch::ReadCatalog&) {
-  SendCatalog(node, options_.network * 2, true);
-}
-
-void EmulatedSystem::Perform(int node, const dispatch::AwaitCatalog& await) {
-  SendCatalog(node, await.wait, false);
-}
-
-void EmulatedSystem::SendCatalog(int node, Duration after, bool snapshot) {
-  const int incarnation = processes_[node].incarnation;
-  RunAt(now_ + after, [this, node, incarnation, snapshot] {
-    const bool unavailable = IsCutOffFromStore(node);
-    dispatch::CatalogReceived answer;
-    answer.outcome =
-        unavailable ? StoreOutcome::kNotApplied : StoreOutcome::kDone;
-    if (!unavailable && snapshot) answer.catalog = catalog_;
-    answer.lists_all_halls = !unavailable;
-    for (const auto& [hall, since] : drained_halls_) answer.halls[hall] = true;
-    Deliver(node, incarnation, answer);
-  });
-}
-
 // The list of runners.
 
 dispatch::RunnersListed EmulatedSystem::RegisteredRunners() const {
--- a/src/emulator/emulated_oracle.cc
+++ b/src/emulator/emulated_oracle.cc
@@ -74,6 +74,7 @@
   RunAt(now_ + kCancelCheckInterval, [this] {
     DropCrashed();
     if (HasActiveFault()) oracle_.RecordFault(now_);
+    RecordTroubledProcesses();
     if (!faults_.mute_runners.empty()) oracle_.RecordMuteRunner(now_);
     oracle_.CheckCancelledRuns(ActiveRuns(), now_);
     ScheduleCancelCheck();
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -53,6 +53,7 @@
   for (int i = 0; i < options_.runners; ++i) AddRunner(i, 1);
   processes_.resize(options_.nodes);
   for (int i = 0; i < options_.nodes; ++i) StartNode(i);
+  RecordCatalogVersion();
   ScheduleCancelCheck();
 }
 
@@ -93,6 +94,8 @@
   process.leadership_confirmed = true;
   process.lease_writes.clear();
   process.stopping = false;
+  process.catalog_watch.reset();
+  process.troubled_at = now_;
   oracle_.RecordFault(now_);
   dispatch::NodeOptions options;
   options.name = absl::StrCat("n", node, "/", process.incarnation);
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -21,6 +21,7 @@
 
 #include "dispatch/node.h"
 #include "emulator/capacity_history.h"
+#include "emulator/catalog_oracle.h"
 #include "emulator/emulated_catalog.h"
 #include "emulator/emulated_runner.h"
 #include "emulator/emulated_store.h"
@@ -155,6 +156,23 @@
   /// there is no response.
   std::string StateOf(const JobId& job);
 
+  /// Publishes a version of the catalog with a further ordinary queue, or
+  /// without that queue. Its path prefix is "/" + `name` + "/".
+  void AddQueue(const std::string& name);
+  void RemoveQueue(const std::string& name);
+  /// The same with a further API key.
+  void AddKey(const std::string& key);
+  void RemoveKey(const std::string& key);
+  /// Asks a node for the number of waiting jobs in the queue with this name, or
+  /// in the ordinary queue by this key, and checks by which versions of the
+  /// catalog it may have answered.
+  void ProbeQueue(int node, const std::string& name);
+  void ProbeKey(int node, const std::string& key);
+  /// Results of all probes so far.
+  const std::map<dispatch::CallResult, int>& probe_results() const {
+    return probe_results_;
+  }
+
   /// The state of a node as JSON, as its operator sees it. Precondition: the
   /// node runs and is not frozen.
   std::string DumpOf(int node);
@@ -237,6 +255,11 @@
     /// Contents of each runner's entry.
     std::map<RunnerId, Entry> entries;
   };
+  struct CatalogWatch {
+    std::int64_t number = 0;
+    /// The response was lost, because the node is cut off from the store.
+    bool lost = false;
+  };
   struct Process {
     std::unique_ptr<dispatch::Node> node;
     /// Number of the current incarnation; responses to calls of previous ones
@@ -259,6 +282,10 @@
         order_lanes;
     TimePoint timer_at;
     RunnerListView runner_list;
+    /// The long poll for changes of the catalog that is in progress.
+    std::optional<CatalogWatch> catalog_watch;
+    /// When a fault last kept the process from the store.
+    TimePoint troubled_at;
   };
   /// A query of a peer that waits for the reply.
   struct PeerCall {
@@ -266,6 +293,13 @@
     int incarnation = 0;
     std::string address;
   };
+  /// A call that a node passed on to another one.
+  struct ForwardedCall {
+    int node = 0;
+    int incarnation = 0;
+    std::string path;
+    std::string address;
+  };
   struct Action {
     TimePoint at;
     std::int64_t order = 0;
@@ -337,8 +371,19 @@
                  Answer lost, Duration queued = Duration(0));
   void WatchChanges(int node, int incarnation,
                     const dispatch::AwaitChanges& effect, TimePoint until);
-  /// Delivers the whole catalog (`snapshot`), or that it has not changed.
-  void SendCatalog(int node, Duration after, bool snapshot);
+  /// Delivers the catalog after some time; without it, that it has not changed.
+  void SendCatalog(int node, Duration after, bool has_catalog);
+  /// Ends the long poll for changes of the catalog if it is still in progress.
+  void EndCatalogWatch(int node, int incarnation, std::int64_t number,
+                       const dispatch::AwaitCatalog& await);
+  /// Makes the next version of the catalog available.
+  void PublishCatalog();
+  void RecordCatalogVersion();
+  /// Calls a node for an entry of the catalog, and checks the answer.
+  void Probe(int node, const std::string& entry, dispatch::CallReceived call);
+  /// Records the processes that a fault keeps from the store.
+  void RecordTroubledProcesses();
+  bool IsInTouch(const Process& process) const;
   void AnswerPoll(int node, int incarnation, const dispatch::PollRunner& poll,
                   TimePoint until, const dispatch::IncarnationId& waiting_at);
   /// The poll gets no response.
@@ -368,8 +413,11 @@
   void HandleResponse(const dispatch::RespondToCall& answer);
   void SendSubmit(const JobId& job);
   void SendCancel(const JobId& job);
-  CallId SendCall(dispatch::CallReceived call,
-                  std::function<void(const dispatch::RespondToCall*)> done);
+  /// `done` gets null if there is no response in time.
+  using CallDone = std::function<void(const dispatch::RespondToCall*)>;
+  /// Sends the call to a random node that is ready, if there is one.
+  CallId SendCall(dispatch::CallReceived call, CallDone done);
+  CallId SendCallTo(int node, dispatch::CallReceived call, CallDone done);
 
   /// Returns what an incarnation of a runner reports about itself at its start.
   dispatch::RunnerInfo DescribeRunner(int index, int incarnation) const;
@@ -436,6 +484,12 @@
   std::size_t longest_order_lane_ = 0;
   GangRegistry gang_registry_;
   dispatch::Catalog catalog_;
+  /// Number of changes of the catalog.
+  Revision catalog_revision_;
+  std::int64_t last_catalog_watch_ = 0;
+  CatalogOracle catalog_oracle_;
+  std::map<dispatch::CallResult, int> probe_results_;
+  std::map<CallId, ForwardedCall> forwarded_calls_;
   std::map<CallId, PeerCall> peer_calls_;
   CallId last_peer_call_;
   std::vector<Process> processes_;
@@ -443,7 +497,7 @@
   std::map<std::string, RunnerId> runner_at_;
   PromiseOracle oracle_;
   CallId last_call_;
-  std::map<CallId, std::function<void(const dispatch::RespondToCall*)>> calls_;
+  std::map<CallId, CallDone> calls_;
   std::function<void(const std::string&)> trace_;
   std::string state_dump_;
   std::int64_t last_job_ = 0;
