Decide no call by an older configuration than the node has shown

What callers saw: a node that was cut off from the store answered a call as a new version asks, since it had passed it on, and a later one by its own old version: 404 for a route that it had just served, or an answer for a route or a key that had been removed.

Cause: a node trusted its own configuration as soon as it took the store for available, although the watch of the configuration was still broken. What other nodes had answered for it was not remembered. Nodes speak for each other, but nothing they said to each other named the version that they went by.

Change: a version that is known to exist, from the response to a call that was passed on or from the leader's row, is the oldest one by which a node decides. While its own is older, the node reads the configuration beside the silent watch, holds the call for at most 600 ms, passes it on, or refuses it so that the caller comes back. A call that is passed on carries the newest version that the node knows, and the other node decides by no older one. A watch that returns after a newer read changes nothing. KnownVersionIsReadIfTheWatchDoesNotReturnIt takes the place of CatalogIsReadWhenAnotherNodeKnowsANewerVersion: the version is now read although the watch has not returned, which was never done.

Conclusion: monotonic reads across nodes need the version to travel with the call, both ways.

--- a/src/dispatch/catalog_watcher.cc
+++ b/src/dispatch/catalog_watcher.cc
@@ -12,24 +12,51 @@
 
 namespace limeledge::dispatch {
 
-void CatalogWatcher::Work(Context& ctx) {
-  if (in_flight_ || ctx.now() < next_at_) return;
-  in_flight_ = true;
-  const bool behind =
-      catalog_.has_value() && known_version_ > catalog_->version;
-  if (!catalog_.has_value() || history_lost_ || behind) {
-    ctx.Emit(ReadCatalog{});
-    return;
-  }
+void CatalogWatcher::Work(Context& ctx, bool store_answers) {
+  store_answers_ = store_answers;
+  if (!read_in_flight_ && ctx.now() >= ReadDueAt()) Read(ctx);
+  const bool can_watch = catalog_.has_value() && !history_lost_;
+  const bool watch_due = !watch_in_flight_ && ctx.now() >= next_watch_at_;
+  if (can_watch && watch_due) Watch(ctx);
+}
+
+TimePoint CatalogWatcher::next_at() const {
+  TimePoint next = read_in_flight_ ? kNever : ReadDueAt();
+  const bool can_watch = catalog_.has_value() && !history_lost_;
+  if (can_watch && !watch_in_flight_) next = std::min(next, next_watch_at_);
+  return next;
+}
+
+TimePoint CatalogWatcher::ReadDueAt() const {
+  if (!catalog_.has_value() || history_lost_) return next_read_at_;
+  // Without the store a read would only delay the next one.
+  if (!IsBehind() || !store_answers_) return kNever;
+  return std::max(next_read_at_, behind_since_ + options_.catch_up_grace);
+}
+
+void CatalogWatcher::Read(Context& ctx) {
+  read_in_flight_ = true;
+  ctx.Emit(ReadCatalog{});
+}
+
+void CatalogWatcher::Watch(Context& ctx) {
+  watch_in_flight_ = true;
   // A watch that repeats a failed one returns the changes since then, and shows
   // at once that the store answers again.
   const Duration wait = answers_ ? options_.wait : options_.repeat_wait;
   ctx.Emit(AwaitCatalog{watch_revision_, wait, wait + options_.slack});
 }
 
+void CatalogWatcher::SetKnownVersion(TimePoint now, CatalogVersion version) {
+  if (version <= known_version()) return;
+  if (!IsBehind()) behind_since_ = now;
+  known_version_ = version;
+}
+
 void CatalogWatcher::Handle(Context& ctx, const CatalogReceived& answer) {
-  in_flight_ = false;
-  next_at_ = ctx.now();
+  (answer.from_watch ? watch_in_flight_ : read_in_flight_) = false;
+  TimePoint& next_at = answer.from_watch ? next_watch_at_ : next_read_at_;
+  next_at = ctx.now();
   const bool answered = answer.outcome == StoreOutcome::kDone;
   if (answered != answers_) {
     ctx.Log(answered ? LogId::kCatalogFollowed : LogId::kCatalogStale,
@@ -41,17 +68,19 @@
     return;
   }
   if (!answered) {
-    next_at_ = ctx.now() + options_.retry_pause;
+    next_at = ctx.now() + options_.retry_pause;
     return;
   }
-  history_lost_ = false;
+  if (!answer.from_watch) history_lost_ = false;
   confirmed_at_ = ctx.now();
-  if (answer.newest > watch_revision_) watch_revision_ = answer.newest;
+  // A watch may return after a read that was sent later.
+  if (answer.newest < watch_revision_) return;
+  watch_revision_ = answer.newest;
   UpdateDrainedHalls(ctx, answer);
   if (!answer.catalog.has_value()) {
     // No catalog has been written so far: read again after a pause. Watching
     // for a change would work as well.
-    if (!catalog_.has_value()) next_at_ = ctx.now() + options_.retry_pause;
+    if (!catalog_.has_value()) next_at = ctx.now() + options_.retry_pause;
     return;
   }
   const bool newer =
--- a/src/dispatch/catalog_watcher.h
+++ b/src/dispatch/catalog_watcher.h
@@ -7,6 +7,7 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_CATALOG_WATCHER_H_
 #define LIMELEDGE_SRC_DISPATCH_CATALOG_WATCHER_H_
 
+#include <algorithm>
 #include <optional>
 #include <set>
 
@@ -26,6 +27,9 @@
   Duration slack{500};
   /// Pause after a failed call.
   Duration retry_pause{250};
+  /// A version that is known to exist is waited for this long before it is
+  /// read: usually the watch is about to return it.
+  Duration catch_up_grace{100};
 };
 
 /// Reads the catalog, then watches for changes. An older version never replaces
@@ -37,36 +41,59 @@
   explicit CatalogWatcher(CatalogWatcherOptions options = {})
       : options_(options) {}
 
-  /// Sends the next call when it is due.
-  void Work(Context& ctx);
-  TimePoint next_at() const { return in_flight_ ? kNever : next_at_; }
+  /// Sends the calls that are due. `store_answers` is false while the store
+  /// counts as unavailable.
+  void Work(Context& ctx, bool store_answers);
+  TimePoint next_at() const;
   void Handle(Context& ctx, const CatalogReceived& answer);
-  /// Records the version that another node knows. If it is newer than the one
-  /// here, the watch has missed a change, and the catalog is read again.
-  void SetKnownVersion(CatalogVersion version) { known_version_ = version; }
+  /// Records a version that another node has used. If the watch does not return
+  /// it, the catalog is read again.
+  void SetKnownVersion(TimePoint now, CatalogVersion version);
 
   /// Returns null until a first version has been read.
   const Catalog* catalog() const {
     return catalog_.has_value() ? &*catalog_ : nullptr;
   }
+  /// The version of `catalog()`; 0 if there is none.
+  CatalogVersion version() const {
+    return catalog_.has_value() ? catalog_->version : CatalogVersion();
+  }
+  /// The newest version that is known to exist. While it is newer than
+  /// `version()`, nothing may be decided by `catalog()`.
+  CatalogVersion known_version() const {
+    return std::max(known_version_, version());
+  }
   /// When the store last confirmed that there is no newer version.
   TimePoint confirmed_at() const { return confirmed_at_; }
   /// Returns true if the last call succeeded.
   bool answers() const { return answers_; }
 
  private:
+  bool IsBehind() const {
+    return catalog_.has_value() && known_version_ > catalog_->version;
+  }
+  /// When the catalog has to be read; `kNever` while the watch is enough.
+  TimePoint ReadDueAt() const;
+  void Read(Context& ctx);
+  void Watch(Context& ctx);
   /// Updates the set of drained halls.
   void UpdateDrainedHalls(Context& ctx, const CatalogReceived& answer);
 
   CatalogWatcherOptions options_;
   std::optional<Catalog> catalog_;
   CatalogVersion known_version_;
+  /// When a version newer than the catalog became known.
+  TimePoint behind_since_;
   std::set<HallId> drained_halls_;
-  bool in_flight_ = false;
+  bool read_in_flight_ = false;
+  bool watch_in_flight_ = false;
   /// The store no longer keeps the changes after `watch_revision_`.
   bool history_lost_ = false;
   bool answers_ = false;
-  TimePoint next_at_;
+  bool store_answers_ = false;
+  /// The earliest times of the next calls.
+  TimePoint next_read_at_;
+  TimePoint next_watch_at_;
   TimePoint confirmed_at_;
   Revision watch_revision_;
 };
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -62,6 +62,8 @@
 
 /// The result of `ReadCatalog` or `AwaitCatalog`.
 struct CatalogReceived {
+  /// True for `AwaitCatalog`.
+  bool from_watch = false;
   StoreOutcome outcome = StoreOutcome::kUnknown;
   /// The configuration; not set if it did not change or could not be read.
   std::optional<Catalog> catalog;
@@ -261,6 +263,9 @@
   Duration deadline{3000};
   /// Another node passed the call on to this one.
   bool forwarded = false;
+  /// The newest catalog that the other node knows. An older one must not decide
+  /// the call.
+  CatalogVersion required_version;
   /// The catalog by which the front end decides the call. The front end sets
   /// it.
   CatalogVersion version;
--- a/src/dispatch/evidence_gate.h
+++ b/src/dispatch/evidence_gate.h
@@ -7,9 +7,11 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_EVIDENCE_GATE_H_
 #define LIMELEDGE_SRC_DISPATCH_EVIDENCE_GATE_H_
 
+#include <utility>
 #include <vector>
 
 #include "dispatch/context.h"
+#include "dispatch/held_calls.h"
 
 namespace limeledge::dispatch {
 
@@ -34,7 +36,8 @@
 /// Thread safety: none; use it from one thread.
 class EvidenceGate {
  public:
-  explicit EvidenceGate(EvidenceGateOptions options = {}) : options_(options) {}
+  explicit EvidenceGate(EvidenceGateOptions options = {})
+      : options_(options), held_(options.max_hold) {}
 
   /// True if an answer at `answered_at` shows that the store can be reached.
   bool IsFresh(TimePoint now, TimePoint answered_at) const {
@@ -49,24 +52,20 @@
   };
 
   /// Holds a call. The caller of this function sends a probe.
-  void Hold(TimePoint now, CallReceived call);
+  void Hold(TimePoint now, CallReceived call) {
+    held_.Hold(now, std::move(call));
+  }
   /// Returns the calls that are no longer held: the store has answered since,
   /// or is `known_lost`, or they were held for the maximum time.
   std::vector<ReleasedCall> Release(TimePoint now, TimePoint answered_at,
                                     bool known_lost);
   /// When the longest-held call is released at the latest.
-  TimePoint next_at() const;
+  TimePoint next_at() const { return held_.next_at(); }
   bool empty() const { return held_.empty(); }
 
  private:
-  struct HeldCall {
-    CallReceived call;
-    TimePoint since;
-  };
-
   EvidenceGateOptions options_;
-  /// In the order of arrival.
-  std::vector<HeldCall> held_;
+  HeldCalls held_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/front_end.cc
+++ b/src/dispatch/front_end.cc
@@ -133,19 +133,25 @@
   return nullptr;
 }
 
-void FrontEnd::Handle(Context& ctx, CallReceived call, const Catalog* catalog,
-                      TimePoint catalog_confirmed_at, bool store_answers) {
-  if (catalog != nullptr) call.version = catalog->version;
-  if (!store_answers && CanForward(call)) {
-    Forward(ctx, call, false);
+void FrontEnd::Handle(Context& ctx, CallReceived call, bool store_answers) {
+  const bool outdated = IsOutdatedFor(call);
+  call.version = catalog_->version();
+  if ((!store_answers || outdated) && CanForward(call)) {
+    Forward(ctx, std::move(call), false);
     return;
   }
+  const Catalog* catalog = catalog_->catalog();
   if (catalog == nullptr) {
     Respond(ctx, call, CallResult::kNotAccepted, "no configuration yet");
     return;
   }
+  if (outdated) {
+    Respond(ctx, call, CallResult::kNotAccepted,
+            "a newer configuration is in force");
+    return;
+  }
   const bool fresh =
-      ctx.now() - catalog_confirmed_at < options_.max_catalog_age;
+      ctx.now() - catalog_->confirmed_at() < options_.max_catalog_age;
   WorkspaceId workspace;
   const Queue* queue = FindQueue(ctx, call, *catalog, fresh, &workspace);
   if (queue == nullptr) return;
@@ -169,15 +175,15 @@
   }
 }
 
-void FrontEnd::Forward(Context& ctx, const CallReceived& call,
-                       bool may_be_applied) {
+void FrontEnd::Forward(Context& ctx, CallReceived call, bool may_be_applied) {
+  call.required_version = catalog_->known_version();
   ctx.Log(LogId::kCallForwarded, {{"call", ToString(call.kind)},
                                   {"path", call.path},
                                   {"to", *serving_peer_},
                                   {"version", ToString(call.version)}});
-  ctx.Emit(ForwardCall{call, *serving_peer_,
-                       std::min(options_.forward_timeout, call.deadline),
-                       may_be_applied});
+  const Duration timeout = std::min(options_.forward_timeout, call.deadline);
+  ctx.Emit(
+      ForwardCall{std::move(call), *serving_peer_, timeout, may_be_applied});
 }
 
 void FrontEnd::Handle(Context& ctx, const ForwardCompleted& outcome) {
@@ -192,7 +198,7 @@
 void FrontEnd::ForwardPending(Context& ctx, const Pending& pending) {
   CallReceived call = pending.call;
   call.deadline = pending.deadline - ctx.now();
-  Forward(ctx, call, pending.may_be_applied);
+  Forward(ctx, std::move(call), pending.may_be_applied);
 }
 
 void FrontEnd::StartRead(Context& ctx, const CallReceived& call,
--- a/src/dispatch/front_end.h
+++ b/src/dispatch/front_end.h
@@ -7,6 +7,7 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_FRONT_END_H_
 #define LIMELEDGE_SRC_DISPATCH_FRONT_END_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -15,6 +16,7 @@
 
 #include "dispatch/admission.h"
 #include "dispatch/catalog.h"
+#include "dispatch/catalog_watcher.h"
 #include "dispatch/context.h"
 #include "dispatch/peer_check.h"
 #include "dispatch/row_codec.h"
@@ -55,20 +57,31 @@
 /// Thread safety: none; use it from one thread.
 class FrontEnd {
  public:
-  /// `store_timeout` must outlive this object.
+  /// `store_timeout` and `catalog` must outlive this object.
   FrontEnd(FrontEndOptions options, const StoreTimeout* store_timeout,
-           AdmissionOptions admission = {})
+           const CatalogWatcher* catalog, AdmissionOptions admission = {})
       : options_(options),
         store_timeout_(store_timeout),
+        catalog_(catalog),
         admission_(admission) {}
 
   /// Starts a call or responds to it immediately. `store_answers` is false if
   /// this node considers the store unavailable.
-  void Handle(Context& ctx, CallReceived call, const Catalog* catalog,
-              TimePoint catalog_confirmed_at, bool store_answers);
+  void Handle(Context& ctx, CallReceived call, bool store_answers);
+  /// True if this node has no catalog that may decide the call: another node
+  /// has used a newer one.
+  bool IsOutdatedFor(const CallReceived& call) const {
+    return catalog_->version() <
+           std::max(call.required_version, catalog_->known_version());
+  }
   /// Logs how another node answered a call.
   void Handle(Context& ctx, const ForwardCompleted& outcome);
 
+  /// True if another node can serve the call.
+  bool CanForward(const CallReceived& call) const {
+    return serving_peer_.has_value() && !call.forwarded;
+  }
+
   /// True if the store request belongs to a call of this front end.
   bool Owns(Ticket ticket) const { return calls_.count(ticket) != 0; }
   /// Continue the call that a store response belongs to. While the store is
@@ -136,14 +149,10 @@
   /// The delay after which callers that were not served should retry.
   Duration RetryAfter() const;
   /// Passes a call on to a node that reaches the store. That node also decides
-  /// whether the call is allowed, since its catalog is current. Submits and
-  /// cancels are idempotent, so that a call which `may_be_applied` can be
-  /// passed on too.
-  void Forward(Context& ctx, const CallReceived& call, bool may_be_applied);
-  /// True if another node can serve the call.
-  bool CanForward(const CallReceived& call) const {
-    return serving_peer_.has_value() && !call.forwarded;
-  }
+  /// whether the call is allowed, by no older catalog than this node knows.
+  /// Submits and cancels are idempotent, so that a call which `may_be_applied`
+  /// can be passed on too.
+  void Forward(Context& ctx, CallReceived call, bool may_be_applied);
   /// Passes a call on whose request to the store got no answer.
   void ForwardPending(Context& ctx, const Pending& pending);
   /// Returns the queue of the call and sets the workspace of its key. Responds
@@ -191,6 +200,7 @@
 
   FrontEndOptions options_;
   const StoreTimeout* store_timeout_;
+  const CatalogWatcher* catalog_;
   StoreOutage outage_ = StoreOutage::kUnknown;
   std::optional<std::string> serving_peer_;
   std::map<Ticket, Pending> calls_;
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -32,12 +32,14 @@
 Node::Node(NodeOptions options)
     : options_(std::move(options)),
       leadership_(options_.leadership, options_.name, &store_timeout_),
-      front_end_(options_.front_end, &store_timeout_, options_.admission),
+      front_end_(options_.front_end, &store_timeout_, &catalog_,
+                 options_.admission),
       peers_(options_.peers, options_.instance,
              {options_.peer_address, 0, options_.hall,
               options_.leadership.capacity},
              &store_timeout_),
       evidence_gate_(options_.evidence),
+      calls_awaiting_catalog_(options_.max_catalog_wait),
       catalog_(options_.catalog) {
   options_.scheduler.forecasts_capacity =
       options_.admission.use != AdmissionUse::kOff;
@@ -56,7 +58,7 @@
   for (const EventBody& event : events) {
     std::visit([this, &ctx](const auto& body) { Handle(ctx, body); }, event);
   }
-  catalog_.Work(ctx);
+  catalog_.Work(ctx, StoreAnswers());
   if (scheduler_ != nullptr) {
     scheduler_->Work(ctx, *catalog_.catalog());
   } else if (catalog_.catalog() != nullptr) {
@@ -66,8 +68,9 @@
   WorkOnPeers(ctx);
   ReleaseHeldCalls(ctx);
   const bool lingers = ctx.now() - shutdown_requested_at_ < options_.linger;
-  const bool handed_over =
-      scheduler_ == nullptr && front_end_.idle() && evidence_gate_.empty();
+  const bool handed_over = scheduler_ == nullptr && front_end_.idle() &&
+                           evidence_gate_.empty() &&
+                           calls_awaiting_catalog_.empty();
   const bool timed_out =
       ctx.now() - shutdown_requested_at_ >= options_.max_shutdown_time;
   const bool done = shutting_down_ && !lingers && (handed_over || timed_out);
@@ -83,7 +86,8 @@
 void Node::WorkOnPeers(Context& ctx) {
   // While callers wait, a single call without an answer is reason enough to ask
   // peers.
-  const bool callers_wait = !evidence_gate_.empty() || !front_end_.idle();
+  const bool callers_wait = !evidence_gate_.empty() || !front_end_.idle() ||
+                            !calls_awaiting_catalog_.empty();
   const bool doubtful =
       callers_wait && store_timeout_.failing_since().has_value();
   peers_.Work(ctx, StoreAnswers() && !doubtful);
@@ -121,10 +125,33 @@
            ctx.now(), store_timeout_.answered_at(), known_lost)) {
     HandleCall(ctx, released.call, released.store_answers);
   }
+  const auto is_decided = [this](const HeldCalls::HeldCall& held) {
+    return !AwaitsCatalog(held.call);
+  };
+  for (const HeldCalls::HeldCall& released :
+       calls_awaiting_catalog_.Release(ctx.now(), is_decided)) {
+    DecideCall(ctx, released.call, StoreAnswers());
+  }
+}
+
+bool Node::AwaitsCatalog(const CallReceived& call) const {
+  if (!front_end_.IsOutdatedFor(call) || front_end_.CanForward(call)) {
+    return false;
+  }
+  return StoreAnswers() || peers_.outage() == StoreOutage::kUnknown;
 }
 
 void Node::HandleCall(Context& ctx, const CallReceived& call,
                       bool store_answers) {
+  if (AwaitsCatalog(call)) {
+    calls_awaiting_catalog_.Hold(ctx.now(), call);
+  } else {
+    DecideCall(ctx, call, store_answers);
+  }
+}
+
+void Node::DecideCall(Context& ctx, const CallReceived& call,
+                      bool store_answers) {
   KnownSummary known;
   if (scheduler_ != nullptr) {
     known = {scheduler_->forecast(), scheduler_->confirmed_at()};
@@ -133,8 +160,7 @@
              leadership_.record_written_after()};
   }
   front_end_.SetForecast(known);
-  front_end_.Handle(ctx, call, catalog_.catalog(), catalog_.confirmed_at(),
-                    store_answers);
+  front_end_.Handle(ctx, call, store_answers);
   // The forecast may change before the next call.
   front_end_.SetForecast({});
 }
@@ -169,8 +195,9 @@
   } else if (catalog_.catalog() != nullptr) {
     next = leadership_.next_at();
   }
-  next = std::min(
-      {next, catalog_.next_at(), peers_.next_at(), evidence_gate_.next_at()});
+  next =
+      std::min({next, catalog_.next_at(), peers_.next_at(),
+                evidence_gate_.next_at(), calls_awaiting_catalog_.next_at()});
   if (standbys_.has_value()) next = std::min(next, standbys_->next_at());
   if (!waiting_peers_.empty()) {
     next = std::min(next, waiting_peers_.front().since + kMaxPeerWait);
@@ -228,7 +255,7 @@
   } else if (scheduler_ == nullptr && leadership_.Owns(event.ticket)) {
     const bool answered = leadership_.store_answers();
     leadership_.Handle(ctx, event);
-    catalog_.SetKnownVersion(leadership_.record().catalog);
+    catalog_.SetKnownVersion(ctx.now(), leadership_.record().catalog);
     if (answered != leadership_.store_answers()) {
       ctx.Log(answered ? LogId::kStoreLost : LogId::kStoreBack, {});
     }
@@ -308,6 +335,8 @@
 
 void Node::Handle(Context& ctx, const ForwardCompleted& event) {
   front_end_.Handle(ctx, event);
+  // The caller has seen the effects of that version here.
+  catalog_.SetKnownVersion(ctx.now(), event.version);
 }
 
 void Node::Handle(Context& ctx, const ShutdownRequested&) {
@@ -340,6 +369,7 @@
   const Catalog* catalog = catalog_.catalog();
   if (catalog != nullptr) {
     json["catalog"] = Json::Int64(catalog->version.value());
+    json["known_catalog"] = Json::Int64(catalog_.known_version().value());
     json["catalog_age_ms"] =
         Json::Int64((ctx.now() - catalog_.confirmed_at()).ms());
   }
--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -19,6 +19,7 @@
 #include "dispatch/event.h"
 #include "dispatch/evidence_gate.h"
 #include "dispatch/front_end.h"
+#include "dispatch/held_calls.h"
 #include "dispatch/leadership.h"
 #include "dispatch/peer_check.h"
 #include "dispatch/scheduler.h"
@@ -38,6 +39,9 @@
   PeerCheckOptions peers;
   StandbyOptions standbys;
   EvidenceGateOptions evidence;
+  /// A call that this node's catalog is too old to decide is held this long
+  /// until a newer one is read.
+  Duration max_catalog_wait{600};
   /// How long callers are still served after a shutdown request: long enough
   /// for the load balancer to notice, and well before the process is killed.
   Duration linger{3000};
@@ -87,10 +91,7 @@
   /// False while this node considers the store unavailable.
   bool StoreAnswers() const;
   /// The catalog in force; 0 if there is none yet.
-  CatalogVersion catalog_version() const {
-    const Catalog* catalog = catalog_.catalog();
-    return catalog != nullptr ? catalog->version : CatalogVersion();
-  }
+  CatalogVersion catalog_version() const { return catalog_.version(); }
   /// Whether a store outage affects only this node, as far as peers could tell.
   StoreOutage store_loss() const { return peers_.outage(); }
   /// Addresses of the standbys; empty unless this node leads.
@@ -124,9 +125,16 @@
   void CheckLease(Context& ctx, Scheduler::LeaseStatus status);
   /// Notifies the scheduler if this process was paused.
   void CheckForProcessPause(Context& ctx);
-  /// Handles an API call, with the newest forecast that this node knows.
+  /// True if the catalog is too old to decide the call, and it may still become
+  /// possible to read a newer one or to pass the call on.
+  bool AwaitsCatalog(const CallReceived& call) const;
+  /// Handles an API call, or holds it if it awaits a newer catalog.
   void HandleCall(Context& ctx, const CallReceived& call, bool store_answers);
-  /// Handles the held calls for which the state of the store is known by now.
+  /// Passes an API call to the front end, with the newest forecast that this
+  /// node knows.
+  void DecideCall(Context& ctx, const CallReceived& call, bool store_answers);
+  /// Handles the held calls for which the state of the store, or a new enough
+  /// catalog, is known by now.
   void ReleaseHeldCalls(Context& ctx);
   /// Asks peers about the store, and maintains the standbys while leading.
   void WorkOnPeers(Context& ctx);
@@ -146,6 +154,7 @@
   FrontEnd front_end_;
   PeerCheck peers_;
   EvidenceGate evidence_gate_;
+  HeldCalls calls_awaiting_catalog_;
   /// A peer that waits until a probe shows whether the store answers.
   struct WaitingPeer {
     CallId call;
--- a/src/emulator/emulated_configuration.cc
+++ b/src/emulator/emulated_configuration.cc
@@ -70,9 +70,10 @@
     const int node = static_cast<int>(i);
     if (IsCutOffFromStore(node)) {
       process.catalog_watch->lost = true;
+      process.troubled_at = now_;
     } else if (!process.catalog_watch->lost) {
       process.catalog_watch.reset();
-      SendCatalog(node, options_.network, true);
+      SendCatalog(node, options_.network, true, true);
     }
   }
 }
@@ -89,12 +90,12 @@
 }
 
 void EmulatedSystem::Perform(int node, const dispatch::ReadCatalog&) {
-  SendCatalog(node, options_.network * 2, true);
+  SendCatalog(node, options_.network * 2, true, false);
 }
 
 void EmulatedSystem::Perform(int node, const dispatch::AwaitCatalog& await) {
   if (await.after < catalog_revision_) {
-    SendCatalog(node, options_.network * 2, true);
+    SendCatalog(node, options_.network * 2, true, true);
     return;
   }
   Process& process = processes_[node];
@@ -116,19 +117,23 @@
   const bool lost = process.catalog_watch->lost;
   process.catalog_watch.reset();
   if (!lost) {
-    SendCatalog(node, Duration(0), false);
+    SendCatalog(node, Duration(0), false, true);
     return;
   }
   RunAt(now_ + (await.timeout - await.wait), [this, node, incarnation] {
-    Deliver(node, incarnation, dispatch::CatalogReceived());
+    dispatch::CatalogReceived lost_answer;
+    lost_answer.from_watch = true;
+    Deliver(node, incarnation, lost_answer);
   });
 }
 
-void EmulatedSystem::SendCatalog(int node, Duration after, bool has_catalog) {
+void EmulatedSystem::SendCatalog(int node, Duration after, bool has_catalog,
+                                 bool from_watch) {
   const int incarnation = processes_[node].incarnation;
-  RunAt(now_ + after, [this, node, incarnation, has_catalog] {
+  RunAt(now_ + after, [this, node, incarnation, has_catalog, from_watch] {
     const bool unavailable = IsCutOffFromStore(node);
     dispatch::CatalogReceived answer;
+    answer.from_watch = from_watch;
     answer.outcome =
         unavailable ? StoreOutcome::kNotApplied : StoreOutcome::kDone;
     if (!unavailable && has_catalog) answer.catalog = catalog_;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -372,7 +372,7 @@
   void WatchChanges(int node, int incarnation,
                     const dispatch::AwaitChanges& effect, TimePoint until);
   /// Delivers the catalog after some time; without it, that it has not changed.
-  void SendCatalog(int node, Duration after, bool has_catalog);
+  void SendCatalog(int node, Duration after, bool has_catalog, bool from_watch);
   /// Ends the long poll for changes of the catalog if it is still in progress.
   void EndCatalogWatch(int node, int incarnation, std::int64_t number,
                        const dispatch::AwaitCatalog& await);
--- a/test/caller-server-test.cc
+++ b/test/caller-server-test.cc
@@ -52,6 +52,7 @@
           }
           dispatch::ForwardCall forward;
           forward.call = std::get<dispatch::CallReceived>(std::move(event));
+          forward.call.required_version = dispatch::CatalogVersion(44);
           forward.address = absl::StrCat("127.0.0.1:", second_port);
           forward.timeout = Duration(300);
           forward.may_be_applied = may_be_applied;
@@ -111,6 +112,15 @@
   LONGS_EQUAL(48, completed->version.value());
 }
 
+// Guards against callers that make a node wait for a version.
+TEST(CallerServer, CallOfACallerRequiresNoCatalog) {
+  httplib::Client client("127.0.0.1", second->port());
+  const httplib::Headers headers = {{"Limeledge-Catalog-Version", "99"}};
+  const httplib::Result result = client.Get("/jobs/", headers);
+  CHECK_TRUE(seen->required_version == dispatch::CatalogVersion());
+  CHECK_FALSE(result->has_header("Limeledge-Catalog-Version"));
+}
+
 TEST(CallerServer, CallIsPassedOnWhole) {
   LONGS_EQUAL(200, Submit()->status);
   CHECK_TRUE(seen->forwarded);
@@ -120,6 +130,7 @@
   STRCMP_EQUAL("key-1", seen->key.c_str());
   STRCMP_EQUAL("x", seen->spec.payload.c_str());
   LONGS_EQUAL(300, seen->deadline.ms());
+  LONGS_EQUAL(44, seen->required_version.value());
 }
 
 TEST(CallerServer, CallWithoutAnAnswerMayHaveBeenAccepted) {
--- a/test/catalog-watcher-test.cc
+++ b/test/catalog-watcher-test.cc
@@ -14,11 +14,12 @@
   TimePoint now{1000};
   Ticket tickets;
   Effects effects;
+  bool store_answers = true;
 
   void Work() {
     effects.clear();
     Context ctx(now, 0, &tickets, &effects);
-    watcher.Work(ctx);
+    watcher.Work(ctx, store_answers);
   }
 
   bool Reads() const {
@@ -33,6 +34,10 @@
 
   void Answer(StoreOutcome outcome, int version = 0) {
     CatalogReceived answer;
+    for (const Effect& effect : effects) {
+      if (std::holds_alternative<AwaitCatalog>(effect))
+        answer.from_watch = true;
+    }
     answer.outcome = outcome;
     if (version > 0) {
       answer.catalog = Catalog();
@@ -82,16 +87,70 @@
   CHECK_TRUE(Reads());
 }
 
-TEST(CatalogWatcher, CatalogIsReadWhenAnotherNodeKnowsANewerVersion) {
+TEST(CatalogWatcher, KnownVersionIsReadIfTheWatchDoesNotReturnIt) {
   Work();
-  watcher.SetKnownVersion(CatalogVersion(5));
-  Answer(StoreOutcome::kDone);
+  watcher.SetKnownVersion(now, CatalogVersion(5));
+  now = now + CatalogWatcherOptions().catch_up_grace;
+  Work();
+  CHECK_TRUE(effects.empty());
+  CHECK_TRUE(watcher.known_version() == watcher.version());
+  watcher.SetKnownVersion(now, CatalogVersion(6));
+  CHECK_TRUE(watcher.known_version() == CatalogVersion(6));
+  Work();
+  CHECK_TRUE(effects.empty());
+  CHECK_TRUE(watcher.next_at() == now + CatalogWatcherOptions().catch_up_grace);
+  now = watcher.next_at();
+  Work();
+  CHECK_TRUE(Reads());
+  Answer(StoreOutcome::kDone, 6);
+  CHECK_TRUE(watcher.version() == CatalogVersion(6));
+}
+
+// Every node of a fleet may learn of a version before its watch returns it.
+TEST(CatalogWatcher, KnownVersionIsNotReadIfTheWatchReturnsIt) {
+  Work();
+  watcher.SetKnownVersion(now, CatalogVersion(6));
+  Answer(StoreOutcome::kDone, 6);
+  now = now + CatalogWatcherOptions().catch_up_grace;
   Work();
   CHECK_TRUE(Watches());
-  watcher.SetKnownVersion(CatalogVersion(6));
-  Answer(StoreOutcome::kDone);
+}
+
+// A read that cannot be answered would still be waited for once the store
+// answers again.
+TEST(CatalogWatcher, KnownVersionIsReadOnlyOnceTheStoreAnswers) {
+  Work();
+  watcher.SetKnownVersion(now, CatalogVersion(6));
+  now = now + Duration(1000);
+  store_answers = false;
+  Work();
+  CHECK_TRUE(effects.empty());
+  CHECK_TRUE(watcher.next_at() == kNever);
+  store_answers = true;
   Work();
   CHECK_TRUE(Reads());
 }
 
+// Guards against an older version, or older halls, from a watch that was
+// overtaken by a read.
+TEST(CatalogWatcher, WatchThatReturnsAfterANewerReadChangesNothing) {
+  CatalogReceived read;
+  read.outcome = StoreOutcome::kDone;
+  read.catalog = Catalog();
+  read.catalog->version = CatalogVersion(9);
+  read.lists_all_halls = true;
+  read.newest = Revision(60);
+  CatalogReceived watch;
+  watch.from_watch = true;
+  watch.outcome = StoreOutcome::kDone;
+  watch.halls[HallId("h1")] = true;
+  watch.newest = Revision(50);
+  Context ctx(now, 0, &tickets, &effects);
+  watcher.Handle(ctx, read);
+  watcher.Handle(ctx, watch);
+  CHECK_TRUE(watcher.catalog()->drained_halls.empty());
+  Work();
+  CHECK_TRUE(std::get<AwaitCatalog>(effects.front()).after == Revision(60));
+}
+
 }  // namespace limeledge::dispatch
--- a/test/desk-test.cc
+++ b/test/desk-test.cc
@@ -13,8 +13,8 @@
 // A front end with one call, which started while the store was available.
 TEST_GROUP(Desk) {
   StoreTimeout store_timeout;
-  FrontEnd front_end{FrontEndOptions(), &store_timeout};
-  Catalog catalog = emulator::MakeCatalog();
+  CatalogWatcher catalog;
+  FrontEnd front_end{FrontEndOptions(), &store_timeout, &catalog};
   Ticket tickets;
   Effects effects;
   TimePoint now{1000};
@@ -24,6 +24,14 @@
     return Context(now, 0, &tickets, &effects);
   }
 
+  void setup() override {
+    CatalogReceived answer;
+    answer.outcome = StoreOutcome::kDone;
+    answer.catalog = emulator::MakeCatalog();
+    Context ctx = NewContext();
+    catalog.Handle(ctx, answer);
+  }
+
   /// Starts a call on a job.
   void Start(CallKind kind, bool store_answers = true) {
     CallReceived call;
@@ -33,7 +41,7 @@
     call.path = std::string(emulator::PrefixOf(1)) + "00000000000000aa";
     call.spec.steps.emplace_back();
     Context ctx = NewContext();
-    front_end.Handle(ctx, call, &catalog, now, store_answers);
+    front_end.Handle(ctx, call, store_answers);
   }
 
   /// Returns the last effect of a type; null if there is none.
@@ -135,7 +143,7 @@
   call.path = std::string(emulator::PrefixOf(1)) + "00000000000000aa";
   call.forwarded = true;
   Context ctx = NewContext();
-  front_end.Handle(ctx, call, &catalog, now, false);
+  front_end.Handle(ctx, call, false);
   CHECK_TRUE(Last<ForwardCall>() == nullptr);
   CHECK_TRUE(Last<RespondToCall>()->result == CallResult::kNotAccepted);
 }
@@ -155,4 +163,47 @@
   CHECK_TRUE(Last<ForwardCall>() != nullptr);
 }
 
+// Guards against a decision by the older catalog of the other node.
+TEST(Desk, CallIsPassedOnWithTheNewestKnownCatalog) {
+  front_end.SetStoreOutage(StoreOutage::kLocal, "n7:80");
+  catalog.SetKnownVersion(now, CatalogVersion(7));
+  Start(CallKind::kQuery, false);
+  LONGS_EQUAL(7, Last<ForwardCall>()->call.required_version.value());
+}
+
+TEST(Desk, CallIsPassedOnWhileTheCatalogIsOutdated) {
+  front_end.SetStoreOutage(StoreOutage::kLocal, "n7:80");
+  catalog.SetKnownVersion(now, CatalogVersion(7));
+  Start(CallKind::kQuery);
+  CHECK_TRUE(Last<ForwardCall>() != nullptr);
+}
+
+// Guards against answers by a catalog that is older than one that the node has
+// shown, and against final ones: the next node may serve the call.
+TEST(Desk, OutdatedCatalogDecidesNothing) {
+  catalog.SetKnownVersion(now, CatalogVersion(7));
+  for (const bool store_answers : {true, false}) {
+    Start(CallKind::kQuery, store_answers);
+    CHECK_TRUE(Last<RespondToCall>()->result == CallResult::kNotAccepted);
+    CHECK_TRUE(Last<RespondToCall>()->retry_after.has_value());
+    CHECK_TRUE(front_end.idle());
+  }
+}
+
+TEST(Desk, CallThatRequiresANewerCatalogIsNotDecided) {
+  CallReceived call;
+  call.kind = CallKind::kQuery;
+  call.host = emulator::kHost;
+  call.key = emulator::kKey;
+  call.path = emulator::PrefixOf(1);
+  call.forwarded = true;
+  call.required_version = CatalogVersion(7);
+  CHECK_TRUE(front_end.IsOutdatedFor(call));
+  Context ctx = NewContext();
+  front_end.Handle(ctx, call, true);
+  CHECK_TRUE(Last<RespondToCall>()->result == CallResult::kNotAccepted);
+  call.required_version = catalog.version();
+  CHECK_FALSE(front_end.IsOutdatedFor(call));
+}
+
 }  // namespace limeledge::dispatch
--- a/test/front-end-test.cc
+++ b/test/front-end-test.cc
@@ -14,20 +14,29 @@
 
 TEST_GROUP(FrontEnd) {
   StoreTimeout store_timeout;
-  FrontEnd front_end{FrontEndOptions(), &store_timeout};
-  Catalog catalog;
+  CatalogWatcher watcher;
+  FrontEnd front_end{FrontEndOptions(), &store_timeout, &watcher};
   Ticket tickets;
   Effects effects;
   TimePoint now{1000};
   CallId last_call;
 
+  void SetCatalog(const Queue& queue) {
+    CatalogReceived answer;
+    answer.outcome = StoreOutcome::kDone;
+    answer.catalog = Catalog();
+    answer.catalog->queues.push_back(queue);
+    Context ctx(now, now.ms(), &tickets, &effects);
+    watcher.Handle(ctx, answer);
+  }
+
   void setup() override {
     Queue queue;
     queue.id = QueueId("q");
     queue.host = "h";
     queue.path_prefix = "/q/";
     queue.is_public = true;
-    catalog.queues.push_back(queue);
+    SetCatalog(queue);
   }
 
   /// Sends a call for the number of waiting jobs; true if it reads the store.
@@ -39,7 +48,7 @@
     call.kind = CallKind::kQuery;
     call.host = "h";
     call.path = "/q/";
-    front_end.Handle(ctx, call, &catalog, now, true);
+    front_end.Handle(ctx, call, true);
     for (const Effect& effect : effects) {
       if (std::holds_alternative<ReadRows>(effect)) return true;
     }
@@ -93,15 +102,24 @@
 // Submits under a forecast by which the job can never run.
 TEST_GROUP(FrontEndRefusal) {
   StoreTimeout store_timeout;
-  FrontEnd front_end{FrontEndOptions(), &store_timeout,
+  CatalogWatcher watcher;
+  FrontEnd front_end{FrontEndOptions(), &store_timeout, &watcher,
                      AdmissionOptions{AdmissionUse::kAuto}};
-  Catalog catalog;
   CapacitySummary summary;
   Ticket tickets;
   Effects effects;
   TimePoint now{10000};
   CallReceived call;
 
+  void SetCatalog(const Queue& queue) {
+    CatalogReceived answer;
+    answer.outcome = StoreOutcome::kDone;
+    answer.catalog = Catalog();
+    answer.catalog->queues.push_back(queue);
+    Context ctx(now, now.ms(), &tickets, &effects);
+    watcher.Handle(ctx, answer);
+  }
+
   void setup() override {
     Queue queue;
     queue.id = QueueId("q");
@@ -109,7 +127,7 @@
     queue.path_prefix = "/q/";
     queue.is_public = true;
     queue.policy.service = ServiceId("compute");
-    catalog.queues.push_back(queue);
+    SetCatalog(queue);
     summary.confirmed_wall_ms = now.ms();
     summary.services[ServiceId("compute")].largest = {64000, 65536, 8};
     summary.services[ServiceId("compute")].sum = {64000, 65536, 8};
@@ -135,7 +153,7 @@
     call.call = call.call.Next();
     Context ctx(now, now.ms(), &tickets, &effects);
     front_end.SetForecast({&summary, written_after});
-    front_end.Handle(ctx, call, &catalog, now, true);
+    front_end.Handle(ctx, call, true);
   }
 
   /// Answers the read of the job row.
