Keep in mind that the store does not answer when a scheduler is deposed

Cause: what a node believes of the store stands in two places, the scheduler's writer and the follower of the lease. The follower began with no failed call, whatever the writer had found.

Change: Leadership::Reset takes over what the scheduler found.

Evidence: Configuration.DeposedLeaderWithoutStoreKnowsThatItHasNone failed before and passes now; the dump told store_answers while the store was cut off.

Conclusion: a change of role is no evidence that the store answers.

--- a/src/dispatch/leadership.cc
+++ b/src/dispatch/leadership.cc
@@ -73,8 +73,10 @@
   next_at_ = now;
 }
 
-void Leadership::Reset(TimePoint now) {
+void Leadership::Reset(TimePoint now, bool store_answers) {
   watch_ = WatchedLease(options_.lease);
+  refused_ = false;
+  unanswered_reads_ = store_answers ? 0 : kMaxUnanswered;
   ScheduleRead(now, options_.poll_interval);
 }
 
--- a/src/dispatch/leadership.h
+++ b/src/dispatch/leadership.h
@@ -108,7 +108,8 @@
   bool Owns(Ticket ticket) const { return call_ == ticket; }
 
   /// Starts watching again after the lease was lost or released.
-  void Reset(TimePoint now);
+  /// `store_answers` is what the scheduler found.
+  void Reset(TimePoint now, bool store_answers);
   /// Stops claiming; for a process that is shutting down.
   void Retire() { retired_ = true; }
 
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -394,9 +394,9 @@
   ctx.Log(LogId::kLeaderLost,
           {{"epoch", std::to_string(scheduler_->epoch().value())},
            {"reason", reason}});
+  leadership_.Reset(ctx.now(), scheduler_->store_answers());
   scheduler_ = nullptr;
   standbys_.reset();
-  leadership_.Reset(ctx.now());
 }
 
 void Node::CheckLease(Context& ctx, Scheduler::LeaseStatus status) {
--- a/test/configuration-test.cc
+++ b/test/configuration-test.cc
@@ -127,4 +127,24 @@
   CheckNoViolation();
 }
 
+// Guards against a deposed scheduler that forgets that the store does not
+// answer it, and makes callers wait for the store instead of passing them on.
+TEST(Configuration, DeposedLeaderWithoutStoreKnowsThatItHasNone) {
+  node = system.leader();
+  Submit(Step(8, 1, Duration(20000)), 0);
+  system.Run(Duration(1000));
+  CutOff();
+  const auto contains = [this](const char* text) {
+    return system.DumpOf(node).find(text) != std::string::npos;
+  };
+  for (int i = 0; i < 800 && contains("\"leads\":true"); ++i) {
+    system.Run(Duration(10));
+  }
+  CHECK_TRUE(contains("\"leads\":false"));
+  CHECK_TRUE(contains("\"store_answers\":false"));
+  Reconnect();
+  system.Run(Duration(1000));
+  CHECK_TRUE(contains("\"store_answers\":true"));
+}
+
 }  // namespace limeledge::emulator
--- a/test/leadership-test.cc
+++ b/test/leadership-test.cc
@@ -128,7 +128,7 @@
   done.revision = Revision(6);
   Context ctx(now, 0, &tickets, &effects);
   CHECK_TRUE(follower.Handle(ctx, done).has_value());
-  follower.Reset(now);
+  follower.Reset(now, true);
   record.holder = "e1/2";
   POINTERS_EQUAL(nullptr, Read(record, 7));
 }
