Let a new scheduler obey what its predecessor knew of the configuration

What callers would see: a scheduler whose watch of the operator's rows is silent takes over and starts tasks in a hall whose draining its predecessor has obeyed, or by an older version, for up to 2.5 s.

Cause: the leader's row named the newest version, but it only caused a read if no watch was in flight, which is nearly always the case, and the scheduler planned by what it had meanwhile. Drained halls have no version at all.

Change: the row also names the revision of the newest change of the operator's rows that the holder knows. A node that has not read up to it is behind: it reads, and as scheduler plans nothing until it has. Halls reach the watches of the emulator when they change, as versions do.

Conclusion: a change without a version needs the store's revision to be ordered.

--- a/src/dispatch/catalog_watcher.cc
+++ b/src/dispatch/catalog_watcher.cc
@@ -30,7 +30,7 @@
 TimePoint CatalogWatcher::ReadDueAt() const {
   if (!catalog_.has_value() || history_lost_) return next_read_at_;
   // Without the store a read would only delay the next one.
-  if (!IsBehind() || !store_answers_) return kNever;
+  if (!is_behind() || !store_answers_) return kNever;
   return std::max(next_read_at_, behind_since_ + options_.catch_up_grace);
 }
 
@@ -49,10 +49,16 @@
 
 void CatalogWatcher::SetKnownVersion(TimePoint now, CatalogVersion version) {
   if (version <= known_version()) return;
-  if (!IsBehind()) behind_since_ = now;
+  if (!is_behind()) behind_since_ = now;
   known_version_ = version;
 }
 
+void CatalogWatcher::SetKnownChange(TimePoint now, Revision revision) {
+  if (revision <= std::max(known_change_, watch_revision_)) return;
+  if (!is_behind()) behind_since_ = now;
+  known_change_ = revision;
+}
+
 void CatalogWatcher::Handle(Context& ctx, const CatalogReceived& answer) {
   (answer.from_watch ? watch_in_flight_ : read_in_flight_) = false;
   TimePoint& next_at = answer.from_watch ? next_watch_at_ : next_read_at_;
@@ -76,6 +82,7 @@
   // A watch may return after a read that was sent later.
   if (answer.newest < watch_revision_) return;
   watch_revision_ = answer.newest;
+  changed_at_ = std::max(changed_at_, answer.changed_at);
   UpdateDrainedHalls(ctx, answer);
   if (!answer.catalog.has_value()) {
     // No catalog has been written so far: read again after a pause. Watching
--- a/src/dispatch/catalog_watcher.h
+++ b/src/dispatch/catalog_watcher.h
@@ -50,6 +50,16 @@
   /// it, the catalog is read again.
   void SetKnownVersion(TimePoint now, CatalogVersion version);
 
+  /// The same for a change of the catalog or of the drained halls.
+  void SetKnownChange(TimePoint now, Revision revision);
+  /// True while a change is known to exist that this node has not read.
+  bool is_behind() const {
+    return catalog_.has_value() && (known_version_ > catalog_->version ||
+                                    known_change_ > watch_revision_);
+  }
+  /// The newest change that this node has read.
+  Revision changed_at() const { return changed_at_; }
+
   /// Returns null until a first version has been read.
   const Catalog* catalog() const {
     return catalog_.has_value() ? &*catalog_ : nullptr;
@@ -69,9 +79,6 @@
   bool answers() const { return answers_; }
 
  private:
-  bool IsBehind() const {
-    return catalog_.has_value() && known_version_ > catalog_->version;
-  }
   /// When the catalog has to be read; `kNever` while the watch is enough.
   TimePoint ReadDueAt() const;
   void Read(Context& ctx);
@@ -82,7 +89,8 @@
   CatalogWatcherOptions options_;
   std::optional<Catalog> catalog_;
   CatalogVersion known_version_;
-  /// When a version newer than the catalog became known.
+  Revision known_change_;
+  /// When this node began to be behind.
   TimePoint behind_since_;
   std::set<HallId> drained_halls_;
   bool read_in_flight_ = false;
@@ -95,7 +103,9 @@
   TimePoint next_read_at_;
   TimePoint next_watch_at_;
   TimePoint confirmed_at_;
+  /// All changes up to this revision have been read.
   Revision watch_revision_;
+  Revision changed_at_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -74,6 +74,9 @@
   /// True if `halls` is complete: halls missing from it are not drained. False
   /// if `halls` holds only changes.
   bool lists_all_halls = false;
+  /// The newest change among those that the answer contains; 0 if there is
+  /// none.
+  Revision changed_at;
   Revision newest;
 };
 
--- a/src/dispatch/leadership.cc
+++ b/src/dispatch/leadership.cc
@@ -198,6 +198,7 @@
   claim_.largest_capacity = std::max(seen.largest_capacity, options_.capacity);
   claim_.nodes = seen.nodes;
   claim_.catalog = seen.catalog;
+  claim_.catalog_revision = seen.catalog_revision;
   call_under_way_ = true;
   call_ = ctx.NewTicket();
   claim_sent_at_ = ctx.now();
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -60,7 +60,7 @@
   }
   catalog_.Work(ctx, StoreAnswers());
   if (scheduler_ != nullptr) {
-    scheduler_->Work(ctx, *catalog_.catalog());
+    scheduler_->Work(ctx, catalog_);
   } else if (catalog_.catalog() != nullptr) {
     leadership_.Follow(ctx);
   }
@@ -256,6 +256,7 @@
     const bool answered = leadership_.store_answers();
     leadership_.Handle(ctx, event);
     catalog_.SetKnownVersion(ctx.now(), leadership_.record().catalog);
+    catalog_.SetKnownChange(ctx.now(), leadership_.record().catalog_revision);
     if (answered != leadership_.store_answers()) {
       ctx.Log(answered ? LogId::kStoreLost : LogId::kStoreBack, {});
     }
--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -323,6 +323,7 @@
   json["largest_capacity"] = Json::Int64(record.largest_capacity);
   if (record.nodes > 0) json["nodes"] = Json::Int64(record.nodes);
   json["catalog"] = Json::Int64(record.catalog.value());
+  json["catalog_revision"] = Json::Int64(record.catalog_revision.value());
   if (record.forecast.has_value()) {
     json["forecast"] = ForecastToJson(*record.forecast);
   }
@@ -340,6 +341,8 @@
     record.largest_capacity = json.get("largest_capacity", 0).asInt64();
     record.nodes = json.get("nodes", 0).asInt64();
     record.catalog = CatalogVersion(json.get("catalog", 0).asInt64());
+    record.catalog_revision =
+        Revision(json.get("catalog_revision", 0).asInt64());
     if (json.isMember("forecast")) record.forecast = DecodeForecast(json);
     return record;
   });
--- a/src/dispatch/row_codec.h
+++ b/src/dispatch/row_codec.h
@@ -41,6 +41,9 @@
   /// The newest catalog that the holder knows. A node that knows only an older
   /// one has missed a change.
   CatalogVersion catalog;
+  /// The newest change of the catalog or of the drained halls that the holder
+  /// knows; 0 in rows of versions that did not tell it.
+  Revision catalog_revision;
   /// What the holder knows of capacity; not set if it knows too little, and in
   /// rows of versions that did not forecast it. Versions that do not know the
   /// field ignore it.
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -290,9 +290,13 @@
   speed_keeper_.Write(ctx, fleet_, speeds_in_use_, &speeds_, &writer_);
 }
 
+bool Scheduler::MayPlan() const {
+  return jobs_.loaded() && !releasing_ && !catalog_is_behind_ &&
+         writer_.store_answers();
+}
+
 bool Scheduler::IsPassDue(TimePoint now) const {
-  if (!jobs_.loaded() || releasing_ || !writer_.store_answers()) return false;
-  if (now < next_pass_at_) return false;
+  if (!MayPlan() || now < next_pass_at_) return false;
   return plan_due_ || now >= planner_.next_at() ||
          now - last_pass_at_ >= options_.max_pass_interval;
 }
@@ -337,9 +341,10 @@
                                {"epoch", std::to_string(epoch().value())}});
 }
 
-void Scheduler::Work(Context& ctx, const Catalog& catalog) {
-  catalog_ = &catalog;
-  writer_.Announce(nodes_, catalog.version);
+void Scheduler::Work(Context& ctx, const CatalogWatcher& catalog) {
+  catalog_ = catalog.catalog();
+  catalog_is_behind_ = catalog.is_behind();
+  writer_.Announce(nodes_, catalog.version(), catalog.changed_at());
   if (!writer_.MayAct()) {
     writer_.Flush(ctx);
     return;
@@ -371,8 +376,8 @@
   if (options_.runner_speeds != RunnerSpeedUse::kOff) {
     next = std::min(next, speed_keeper_.next_at());
   }
-  // A pass that is not possible now runs once the store answers again.
-  if (!jobs_.loaded() || releasing_ || !writer_.store_answers()) return next;
+  // A pass that is not possible now runs with the event that makes it possible.
+  if (!MayPlan()) return next;
   if (plan_due_) next = std::min(next, next_pass_at_);
   return std::min(next, std::max(next_pass_at_, planner_.next_at()));
 }
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -17,6 +17,7 @@
 
 #include "dispatch/capacity_forecast.h"
 #include "dispatch/catalog.h"
+#include "dispatch/catalog_watcher.h"
 #include "dispatch/context.h"
 #include "dispatch/fleet.h"
 #include "dispatch/job_cleaner.h"
@@ -204,8 +205,9 @@
   /// have become the scheduler. Until the store confirms that this node still
   /// is, nothing is sent to runners and only the lease is written.
   void HandleProcessPause(Context& ctx, Duration time);
-  /// Does all work that is due. Call it after every event.
-  void Work(Context& ctx, const Catalog& catalog);
+  /// Does all work that is due. Call it after every event. Nothing is planned
+  /// while the catalog is behind. Precondition: a catalog has been read.
+  void Work(Context& ctx, const CatalogWatcher& catalog);
   TimePoint next_at() const;
 
   /// Sets the number of nodes that the leader row tells; 0 if it is not known.
@@ -240,6 +242,8 @@
   void WriteWaitingCounts(Context& ctx);
 
   // Planning and orders.
+  /// True if a planning pass is possible now.
+  bool MayPlan() const;
   /// True if a planning pass is due and possible now.
   bool IsPassDue(TimePoint now) const;
   /// Runs the planner and applies its decisions.
@@ -565,6 +569,7 @@
   TicketCache ticket_cache_;
   Planner planner_;
   const Catalog* catalog_ = nullptr;
+  bool catalog_is_behind_ = false;
   /// Runners that may have an order to send or a queued start to drop.
   std::set<RunnerId> orders_due_;
   std::int64_t nodes_ = 0;
--- a/src/dispatch/state_writer.cc
+++ b/src/dispatch/state_writer.cc
@@ -94,6 +94,8 @@
   // Before this node has counted the others, its predecessor's number holds.
   if (nodes_ > 0) next_record_.nodes = nodes_;
   next_record_.catalog = std::max(record_.catalog, announced_catalog_);
+  next_record_.catalog_revision =
+      std::max(record_.catalog_revision, announced_catalog_revision_);
   next_record_.forecast = announced_forecast_;
   transaction_.conditions.push_back({LeaderRowKey(), revision_});
   transaction_.puts.push_back({LeaderRowKey(), EncodeLeader(next_record_)});
--- a/src/dispatch/state_writer.h
+++ b/src/dispatch/state_writer.h
@@ -86,9 +86,11 @@
   bool MayAct() const { return confirmed_at_ >= confirmation_required_since_; }
 
   /// Sets what each write tells the other nodes besides the lease.
-  void Announce(std::int64_t nodes, CatalogVersion catalog) {
+  void Announce(std::int64_t nodes, CatalogVersion catalog,
+                Revision catalog_revision) {
     nodes_ = nodes;
     announced_catalog_ = catalog;
+    announced_catalog_revision_ = catalog_revision;
   }
   /// Sets the forecast that each write tells the other nodes, if any.
   void AnnounceForecast(std::optional<CapacitySummary> forecast) {
@@ -143,6 +145,7 @@
   LeaderRecord record_;
   std::int64_t nodes_ = 0;
   CatalogVersion announced_catalog_;
+  Revision announced_catalog_revision_;
   std::optional<CapacitySummary> announced_forecast_;
   Revision revision_;
   TimePoint confirmed_at_;
--- a/src/emulator/emulated_configuration.cc
+++ b/src/emulator/emulated_configuration.cc
@@ -61,9 +61,13 @@
 
 void EmulatedSystem::PublishCatalog() {
   catalog_.version = catalog_.version.Next();
-  catalog_revision_ = catalog_revision_.Next();
   Trace(absl::StrCat("catalog ", catalog_.version.value()));
   RecordCatalogVersion();
+  DeliverCatalogChange();
+}
+
+void EmulatedSystem::DeliverCatalogChange() {
+  catalog_revision_ = catalog_revision_.Next();
   for (std::size_t i = 0; i < processes_.size(); ++i) {
     Process& process = processes_[i];
     if (!process.catalog_watch.has_value()) continue;
@@ -137,7 +141,10 @@
     answer.outcome =
         unavailable ? StoreOutcome::kNotApplied : StoreOutcome::kDone;
     if (!unavailable && has_catalog) answer.catalog = catalog_;
-    if (!unavailable) answer.newest = catalog_revision_;
+    if (!unavailable) {
+      answer.newest = catalog_revision_;
+      if (has_catalog) answer.changed_at = catalog_revision_;
+    }
     answer.lists_all_halls = !unavailable;
     for (const auto& [hall, since] : drained_halls_) answer.halls[hall] = true;
     Deliver(node, incarnation, answer);
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -336,6 +336,7 @@
   } else {
     drained_halls_.erase(hall);
   }
+  DeliverCatalogChange();
 }
 
 void EmulatedSystem::SetCapacity(const RunnerId& runner,
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -379,6 +379,8 @@
   /// Makes the next version of the catalog available.
   void PublishCatalog();
   void RecordCatalogVersion();
+  /// Lets the watches of reachable nodes return.
+  void DeliverCatalogChange();
   /// Calls a node for an entry of the catalog, and checks the answer.
   void Probe(int node, const std::string& entry, dispatch::CallReceived call);
   /// Records the processes that a fault keeps from the store.
--- a/test/catalog-watcher-test.cc
+++ b/test/catalog-watcher-test.cc
@@ -153,4 +153,22 @@
   CHECK_TRUE(std::get<AwaitCatalog>(effects.front()).after == Revision(60));
 }
 
+// Drained halls change without a new version of the catalog.
+TEST(CatalogWatcher, KnownChangeIsReadIfTheWatchDoesNotReturnIt) {
+  Work();
+  watcher.SetKnownChange(now, Revision(80));
+  CHECK_TRUE(watcher.is_behind());
+  now = now + CatalogWatcherOptions().catch_up_grace;
+  Work();
+  CHECK_TRUE(Reads());
+  CatalogReceived read;
+  read.outcome = StoreOutcome::kDone;
+  read.changed_at = Revision(80);
+  read.newest = Revision(90);
+  Context ctx(now, 0, &tickets, &effects);
+  watcher.Handle(ctx, read);
+  CHECK_FALSE(watcher.is_behind());
+  CHECK_TRUE(watcher.changed_at() == Revision(80));
+}
+
 }  // namespace limeledge::dispatch
--- a/test/hall-emptying-test.cc
+++ b/test/hall-emptying-test.cc
@@ -58,6 +58,28 @@
   CheckNoViolation();
 }
 
+// Guards against a new scheduler that uses a hall again whose draining its
+// predecessor has obeyed: its own watch of the operator's rows is broken.
+TEST(HallEmptying, NewLeaderObeysADrainThatItHasMissed) {
+  const int first = system.leader();
+  system.AddQueue("known");
+  system.Run(Duration(20));
+  for (int node = 0; node < 3; ++node) {
+    if (node != first) system.faults().nodes_without_store.insert(node);
+  }
+  system.SetDrained(hall, true);
+  system.Run(Duration(100));
+  system.faults().nodes_without_store.clear();
+  system.Run(Duration(300));
+  system.KillNode(first, Duration(8000));
+  for (int i = 0; i < 8; ++i) Submit(Step(8, 1, Duration(4000)), i % 2);
+  while (system.leader() == -1) system.Run(Duration(10));
+  for (int i = 0; i < 100; ++i) {
+    system.Run(Duration(20));
+    LONGS_EQUAL(0, RunsInHall(&system));
+  }
+}
+
 // Draining a hall must not stop its runs: the runners are still there and the
 // runs may finish.
 TEST(HallEmptying, RunsInADrainedHallContinue) {
