Let the soak find a node that answers by an older configuration

Change: the route that the version shown by a node has dropped is probed too; the slack is the users' bound of 250 ms, and the check does not depend on checks_times, since it compares two answers of one node. soak/config.yaml changes the configuration every second or two while nodes lose the store.

--- a/soak/config_prober.cc
+++ b/soak/config_prober.cc
@@ -16,9 +16,11 @@
 
 // A new configuration must be in effect on all nodes within this time.
 constexpr Duration kConfigBound{10000};
-// A node that has applied a version must not use an older one later than this;
-// calls may be in progress while it applies the version.
-constexpr Duration kRegressSlack{2000};
+// A node that has shown a version must not use an older one for calls that are
+// sent later than this.
+constexpr Duration kRegressSlack{250};
+// Each version drops the route that this many versions before it added.
+constexpr std::int64_t kRouteLifetime = 2;
 
 }  // namespace
 
@@ -47,17 +49,32 @@
   if (reply.Is(kStatusOk) && seen->version < newest.version) {
     *seen = {incarnation, newest.version, clock_.Now()};
   }
+  ProbeDroppedRoute(node, *seen);
   if (!reply.Is(kStatusNoRoute) || node->lives().size() != incarnation) return;
-  if (!checks_times_) return;
   // Versions written during the call may have dropped the route again.
-  if (platform_->newest_config().version > newest.version + 1) return;
-  const bool reverted = seen->version >= newest.version &&
-                        reply.sent_at > seen->at + kRegressSlack;
-  if (reverted) {
-    platform_->Violate(absl::StrCat(node->name(), " went back behind version ",
-                                    newest.version, " of the configuration"));
+  if (platform_->newest_config().version >= newest.version + kRouteLifetime) {
+    return;
   }
-  CheckOverdue(node, newest, reply.sent_at);
+  if (seen->version >= newest.version) {
+    CheckReverted(node, *seen, reply.sent_at);
+  }
+  if (checks_times_) CheckOverdue(node, newest, reply.sent_at);
+}
+
+void ConfigProber::ProbeDroppedRoute(NodeProcess* node, const Seen& seen) {
+  const std::int64_t dropped = seen.version - kRouteLifetime;
+  if (dropped <= 0) return;
+  const NodeReply reply =
+      client_->Call(node, "GET", ProbePrefix(dropped), "", kKey);
+  if (!reply.Is(kStatusOk) || node->lives().size() != seen.incarnation) return;
+  CheckReverted(node, seen, reply.sent_at);
+}
+
+void ConfigProber::CheckReverted(NodeProcess* node, const Seen& seen,
+                                 TimePoint sent_at) {
+  if (sent_at <= seen.at + kRegressSlack) return;
+  platform_->Violate(absl::StrCat(node->name(), " went back behind version ",
+                                  seen.version, " of the configuration"));
 }
 
 void ConfigProber::CheckOverdue(NodeProcess* node, const ConfigWrite& newest,
--- a/soak/config_prober.h
+++ b/soak/config_prober.h
@@ -41,6 +41,11 @@
   };
 
   void Probe(NodeProcess* node, Seen* seen);
+  /// Requests a route that the version which the node has shown does not have.
+  void ProbeDroppedRoute(NodeProcess* node, const Seen& seen);
+  /// Reports an answer by an older version than the node has shown, unless the
+  /// call was sent at about the time at which that version was shown.
+  void CheckReverted(NodeProcess* node, const Seen& seen, TimePoint sent_at);
   /// Reports a node without the route of the newest version, unless the version
   /// is too recent or a fault excuses the node.
   void CheckOverdue(NodeProcess* node, const ConfigWrite& newest,
