Let a run that crashed its runner unobserved not outlive earlier crashes

Cause: a lost run makes earlier losses forgotten if it was healthy for much longer than they lasted. How long it was healthy was taken from when its runner was found to be silent, an upper limit. The scheduler stood still for 6.0 s: run 4 crashed its runner after 0.6 s, was said to have lasted 6.5 s, and runs 1 and 2, which lasted 0.6 s, were forgotten.

Change: a lost run was healthy until its runner last answered, and for no time if this scheduler did not send its start. The limit by which losses are compared later stays as it was.

RebornSeeds.RunWhoseRunnerFellSilentDuringAPauseDoesNotOutliveEarlierOnes failed before in its first mode.

Conclusion: a time that is compared from both sides needs both limits.

--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -203,9 +203,10 @@
 /// Thread-safe.
 Duration TimeLeft(const Run& run, TimePoint now);
 
-/// How long a run had been under way when its runner, silent since
-/// `silent_since`, last answered; empty if this scheduler did not send the
-/// start. Thread-safe.
+/// How long a run had been under way at `silent_since`, when its runner was
+/// found to be silent; empty if this scheduler did not send the start. This is
+/// an upper limit: after a pause of the process a silence is found late. When
+/// the runner last answered gives a lower limit. Thread-safe.
 std::optional<Duration> TimeUntilSilence(const Run& run,
                                          TimePoint silent_since);
 
--- a/src/dispatch/scheduler_losses.cc
+++ b/src/dispatch/scheduler_losses.cc
@@ -141,7 +141,9 @@
   // with their runners are no reason to fail a task.
   const bool began = run.phase == RunPhase::kRunning;
   lost.suspicious = began && soon && !loss.correlated;
-  job->DropOutlivedLosses(name, lost.lasted, options_.loss);
+  const Duration healthy =
+      TimeUntilSilence(run, runner.heard_at()).value_or(Duration(0));
+  job->DropOutlivedLosses(name, healthy, options_.loss);
   if (!job->RecordLoss(name, lost)) return;
   if (lost.crashed) return;
   losses_.AddUnresolved(name, lost, ListedStartTime(lost.incarnation),
--- a/test/reborn-seeds-test.cc
+++ b/test/reborn-seeds-test.cc
@@ -73,4 +73,11 @@
 // of it, which was being stopped.
 TEST(RebornSeeds, TaskWaitsForAStrayRunToEnd) { CheckSeeds({205387}); }
 
+// A run that crashed its runner during a pause of the scheduler seemed to have
+// lasted until the end of the pause and so to have outlived earlier crashes.
+TEST(RebornSeeds,
+     RunWhoseRunnerFellSilentDuringAPauseDoesNotOutliveEarlierOnes) {
+  CheckSeeds({63272});
+}
+
 }  // namespace limeledge::emulator
