--- a/test/catalog-watcher-test.cc
+++ b/test/catalog-watcher-test.cc
@@ -35,8 +35,8 @@
   void Answer(StoreOutcome outcome, int version = 0) {
     CatalogReceived answer;
     for (const Effect& effect : effects) {
-      answer.from_watch = answer.from_watch ||
-                          std::holds_alternative<AwaitCatalog>(effect);
+      answer.from_watch =
+          answer.from_watch || std::holds_alternative<AwaitCatalog>(effect);
     }
     answer.outcome = outcome;
     if (version > 0) {
