--- a/src/dispatch/held_calls.h
+++ b/src/dispatch/held_calls.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "dispatch/context.h"
 #include "dispatch/event.h"
 #include "limeledge/clock.h"
 
