--- a/review/standin.py
+++ b/review/standin.py
@@ -21,7 +21,10 @@
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-NODE = os.path.join(ROOT, "target", "limeledge-node")
+# The deploy file's build; a developer's build where that is missing.
+NODES = [os.path.join(ROOT, "target", "limeledge-node"),
+         os.path.join(ROOT, "build", "release", "limeledge-node")]
+NODE = next((path for path in NODES if os.access(path, os.X_OK)), NODES[0])
 HOST = "materials.example"
 KEY = "review-key"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
