--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -245,6 +245,11 @@
       {LogId::kForwardCompleted, kInfo, "forward_completed",
        "A call that was passed on was answered by the node at `from`, by that "
        "`version` of its configuration, or got no response."},
+      {LogId::kProgressDivided, kInfo, "progress_divided",
+       "The progress of a job no longer fits into one row of the store; it is "
+       "stored in blocks of `block_tasks` tasks."},
+      {LogId::kRowTooLarge, kWarning, "row_too_large",
+       "A row exceeds what the store accepts and is not sent."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -114,6 +114,8 @@
   kMoveDeclined = 960,
   kPreemptionDelayed = 961,
   kForwardCompleted = 962,
+  kProgressDivided = 964,
+  kRowTooLarge = 965,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/front_end.cc
+++ b/src/dispatch/front_end.cc
@@ -240,6 +240,13 @@
   pending.workspace = workspace;
   pending.stage = Stage::kSubmit;
   pending.encoded_spec = EncodeJobSpec(spec);
+  if (pending.encoded_spec.size() > options_.store_limits.max_row_bytes) {
+    Respond(ctx, call, CallResult::kNeverServable,
+            absl::StrCat("the job takes ", pending.encoded_spec.size(),
+                         " bytes in the store, which accepts at most ",
+                         options_.store_limits.max_row_bytes));
+    return;
+  }
   const RowKey key{kJobTable, id.value()};
   pending.transaction.partition = JobPartition(id.value());
   pending.transaction.conditions.push_back({key, Revision()});
--- a/src/dispatch/front_end.h
+++ b/src/dispatch/front_end.h
@@ -50,6 +50,8 @@
   /// Ids of submits whose job may be stored are remembered up to this number:
   /// at ten submits per second, the callers' retries of several minutes.
   std::size_t max_remembered_ids = 4096;
+  /// A job whose row would exceed them is refused.
+  StoreLimits store_limits;
 };
 
 /// Handles API calls, and keeps those that wait for the store.
--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -147,6 +147,7 @@
   task->percent = 0;
   task->gang_broken = false;
   task->assigned_at = now;
+  MarkChanged(name);
   has_begun_ = true;
   if (state_ == JobState::kQueued) state_ = JobState::kRunning;
 }
@@ -155,7 +156,9 @@
                   const IncarnationId& incarnation) {
   Task* task = Find(name);
   if (task == nullptr || task->phase != TaskPhase::kAssigned) return;
-  if (task->run == run) task->incarnation = incarnation;
+  if (task->run != run) return;
+  task->incarnation = incarnation;
+  MarkChanged(name);
 }
 
 int Job::NextRun(const TaskName& name) const {
@@ -171,6 +174,7 @@
   Task* task = Find(name);
   if (task == nullptr) return false;
   if (task->phase != TaskPhase::kAssigned || task->run != run) return false;
+  MarkChanged(name);
   const StepSpec& step = spec_.steps[name.step];
   if (end == RunEnd::kFailed) {
     Step& failed = occurrences_[name.occurrence].steps[name.step];
@@ -214,6 +218,7 @@
 void Job::EndGangRun(const TaskName& name, RunEnd end,
                      const std::string& checkpoint, int max_attempts) {
   Step& step = occurrences_[name.occurrence].steps[name.step];
+  MarkStepChanged(name);
   if (end == RunEnd::kDone) {
     // If one member is done, the gang is done.
     for (Task& member : step.tasks) member.phase = TaskPhase::kDone;
@@ -245,6 +250,7 @@
   if (spec.long_running) return false;
   Step& step = occurrences_[name.occurrence].steps[name.step];
   if (spec.gang && !CountGangFailure(&step, run)) return false;
+  MarkStepChanged(name);
   if (!spec.gang) ++task->failures;
   const int failures = spec.gang ? step.gang_failures : task->failures;
   if (task->phase == TaskPhase::kWaiting && failures >= max_attempts) {
@@ -259,7 +265,9 @@
                                         task->phase == TaskPhase::kAssigned);
   if (!open || spec_.steps[name.step].long_running) return false;
   task->phase = TaskPhase::kDone;
+  MarkChanged(name);
   if (!spec_.steps[name.step].gang) return true;
+  MarkStepChanged(name);
   Step& step = occurrences_[name.occurrence].steps[name.step];
   for (Task& member : step.tasks) member.phase = TaskPhase::kDone;
   return true;
@@ -280,13 +288,16 @@
   if (task == nullptr || task->phase != TaskPhase::kAssigned) return false;
   if (task->run != loss.run) return false;
   task->losses.push_back(loss);
+  MarkChanged(name);
   return true;
 }
 
 void Job::DropOutlivedLosses(const TaskName& name, Duration lasted,
                              const LossRules& rules) {
   Task* task = Find(name);
-  if (task != nullptr) ForgetOutlived(lasted, rules, &task->losses);
+  if (task == nullptr || task->losses.empty()) return;
+  ForgetOutlived(lasted, rules, &task->losses);
+  MarkChanged(name);
 }
 
 bool Job::ResolveLosses(const TaskName& name, const IncarnationId& incarnation,
@@ -307,6 +318,7 @@
     }
     ++loss;
   }
+  if (changed) MarkChanged(name);
   return changed;
 }
 
@@ -314,9 +326,30 @@
   Task* task = Find(name);
   if (task == nullptr || task->phase != TaskPhase::kWaiting) return false;
   task->phase = TaskPhase::kFailed;
+  MarkChanged(name);
   return true;
 }
 
+void Job::DivideProgress(int tasks_per_block) {
+  blocks_.emplace(spec_, tasks_per_block);
+}
+
+void Job::ReconcileGangs() {
+  for (Occurrence& occurrence : occurrences_) {
+    for (std::size_t s = 0; s < spec_.steps.size(); ++s) {
+      if (!spec_.steps[s].gang) continue;
+      std::vector<Task>& members = occurrence.steps[s].tasks;
+      const std::string checkpoint = members.front().checkpoint;
+      const bool done = occurrence.steps[s].CountIn(TaskPhase::kDone) > 0;
+      for (Task& member : members) {
+        // A run starts from the same checkpoint as those of the other members.
+        member.checkpoint = checkpoint;
+        if (done) member.phase = TaskPhase::kDone;
+      }
+    }
+  }
+}
+
 void Job::Settle() {
   if (IsFinal(state_)) return;
   if (cancel_requested_) {
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -10,12 +10,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "dispatch/incarnation.h"
 #include "dispatch/job_spec.h"
+#include "dispatch/progress_blocks.h"
 #include "dispatch/run_loss.h"
 #include "limeledge/base.h"
 #include "limeledge/clock.h"
@@ -153,6 +155,22 @@
   }
   void RequestCancel() { cancel_requested_ = true; }
 
+  /// Stores the progress in blocks of `tasks_per_block` tasks from now on.
+  /// Precondition: `tasks_per_block` is positive.
+  void DivideProgress(int tasks_per_block);
+  /// The blocks in which the progress is stored; null if one row holds it.
+  const ProgressBlocks* blocks() const {
+    return blocks_.has_value() ? &*blocks_ : nullptr;
+  }
+  /// Counts all blocks as changed. Precondition: `blocks()` is not null.
+  void MarkAllBlocksChanged() { blocks_->MarkAllChanged(); }
+  /// Returns the blocks whose stored progress has changed since the last call.
+  /// Precondition: `blocks()` is not null.
+  std::set<int> TakeChangedBlocks() { return blocks_->TakeChanged(); }
+  /// Makes the members of each gang consistent after blocks were restored that
+  /// were stored by different writes.
+  void ReconcileGangs();
+
   /// Returns true if all tasks of the steps that `step` depends on are done.
   bool StepIsReady(const Occurrence& occurrence, int step) const;
 
@@ -213,6 +231,16 @@
   void Settle();
 
  private:
+  /// Record that the stored progress of a task, or of all tasks of its step,
+  /// has changed.
+  void MarkChanged(const TaskName& name) {
+    if (blocks_.has_value()) blocks_->MarkChanged(name);
+  }
+  void MarkStepChanged(const TaskName& name) {
+    if (blocks_.has_value()) {
+      blocks_->MarkStepChanged(name.occurrence, name.step);
+    }
+  }
   void EndGangRun(const TaskName& name, RunEnd end,
                   const std::string& checkpoint, int max_attempts);
   /// Counts a failed run of a gang. False if it was counted before.
@@ -228,6 +256,7 @@
   std::vector<Occurrence> occurrences_;
   std::vector<Duration> critical_paths_;
   Duration critical_path_;
+  std::optional<ProgressBlocks> blocks_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/job_cleaner.cc
+++ b/src/dispatch/job_cleaner.cc
@@ -26,8 +26,8 @@
 
 void JobCleaner::Work(Context& ctx, JobRegistry* registry,
                       StateWriter* writer) {
-  for (const JobId& id : registry->TakeOrphans()) {
-    writer->Remove({kProgressTable, id.value()});
+  for (const std::string& key : registry->TakeOrphans()) {
+    writer->Remove({kProgressTable, key});
   }
   if (in_flight_ || ctx.now() < next_at_) return;
   const std::vector<JobId> final_jobs =
--- a/src/dispatch/job_registry.cc
+++ b/src/dispatch/job_registry.cc
@@ -111,7 +111,7 @@
     if (jobs) {
       ApplyRow(ctx, row, &changed);
     } else {
-      progress_[JobId(row.key.key)] = row.value;
+      AddProgressRow(row);
     }
   }
   if (answer.has_more && !answer.rows.empty()) {
@@ -134,11 +134,24 @@
     return;
   }
   loaded_ = true;
-  for (const auto& [id, progress] : progress_) orphans_.push_back(id);
+  for (const auto& [id, progress] : progress_) {
+    if (!progress.row.empty()) orphans_.push_back(id.value());
+    for (const auto& [key, block] : progress.blocks) orphans_.push_back(key);
+  }
   progress_.clear();
 }
 
-std::vector<JobId> JobRegistry::TakeOrphans() {
+void JobRegistry::AddProgressRow(const Row& row) {
+  const std::string job = JobOfProgressKey(row.key.key);
+  StoredProgress& progress = progress_[JobId(job)];
+  if (row.key.key == job) {
+    progress.row = row.value;
+  } else {
+    progress.blocks[row.key.key] = row.value;
+  }
+}
+
+std::vector<std::string> JobRegistry::TakeOrphans() {
   return std::exchange(orphans_, {});
 }
 
@@ -200,10 +213,29 @@
   changed->push_back(id);
 }
 
+absl::Status JobRegistry::Restore(const StoredProgress& progress, Job* job) {
+  if (!progress.row.empty()) {
+    absl::Status status = DecodeProgress(progress.row, job);
+    if (!status.ok()) return status;
+  }
+  if (IsFinal(job->state())) return absl::OkStatus();
+  for (const auto& [key, block] : progress.blocks) {
+    absl::Status status = DecodeProgressBlock(block, job);
+    if (!status.ok()) return status;
+  }
+  if (job->blocks() != nullptr) job->ReconcileGangs();
+  return absl::OkStatus();
+}
+
 bool JobRegistry::RestoreProgress(Context& ctx, const JobId& id, Job* job) {
   const auto progress = progress_.find(id);
   if (progress == progress_.end()) return true;
-  const absl::Status status = DecodeProgress(progress->second, job);
+  const absl::Status status = Restore(progress->second, job);
+  if (status.ok() && IsFinal(job->state())) {
+    for (const auto& [key, block] : progress->second.blocks) {
+      orphans_.push_back(key);
+    }
+  }
   progress_.erase(progress);
   if (status.ok()) return true;
   ctx.Log(LogId::kRowUnreadable,
--- a/src/dispatch/job_registry.h
+++ b/src/dispatch/job_registry.h
@@ -83,8 +83,9 @@
   /// Removes a final job. Precondition: its row is removed from the store;
   /// otherwise it would be read as a new job.
   void Forget(const JobId& id) { final_jobs_.erase(id); }
-  /// Returns jobs that have progress but no job row, each only once.
-  std::vector<JobId> TakeOrphans();
+  /// Returns the keys of rows in the progress table that no job needs, each
+  /// only once: those without a job row, and blocks of final jobs.
+  std::vector<std::string> TakeOrphans();
 
   /// Counts jobs without recurrence and without started tasks, per queue.
   WaitingCounts CountWaiting() const;
@@ -111,6 +112,16 @@
   void Watch(Context& ctx);
   /// Applies a row of the job table: a job, or a request to cancel one.
   void ApplyRow(Context& ctx, const Row& row, std::vector<JobId>* changed);
+  /// The rows that hold a job's progress.
+  struct StoredProgress {
+    /// Empty if there is no such row.
+    std::string row;
+    /// Rows of blocks, by their keys.
+    std::map<std::string, std::string> blocks;
+  };
+  /// Records a row of the progress table.
+  void AddProgressRow(const Row& row);
+  static absl::Status Restore(const StoredProgress& progress, Job* job);
   /// Restores the progress that was read for a new job, if any. Returns false
   /// if the progress can't be decoded: the job must not start from the
   /// beginning then, since its tasks may have run.
@@ -135,9 +146,9 @@
   int unanswered_watches_ = 0;
   /// Changes after this revision have not been seen.
   Revision revision_;
-  std::vector<JobId> orphans_;
+  std::vector<std::string> orphans_;
   /// Progress of jobs whose job row has not been read.
-  std::map<JobId, std::string> progress_;
+  std::map<JobId, StoredProgress> progress_;
   std::map<JobId, std::unique_ptr<Job>> jobs_;
   std::set<JobId> active_;
   /// Final jobs, with the time at which the stored final state was confirmed,
--- a/src/dispatch/leadership.cc
+++ b/src/dispatch/leadership.cc
@@ -199,6 +199,7 @@
   claim_.nodes = seen.nodes;
   claim_.catalog = seen.catalog;
   claim_.catalog_revision = seen.catalog_revision;
+  claim_.divides_progress = seen.divides_progress;
   call_under_way_ = true;
   call_ = ctx.NewTicket();
   claim_sent_at_ = ctx.now();
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -27,10 +27,17 @@
 // Shorter than the time for which peers wait.
 constexpr Duration kMaxPeerWait{150};
 
+NodeOptions WithStoreLimits(NodeOptions options) {
+  options.front_end.store_limits = options.store_limits;
+  options.scheduler.writer.limits = options.store_limits;
+  options.scheduler.speed_keeper.store_limits = options.store_limits;
+  return options;
+}
+
 }  // namespace
 
 Node::Node(NodeOptions options)
-    : options_(std::move(options)),
+    : options_(WithStoreLimits(std::move(options))),
       leadership_(options_.leadership, options_.name, &store_timeout_),
       front_end_(options_.front_end, &store_timeout_, &catalog_,
                  options_.admission),
--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -58,6 +58,8 @@
   /// HOST:PORT at which peers reach this node; empty for none.
   std::string peer_address;
   HallId hall;
+  /// Replaces the limits in the options of all components.
+  StoreLimits store_limits;
 };
 
 /// Reduces events to effects. Deterministic: the only clock is the time in the
--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -8,10 +8,12 @@
 
 #include <json/json.h>
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <utility>
 
+#include "absl/strings/numbers.h"
 #include "codec/json.h"
 
 namespace limeledge::dispatch {
@@ -149,20 +151,32 @@
   return loss;
 }
 
+/// What the encoding of a task includes.
+enum class TaskDetail { kAll, kNoCheckpoint, kNoCheckpointOrLosses };
+
 /// Encodes a started task as a list, which is compact: a job may have thousands
 /// of tasks.
-Json::Value EncodeTask(const Task& task, int index) {
+Json::Value EncodeTask(const Task& task, int index, TaskDetail detail) {
   Json::Value json(Json::arrayValue);
   json.append(index);
   json.append(static_cast<int>(task.phase));
+  // The rest is not needed once the task is done, except that a late end of an
+  // earlier run is recognized by its number.
+  const bool done = task.phase == TaskPhase::kDone;
+  if (done && task.run <= 1) return json;
   json.append(task.run);
+  if (done) return json;
   json.append(task.failures);
   json.append(task.incarnation.runner.value());
-  json.append(task.checkpoint);
+  json.append(detail == TaskDetail::kAll ? task.checkpoint : "");
   const bool reported = IsReported(task.incarnation.start_time);
-  if (task.losses.empty() && !reported) return json;
+  const bool has_losses =
+      !task.losses.empty() && detail != TaskDetail::kNoCheckpointOrLosses;
+  if (!has_losses && !reported) return json;
   Json::Value losses(Json::arrayValue);
-  for (const RunLoss& loss : task.losses) losses.append(EncodeLoss(loss));
+  if (has_losses) {
+    for (const RunLoss& loss : task.losses) losses.append(EncodeLoss(loss));
+  }
   json.append(std::move(losses));
   if (reported) json.append(Json::Int64(task.incarnation.start_time.value()));
   return json;
@@ -177,6 +191,7 @@
   task.failures = json[3].asInt();
   task.incarnation.runner = RunnerId(json[4].asString());
   task.checkpoint = json[5].asString();
+  task.losses.clear();
   // The list ends here for tasks without lost runs, and in rows of versions
   // that did not record losses.
   constexpr Json::ArrayIndex kLosses = 6;
@@ -188,24 +203,55 @@
   }
 }
 
-Json::Value EncodeStepProgress(const Step& step, int occurrence, int number) {
+/// Encodes a range of tasks; null if none of them was started.
+Json::Value EncodeTasks(const Job& job, const ProgressBlocks::Range& range,
+                        TaskDetail detail) {
+  const Step& step = job.occurrences()[range.occurrence].steps[range.step];
   Json::Value tasks(Json::arrayValue);
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+  for (int i = range.first; i < range.last; ++i) {
     const Task& task = step.tasks[i];
     const bool never_started =
         task.run == 0 && task.phase == TaskPhase::kWaiting;
-    if (!never_started) tasks.append(EncodeTask(task, static_cast<int>(i)));
+    if (!never_started) tasks.append(EncodeTask(task, i, detail));
   }
   if (tasks.empty()) return Json::Value();
   Json::Value json;
-  json["k"] = occurrence;
-  json["step"] = number;
+  json["k"] = range.occurrence;
+  json["step"] = range.step;
   if (step.gang_failures > 0) json["failures"] = step.gang_failures;
   if (step.last_failed_run > 0) json["failed_run"] = step.last_failed_run;
   json["tasks"] = std::move(tasks);
   return json;
 }
 
+/// Decodes an element that `EncodeTasks` produced. Tasks and steps that the job
+/// does not have are skipped.
+void DecodeTasks(const Json::Value& json, Job* job) {
+  std::vector<Occurrence>& occurrences = job->occurrences();
+  const Json::ArrayIndex k = json["k"].asUInt();
+  const Json::ArrayIndex s = json["step"].asUInt();
+  if (k >= occurrences.size() || s >= occurrences[k].steps.size()) return;
+  Step& step = occurrences[k].steps[s];
+  // Blocks of one step may have been stored at different times.
+  step.gang_failures =
+      std::max(step.gang_failures, json.get("failures", 0).asInt());
+  step.last_failed_run =
+      std::max(step.last_failed_run, json.get("failed_run", 0).asInt());
+  for (const Json::Value& task : json["tasks"]) DecodeTask(task, &step);
+}
+
+std::string EncodeBlock(const Job& job, int block, TaskDetail detail) {
+  Json::Value json;
+  // Queries read the state from the first row of the job.
+  json["state"] = static_cast<int>(job.state());
+  json["block_tasks"] = job.blocks()->tasks_per_block();
+  for (const ProgressBlocks::Range& range : job.blocks()->RangesOf(block)) {
+    Json::Value tasks = EncodeTasks(job, range, detail);
+    if (!tasks.isNull()) json["steps"].append(std::move(tasks));
+  }
+  return WriteJson(json);
+}
+
 JobState StateFrom(const Json::Value& json) {
   const int state = json["state"].asInt();
   const bool known =
@@ -213,6 +259,16 @@
   return known ? kJobStates[state] : JobState::kQueued;
 }
 
+/// The epoch in a leader's row, which is text if `divides_progress` is set.
+Epoch EpochFrom(const Json::Value& json) {
+  if (!json.isString()) return Epoch(json.asInt64());
+  std::int64_t epoch = 0;
+  if (!absl::SimpleAtoi(json.asString(), &epoch)) {
+    throw Json::LogicError("the epoch is not a number");
+  }
+  return Epoch(epoch);
+}
+
 constexpr int kForecastVersion = 1;
 constexpr int kPercent = 100;
 
@@ -315,7 +371,13 @@
 
 std::string EncodeLeader(const LeaderRecord& record) {
   Json::Value json;
-  json["epoch"] = Json::Int64(record.epoch.value());
+  if (record.divides_progress) {
+    // Versions that do not know blocks cannot decode text here, and therefore
+    // do not claim the lease.
+    json["epoch"] = std::to_string(record.epoch.value());
+  } else {
+    json["epoch"] = Json::Int64(record.epoch.value());
+  }
   json["holder"] = record.holder;
   json["sequence"] = Json::Int64(record.sequence);
   if (record.released) json["released"] = true;
@@ -333,7 +395,8 @@
 absl::StatusOr<LeaderRecord> DecodeLeader(const std::string& text) {
   return Decode<LeaderRecord>(text, [](const Json::Value& json) {
     LeaderRecord record;
-    record.epoch = Epoch(json["epoch"].asInt64());
+    record.divides_progress = json["epoch"].isString();
+    record.epoch = EpochFrom(json["epoch"]);
     record.holder = json["holder"].asString();
     record.sequence = json["sequence"].asInt64();
     record.released = json.get("released", false).asBool();
@@ -415,27 +478,46 @@
   const std::vector<Occurrence>& occurrences = job.occurrences();
   for (std::size_t k = 0; k < occurrences.size(); ++k) {
     for (std::size_t s = 0; s < occurrences[k].steps.size(); ++s) {
-      Json::Value step = EncodeStepProgress(
-          occurrences[k].steps[s], static_cast<int>(k), static_cast<int>(s));
+      const ProgressBlocks::Range whole_step = {static_cast<int>(k),
+                                                static_cast<int>(s), 0,
+                                                job.spec().steps[s].count};
+      Json::Value step = EncodeTasks(job, whole_step, TaskDetail::kAll);
       if (!step.isNull()) json["steps"].append(std::move(step));
     }
   }
   return WriteJson(json);
 }
 
+std::string EncodeProgressBlock(const Job& job, int block,
+                                std::size_t max_bytes) {
+  std::string text;
+  for (const TaskDetail detail : {TaskDetail::kAll, TaskDetail::kNoCheckpoint,
+                                  TaskDetail::kNoCheckpointOrLosses}) {
+    text = EncodeBlock(job, block, detail);
+    if (text.size() <= max_bytes) break;
+  }
+  return text;
+}
+
 absl::Status DecodeProgress(const std::string& text, Job* job) {
   const auto read = [job](const Json::Value& json) {
     job->Restore(StateFrom(json), json.get("begun", false).asBool());
-    std::vector<Occurrence>& occurrences = job->occurrences();
-    for (const Json::Value& entry : json["steps"]) {
-      const Json::ArrayIndex k = entry["k"].asUInt();
-      const Json::ArrayIndex s = entry["step"].asUInt();
-      if (k >= occurrences.size() || s >= occurrences[k].steps.size()) continue;
-      Step& step = occurrences[k].steps[s];
-      step.gang_failures = entry.get("failures", 0).asInt();
-      step.last_failed_run = entry.get("failed_run", 0).asInt();
-      for (const Json::Value& task : entry["tasks"]) DecodeTask(task, &step);
+    for (const Json::Value& tasks : json["steps"]) DecodeTasks(tasks, job);
+    return true;
+  };
+  return Decode<bool>(text, read).status();
+}
+
+absl::Status DecodeProgressBlock(const std::string& text, Job* job) {
+  const auto read = [job](const Json::Value& json) -> absl::StatusOr<bool> {
+    const int tasks_per_block = json["block_tasks"].asInt();
+    if (tasks_per_block <= 0) {
+      return absl::InvalidArgumentError("a block without its size");
     }
+    // Blocks exist only of jobs that have begun.
+    job->Restore(JobState::kRunning, true);
+    if (job->blocks() == nullptr) job->DivideProgress(tasks_per_block);
+    for (const Json::Value& tasks : json["steps"]) DecodeTasks(tasks, job);
     return true;
   };
   return Decode<bool>(text, read).status();
--- a/src/dispatch/row_codec.h
+++ b/src/dispatch/row_codec.h
@@ -9,6 +9,7 @@
 
 #include <json/json.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -48,6 +49,9 @@
   /// rows of versions that did not forecast it. Versions that do not know the
   /// field ignore it.
   std::optional<CapacitySummary> forecast;
+  /// The progress of some job is stored in blocks. Versions that read only one
+  /// row per job must not schedule then, since they would start tasks again.
+  bool divides_progress = false;
 };
 
 /// The forecast as it is stored in the leader's row, and shown in dumps.
@@ -60,11 +64,21 @@
 std::string EncodeJobSpec(const JobSpec& spec);
 absl::StatusOr<JobSpec> DecodeJobSpec(const std::string& text);
 
-/// Encodes the part of a job's progress that is stored.
+/// Encodes the part of a job's progress that is stored, for a job that has no
+/// blocks or is final.
 std::string EncodeProgress(const Job& job);
+/// Encodes one block of a job's progress. Checkpoints are left out if the value
+/// would exceed `max_bytes` with them, and then lost runs too. Precondition:
+/// `job.blocks()` is not null.
+std::string EncodeProgressBlock(const Job& job, int block,
+                                std::size_t max_bytes);
 /// Restores stored progress into a newly constructed job. Fails with
 /// `kInvalidArgument` if the text is malformed.
 absl::Status DecodeProgress(const std::string& text, Job* job);
+/// Restores a stored block, which takes precedence over the tasks that
+/// `DecodeProgress` restored. The first block that is restored determines the
+/// blocks of the job. Fails with `kInvalidArgument` if the text is malformed.
+absl::Status DecodeProgressBlock(const std::string& text, Job* job);
 /// Decodes only the job's state.
 absl::StatusOr<JobState> DecodeProgressState(const std::string& text);
 
--- a/src/dispatch/rows.cc
+++ b/src/dispatch/rows.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Separates the id of a job from the rest of a key. Ids don't contain it.
+constexpr char kKeySeparator = '.';
+
 std::string PartitionName(unsigned number) { return absl::StrCat("j", number); }
 
 }  // namespace
@@ -22,6 +25,15 @@
   return absl::StrCat(absl::Hex(hash, absl::kZeroPad16), "-", instance);
 }
 
+RowKey ProgressBlockKey(const std::string& job, int block) {
+  return {kProgressTable,
+          absl::StrCat(job, std::string(1, kKeySeparator), block)};
+}
+
+std::string JobOfProgressKey(const std::string& key) {
+  return key.substr(0, key.find(kKeySeparator));
+}
+
 std::string JobPartition(const std::string& job) {
   // Job ids are random, so that their last characters are evenly distributed.
   const unsigned last_char =
--- a/src/dispatch/rows.h
+++ b/src/dispatch/rows.h
@@ -7,8 +7,10 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_ROWS_H_
 #define LIMELEDGE_SRC_DISPATCH_ROWS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "limeledge/base.h"
@@ -23,6 +25,9 @@
   friend bool operator==(const RowKey& a, const RowKey& b) {
     return a.table == b.table && a.key == b.key;
   }
+  friend bool operator<(const RowKey& a, const RowKey& b) {
+    return std::tie(a.table, a.key) < std::tie(b.table, b.key);
+  }
 };
 
 struct Row {
@@ -70,6 +75,12 @@
   kHistoryCompacted,
 };
 
+/// Limits of the store.
+struct StoreLimits {
+  /// Maximum size of a row's value in bytes.
+  std::size_t max_row_bytes = 65536;
+};
+
 /// Names of the dispatcher's tables.
 inline constexpr char kLeadershipTable[] = "leader";
 inline constexpr char kJobTable[] = "job";
@@ -92,6 +103,11 @@
 /// times as slow as usual: a partition then takes 2.5 writes a second, and
 /// callers send up to ten.
 inline constexpr int kJobPartitions = 8;
+/// Returns the key of the row that holds one block of a job's progress.
+/// Thread-safe.
+RowKey ProgressBlockKey(const std::string& job, int block);
+/// Returns the job to which a row of the progress table belongs. Thread-safe.
+std::string JobOfProgressKey(const std::string& key);
 /// Returns the partition that holds a job's rows. Thread-safe.
 std::string JobPartition(const std::string& job);
 /// Returns all partitions of the job table. Thread-safe.
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -8,6 +8,7 @@
 #include "dispatch/scheduler.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -103,6 +104,7 @@
     // Inherited runs may put the job into a final state, which deletes its
     // object.
     job = jobs_.Find(id);
+    if (job != nullptr && job->blocks() != nullptr) divided_jobs_.insert(id);
     if (job != nullptr) InheritLosses(ctx, *job);
     job = jobs_.Find(id);
     if (job != nullptr && job->cancel_requested()) UpdateJobState(ctx, job);
@@ -150,12 +152,92 @@
   }
 }
 
+RowKey Scheduler::ProgressRowOf(const TaskName& name) {
+  const Job* job = jobs_.Find(name.job);
+  if (job == nullptr || job->blocks() == nullptr) {
+    return {kProgressTable, name.job.value()};
+  }
+  return ProgressBlockKey(name.job.value(), job->blocks()->BlockOf(name));
+}
+
+std::set<RowKey> Scheduler::PendingProgressRowsOf(const TaskName& name) {
+  std::set<RowKey> rows = {ProgressRowOf(name)};
+  const Job* job = jobs_.Find(name.job);
+  const bool is_gang = job != nullptr && job->HasStep(name.step) &&
+                       job->step_spec(name.step).gang;
+  if (is_gang && job->blocks() != nullptr) {
+    TaskName member = name;
+    for (member.index = 0; member.index < job->step_spec(name.step).count;
+         ++member.index) {
+      rows.insert(ProgressRowOf(member));
+    }
+  }
+  for (auto row = rows.begin(); row != rows.end();) {
+    row = writer_.IsPending(*row) ? std::next(row) : rows.erase(row);
+  }
+  return rows;
+}
+
+void Scheduler::DivideOversizedProgress(Context& ctx) {
+  for (const RowKey& key : writer_.TakeOversized()) {
+    Job* job =
+        key.table == kProgressTable ? jobs_.Find(JobId(key.key)) : nullptr;
+    if (job == nullptr || job->blocks() != nullptr) {
+      ctx.Log(LogId::kRowTooLarge, {{"table", key.table}, {"row", key.key}});
+      continue;
+    }
+    const int tasks_per_block =
+        std::max(1, static_cast<int>(options_.writer.limits.max_row_bytes /
+                                     options_.progress_bytes_per_task));
+    ctx.Log(
+        LogId::kProgressDivided,
+        {{"job", key.key}, {"block_tasks", std::to_string(tasks_per_block)}});
+    job->DivideProgress(tasks_per_block);
+    job->MarkAllBlocksChanged();
+    divided_jobs_.insert(job->spec().id);
+    std::set<RowKey> rows;
+    for (int block = 0; block < job->blocks()->count(); ++block) {
+      rows.insert(ProgressBlockKey(key.key, block));
+    }
+    std::vector<StateWriter::Action> actions = writer_.Withdraw(key);
+    MarkProgressDirty(job->spec().id);
+    for (StateWriter::Action& action : actions) {
+      writer_.RunWhenAllStored(rows, std::move(action));
+    }
+  }
+}
+
+void Scheduler::RemoveBlocksWhenStored(const Job& job) {
+  const JobId id = job.spec().id;
+  const int blocks = job.blocks()->count();
+  writer_.RunWhenStored({kProgressTable, id.value()},
+                        [this, id, blocks](Context&) {
+                          for (int block = 0; block < blocks; ++block) {
+                            writer_.Remove(ProgressBlockKey(id.value(), block));
+                          }
+                          divided_jobs_.erase(id);
+                        });
+}
+
 void Scheduler::MarkProgressDirty(const JobId& id) {
+  Job* job = jobs_.Find(id);
+  if (job != nullptr && job->blocks() != nullptr) {
+    for (const int block : job->TakeChangedBlocks()) {
+      writer_.Mark(ProgressBlockKey(id.value(), block),
+                   [this, id, block]() -> std::optional<std::string> {
+                     const Job* now = jobs_.Find(id);
+                     if (now == nullptr) return std::nullopt;
+                     return EncodeProgressBlock(
+                         *now, block, options_.writer.limits.max_row_bytes);
+                   });
+    }
+    return;
+  }
   writer_.Mark({kProgressTable, id.value()},
                [this, id]() -> std::optional<std::string> {
-                 const Job* job = jobs_.Find(id);
-                 if (job == nullptr) return std::nullopt;
-                 return EncodeProgress(*job);
+                 const Job* now = jobs_.Find(id);
+                 if (now == nullptr) return std::nullopt;
+                 return EncodeProgress(*now);
                });
 }
 
@@ -177,6 +259,7 @@
   writer_.RunWhenStored(
       {kProgressTable, id.value()},
       [this, id](Context& later) { jobs_.RecordFinalStored(id, later.now()); });
+  if (job->blocks() != nullptr) RemoveBlocksWhenStored(*job);
   ticket_cache_.Forget(id);
   speeds_.Forget(id);
   jobs_.MarkFinal(id);
@@ -225,6 +308,7 @@
   for (const Assignment& assignment : plan.assignments) {
     Assign(ctx, assignment);
   }
+  StartWhenStored(plan.assignments);
 }
 
 void Scheduler::Preempt(Context& ctx, const Preemption& preemption) {
@@ -270,11 +354,17 @@
            {"accelerators", std::to_string(run.need.accelerators)},
            {"cpu_millis", std::to_string(run.need.cpu_millis)}});
   MarkProgressDirty(name.job);
-  writer_.RunWhenStored(
-      {kProgressTable, name.job.value()},
-      [this, name, number = run.number, incarnation](Context&) {
-        QueueStart(name, number, incarnation);
-      });
+}
+
+void Scheduler::StartWhenStored(const std::vector<Assignment>& assignments) {
+  for (const Assignment& assignment : assignments) {
+    writer_.RunWhenAllStored(
+        PendingProgressRowsOf(assignment.task),
+        [this, name = assignment.task, run = assignment.run,
+         incarnation = assignment.runner->incarnation()](Context&) {
+          QueueStart(name, run, incarnation);
+        });
+  }
 }
 
 void Scheduler::RunPeriodicChecks(Context& ctx) {
@@ -345,6 +435,10 @@
   catalog_ = catalog.catalog();
   catalog_is_behind_ = catalog.is_behind();
   writer_.Announce(nodes_, catalog.version(), catalog.changed_at());
+  // Jobs that have not been read may be divided too.
+  if (!divided_jobs_.empty() || jobs_.HasReadAllPartitions()) {
+    writer_.AnnounceDividedProgress(!divided_jobs_.empty());
+  }
   if (!writer_.MayAct()) {
     writer_.Flush(ctx);
     return;
@@ -365,6 +459,7 @@
     fleet_.Poll(ctx, writer_.epoch(), may_renew, jobs_.HasReadAllPartitions());
   }
   writer_.Flush(ctx);
+  DivideOversizedProgress(ctx);
 }
 
 TimePoint Scheduler::next_at() const {
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -69,6 +69,10 @@
   StateWriterOptions writer;
   JobRegistryOptions job_registry;
   JobCleanerOptions cleaner;
+  /// Size of the blocks into which the progress of a large job is divided: they
+  /// have a task for each of these bytes of a row. Many times what a task
+  /// takes that was never lost.
+  std::size_t progress_bytes_per_task = 512;
   SpeedKeeperOptions speed_keeper;
   LossRules loss;
   /// Minimum time between two planning passes, plus an extra delay for each
@@ -238,6 +242,15 @@
   void InheritRuns(Context& ctx, Job* job);
   void UpdateJobState(Context& ctx, Job* job);
   void MarkProgressDirty(const JobId& id);
+  /// The row in which the task's progress is stored.
+  RowKey ProgressRowOf(const TaskName& name);
+  /// The rows whose changes are not stored so far and in which the task's
+  /// progress is stored, or that of its gang.
+  std::set<RowKey> PendingProgressRowsOf(const TaskName& name);
+  /// Divides the progress of jobs that do not fit into one row into blocks.
+  void DivideOversizedProgress(Context& ctx);
+  /// Removes the rows of a final job's blocks once its final state is stored.
+  void RemoveBlocksWhenStored(const Job& job);
   int MaxAttempts(const Job& job) const;
   void WriteWaitingCounts(Context& ctx);
 
@@ -253,8 +266,11 @@
   void LogIdleAccelerators(Context& ctx, const Plan& plan);
   /// Stops a run, together with its gang, in favor of an urgent job.
   void Preempt(Context& ctx, const Preemption& preemption);
-  /// Records an assignment; its start is queued once the assignment is stored.
+  /// Records an assignment.
   void Assign(Context& ctx, const Assignment& assignment);
+  /// Queues the start of each assignment once it is stored, together with those
+  /// of its gang.
+  void StartWhenStored(const std::vector<Assignment>& assignments);
   /// Queues the start of a run whose assignment is stored.
   void QueueStart(const TaskName& name, int run,
                   const IncarnationId& incarnation);
@@ -582,6 +598,8 @@
   TimePoint next_check_at_;
   TimePoint next_idle_accelerators_at_;
   std::string written_waiting_counts_;
+  /// Jobs that are not final, or not stored as final, and have blocks.
+  std::set<JobId> divided_jobs_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -355,11 +355,11 @@
     EndRun(ctx, runner, end.task, end.end, end.checkpoint);
   }
   // A job that was closed just now may not be stored either.
-  const RowKey key{kProgressTable, end.task.job.value()};
-  if (!writer_.IsPending(key)) return;
+  const std::set<RowKey> rows = PendingProgressRowsOf(end.task);
+  if (rows.empty()) return;
   runner->unstored_ends.insert(end.number);
-  writer_.RunWhenStored(key, [this, incarnation = runner->incarnation(),
-                              number = end.number](Context&) {
+  writer_.RunWhenAllStored(rows, [this, incarnation = runner->incarnation(),
+                                  number = end.number](Context&) {
     Runner* runner_now = fleet_.Find(incarnation);
     if (runner_now != nullptr) runner_now->unstored_ends.erase(number);
   });
--- a/src/dispatch/speed_keeper.cc
+++ b/src/dispatch/speed_keeper.cc
@@ -242,7 +242,9 @@
                            estimate.runs, ctx.now() - estimate.measured_at});
   }
   const RowKey row_key{kSpeedTable, key};
-  writer->Mark(row_key, [text = EncodeSpeedRow(row)] { return text; });
+  const std::size_t max_bytes = options_.store_limits.max_row_bytes;
+  writer->Mark(row_key,
+               [text = EncodeSpeedRow(row, max_bytes)] { return text; });
   // The writer repeats the write until it is stored or this node is deposed.
   // Until then the row is pending and not marked again.
   StoredRow& stored = rows_[key];
--- a/src/dispatch/speed_keeper.h
+++ b/src/dispatch/speed_keeper.h
@@ -63,6 +63,8 @@
   Duration max_retry_pause{10000};
   /// Rows per read; the store's own limit.
   int page_rows = 500;
+  /// Of a row that would exceed them, the least certain speeds are left out.
+  StoreLimits store_limits;
 };
 
 /// Reads the stored speeds once and adds them to the estimates, and writes the
--- a/src/dispatch/speed_rows.cc
+++ b/src/dispatch/speed_rows.cc
@@ -98,7 +98,7 @@
   return key.empty() ? "_" : key;
 }
 
-std::string EncodeSpeedRow(const SpeedRow& row) {
+std::string EncodeSpeedRow(const SpeedRow& row, std::size_t max_bytes) {
   std::vector<const StoredSpeed*> best_known_first;
   for (const StoredSpeed& speed : row.runners) {
     best_known_first.push_back(&speed);
@@ -116,7 +116,7 @@
     Json::Value entry = EncodeSpeed(*speed);
     // The entry and the comma before it.
     bytes += WriteJson(entry).size() + 1;
-    if (bytes > kMaxSpeedRowBytes) break;
+    if (bytes > max_bytes) break;
     json["runners"].append(std::move(entry));
   }
   return WriteJson(json);
--- a/src/dispatch/speed_rows.h
+++ b/src/dispatch/speed_rows.h
@@ -46,9 +46,10 @@
 /// limit. Racks with the same key share a row. Never empty. Thread-safe.
 std::string SpeedRowKey(const std::string& rack);
 
-/// Encodes a row of at most `kMaxSpeedRowBytes`. The runners with the smallest
+/// Encodes a row of at most `max_bytes`. The runners with the smallest
 /// deviation come first; those that don't fit are left out. Thread-safe.
-std::string EncodeSpeedRow(const SpeedRow& row);
+std::string EncodeSpeedRow(const SpeedRow& row,
+                           std::size_t max_bytes = kMaxSpeedRowBytes);
 /// Fails with `kInvalidArgument` if the text is malformed, has an unknown
 /// version or contains a value out of range. Thread-safe.
 absl::StatusOr<SpeedRow> DecodeSpeedRow(const std::string& text);
--- a/src/dispatch/state_writer.cc
+++ b/src/dispatch/state_writer.cc
@@ -7,6 +7,7 @@
 #include "dispatch/state_writer.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace limeledge::dispatch {
@@ -27,28 +28,48 @@
       confirmed_at_(now) {}
 
 void StateWriter::Mark(const RowKey& key, Render render) {
-  dirty_[{key.table, key.key}].render = std::move(render);
+  dirty_[key].render = std::move(render);
+  oversized_.erase(key);
 }
 
 void StateWriter::Remove(const RowKey& key) {
-  dirty_[{key.table, key.key}].remove = true;
+  dirty_[key].remove = true;
+  oversized_.erase(key);
 }
 
 bool StateWriter::IsPending(const RowKey& key) const {
-  const PendingKey pending{key.table, key.key};
-  return dirty_.count(pending) != 0 || in_flight_rows_.count(pending) != 0;
+  return dirty_.count(key) != 0 || in_flight_rows_.count(key) != 0;
 }
 
 void StateWriter::RunWhenStored(const RowKey& key, Action action) {
-  const PendingKey pending{key.table, key.key};
-  auto found = dirty_.find(pending);
-  if (found == dirty_.end()) found = in_flight_rows_.find(pending);
+  auto found = dirty_.find(key);
+  if (found == dirty_.end()) found = in_flight_rows_.find(key);
   found->second.actions.push_back(std::move(action));
 }
 
+void StateWriter::RunWhenAllStored(const std::set<RowKey>& keys,
+                                   Action action) {
+  const auto remaining = std::make_shared<std::size_t>(keys.size());
+  const auto shared_action = std::make_shared<Action>(std::move(action));
+  for (const RowKey& key : keys) {
+    RunWhenStored(key, [remaining, shared_action](Context& ctx) {
+      if (--*remaining == 0) (*shared_action)(ctx);
+    });
+  }
+}
+
+std::vector<StateWriter::Action> StateWriter::Withdraw(const RowKey& key) {
+  const auto found = dirty_.find(key);
+  if (found == dirty_.end()) return {};
+  std::vector<Action> actions = std::move(found->second.actions);
+  dirty_.erase(found);
+  oversized_.erase(key);
+  return actions;
+}
+
 TimePoint StateWriter::next_at() const {
   if (in_flight_) return retry_scheduled_ ? retry_at_ : kNever;
-  if (!dirty_.empty() || !MayAct()) return retry_at_;
+  if (HasRowsToSend() || !MayAct()) return retry_at_;
   return std::max(retry_at_, confirmed_at_ + options_.renewal);
 }
 
@@ -60,45 +81,73 @@
   if (ctx.now() < retry_at_) return;
   const bool renewal_due =
       ctx.now() - confirmed_at_ >= options_.renewal || !MayAct();
-  if (dirty_.empty() && !renewal_due && !release_) return;
+  if (!HasRowsToSend() && !renewal_due && !release_) return;
   Compose();
   Send(ctx);
 }
 
+bool StateWriter::TransactionIsFull() const {
+  return transaction_.puts.size() + transaction_.removes.size() >=
+             options_.max_rows ||
+         transaction_bytes_ >= options_.max_bytes;
+}
+
+void StateWriter::AddRow(DirtyRows::iterator dirty) {
+  const Pending& pending = dirty->second;
+  std::optional<std::string> value;
+  if (!pending.remove && pending.render) value = pending.render();
+  const bool too_large =
+      value.has_value() && value->size() > options_.limits.max_row_bytes;
+  if (too_large) {
+    oversized_.insert(dirty->first);
+    new_oversized_.insert(dirty->first);
+    return;
+  }
+  if (pending.remove) {
+    transaction_.removes.push_back(dirty->first);
+  } else if (value.has_value()) {
+    transaction_bytes_ += value->size();
+    transaction_.puts.push_back({dirty->first, *std::move(value)});
+  }
+  in_flight_rows_.insert(dirty_.extract(dirty));
+}
+
+void StateWriter::AddRows() {
+  if (!MayAct()) return;
+  for (auto it = dirty_.begin(); it != dirty_.end() && !TransactionIsFull();) {
+    const auto dirty = it++;
+    if (oversized_.count(dirty->first) == 0) AddRow(dirty);
+  }
+}
+
+std::string StateWriter::EncodeNextRecord() {
+  std::string value = EncodeLeader(next_record_);
+  if (value.size() > options_.limits.max_row_bytes) {
+    next_record_.forecast.reset();
+    value = EncodeLeader(next_record_);
+  }
+  return value;
+}
+
 void StateWriter::Compose() {
   in_flight_ = true;
   outcome_unknown_ = false;
   transaction_ = RowTransaction();
-  std::size_t bytes = 0;
-  while (!dirty_.empty() && MayAct()) {
-    const bool full = transaction_.puts.size() + transaction_.removes.size() >=
-                          options_.max_rows ||
-                      bytes >= options_.max_bytes;
-    if (full) break;
-    auto entry = dirty_.extract(dirty_.begin());
-    const RowKey key{entry.key().first, entry.key().second};
-    const Pending& pending = entry.mapped();
-    std::optional<std::string> value;
-    if (pending.render) value = pending.render();
-    if (pending.remove) {
-      transaction_.removes.push_back(key);
-    } else if (value.has_value()) {
-      bytes += value->size();
-      transaction_.puts.push_back({key, *std::move(value)});
-    }
-    in_flight_rows_.insert(std::move(entry));
-  }
+  transaction_bytes_ = 0;
+  AddRows();
   next_record_ = record_;
   ++next_record_.sequence;
-  next_record_.released = release_ && dirty_.empty();
+  next_record_.released = release_ && !HasRowsToSend();
   // Before this node has counted the others, its predecessor's number holds.
   if (nodes_ > 0) next_record_.nodes = nodes_;
   next_record_.catalog = std::max(record_.catalog, announced_catalog_);
   next_record_.catalog_revision =
       std::max(record_.catalog_revision, announced_catalog_revision_);
   next_record_.forecast = announced_forecast_;
+  next_record_.divides_progress =
+      divides_progress_.value_or(record_.divides_progress);
   transaction_.conditions.push_back({LeaderRowKey(), revision_});
-  transaction_.puts.push_back({LeaderRowKey(), EncodeLeader(next_record_)});
+  transaction_.puts.push_back({LeaderRowKey(), EncodeNextRecord()});
 }
 
 void StateWriter::Send(Context& ctx) {
@@ -122,7 +171,7 @@
   revision_ = revision;
   // The lease counts from the time the write was sent.
   confirmed_at_ = sent_at_;
-  std::map<PendingKey, Pending> sent = std::move(in_flight_rows_);
+  DirtyRows sent = std::move(in_flight_rows_);
   in_flight_rows_.clear();
   for (auto& [key, pending] : sent) {
     for (Action& action : pending.actions) action(ctx);
--- a/src/dispatch/state_writer.h
+++ b/src/dispatch/state_writer.h
@@ -37,6 +37,8 @@
   /// Maximum bytes of one transaction, below the store's limit of 1 MB as
   /// base64.
   std::size_t max_bytes = 600000;
+  /// Rows with larger values are not sent.
+  StoreLimits limits;
 };
 
 /// Writes rows on condition that this node still holds the scheduler's lease.
@@ -66,6 +68,16 @@
   /// Runs `action` once all changes made to the row so far are stored.
   /// Precondition: `IsPending(key)`.
   void RunWhenStored(const RowKey& key, Action action);
+  /// The same for all changes made to several rows. Preconditions: `keys` is
+  /// not empty, and all rows are pending.
+  void RunWhenAllStored(const std::set<RowKey>& keys, Action action);
+
+  /// Returns the rows that were found to be too large since the last call. They
+  /// stay pending and are not sent unless they are marked again.
+  std::set<RowKey> TakeOversized() { return std::exchange(new_oversized_, {}); }
+  /// Drops the change of a row that is not in flight, and returns the actions
+  /// that wait for it.
+  std::vector<Action> Withdraw(const RowKey& key);
 
   /// Sends the next write if one is due and none is in flight.
   void Flush(Context& ctx);
@@ -92,6 +104,9 @@
     announced_catalog_ = catalog;
     announced_catalog_revision_ = catalog_revision;
   }
+  /// Sets whether the progress of some job is stored in blocks. Until the first
+  /// call, the predecessor's value is kept.
+  void AnnounceDividedProgress(bool divided) { divides_progress_ = divided; }
   /// Sets the forecast that each write tells the other nodes, if any.
   void AnnounceForecast(std::optional<CapacitySummary> forecast) {
     announced_forecast_ = std::move(forecast);
@@ -111,7 +126,6 @@
   Epoch epoch() const { return record_.epoch; }
   /// When the store last confirmed this node's lease.
   TimePoint confirmed_at() const { return confirmed_at_; }
-  bool idle() const { return !in_flight_ && dirty_.empty(); }
   /// Returns true if the store has refused several writes in a row. Unlike a
   /// write without an answer, a refusal leaves no doubt that the lease is not
   /// renewed.
@@ -131,9 +145,17 @@
     bool remove = false;
     std::vector<Action> actions;
   };
-  using PendingKey = std::pair<std::string, std::string>;
+  using DirtyRows = std::map<RowKey, Pending>;
 
   void Compose();
+  void AddRows();
+  /// Adds a dirty row to the transaction unless it is too large.
+  void AddRow(DirtyRows::iterator dirty);
+  bool TransactionIsFull() const;
+  /// The leader's row as the next write stores it.
+  std::string EncodeNextRecord();
+  /// True if a dirty row is not known to be too large.
+  bool HasRowsToSend() const { return dirty_.size() > oversized_.size(); }
   void Send(Context& ctx);
   /// Schedules another attempt of the write in flight.
   void Resend(TimePoint now);
@@ -150,13 +172,17 @@
   Revision revision_;
   TimePoint confirmed_at_;
   TimePoint confirmation_required_since_;
-  std::map<PendingKey, Pending> dirty_;
+  std::optional<bool> divides_progress_;
+  DirtyRows dirty_;
+  std::set<RowKey> oversized_;
+  std::set<RowKey> new_oversized_;
 
   // The write in flight. It stays unchanged until its outcome is known.
   bool in_flight_ = false;
   bool retry_scheduled_ = false;
   bool outcome_unknown_ = false;
   bool release_ = false;
+  std::size_t transaction_bytes_ = 0;
   int rejections_ = 0;
   /// Attempts of the write in flight that got no response.
   int unanswered_attempts_ = 0;
@@ -165,7 +191,7 @@
   TimePoint retry_at_;
   LeaderRecord next_record_;
   RowTransaction transaction_;
-  std::map<PendingKey, Pending> in_flight_rows_;
+  DirtyRows in_flight_rows_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/emulator/emulated_store.cc
+++ b/src/emulator/emulated_store.cc
@@ -21,9 +21,27 @@
   return row;
 }
 
+bool EmulatedStore::Accepts(const dispatch::RowTransaction& transaction) const {
+  constexpr std::size_t kMaxEntries = 100;
+  constexpr std::size_t kMaxBytes = 750000;
+  std::size_t bytes = 0;
+  for (const dispatch::RowWrite& put : transaction.puts) {
+    if (put.value.size() > limits_.max_row_bytes) return false;
+    bytes += put.value.size();
+  }
+  const std::size_t entries = transaction.conditions.size() +
+                              transaction.puts.size() +
+                              transaction.removes.size();
+  return entries <= kMaxEntries && bytes <= kMaxBytes;
+}
+
 dispatch::CommitCompleted EmulatedStore::Commit(
     const dispatch::RowTransaction& transaction) {
   dispatch::CommitCompleted answer;
+  if (!Accepts(transaction)) {
+    answer.outcome = StoreOutcome::kNotApplied;
+    return answer;
+  }
   answer.outcome = StoreOutcome::kDone;
   for (const dispatch::RowCondition& condition : transaction.conditions) {
     const Key key{condition.key.table, transaction.partition,
--- a/src/emulator/emulated_store.h
+++ b/src/emulator/emulated_store.h
@@ -35,6 +35,7 @@
   /// revision, each once with its latest value, ordered by revision.
   dispatch::ChangesReceived Changes(const std::string& table,
                                     Revision after) const;
+  void SetLimits(const dispatch::StoreLimits& limits) { limits_ = limits; }
   /// Compacts the history: changes up to the current revision can no longer be
   /// read.
   void ForgetHistory() { history_from_ = revision_; }
@@ -49,11 +50,13 @@
     Revision revision;
     bool removed = false;
   };
+  bool Accepts(const dispatch::RowTransaction& transaction) const;
   static dispatch::Row RowOf(const Key& key, const Cell& cell);
 
   std::map<Key, Cell> cells_;
   Revision revision_;
   Revision history_from_;
+  dispatch::StoreLimits limits_;
 };
 
 }  // namespace limeledge::emulator
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -50,6 +50,7 @@
     service.enforces_capacity = options_.enforces_capacity;
   }
   options_.bounds.guards_room = options_.enforces_capacity;
+  store_.SetLimits(options_.store_limits);
   for (int i = 0; i < options_.runners; ++i) AddRunner(i, 1);
   processes_.resize(options_.nodes);
   for (int i = 0; i < options_.nodes; ++i) StartNode(i);
@@ -101,6 +102,7 @@
   options.name = absl::StrCat("n", node, "/", process.incarnation);
   options.instance = AddressOf(node);
   options.peer_address = options.instance;
+  options.store_limits = options_.store_limits;
   options.scheduler.runner_speeds = options_.runner_speeds;
   options.scheduler.planner = options_.planner;
   options.scheduler.moves_by_gain = options_.moves_by_gain;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -59,6 +59,8 @@
   dispatch::JobRegistryOptions job_registry;
   dispatch::LossRules loss;
   dispatch::AdmissionOptions admission{dispatch::AdmissionUse::kAuto};
+  /// Limits of the store, which all nodes know.
+  dispatch::StoreLimits store_limits;
   /// One-way delay between any two parties.
   Duration network{1};
   Duration store_time{4};
--- a/test/front-end-test.cc
+++ b/test/front-end-test.cc
@@ -99,6 +99,30 @@
   LONGS_EQUAL(3, Response());
 }
 
+// Guards against a job that is accepted and then refused again and again,
+// because its own row is larger than what the store accepts.
+TEST(FrontEnd, JobThatDoesNotFitIntoARowIsRefusedAtOnce) {
+  CallReceived call;
+  call.call = CallId(7);
+  call.kind = CallKind::kSubmit;
+  call.host = "h";
+  call.path = "/q/0123456789abcdef";
+  call.spec.steps.resize(1);
+  call.spec.payload.assign(FrontEndOptions().store_limits.max_row_bytes, 'x');
+  effects.clear();
+  Context ctx(now, now.ms(), &tickets, &effects);
+  front_end.Handle(ctx, call, true);
+  const RespondToCall* response = nullptr;
+  for (const Effect& effect : effects) {
+    CHECK_FALSE(std::holds_alternative<CommitRows>(effect));
+    const auto* found = std::get_if<RespondToCall>(&effect);
+    if (found != nullptr) response = found;
+  }
+  CHECK_TRUE(response->result == CallResult::kNeverServable);
+  CHECK_TRUE(response->message.find("65536") != std::string::npos);
+  CHECK_FALSE(response->retry_after.has_value());
+}
+
 // Submits under a forecast by which the job can never run.
 TEST_GROUP(FrontEndRefusal) {
   StoreTimeout store_timeout;
--- a/test/state-writer-test.cc
+++ b/test/state-writer-test.cc
@@ -4,6 +4,8 @@
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
 
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -203,6 +205,68 @@
              StateWriter::LeaseStatus::kDeposed);
 }
 
+// Guards against a write that the store is known to refuse.
+TEST(StateWriter, RowThatIsTooLargeIsNotSentUntilItIsMarkedAgain) {
+  bool ran = false;
+  const std::string large(StateWriterOptions().limits.max_row_bytes + 1, 'x');
+  Mark(large.c_str());
+  writer.RunWhenStored(key, [&ran](Context&) { ran = true; });
+  const CommitRows renewal = *Flush();
+  LONGS_EQUAL(1, renewal.transaction.puts.size());
+  Answer(renewal, StoreOutcome::kDone);
+  CHECK_FALSE(ran);
+  CHECK_TRUE(writer.TakeOversized() == std::set<RowKey>{key});
+  POINTERS_EQUAL(nullptr, Flush());
+  Mark("small");
+  Answer(*Flush(), StoreOutcome::kDone);
+  CHECK_TRUE(ran);
+}
+
+TEST(StateWriter, ActionForSeveralRowsRunsOnceTheLastOneIsStored) {
+  const RowKey other{kProgressTable, "other"};
+  int ran = 0;
+  Mark("a");
+  const CommitRows first = *Flush();
+  writer.Mark(other, [] { return std::string("b"); });
+  writer.RunWhenAllStored({key, other}, [&ran](Context&) { ++ran; });
+  Answer(first, StoreOutcome::kDone);
+  LONGS_EQUAL(0, ran);
+  Answer(*Flush(), StoreOutcome::kDone);
+  LONGS_EQUAL(1, ran);
+}
+
+// Guards against a version that reads only one row of each job and takes the
+// lease while a job has several.
+TEST(StateWriter, EpochIsTextWhileProgressIsDivided) {
+  writer.AnnounceDividedProgress(true);
+  Mark("a");
+  CommitRows call = *Flush();
+  CHECK_TRUE(LeaderRowOf(call).value.find(R"("epoch":"7")") !=
+             std::string::npos);
+  CHECK_TRUE(DecodeLeader(LeaderRowOf(call).value)->divides_progress);
+  LONGS_EQUAL(7, DecodeLeader(LeaderRowOf(call).value)->epoch.value());
+  Answer(call, StoreOutcome::kDone);
+  writer.AnnounceDividedProgress(false);
+  Mark("b");
+  call = *Flush();
+  CHECK_FALSE(DecodeLeader(LeaderRowOf(call).value)->divides_progress);
+}
+
+// Guards against a forecast that grows with the number of queues until the
+// lease can no longer be renewed.
+TEST(StateWriter, ForecastThatDoesNotFitIsLeftOut) {
+  CapacitySummary summary;
+  for (int i = 0; i < 2000; ++i) {
+    summary.waits[QueueId("queue-" + std::to_string(i))] = QueueWait();
+  }
+  writer.AnnounceForecast(summary);
+  Mark("a");
+  const CommitRows call = *Flush();
+  CHECK_TRUE(LeaderRowOf(call).value.size() <=
+             StateWriterOptions().limits.max_row_bytes);
+  CHECK_FALSE(DecodeLeader(LeaderRowOf(call).value)->forecast.has_value());
+}
+
 TEST(StateWriter, IdleWriterRenewsTheLease) {
   POINTERS_EQUAL(nullptr, Flush());
   now = now + StateWriterOptions().renewal;
