Keep a row that the store rejects from holding up the others

What callers see: once the store refuses one row for good, for whatever reason, the work of all workspaces stands still, and nodes that led tell all callers that "the store does not answer", although it does.

Cause: a refusal for good (400) was taken for a passing one (503, 429). The writer put the row into each further transaction, with the rows of all other jobs and the renewal of the lease, and counted the refusals as an absence of the store.

Change: an outcome of its own for a call that the store does not accept. After such a transaction each of its rows is sent alone, in turns with all others; a row that is rejected alone is tried again after pauses of 1 s to 30 s. Its job gets no further runs until it is stored, and assignments that are not stored are given up, so that they hold no capacity. A rejection counts as an answer of the store. LL963 names the row, the number of rows and their bytes. A submit whose write is rejected is refused for good, with the reason.

After: the test passes; two tests of the writer for the turns and the pauses.

Conclusion: one job's row can delay only its own job.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -245,6 +245,10 @@
       {LogId::kForwardCompleted, kInfo, "forward_completed",
        "A call that was passed on was answered by the node at `from`, by that "
        "`version` of its configuration, or got no response."},
+      {LogId::kWriteRejected, kWarning, "write_rejected",
+       "The store does not accept a write of the scheduler; each of its `rows` "
+       "is sent alone, so that the others are stored. `row` is the first of "
+       "them, `bytes` their size."},
       {LogId::kProgressDivided, kInfo, "progress_divided",
        "The progress of a job no longer fits into one row of the store; it is "
        "stored in blocks of `block_tasks` tasks."},
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -114,6 +114,7 @@
   kMoveDeclined = 960,
   kPreemptionDelayed = 961,
   kForwardCompleted = 962,
+  kWriteRejected = 963,
   kProgressDivided = 964,
   kRowTooLarge = 965,
 };
--- a/src/dispatch/front_end.cc
+++ b/src/dispatch/front_end.cc
@@ -382,6 +382,11 @@
     }
     return;
   }
+  if (answer.outcome == StoreOutcome::kRejected && !pending.may_be_applied) {
+    Respond(ctx, pending.call, CallResult::kNeverServable,
+            "the store does not accept the write");
+    return;
+  }
   const bool unknown = answer.outcome == StoreOutcome::kUnknown;
   pending.may_be_applied = pending.may_be_applied || unknown;
   if (CanForward(pending.call) &&
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -167,6 +167,10 @@
   /// Returns the blocks whose stored progress has changed since the last call.
   /// Precondition: `blocks()` is not null.
   std::set<int> TakeChangedBlocks() { return blocks_->TakeChanged(); }
+  /// Records whether the store accepts the job's progress.
+  void SetStorable(bool storable) { storable_ = storable; }
+  /// False if it does not; no further runs can be assigned then.
+  bool storable() const { return storable_; }
   /// Makes the members of each gang consistent after blocks were restored that
   /// were stored by different writes.
   void ReconcileGangs();
@@ -257,6 +261,7 @@
   std::vector<Duration> critical_paths_;
   Duration critical_path_;
   std::optional<ProgressBlocks> blocks_;
+  bool storable_ = true;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -189,8 +189,7 @@
 }
 
 void Node::RecordStoreResponse(Ticket ticket, StoreOutcome outcome) {
-  const bool answered =
-      outcome == StoreOutcome::kDone || outcome == StoreOutcome::kConflict;
+  const bool answered = IsAnswered(outcome);
   store_timeout_.Ended(ticket, last_event_at_, answered);
   if (!answered) leadership_.EndPause(last_event_at_);
 }
--- a/src/dispatch/planner_steps.cc
+++ b/src/dispatch/planner_steps.cc
@@ -74,6 +74,7 @@
   for (const JobId& id : jobs_.active()) {
     Job* job = jobs_.Find(id);
     if (IsFinal(job->state()) || job->cancel_requested()) continue;
+    if (!job->storable()) continue;
     for (std::size_t k = 0; k < job->occurrences().size(); ++k) {
       CollectOccurrence(job, static_cast<int>(k));
     }
--- a/src/dispatch/rows.h
+++ b/src/dispatch/rows.h
@@ -66,8 +66,11 @@
   kDone,
   /// A condition did not hold; nothing was changed.
   kConflict,
-  /// The call is known not to have been applied.
+  /// The call is known not to have been applied; it may succeed later.
   kNotApplied,
+  /// The store answered that it does not accept the call, which would be
+  /// refused again. Nothing was changed.
+  kRejected,
   /// No response: the call may have been applied, or may still be applied later
   /// if its conditions hold then.
   kUnknown,
@@ -75,6 +78,13 @@
   kHistoryCompacted,
 };
 
+/// True if the store reported the outcome, so that it is available.
+/// Thread-safe.
+inline bool IsAnswered(StoreOutcome outcome) {
+  return outcome == StoreOutcome::kDone || outcome == StoreOutcome::kConflict ||
+         outcome == StoreOutcome::kRejected;
+}
+
 /// Limits of the store.
 struct StoreLimits {
   /// Maximum size of a row's value in bytes.
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -219,6 +219,23 @@
                         });
 }
 
+void Scheduler::HandleRejectedProgress(Context& ctx) {
+  for (const RowKey& key : writer_.TakeRejected()) {
+    if (key.table != kProgressTable) continue;
+    const JobId id(JobOfProgressKey(key.key));
+    Job* job = jobs_.Find(id);
+    if (job == nullptr) continue;
+    job->SetStorable(false);
+    writer_.RunWhenStored(key, [this, id](Context&) {
+      Job* stored = jobs_.Find(id);
+      if (stored == nullptr) return;
+      stored->SetStorable(true);
+      plan_due_ = true;
+    });
+    DropUnstoredRuns(ctx, id);
+  }
+}
+
 void Scheduler::MarkProgressDirty(const JobId& id) {
   Job* job = jobs_.Find(id);
   if (job != nullptr && job->blocks() != nullptr) {
@@ -460,6 +477,7 @@
   }
   writer_.Flush(ctx);
   DivideOversizedProgress(ctx);
+  HandleRejectedProgress(ctx);
 }
 
 TimePoint Scheduler::next_at() const {
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -155,6 +155,8 @@
   kCapacityUnconfirmed,
   /// The runner may not be granted a lease until its current one has expired.
   kAwaitingLeaseExpiry,
+  /// The store rejects the job's progress.
+  kNotStorable,
 };
 
 /// Why a runner was lost together with its runs.
@@ -251,6 +253,9 @@
   void DivideOversizedProgress(Context& ctx);
   /// Removes the rows of a final job's blocks once its final state is stored.
   void RemoveBlocksWhenStored(const Job& job);
+  /// Gives up the assignments of jobs whose progress the store rejects, and
+  /// makes no others until it accepts it.
+  void HandleRejectedProgress(Context& ctx);
   int MaxAttempts(const Job& job) const;
   void WriteWaitingCounts(Context& ctx);
 
@@ -313,6 +318,8 @@
   /// sent.
   void RequestStop(Context& ctx, Runner* runner, const TaskName& name);
   void StopJob(Context& ctx, const JobId& job);
+  /// Ends the runs of a job whose assignments are not stored.
+  void DropUnstoredRuns(Context& ctx, const JobId& job);
   /// Stops all members of a gang's run.
   void StopGang(Context& ctx, const TaskName& name);
   void EndRun(Context& ctx, Runner* runner, const TaskName& name, RunEnd end,
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -45,6 +45,8 @@
       return "its runner's capacity was not confirmed recently";
     case StartDropReason::kTaskCrashesRunners:
       return "its task crashes runners";
+    case StartDropReason::kNotStorable:
+      return "the store rejects its job's progress";
   }
   return "";
 }
@@ -241,6 +243,20 @@
   }
 }
 
+void Scheduler::DropUnstoredRuns(Context& ctx, const JobId& job) {
+  const TaskName first{job, 0, 0, 0};
+  for (auto& [id, runner] : fleet_.runners()) {
+    std::vector<TaskName> names;
+    for (auto it = runner->runs().lower_bound(first);
+         it != runner->runs().end() && it->first.job == job; ++it) {
+      if (it->second.phase == RunPhase::kPlanned) names.push_back(it->first);
+    }
+    for (const TaskName& name : names) {
+      DropStart(ctx, runner.get(), name, StartDropReason::kNotStorable);
+    }
+  }
+}
+
 void Scheduler::StopGang(Context& ctx, const TaskName& name) {
   Job* job = jobs_.Find(name.job);
   if (job == nullptr || !job->step_spec(name.step).gang) return;
--- a/src/dispatch/state_writer.cc
+++ b/src/dispatch/state_writer.cc
@@ -64,13 +64,30 @@
   std::vector<Action> actions = std::move(found->second.actions);
   dirty_.erase(found);
   oversized_.erase(key);
+  suspects_.erase(key);
   return actions;
 }
 
+TimePoint StateWriter::SendableAt(const RowKey& key) const {
+  if (oversized_.count(key) != 0) return kNever;
+  const auto suspect = suspects_.find(key);
+  return suspect == suspects_.end() ? TimePoint() : suspect->second.retry_at;
+}
+
+TimePoint StateWriter::FirstSendableAt() const {
+  TimePoint first = kNever;
+  for (const auto& [key, pending] : dirty_) {
+    first = std::min(first, SendableAt(key));
+    if (first == TimePoint()) break;
+  }
+  return first;
+}
+
 TimePoint StateWriter::next_at() const {
   if (in_flight_) return retry_scheduled_ ? retry_at_ : kNever;
-  if (HasRowsToSend() || !MayAct()) return retry_at_;
-  return std::max(retry_at_, confirmed_at_ + options_.renewal);
+  if (!MayAct()) return retry_at_;
+  return std::max(
+      retry_at_, std::min(FirstSendableAt(), confirmed_at_ + options_.renewal));
 }
 
 void StateWriter::Flush(Context& ctx) {
@@ -81,8 +98,9 @@
   if (ctx.now() < retry_at_) return;
   const bool renewal_due =
       ctx.now() - confirmed_at_ >= options_.renewal || !MayAct();
-  if (!HasRowsToSend() && !renewal_due && !release_) return;
-  Compose();
+  const bool has_rows = FirstSendableAt() <= ctx.now();
+  if (!has_rows && !renewal_due && !release_) return;
+  Compose(ctx.now());
   Send(ctx);
 }
 
@@ -112,11 +130,26 @@
   in_flight_rows_.insert(dirty_.extract(dirty));
 }
 
-void StateWriter::AddRows() {
+void StateWriter::AddRows(TimePoint now) {
   if (!MayAct()) return;
+  const bool has_other_rows = std::any_of(
+      dirty_.begin(), dirty_.end(),
+      [this](const auto& row) { return SendableAt(row.first) == TimePoint(); });
+  // Suspect rows take turns with all others.
+  const bool tested_suspect = std::exchange(tests_suspect_, false);
+  if (!tested_suspect || !has_other_rows) {
+    for (const auto& [key, suspect] : suspects_) {
+      const auto dirty = dirty_.find(key);
+      if (dirty == dirty_.end() || SendableAt(key) > now) continue;
+      tests_suspect_ = true;
+      AddRow(dirty);
+      return;
+    }
+  }
   for (auto it = dirty_.begin(); it != dirty_.end() && !TransactionIsFull();) {
     const auto dirty = it++;
-    if (oversized_.count(dirty->first) == 0) AddRow(dirty);
+    const bool waits = SendableAt(dirty->first) != TimePoint();
+    if (!waits) AddRow(dirty);
   }
 }
 
@@ -129,15 +162,15 @@
   return value;
 }
 
-void StateWriter::Compose() {
+void StateWriter::Compose(TimePoint now) {
   in_flight_ = true;
   outcome_unknown_ = false;
   transaction_ = RowTransaction();
   transaction_bytes_ = 0;
-  AddRows();
+  AddRows(now);
   next_record_ = record_;
   ++next_record_.sequence;
-  next_record_.released = release_ && !HasRowsToSend();
+  next_record_.released = release_ && FirstSendableAt() > now;
   // Before this node has counted the others, its predecessor's number holds.
   if (nodes_ > 0) next_record_.nodes = nodes_;
   next_record_.catalog = std::max(record_.catalog, announced_catalog_);
@@ -174,6 +207,7 @@
   DirtyRows sent = std::move(in_flight_rows_);
   in_flight_rows_.clear();
   for (auto& [key, pending] : sent) {
+    suspects_.erase(key);
     for (Action& action : pending.actions) action(ctx);
   }
 }
@@ -193,6 +227,35 @@
   in_flight_rows_.clear();
 }
 
+void StateWriter::OnRejected(Context& ctx) {
+  std::vector<RowKey> rows;
+  for (const RowWrite& put : transaction_.puts) {
+    if (!(put.key == LeaderRowKey())) rows.push_back(put.key);
+  }
+  for (const RowKey& key : transaction_.removes) rows.push_back(key);
+  ctx.Log(LogId::kWriteRejected,
+          {{"sequence", std::to_string(next_record_.sequence)},
+           {"rows", std::to_string(rows.size())},
+           {"bytes", std::to_string(transaction_bytes_)},
+           {"row", rows.empty() ? "" : rows.front().key}});
+  unanswered_attempts_ = 0;
+  // Without a row, the lease itself is not renewed.
+  rejections_ = rows.empty() ? rejections_ + 1 : 0;
+  if (rows.empty()) retry_at_ = ctx.now() + options_.retry_pause;
+  for (const RowKey& key : rows) {
+    const auto [suspect, added] =
+        suspects_.try_emplace(key, Suspect{ctx.now(), Duration(0)});
+    if (rows.size() > 1) continue;
+    Duration& pause = suspect->second.pause;
+    pause = pause == Duration(0)
+                ? options_.rejected_pause
+                : std::min(pause * 2, options_.max_rejected_pause);
+    suspect->second.retry_at = ctx.now() + pause;
+    new_rejected_.insert(key);
+  }
+  Requeue();
+}
+
 StateWriter::LeaseStatus StateWriter::Handle(Context& ctx,
                                              const CommitCompleted& answer) {
   switch (answer.outcome) {
@@ -223,6 +286,9 @@
         Requeue();
       }
       return LeaseStatus::kHeld;
+    case StoreOutcome::kRejected:
+      OnRejected(ctx);
+      return LeaseStatus::kHeld;
     default:
       break;
   }
--- a/src/dispatch/state_writer.h
+++ b/src/dispatch/state_writer.h
@@ -39,6 +39,10 @@
   std::size_t max_bytes = 600000;
   /// Rows with larger values are not sent.
   StoreLimits limits;
+  /// Pause before a row that the store rejected is sent again; doubles with
+  /// each rejection, up to the maximum.
+  Duration rejected_pause{1000};
+  Duration max_rejected_pause{30000};
 };
 
 /// Writes rows on condition that this node still holds the scheduler's lease.
@@ -46,6 +50,9 @@
 /// was lost from one that was never applied, and keeps a delayed write from
 /// being applied after a newer one.
 ///
+/// A row that the store does not accept does not hold up the others: after a
+/// transaction was rejected, each of its rows is sent in one of its own.
+///
 /// Thread safety: none; use it from one thread.
 class StateWriter {
  public:
@@ -75,6 +82,9 @@
   /// Returns the rows that were found to be too large since the last call. They
   /// stay pending and are not sent unless they are marked again.
   std::set<RowKey> TakeOversized() { return std::exchange(new_oversized_, {}); }
+  /// Returns the rows that the store has rejected since the last call. They
+  /// stay pending and are sent again from time to time.
+  std::set<RowKey> TakeRejected() { return std::exchange(new_rejected_, {}); }
   /// Drops the change of a row that is not in flight, and returns the actions
   /// that wait for it.
   std::vector<Action> Withdraw(const RowKey& key);
@@ -146,21 +156,31 @@
     std::vector<Action> actions;
   };
   using DirtyRows = std::map<RowKey, Pending>;
+  /// A row of a transaction that the store rejected.
+  struct Suspect {
+    TimePoint retry_at;
+    Duration pause;
+  };
 
-  void Compose();
-  void AddRows();
+  void Compose(TimePoint now);
+  void AddRows(TimePoint now);
   /// Adds a dirty row to the transaction unless it is too large.
   void AddRow(DirtyRows::iterator dirty);
   bool TransactionIsFull() const;
   /// The leader's row as the next write stores it.
   std::string EncodeNextRecord();
-  /// True if a dirty row is not known to be too large.
-  bool HasRowsToSend() const { return dirty_.size() > oversized_.size(); }
+  /// When the row may be sent: at once, at a later time, or only after it was
+  /// marked again.
+  TimePoint SendableAt(const RowKey& key) const;
+  /// When the first of the dirty rows may be sent.
+  TimePoint FirstSendableAt() const;
   void Send(Context& ctx);
   /// Schedules another attempt of the write in flight.
   void Resend(TimePoint now);
   void OnStored(Context& ctx, Revision revision);
   void Requeue();
+  /// Handles a transaction that the store does not accept.
+  void OnRejected(Context& ctx);
 
   StateWriterOptions options_;
   const StoreTimeout* store_timeout_;
@@ -174,14 +194,19 @@
   TimePoint confirmation_required_since_;
   std::optional<bool> divides_progress_;
   DirtyRows dirty_;
+  /// Rows of rejected transactions that have not been stored since.
+  std::map<RowKey, Suspect> suspects_;
   std::set<RowKey> oversized_;
   std::set<RowKey> new_oversized_;
+  std::set<RowKey> new_rejected_;
 
   // The write in flight. It stays unchanged until its outcome is known.
   bool in_flight_ = false;
   bool retry_scheduled_ = false;
   bool outcome_unknown_ = false;
   bool release_ = false;
+  /// The latest transaction was sent to test a single row.
+  bool tests_suspect_ = false;
   std::size_t transaction_bytes_ = 0;
   int rejections_ = 0;
   /// Attempts of the write in flight that got no response.
--- a/src/emulator/emulated_store.cc
+++ b/src/emulator/emulated_store.cc
@@ -27,6 +27,7 @@
   std::size_t bytes = 0;
   for (const dispatch::RowWrite& put : transaction.puts) {
     if (put.value.size() > limits_.max_row_bytes) return false;
+    if (rejected_keys_.count(put.key.key) != 0) return false;
     bytes += put.value.size();
   }
   const std::size_t entries = transaction.conditions.size() +
@@ -39,7 +40,7 @@
     const dispatch::RowTransaction& transaction) {
   dispatch::CommitCompleted answer;
   if (!Accepts(transaction)) {
-    answer.outcome = StoreOutcome::kNotApplied;
+    answer.outcome = StoreOutcome::kRejected;
     return answer;
   }
   answer.outcome = StoreOutcome::kDone;
--- a/src/emulator/emulated_store.h
+++ b/src/emulator/emulated_store.h
@@ -8,6 +8,7 @@
 #define LIMELEDGE_SRC_EMULATOR_EMULATED_STORE_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -36,6 +37,9 @@
   dispatch::ChangesReceived Changes(const std::string& table,
                                     Revision after) const;
   void SetLimits(const dispatch::StoreLimits& limits) { limits_ = limits; }
+  /// Rejects every transaction that writes a row whose key is `key`.
+  void Reject(const std::string& key) { rejected_keys_.insert(key); }
+  void Accept(const std::string& key) { rejected_keys_.erase(key); }
   /// Compacts the history: changes up to the current revision can no longer be
   /// read.
   void ForgetHistory() { history_from_ = revision_; }
@@ -57,6 +61,7 @@
   Revision revision_;
   Revision history_from_;
   dispatch::StoreLimits limits_;
+  std::set<std::string> rejected_keys_;
 };
 
 }  // namespace limeledge::emulator
--- a/test/large-job-test.cc
+++ b/test/large-job-test.cc
@@ -1,5 +1,6 @@
 /// @file
-/// Tests of jobs whose progress takes more than one row of the store.
+/// Tests of jobs whose progress takes more than one row of the store, and of
+/// rows that the store does not accept.
 //
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
@@ -109,4 +110,20 @@
   CheckDoneOnce(job, 120);
 }
 
+// Guards against a row that the store refuses for a reason of its own: it went
+// into every further transaction, so that the store refused the renewal of the
+// lease and the progress of all other jobs too.
+TEST(LargeJob, RowThatTheStoreRejectsHoldsUpNoOtherJob) {
+  const JobId rejected = SubmitTasks(4, Duration(500));
+  small_rows->store().Reject(rejected.value());
+  small_rows->Run(Duration(1000));
+  const JobId accepted = SubmitTasks(64, Duration(500));
+  small_rows->Run(Duration(4000));
+  CheckDoneOnce(accepted, 64);
+  LONGS_EQUAL(0, small_rows->jobs().at(rejected).starts.size());
+  small_rows->store().Accept(rejected.value());
+  small_rows->Run(Duration(35000));
+  CheckDoneOnce(rejected, 4);
+}
+
 }  // namespace limeledge::emulator
--- a/test/state-writer-test.cc
+++ b/test/state-writer-test.cc
@@ -4,6 +4,7 @@
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <utility>
@@ -205,6 +206,50 @@
              StateWriter::LeaseStatus::kDeposed);
 }
 
+// Guards against one row that holds up all others: the transaction with it was
+// sent again for good, and the lease was not renewed either.
+TEST(StateWriter, RowsOfARejectedTransactionAreSentOneByOne) {
+  const RowKey other{kProgressTable, "other"};
+  Mark("a");
+  writer.Mark(other, [] { return std::string("b"); });
+  Answer(*Flush(), StoreOutcome::kRejected);
+  CHECK_TRUE(writer.store_answers());
+  int sent_alone = 0;
+  for (int i = 0; i < 2; ++i) {
+    const CommitRows alone = *Flush();
+    LONGS_EQUAL(2, alone.transaction.puts.size());
+    const bool accepted = alone.transaction.puts.front().key == other;
+    Answer(alone, accepted ? StoreOutcome::kDone : StoreOutcome::kRejected);
+    ++sent_alone;
+  }
+  CHECK_FALSE(writer.IsPending(other));
+  CHECK_TRUE(writer.IsPending(key));
+  LONGS_EQUAL(1, writer.TakeRejected().size());
+  LONGS_EQUAL(2, sent_alone);
+}
+
+// Guards against a busy loop around a row that the store never accepts, and
+// against a row that is given up although the store accepts it later.
+TEST(StateWriter, RejectedRowIsSentAgainAfterGrowingPauses) {
+  Mark("a");
+  Duration pause = StateWriterOptions().rejected_pause;
+  for (int i = 0; i < 8; ++i) {
+    Answer(*Flush(), StoreOutcome::kRejected);
+    CHECK_TRUE(writer.next_at() > now);
+    const TimePoint again = now + pause;
+    now = now + pause - Duration(1);
+    const CommitRows renewal = *Flush();
+    LONGS_EQUAL(1, renewal.transaction.puts.size());
+    Answer(renewal, StoreOutcome::kDone);
+    now = again;
+    pause = std::min(pause * 2, StateWriterOptions().max_rejected_pause);
+  }
+  const CommitRows call = *Flush();
+  LONGS_EQUAL(2, call.transaction.puts.size());
+  Answer(call, StoreOutcome::kDone);
+  CHECK_FALSE(writer.IsPending(key));
+}
+
 // Guards against a write that the store is known to refuse.
 TEST(StateWriter, RowThatIsTooLargeIsNotSentUntilItIsMarkedAgain) {
   bool ran = false;
