Wait for the leases of every earlier scheduler after a take-over

Cause: a runner without an entry counted as gone, and a successor waited only 6.5 s for its runs, one lease after the last renewal by the scheduler right before it. A scheduler that is partitioned together with the runner renews for 10 s after its last write, whoever has followed it since.

Change: all unreachable runners with inherited runs are waited for as long as any earlier scheduler may renew, 15.8 s from the claim, listed or not. An entry that comes back no longer makes that longer, since the bound counts from the claim. So that tasks of a runner that is really gone do not wait for it, its address is stored with the progress, once per runner and row, and a successor polls it there: if the host refuses the connection, no process listens, and the runs are over at once; if another runner answers, too; if the runner itself answers, its runs go on.

Conclusion: nothing that a scheduler may have granted is forgotten over any number of take-overs.

--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -132,6 +132,9 @@
   kOtherIncarnation,
   /// No connection could be opened, so the order was certainly not executed.
   kNotSent,
+  /// The host refused the connection of a poll: no process listens at the
+  /// runner's address, so its runs are over.
+  kConnectionRefused,
   /// No response: the order may have been executed, or may be seconds later.
   kLost,
 };
--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -38,21 +38,21 @@
   return place.get();
 }
 
-Runner* Fleet::FindOrInherit(const IncarnationId& incarnation, TimePoint now) {
+Runner* Fleet::FindOrInherit(const IncarnationId& incarnation,
+                             const std::string& address, TimePoint now) {
   Runner* runner = FindPresent(incarnation.runner);
   if (runner == nullptr) {
     RunnerInfo info;
     info.id = incarnation.runner;
     info.start_time = incarnation.start_time;
+    info.address = address;
     runner = Add(info);
     runner->Unlist(now);
   }
   if (runner->heard()) {
     runner->RecordPreviousLease(PreviousLeaseOf(*runner));
   } else {
-    runner->AssumePreviousLeaseUntil(
-        now + (runner->listed() ? options_.previous_scheduler_lease
-                                : options_.previous_scheduler_lease_unlisted));
+    runner->AssumePreviousLeaseUntil(now + options_.previous_scheduler_lease);
   }
   return runner;
 }
@@ -199,12 +199,6 @@
 
 void Fleet::ApplyEntry(Context& ctx, const RunnerInfo& info) {
   Runner* runner = FindOrAdd(ctx, info);
-  // The runner is alive after all.
-  const bool came_back = !runner->listed() && !runner->heard();
-  if (came_back) {
-    runner->AssumePreviousLeaseUntil(ctx.now() +
-                                     options_.previous_scheduler_lease);
-  }
   if (info.start_time != runner->incarnation().start_time) {
     PollForNewIncarnation(ctx, runner, info.start_time);
   }
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -67,15 +67,13 @@
   /// Leases are not renewed if this node's own lease on scheduling was not
   /// confirmed for this long. Longer than usual outages of the store.
   Duration longest_unconfirmed{10000};
-  /// A new scheduler does not touch a run of the previous one for this long if
-  /// it can neither reach its runner nor rule the run out. The previous
-  /// scheduler may renew for `longest_unconfirmed` after its last write, a
-  /// lease on a slow clock lasts 5.3 s, and an order in flight adds half a
-  /// second. The 1.3 s before the take-over are a margin.
+  /// A new scheduler does not touch a run of a previous one for this long if it
+  /// can neither reach its runner nor rule the run out. Any previous scheduler
+  /// may renew for `longest_unconfirmed` after its last write, a lease on a
+  /// slow clock lasts 5.3 s, and an order in flight adds half a second. That
+  /// the runner is not listed rules nothing out: it may be partitioned together
+  /// with a previous scheduler.
   Duration previous_scheduler_lease{15800};
-  /// The same for a runner that is not listed and therefore counts as gone: a
-  /// lease on a slow clock, and an order in flight.
-  Duration previous_scheduler_lease_unlisted{6500};
   /// Maximum number of first polls in flight. A new scheduler that opened
   /// hundreds of connections at once would fail to renew its own lease on a
   /// small machine.
@@ -126,9 +124,11 @@
   /// `Poll` reschedules its poll, as after `Find`.
   Runner* FindPresent(const RunnerId& id);
   /// Finds the present incarnation of a runner on which a previous scheduler
-  /// started a run. A runner that is unknown is added as not listed, since it
-  /// may hold a lease of that scheduler.
-  Runner* FindOrInherit(const IncarnationId& incarnation, TimePoint now);
+  /// started a run. A runner that is unknown is added as not listed, with the
+  /// address that the scheduler stored, since it may hold a lease of that
+  /// scheduler.
+  Runner* FindOrInherit(const IncarnationId& incarnation,
+                        const std::string& address, TimePoint now);
   /// Records an answer that carried the runner's clock.
   void HandleAnswer(Runner* runner, TimePoint now, std::int64_t clock_ms) const;
   /// Replaces `before`, which is over and must not be used any more, by the
--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -139,11 +139,13 @@
 }
 
 void Job::Assign(const TaskName& name, int run,
-                 const IncarnationId& incarnation, TimePoint now) {
+                 const IncarnationId& incarnation, const std::string& address,
+                 TimePoint now) {
   Task* task = Find(name);
   task->phase = TaskPhase::kAssigned;
   task->run = run;
   task->incarnation = incarnation;
+  task->address = address;
   task->percent = 0;
   task->gang_broken = false;
   task->assigned_at = now;
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -65,6 +65,9 @@
   int failures = 0;
   /// Runner incarnation on which the current run was started.
   IncarnationId incarnation;
+  /// Address of that runner; empty if it is not known. A scheduler that takes
+  /// over calls the runner there if its entry is gone.
+  std::string address;
   /// Latest saved progress; empty if there is none.
   std::string checkpoint;
   /// Lost runs that count against the task.
@@ -178,11 +181,11 @@
   /// Returns true if all tasks of the steps that `step` depends on are done.
   bool StepIsReady(const Occurrence& occurrence, int step) const;
 
-  /// Assigns a new run of `name` to `incarnation`. All members of a gang are
-  /// assigned with the same `run`. Precondition: the task is waiting, and `run`
-  /// is higher than the number of any earlier run.
+  /// Assigns a new run of `name` to `incarnation` at `address`. All members of
+  /// a gang are assigned with the same `run`. Precondition: the task is
+  /// waiting, and `run` is higher than the number of any earlier run.
   void Assign(const TaskName& name, int run, const IncarnationId& incarnation,
-              TimePoint now);
+              const std::string& address, TimePoint now);
   /// Records that the task's current run is on another incarnation of its
   /// runner.
   void MoveRun(const TaskName& name, int run, const IncarnationId& incarnation);
--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -182,14 +182,29 @@
   return json;
 }
 
-void DecodeTask(const Json::Value& json, Step* step) {
+/// Adds the addresses of the runners on which the tasks' runs were started,
+/// each only once.
+void EncodeAddresses(const Job& job, const ProgressBlocks::Range& range,
+                     Json::Value* addresses) {
+  const Step& step = job.occurrences()[range.occurrence].steps[range.step];
+  for (int i = range.first; i < range.last; ++i) {
+    const Task& task = step.tasks[i];
+    if (task.phase != TaskPhase::kAssigned || task.address.empty()) continue;
+    (*addresses)[task.incarnation.runner.value()] = task.address;
+  }
+}
+
+void DecodeTask(const Json::Value& json, const Json::Value& addresses,
+                Step* step) {
   const Json::ArrayIndex index = json[0].asUInt();
   if (index >= step->tasks.size()) return;
   Task& task = step->tasks[index];
   task.phase = static_cast<TaskPhase>(json[1].asInt());
   task.run = json[2].asInt();
   task.failures = json[3].asInt();
-  task.incarnation.runner = RunnerId(json[4].asString());
+  const std::string runner = json[4].asString();
+  task.incarnation.runner = RunnerId(runner);
+  task.address = addresses.get(runner, "").asString();
   task.checkpoint = json[5].asString();
   task.losses.clear();
   // The list ends here for tasks without lost runs, and in rows of versions
@@ -226,7 +241,8 @@
 
 /// Decodes an element that `EncodeTasks` produced. Tasks and steps that the job
 /// does not have are skipped.
-void DecodeTasks(const Json::Value& json, Job* job) {
+void DecodeTasks(const Json::Value& json, const Json::Value& addresses,
+                 Job* job) {
   std::vector<Occurrence>& occurrences = job->occurrences();
   const Json::ArrayIndex k = json["k"].asUInt();
   const Json::ArrayIndex s = json["step"].asUInt();
@@ -237,7 +253,20 @@
       std::max(step.gang_failures, json.get("failures", 0).asInt());
   step.last_failed_run =
       std::max(step.last_failed_run, json.get("failed_run", 0).asInt());
-  for (const Json::Value& task : json["tasks"]) DecodeTask(task, &step);
+  for (const Json::Value& task : json["tasks"]) {
+    DecodeTask(task, addresses, &step);
+  }
+}
+
+/// Decodes the tasks of a row. Rows of versions that did not store addresses
+/// lack these.
+void DecodeAllTasks(const Json::Value& json, Job* job) {
+  const Json::Value none(Json::objectValue);
+  const Json::Value& stored = json["addresses"];
+  const Json::Value& addresses = stored.isObject() ? stored : none;
+  for (const Json::Value& tasks : json["steps"]) {
+    DecodeTasks(tasks, addresses, job);
+  }
 }
 
 std::string EncodeBlock(const Job& job, int block, TaskDetail detail) {
@@ -245,10 +274,14 @@
   // Queries read the state from the first row of the job.
   json["state"] = static_cast<int>(job.state());
   json["block_tasks"] = job.blocks()->tasks_per_block();
+  Json::Value addresses;
   for (const ProgressBlocks::Range& range : job.blocks()->RangesOf(block)) {
     Json::Value tasks = EncodeTasks(job, range, detail);
-    if (!tasks.isNull()) json["steps"].append(std::move(tasks));
+    if (tasks.isNull()) continue;
+    json["steps"].append(std::move(tasks));
+    EncodeAddresses(job, range, &addresses);
   }
+  if (!addresses.isNull()) json["addresses"] = std::move(addresses);
   return WriteJson(json);
 }
 
@@ -475,6 +508,7 @@
   if (job.has_begun()) json["begun"] = true;
   // The tasks of a final job are no longer needed.
   if (IsFinal(job.state())) return WriteJson(json);
+  Json::Value addresses;
   const std::vector<Occurrence>& occurrences = job.occurrences();
   for (std::size_t k = 0; k < occurrences.size(); ++k) {
     for (std::size_t s = 0; s < occurrences[k].steps.size(); ++s) {
@@ -482,9 +516,12 @@
                                                 static_cast<int>(s), 0,
                                                 job.spec().steps[s].count};
       Json::Value step = EncodeTasks(job, whole_step, TaskDetail::kAll);
-      if (!step.isNull()) json["steps"].append(std::move(step));
+      if (step.isNull()) continue;
+      json["steps"].append(std::move(step));
+      EncodeAddresses(job, whole_step, &addresses);
     }
   }
+  if (!addresses.isNull()) json["addresses"] = std::move(addresses);
   return WriteJson(json);
 }
 
@@ -502,7 +539,7 @@
 absl::Status DecodeProgress(const std::string& text, Job* job) {
   const auto read = [job](const Json::Value& json) {
     job->Restore(StateFrom(json), json.get("begun", false).asBool());
-    for (const Json::Value& tasks : json["steps"]) DecodeTasks(tasks, job);
+    DecodeAllTasks(json, job);
     return true;
   };
   return Decode<bool>(text, read).status();
@@ -517,7 +554,7 @@
     // Blocks exist only of jobs that have begun.
     job->Restore(JobState::kRunning, true);
     if (job->blocks() == nullptr) job->DivideProgress(tasks_per_block);
-    for (const Json::Value& tasks : json["steps"]) DecodeTasks(tasks, job);
+    DecodeAllTasks(json, job);
     return true;
   };
   return Decode<bool>(text, read).status();
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -121,7 +121,8 @@
         if (task.phase != TaskPhase::kAssigned) continue;
         const TaskName name{job->spec().id, static_cast<int>(k),
                             static_cast<int>(s), static_cast<int>(i)};
-        Runner* runner = fleet_.FindOrInherit(task.incarnation, ctx.now());
+        Runner* runner =
+            fleet_.FindOrInherit(task.incarnation, task.address, ctx.now());
         if (runner->runs().count(name) != 0) continue;
         Run run;
         run.number = task.run;
@@ -343,7 +344,8 @@
   const TaskName& name = assignment.task;
   Job* job = jobs_.Find(name.job);
   const IncarnationId incarnation = assignment.runner->incarnation();
-  job->Assign(name, assignment.run, incarnation, ctx.now());
+  job->Assign(name, assignment.run, incarnation,
+              assignment.runner->info().address, ctx.now());
   Run run;
   run.number = assignment.run;
   run.need = job->step_spec(name.step).room();
--- a/src/emulator/emulated_orders.cc
+++ b/src/emulator/emulated_orders.cc
@@ -121,9 +121,12 @@
   answer.number = poll.number;
   answer.fence = poll.target.fence;
   const auto at = runner_at_.find(poll.target.address);
-  if (at == runner_at_.end() || !Responds(id) || !Responds(at->second)) {
-    const bool dead = at == runner_at_.end() && IsReachable(id);
-    answer.outcome = dead ? OrderOutcome::kNotSent : OrderOutcome::kLost;
+  if (at == runner_at_.end() || !Responds(id) || !Responds(at->second) ||
+      IsSeparated(node, id)) {
+    const bool dead =
+        at == runner_at_.end() && IsReachable(id) && !IsSeparated(node, id);
+    answer.outcome =
+        dead ? OrderOutcome::kConnectionRefused : OrderOutcome::kLost;
     RunAt(now_ + (dead ? options_.network : kOrderTimeout),
           [this, node, incarnation, answer] {
             Deliver(node, incarnation, answer);
@@ -222,13 +225,13 @@
       Deliver(node, incarnation, body);
     });
   };
-  const auto arrive = [this, recipient, address, handler, answer,
+  const auto arrive = [this, node, recipient, address, handler, answer,
                        sent_at = now_](bool* responded) {
     Answer body = answer;
     DropIfCrashed(address);
     const auto at = runner_at_.find(address);
     *responded = at != runner_at_.end() && Responds(recipient.runner) &&
-                 Responds(at->second);
+                 Responds(at->second) && !IsSeparated(node, recipient.runner);
     if (*responded) body = handler(FindRunner(at->second), sent_at);
     body.asked = recipient;
     return body;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -113,6 +113,10 @@
   Duration order_time;
   /// Runners that keep serving without an entry in the list.
   std::set<RunnerId> unlisted_runners;
+  /// Nodes and runners that reach each other, but nothing else. The nodes have
+  /// to be in `nodes_without_store` too.
+  std::set<int> partitioned_nodes;
+  std::set<RunnerId> partitioned_runners;
 
   /// True while no fault is active that may delay a node.
   bool none() const;
@@ -432,6 +436,11 @@
   /// Removes all runners that a task has crashed.
   void DropCrashed();
   bool IsReachable(const RunnerId& runner) const;
+  /// True if a partition separates the node from the runner.
+  bool IsSeparated(int node, const RunnerId& runner) const {
+    return (faults_.partitioned_nodes.count(node) != 0) !=
+           (faults_.partitioned_runners.count(runner) != 0);
+  }
   /// True if calls reach the runner and it answers them.
   bool Responds(const RunnerId& runner) const;
   /// True while a node is down, paused or shutting down, or a fault is
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -30,6 +30,9 @@
 /// The result of an HTTP call.
 struct HttpReply {
   HttpOutcome outcome = HttpOutcome::kLost;
+  /// The request was not sent because the host refused the connection: it is
+  /// reachable, and no process listens at the address.
+  bool refused = false;
   /// The HTTP status; 0 unless `outcome` is `kAnswered`.
   int status = 0;
   std::string body;
--- a/src/net/http_loop.cc
+++ b/src/net/http_loop.cc
@@ -148,6 +148,7 @@
   HttpLoop::Done done;
   Request request;
   ConnectionPtr connection;
+  bool refused = false;
   /// The call is not sent after this time, if there is one.
   std::optional<TimePoint> send_by;
   std::optional<http::response_parser<http::string_body>> parser;
@@ -237,6 +238,7 @@
     tcp::socket& socket = exchange->connection->socket();
     socket.async_connect(peer, [this, exchange](const error_code& failed) {
       if (failed) {
+        exchange->refused = failed == asio::error::connection_refused;
         Finish(exchange, HttpOutcome::kNotSent);
       } else {
         Send(exchange);
@@ -280,6 +282,7 @@
     ClearDeadline(exchange.get());
     HttpReply reply;
     reply.outcome = outcome;
+    reply.refused = exchange->refused;
     if (outcome == HttpOutcome::kAnswered) {
       auto& message = exchange->parser->get();
       reply.status = static_cast<int>(message.result_int());
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -44,7 +44,7 @@
   /// Adds a listed runner on which a previous scheduler started a run.
   Runner* Inherit(const char* id, StartTime start_time) {
     AddRunner(id, start_time);
-    return fleet.FindOrInherit({RunnerId(id), start_time}, now);
+    return fleet.FindOrInherit({RunnerId(id), start_time}, "", now);
   }
 
   /// Delivers a list that contains no runner.
--- a/test/progress-blocks-test.cc
+++ b/test/progress-blocks-test.cc
@@ -34,7 +34,8 @@
   }
 
   static void Start(Job * job, const TaskName& name, int run = 1) {
-    job->Assign(name, run, {RunnerId("i-1"), StartTime()}, TimePoint());
+    job->Assign(name, run, {RunnerId("i-1"), StartTime()}, "10.0.0.1:80",
+                TimePoint());
   }
 
   /// Restores a job from its blocks, without the others.
--- a/test/run-loss-test.cc
+++ b/test/run-loss-test.cc
@@ -138,7 +138,7 @@
   spec.id = JobId("j");
   spec.steps.emplace_back();
   Job job(spec);
-  job.Assign(task, 3, Incarnation("i-3"), TimePoint(0));
+  job.Assign(task, 3, Incarnation("i-3"), "", TimePoint(0));
   CHECK_TRUE(job.RecordLoss(task, Loss(3, true, true, Duration(17))));
   CHECK_FALSE(job.RecordLoss(task, Loss(2, true, true)));
   Job read(spec);
@@ -181,7 +181,7 @@
   spec.id = JobId("j");
   spec.steps.emplace_back();
   Job job(spec);
-  job.Assign(task, 3, Incarnation("i-3", StartTime(1700)), TimePoint(0));
+  job.Assign(task, 3, Incarnation("i-3", StartTime(1700)), "", TimePoint(0));
   RunLoss loss = Loss(3, true, true);
   loss.incarnation.start_time = StartTime(1600);
   CHECK_TRUE(job.RecordLoss(task, loss));
@@ -199,10 +199,10 @@
   spec.id = JobId("j");
   spec.steps.emplace_back();
   Job job(spec);
-  job.Assign(task, 4, Incarnation("i-4", StartTime(1700)), TimePoint(0));
+  job.Assign(task, 4, Incarnation("i-4", StartTime(1700)), "", TimePoint(0));
   STRCMP_CONTAINS(R"([0,1,4,0,"i-4","",[],1700])", EncodeProgress(job).c_str());
   Job old(spec);
-  old.Assign(task, 4, Incarnation("i-4"), TimePoint(0));
+  old.Assign(task, 4, Incarnation("i-4"), "", TimePoint(0));
   STRCMP_CONTAINS(R"([0,1,4,0,"i-4",""])", EncodeProgress(old).c_str());
 }
 
--- a/test/take-over-test.cc
+++ b/test/take-over-test.cc
@@ -68,6 +68,57 @@
   CheckNoViolation();
 }
 
+// Guards against a task that runs twice because the second successor of a
+// scheduler takes a runner as gone whose entry expired, while that scheduler,
+// partitioned together with the runner, still renews its lease.
+TEST(TakeOver, RunBehindAPartitionIsNotStartedAgainByTheSecondSuccessor) {
+  const JobId job = Submit(Step(1, 8, Duration(20000)));
+  system.Run(Duration(1000));
+  RunnerId runner;
+  for (const RunnerId& id : system.RunnerIds()) {
+    system.FindRunner(id)->ForEachRun(
+        [&](const dispatch::TaskName&, int) { runner = id; });
+  }
+  const int first = system.leader();
+  system.faults().partitioned_nodes.insert(first);
+  system.faults().nodes_without_store.insert(first);
+  system.faults().partitioned_runners.insert(runner);
+  system.Run(Duration(2500));
+  const int second = system.newest_leader();
+  CHECK_TRUE(second != first);
+  system.KillNode(second, Duration(3000));
+  system.faults().unlisted_runners.insert(runner);
+  system.Run(Duration(8500));
+  LONGS_EQUAL(1, Watch(job).starts.begin()->second);
+  system.faults() = Faults();
+  system.Run(Duration(12000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  LONGS_EQUAL(1, Watch(job).starts.begin()->second);
+  CheckNoViolation();
+}
+
+// Guards against a task that waits 16 s for a runner whose process is known to
+// be gone, in particular after two take-overs.
+TEST(TakeOver, SecondSuccessorFindsThatNothingListensAtALostRunner) {
+  const JobId job = Submit(Step(1, 8, Duration(4000)));
+  system.Run(Duration(1000));
+  RunnerId lost_runner;
+  for (const RunnerId& id : system.RunnerIds()) {
+    system.FindRunner(id)->ForEachRun(
+        [&](const dispatch::TaskName&, int) { lost_runner = id; });
+  }
+  system.CrashRunner(lost_runner, Duration(60000));
+  for (int i = 0; i < 2; ++i) {
+    system.KillNode(system.newest_leader(), Duration(60000));
+    system.Run(Duration(2500));
+  }
+  system.Run(Duration(3000));
+  LONGS_EQUAL(2, Watch(job).starts.begin()->second);
+  system.Run(Duration(6000));
+  STRCMP_EQUAL("done", system.StateOf(job).c_str());
+  CheckNoViolation();
+}
+
 TEST(TakeOver, StoppedSchedulerHandsOverWithinASecond) {
   system.StopNode(system.leader());
   system.Run(Duration(700));
