Reject no call of which an earlier write may be applied

The node's write of the job is carried out by the store and its answer lost; the node passes the call on, and the other node refuses it by a newer configuration, in which the key is gone.

Cause: the node that passed the call on turned only 503 and 429 of the other node into 504. That a write had been sent was known to it alone, and each further status was handed on as if nothing had been sent.

The logs of that node alone did not show the write: now LL966 names each write of a call without an answer, LL949 and LL962 say `may_be_applied`, LL900 what was decided beside what was answered, and LL962 what the caller was told.

Change: `may_be_applied` is part of a call and goes with it to the other node. A response to such a call says only what is certain: done, a conflict (the write has the condition that no job has the id), and gone for a cancel (it has the condition that the job exists). All else is 504. Both nodes apply the same rule, the first one because the other may be of an earlier version. A submit that may be stored is looked up before the configuration decides, so that its caller is told 200 if it is; that saves callers a retry which would be rejected.

Related paths: cancels are covered by the same rule; the deadline of a call is answered with 504 already; shutdown and held calls answer only calls without a write; a forwarded call is not passed on a second time; a retry with the same id at another node is a call of its own, of which nothing was sent.

Conclusion: the decision is made in one place, by kind of call.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -244,7 +244,8 @@
        "take."},
       {LogId::kForwardCompleted, kInfo, "forward_completed",
        "A call that was passed on was answered by the node at `from`, by that "
-       "`version` of its configuration, or got no response."},
+       "`version` of its configuration, or got no response; the caller was "
+       "`told` something else if an earlier write `may_be_applied`."},
       {LogId::kWriteRejected, kWarning, "write_rejected",
        "The store does not accept a write of the scheduler; each of its `rows` "
        "is sent alone, so that the others are stored. `row` is the first of "
@@ -254,6 +255,9 @@
        "stored in blocks of `block_tasks` tasks."},
       {LogId::kRowTooLarge, kWarning, "row_too_large",
        "A row exceeds what the store accepts and is not sent."},
+      {LogId::kCallInDoubt, kInfo, "call_in_doubt",
+       "A write of a caller's call got no answer, so that it may be applied, "
+       "or may be later; no refusal of the call is certain from then on."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -117,6 +117,7 @@
   kWriteRejected = 963,
   kProgressDivided = 964,
   kRowTooLarge = 965,
+  kCallInDoubt = 966,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/effect.h
+++ b/src/dispatch/effect.h
@@ -169,8 +169,6 @@
   /// Address at which the other node serves callers.
   std::string address;
   Duration timeout;
-  /// The call may have taken effect before.
-  bool may_be_applied = false;
 };
 
 /// Responds to `StateRequested` with the state as JSON.
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -253,6 +253,10 @@
 /// Returns the result's name in logs.
 const char* ToString(CallResult result);
 
+/// The result that is certain although an earlier write of the call got no
+/// answer: `result` if it holds in any case, else `kUnknown`. Thread-safe.
+CallResult ResultAfterUncertainWrite(CallKind kind, CallResult result);
+
 /// An API call, not yet matched to a queue of the catalog.
 struct CallReceived {
   CallId call;
@@ -269,6 +273,9 @@
   Duration deadline{3000};
   /// Another node passed the call on to this one.
   bool forwarded = false;
+  /// A write of the call got no answer, at this node or at the one that passed
+  /// the call on: it may have been applied, or may still be.
+  bool may_be_applied = false;
   /// The newest catalog that the other node knows. An older one must not decide
   /// the call.
   CatalogVersion required_version;
@@ -285,6 +292,10 @@
   std::string address;
   /// Not set if that node did not respond.
   std::optional<CallResult> result;
+  /// What the caller was told.
+  CallResult told = CallResult::kUnknown;
+  /// An earlier write of the call got no answer.
+  bool may_be_applied = false;
   /// The catalog by which that node decided the call; 0 if by none.
   CatalogVersion version;
 };
--- a/src/dispatch/front_end.cc
+++ b/src/dispatch/front_end.cc
@@ -42,6 +42,8 @@
   return "";
 }
 
+const char* YesOrNo(bool value) { return value ? "yes" : "no"; }
+
 /// Returns the version's number in logs; empty if there is none.
 std::string ToString(CatalogVersion version) {
   if (version == CatalogVersion()) return "";
@@ -59,8 +61,43 @@
   return EncodeJobSpec(*first) == EncodeJobSpec(*second);
 }
 
+/// True if the row holds the job of a submit, by whatever queue it came.
+bool HoldsRequest(const std::string& row, const JobSpec& request) {
+  const absl::StatusOr<JobSpec> stored = DecodeJobSpec(row);
+  if (!stored.ok()) return false;
+  JobSpec requested = request;
+  requested.id = stored->id;
+  requested.queue = stored->queue;
+  requested.workspace = stored->workspace;
+  return SameJob(row, EncodeJobSpec(requested));
+}
+
+/// The id at the end of a job's path; nothing if there is none.
+std::optional<JobId> JobIdIn(const std::string& path) {
+  if (path.size() < kJobIdLength) return std::nullopt;
+  const std::string id = path.substr(path.size() - kJobIdLength);
+  if (!IsJobId(id)) return std::nullopt;
+  return JobId(id);
+}
+
 }  // namespace
 
+CallResult ResultAfterUncertainWrite(CallKind kind, CallResult result) {
+  switch (result) {
+    case CallResult::kDone:
+    case CallResult::kUnknown:
+      return result;
+    // The write has the condition that no job has the id.
+    case CallResult::kConflict:
+      return result;
+    // The write has the condition that the job exists.
+    case CallResult::kUnknownJob:
+      return kind == CallKind::kCancel ? result : CallResult::kUnknown;
+    default:
+      return CallResult::kUnknown;
+  }
+}
+
 const char* ToString(CallResult result) {
   switch (result) {
     case CallResult::kDone:
@@ -88,14 +125,18 @@
 }
 
 void FrontEnd::Respond(Context& ctx, const CallReceived& call,
-                       CallResult result, const std::string& message,
+                       CallResult decision, const std::string& message,
                        const std::string& state, std::int64_t waiting,
                        std::optional<Duration> retry_after) {
+  const CallResult result = call.may_be_applied
+                                ? ResultAfterUncertainWrite(call.kind, decision)
+                                : decision;
   const bool should_retry =
       result == CallResult::kNotAccepted || result == CallResult::kUnknown;
   ctx.Log(LogId::kCallAnswered, {{"call", ToString(call.kind)},
                                  {"path", call.path},
                                  {"result", ToString(result)},
+                                 {"decision", ToString(decision)},
                                  {"state", state},
                                  {"reason", message},
                                  {"version", ToString(call.version)}});
@@ -137,15 +178,26 @@
   const bool outdated = IsOutdatedFor(call);
   call.version = catalog_->version();
   if ((!store_answers || outdated) && CanForward(call)) {
-    Forward(ctx, std::move(call), false);
+    Forward(ctx, std::move(call));
     return;
   }
+  const bool may_be_stored =
+      call.kind == CallKind::kSubmit && call.may_be_applied;
+  if (may_be_stored && store_answers && JobIdIn(call.path).has_value()) {
+    LookUp(ctx, call);
+  } else {
+    Decide(ctx, call, store_answers);
+  }
+}
+
+void FrontEnd::Decide(Context& ctx, const CallReceived& call,
+                      bool store_answers) {
   const Catalog* catalog = catalog_->catalog();
   if (catalog == nullptr) {
     Respond(ctx, call, CallResult::kNotAccepted, "no configuration yet");
     return;
   }
-  if (outdated) {
+  if (IsOutdatedFor(call)) {
     Respond(ctx, call, CallResult::kNotAccepted,
             "a newer configuration is in force");
     return;
@@ -175,15 +227,16 @@
   }
 }
 
-void FrontEnd::Forward(Context& ctx, CallReceived call, bool may_be_applied) {
+void FrontEnd::Forward(Context& ctx, CallReceived call) {
   call.required_version = catalog_->known_version();
-  ctx.Log(LogId::kCallForwarded, {{"call", ToString(call.kind)},
-                                  {"path", call.path},
-                                  {"to", *serving_peer_},
-                                  {"version", ToString(call.version)}});
+  ctx.Log(LogId::kCallForwarded,
+          {{"call", ToString(call.kind)},
+           {"path", call.path},
+           {"to", *serving_peer_},
+           {"may_be_applied", YesOrNo(call.may_be_applied)},
+           {"version", ToString(call.version)}});
   const Duration timeout = std::min(options_.forward_timeout, call.deadline);
-  ctx.Emit(
-      ForwardCall{std::move(call), *serving_peer_, timeout, may_be_applied});
+  ctx.Emit(ForwardCall{std::move(call), *serving_peer_, timeout});
 }
 
 void FrontEnd::Handle(Context& ctx, const ForwardCompleted& outcome) {
@@ -192,13 +245,39 @@
           {{"path", outcome.path},
            {"from", outcome.address},
            {"result", responded ? ToString(*outcome.result) : "no response"},
+           {"may_be_applied", YesOrNo(outcome.may_be_applied)},
+           {"told", ToString(outcome.told)},
            {"version", ToString(outcome.version)}});
 }
 
 void FrontEnd::ForwardPending(Context& ctx, const Pending& pending) {
   CallReceived call = pending.call;
   call.deadline = pending.deadline - ctx.now();
-  Forward(ctx, std::move(call), pending.may_be_applied);
+  Forward(ctx, std::move(call));
+}
+
+void FrontEnd::LookUp(Context& ctx, const CallReceived& call) {
+  Pending pending;
+  pending.call = call;
+  pending.deadline = ctx.now() + call.deadline;
+  pending.job = *JobIdIn(call.path);
+  Read(ctx, std::move(pending), Stage::kReadBeforeDecision);
+}
+
+void FrontEnd::HandleReadBeforeDecision(Context& ctx, const Pending& pending,
+                                        const ReadCompleted& answer,
+                                        bool store_answers) {
+  const bool stored =
+      answer.outcome == StoreOutcome::kDone && !answer.rows.empty() &&
+      HoldsRequest(answer.rows.front().value, pending.call.spec);
+  if (stored) {
+    Accept(ctx, pending, "known already");
+    return;
+  }
+  CallReceived call = pending.call;
+  call.deadline = pending.deadline - ctx.now();
+  call.version = catalog_->version();
+  Decide(ctx, call, store_answers);
 }
 
 void FrontEnd::StartRead(Context& ctx, const CallReceived& call,
@@ -336,8 +415,9 @@
     read.table = kLeadershipTable;
     read.from = kWaitingKey;
   } else {
-    const bool job =
-        stage == Stage::kReadJob || stage == Stage::kReadBeforeRefusal;
+    const bool job = stage == Stage::kReadJob ||
+                     stage == Stage::kReadBeforeRefusal ||
+                     stage == Stage::kReadBeforeDecision;
     read.table = job ? kJobTable : kProgressTable;
     if (job) read.partition = JobPartition(pending.job.value());
     read.from = pending.job.value();
@@ -382,13 +462,19 @@
     }
     return;
   }
-  if (answer.outcome == StoreOutcome::kRejected && !pending.may_be_applied) {
+  if (answer.outcome == StoreOutcome::kRejected) {
     Respond(ctx, pending.call, CallResult::kNeverServable,
             "the store does not accept the write");
     return;
   }
   const bool unknown = answer.outcome == StoreOutcome::kUnknown;
-  pending.may_be_applied = pending.may_be_applied || unknown;
+  if (unknown) {
+    ctx.Log(LogId::kCallInDoubt,
+            {{"call", ToString(pending.call.kind)},
+             {"path", pending.call.path},
+             {"attempt", std::to_string(pending.unanswered + 1)}});
+    pending.call.may_be_applied = true;
+  }
   if (CanForward(pending.call) &&
       pending.deadline - ctx.now() >= options_.min_attempt_time) {
     ForwardPending(ctx, pending);
@@ -401,11 +487,9 @@
     SendCommit(ctx, std::move(pending));
     return;
   }
-  Respond(
-      ctx, pending.call,
-      pending.may_be_applied ? CallResult::kUnknown : CallResult::kNotAccepted,
-      pending.may_be_applied ? "the store's answer was lost"
-                             : "the store took nothing");
+  Respond(ctx, pending.call, CallResult::kNotAccepted,
+          pending.call.may_be_applied ? "the store's answer was lost"
+                                      : "the store took nothing");
 }
 
 void FrontEnd::Accept(Context& ctx, const Pending& pending,
@@ -440,6 +524,10 @@
     HandleReadBeforeRefusal(ctx, std::move(pending), answer);
     return;
   }
+  if (pending.stage == Stage::kReadBeforeDecision) {
+    HandleReadBeforeDecision(ctx, pending, answer, store_answers);
+    return;
+  }
   const bool no_response = answer.outcome == StoreOutcome::kUnknown;
   const bool forwards =
       answer.outcome != StoreOutcome::kDone && CanForward(pending.call) &&
--- a/src/dispatch/front_end.h
+++ b/src/dispatch/front_end.h
@@ -116,6 +116,9 @@
     /// Reads the job row before a submit is refused: an earlier attempt at
     /// another node may have stored it.
     kReadBeforeRefusal,
+    /// Reads the job row of a submit that another node may have stored, before
+    /// the catalog decides.
+    kReadBeforeDecision,
     /// Reads the progress row, for a query.
     kReadProgress,
     /// Reads the job row, for a query or before a cancel.
@@ -144,17 +147,17 @@
     TimePoint deadline;
     /// Attempts of the current read or commit that got no response.
     int unanswered = 0;
-    /// An attempt of the commit may have been applied.
-    bool may_be_applied = false;
   };
 
   /// The delay after which callers that were not served should retry.
   Duration RetryAfter() const;
+  /// Decides a call by the catalog.
+  void Decide(Context& ctx, const CallReceived& call, bool store_answers);
   /// Passes a call on to a node that reaches the store. That node also decides
   /// whether the call is allowed, by no older catalog than this node knows.
   /// Submits and cancels are idempotent, so that a call which `may_be_applied`
   /// can be passed on too.
-  void Forward(Context& ctx, CallReceived call, bool may_be_applied);
+  void Forward(Context& ctx, CallReceived call);
   /// Passes a call on whose request to the store got no answer.
   void ForwardPending(Context& ctx, const Pending& pending);
   /// Returns the queue of the call and sets the workspace of its key. Responds
@@ -170,6 +173,12 @@
               const JobId& id);
   /// Starts the first write of a submit. From then on the job may be stored.
   void Store(Context& ctx, Pending pending);
+  /// Reads the row of a submit that may be stored, and accepts the submit if it
+  /// is.
+  void LookUp(Context& ctx, const CallReceived& call);
+  void HandleReadBeforeDecision(Context& ctx, const Pending& pending,
+                                const ReadCompleted& answer,
+                                bool store_answers);
   /// Refuses a submit unless its job is stored.
   void HandleReadBeforeRefusal(Context& ctx, Pending pending,
                                const ReadCompleted& answer);
@@ -195,7 +204,9 @@
   /// Responds with the number of waiting jobs in a queue.
   void RespondWithCount(Context& ctx, const CallReceived& call,
                         const QueueId& queue);
-  void Respond(Context& ctx, const CallReceived& call, CallResult result,
+  /// Responds with the decision, or with what is certain if an earlier write of
+  /// the call may be applied.
+  void Respond(Context& ctx, const CallReceived& call, CallResult decision,
                const std::string& message = "", const std::string& state = "",
                std::int64_t waiting = -1,
                std::optional<Duration> retry_after = std::nullopt);
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -116,9 +116,9 @@
             return;
           }
           Deliver(forwarded.node, forwarded.incarnation,
-                  dispatch::ForwardCompleted{answer.call, forwarded.path,
-                                             forwarded.address, answer.result,
-                                             answer.version});
+                  dispatch::ForwardCompleted{
+                      answer.call, forwarded.path, forwarded.address,
+                      answer.result, answer.result, false, answer.version});
           HandleResponse(answer);
         });
 }
--- a/test/caller-server-test.cc
+++ b/test/caller-server-test.cc
@@ -55,7 +55,7 @@
           forward.call.required_version = dispatch::CatalogVersion(44);
           forward.address = absl::StrCat("127.0.0.1:", second_port);
           forward.timeout = Duration(300);
-          forward.may_be_applied = may_be_applied;
+          forward.call.may_be_applied = may_be_applied;
           first->Forward(std::move(forward));
         });
     CHECK(first->Start().ok());
@@ -66,6 +66,11 @@
     second->StopWithin(Duration(1000));
   }
 
+  httplib::Result Cancel() const {
+    httplib::Client client("127.0.0.1", first->port());
+    return client.Delete("/jobs/0123456789abcdef");
+  }
+
   httplib::Result Submit() const {
     httplib::Client client("127.0.0.1", first->port());
     const httplib::Headers headers = {{"Host", "queue.example"},
@@ -153,6 +158,47 @@
   LONGS_EQUAL(504, Submit()->status);
 }
 
+// Guards against a caller that is told for good that its submit was rejected,
+// by a newer configuration of the other node, although the job is stored and
+// runs.
+TEST(CallerServer, RejectionByTheOtherNodeIsUncertainAfterAWriteHere) {
+  may_be_applied = true;
+  for (const dispatch::CallResult rejection :
+       {dispatch::CallResult::kUnknownKey, dispatch::CallResult::kUnknownQueue,
+        dispatch::CallResult::kInvalid, dispatch::CallResult::kUnknownJob,
+        dispatch::CallResult::kNeverServable}) {
+    answer.result = rejection;
+    LONGS_EQUAL(504, Submit()->status);
+    CHECK_TRUE(completed->told == dispatch::CallResult::kUnknown);
+  }
+  answer.result = dispatch::CallResult::kUnknownKey;
+  LONGS_EQUAL(504, Cancel()->status);
+}
+
+// Guards against a 504 where the outcome is certain: the write has a condition
+// on the row of the job.
+TEST(CallerServer, CertainAnswerOfTheOtherNodeIsPassedBackAfterAWriteHere) {
+  may_be_applied = true;
+  answer.result = dispatch::CallResult::kConflict;
+  LONGS_EQUAL(409, Submit()->status);
+  answer.result = dispatch::CallResult::kDone;
+  LONGS_EQUAL(200, Submit()->status);
+  answer.result = dispatch::CallResult::kUnknownJob;
+  LONGS_EQUAL(410, Cancel()->status);
+}
+
+TEST(CallerServer, RejectionByTheOtherNodeIsPassedBackIfNothingWasSentHere) {
+  answer.result = dispatch::CallResult::kUnknownKey;
+  LONGS_EQUAL(401, Submit()->status);
+  CHECK_FALSE(seen->may_be_applied);
+}
+
+TEST(CallerServer, OtherNodeIsToldOfAnEarlierWrite) {
+  may_be_applied = true;
+  Submit();
+  CHECK_TRUE(seen->may_be_applied);
+}
+
 TEST(CallerServer, CallThatMayHaveBeenAcceptedBeforeIsNotRefused) {
   second_port = 1;
   may_be_applied = true;
--- a/test/desk-test.cc
+++ b/test/desk-test.cc
@@ -32,17 +32,24 @@
     catalog.Handle(ctx, answer);
   }
 
-  /// Starts a call on a job.
-  void Start(CallKind kind, bool store_answers = true) {
+  static CallReceived CallOf(CallKind kind) {
     CallReceived call;
     call.kind = kind;
     call.host = emulator::kHost;
     call.key = emulator::kKey;
     call.path = std::string(emulator::PrefixOf(1)) + "00000000000000aa";
     call.spec.steps.emplace_back();
+    return call;
+  }
+
+  /// Starts a call on a job.
+  void Start(const CallReceived& call, bool store_answers = true) {
     Context ctx = NewContext();
     front_end.Handle(ctx, call, store_answers);
   }
+  void Start(CallKind kind, bool store_answers = true) {
+    Start(CallOf(kind), store_answers);
+  }
 
   /// Returns the last effect of a type; null if there is none.
   template <typename Kind>
@@ -128,7 +135,7 @@
        {CallKind::kSubmit, CallKind::kQuery, CallKind::kCancel}) {
     Start(kind, false);
     STRCMP_EQUAL("n7:80", Last<ForwardCall>()->address.c_str());
-    CHECK_FALSE(Last<ForwardCall>()->may_be_applied);
+    CHECK_FALSE(Last<ForwardCall>()->call.may_be_applied);
     CHECK_TRUE(Last<RespondToCall>() == nullptr);
     CHECK_TRUE(front_end.idle());
   }
@@ -152,10 +159,41 @@
   Start(CallKind::kSubmit);
   front_end.SetStoreOutage(StoreOutage::kLocal, "n7:80");
   LoseCommit(false);
-  CHECK_TRUE(Last<ForwardCall>()->may_be_applied);
+  CHECK_TRUE(Last<ForwardCall>()->call.may_be_applied);
   CHECK_TRUE(front_end.idle());
 }
 
+// Guards against a rejection of a submit that the node which passed it on may
+// have stored: its job would run.
+TEST(Desk, SubmitThatMayBeStoredIsLookedUpBeforeItsKeyIsRejected) {
+  for (const bool stored : {true, false}) {
+    CallReceived call = CallOf(CallKind::kSubmit);
+    Start(call);
+    const std::string row = Last<CommitRows>()->transaction.puts.front().value;
+    call.key = "no such key";
+    call.forwarded = true;
+    call.may_be_applied = true;
+    Start(call);
+    CHECK_TRUE(Last<RespondToCall>() == nullptr);
+    ReadCompleted answer;
+    answer.ticket = Last<ReadRows>()->ticket;
+    answer.outcome = StoreOutcome::kDone;
+    if (stored) answer.rows.push_back({{kJobTable, "aa"}, row, Revision(3)});
+    Context ctx = NewContext();
+    front_end.Handle(ctx, answer, true);
+    CHECK_TRUE(Last<RespondToCall>()->result ==
+               (stored ? CallResult::kDone : CallResult::kUnknown));
+  }
+}
+
+TEST(Desk, SubmitThatWasNotSentToTheStoreIsRejectedAtOnce) {
+  CallReceived call = CallOf(CallKind::kSubmit);
+  call.key = "no such key";
+  call.forwarded = true;
+  Start(call);
+  CHECK_TRUE(Last<RespondToCall>()->result == CallResult::kUnknownKey);
+}
+
 TEST(Desk, QueryWithoutAnAnswerIsPassedOn) {
   Start(CallKind::kQuery);
   front_end.SetStoreOutage(StoreOutage::kLocal, "n7:80");
