Count the failure of a gang's run by the number of the run

Cause: of a gang only the highest number of a failed run was kept, so that failures of several members in one run count once. Run 1 failed on a silent runner and was settled as lapsed when the others had told that a member had ended; run 2 failed; then the runner was heard again and listed the end of run 1. Its number was lower than that of run 2, so that it was taken for counted and acknowledged.

Change: the numbers of all failed runs of a gang are kept and stored. Rows of earlier versions have only the highest number, up to which all count as before; earlier versions go on reading it.

Conclusion: an end of a gang that is acknowledged under this scheduler has been counted. After a take-over, the end of an earlier run of a task that is no gang may still be acknowledged without being counted, if the predecessor did not record it; that is suspected from reading and was not seen.

--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -237,8 +237,8 @@
 
 // Failures of several members in the same run count as one failure.
 bool Job::CountGangFailure(Step* step, int run) {
-  if (run <= step->last_failed_run) return false;
-  step->last_failed_run = run;
+  if (run <= step->failures_counted_until) return false;
+  if (!step->failed_runs.insert(run).second) return false;
   ++step->gang_failures;
   return true;
 }
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -90,10 +90,12 @@
 /// Tasks of one step in one occurrence of the job.
 struct Step {
   std::vector<Task> tasks;
-  /// Number of failed runs of the gang, and the number of the latest failed
-  /// run.
+  /// Number of failed runs of the gang, and which runs they are.
   int gang_failures = 0;
-  int last_failed_run = 0;
+  std::set<int> failed_runs;
+  /// Failures of runs up to this one were counted by a version that did not
+  /// record their numbers.
+  int failures_counted_until = 0;
   /// Since when the step has been ready without interruption; the planner's
   /// waiting times count from it.
   TimePoint ready_since;
--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -218,6 +218,34 @@
   }
 }
 
+/// Encodes which runs of a gang failed. Versions that do not know the list read
+/// the highest number.
+void EncodeFailedRuns(const Step& step, Json::Value* json) {
+  int highest = step.failures_counted_until;
+  for (const int run : step.failed_runs) {
+    (*json)["failed_runs"].append(run);
+    highest = std::max(highest, run);
+  }
+  if (highest > 0) (*json)["failed_run"] = highest;
+  if (step.failures_counted_until > 0) {
+    (*json)["counted_until"] = step.failures_counted_until;
+  }
+}
+
+/// Blocks of one step may have been stored at different times: none of the
+/// failures in them is dropped.
+void DecodeFailedRuns(const Json::Value& json, Step* step) {
+  step->gang_failures =
+      std::max(step->gang_failures, json.get("failures", 0).asInt());
+  const bool lists_runs = json.isMember("failed_runs");
+  const char* counted_until = lists_runs ? "counted_until" : "failed_run";
+  step->failures_counted_until = std::max(step->failures_counted_until,
+                                          json.get(counted_until, 0).asInt());
+  for (const Json::Value& run : json["failed_runs"]) {
+    step->failed_runs.insert(run.asInt());
+  }
+}
+
 /// Encodes a range of tasks; null if none of them was started.
 Json::Value EncodeTasks(const Job& job, const ProgressBlocks::Range& range,
                         TaskDetail detail) {
@@ -234,7 +262,7 @@
   json["k"] = range.occurrence;
   json["step"] = range.step;
   if (step.gang_failures > 0) json["failures"] = step.gang_failures;
-  if (step.last_failed_run > 0) json["failed_run"] = step.last_failed_run;
+  EncodeFailedRuns(step, &json);
   json["tasks"] = std::move(tasks);
   return json;
 }
@@ -248,11 +276,7 @@
   const Json::ArrayIndex s = json["step"].asUInt();
   if (k >= occurrences.size() || s >= occurrences[k].steps.size()) return;
   Step& step = occurrences[k].steps[s];
-  // Blocks of one step may have been stored at different times.
-  step.gang_failures =
-      std::max(step.gang_failures, json.get("failures", 0).asInt());
-  step.last_failed_run =
-      std::max(step.last_failed_run, json.get("failed_run", 0).asInt());
+  DecodeFailedRuns(json, &step);
   for (const Json::Value& task : json["tasks"]) {
     DecodeTask(task, addresses, &step);
   }
