--- a/src/dispatch/front_end.cc
+++ b/src/dispatch/front_end.cc
@@ -82,48 +82,6 @@
 
 }  // namespace
 
-CallResult ResultAfterUncertainWrite(CallKind kind, CallResult result) {
-  switch (result) {
-    case CallResult::kDone:
-    case CallResult::kUnknown:
-      return result;
-    // The write has the condition that no job has the id.
-    case CallResult::kConflict:
-      return result;
-    // The write has the condition that the job exists.
-    case CallResult::kUnknownJob:
-      return kind == CallKind::kCancel ? result : CallResult::kUnknown;
-    default:
-      return CallResult::kUnknown;
-  }
-}
-
-const char* ToString(CallResult result) {
-  switch (result) {
-    case CallResult::kDone:
-      return "done";
-    case CallResult::kUnknownJob:
-      return "gone";
-    case CallResult::kUnknownKey:
-      return "unknown key";
-    case CallResult::kUnknownQueue:
-      return "no queue";
-    case CallResult::kInvalid:
-      return "invalid";
-    case CallResult::kConflict:
-      return "conflict";
-    case CallResult::kNotAccepted:
-      return "not taken";
-    case CallResult::kPastUse:
-      return "past use";
-    case CallResult::kNeverServable:
-      return "never servable";
-    case CallResult::kUnknown:
-      return "unknown";
-  }
-  return "";
-}
-
 void FrontEnd::Respond(Context& ctx, const CallReceived& call,
                        CallResult decision, const std::string& message,
                        const std::string& state, std::int64_t waiting,
