--- a/src/dispatch/call_result.cc
+++ b/src/dispatch/call_result.cc
@@ -12,11 +12,10 @@
   switch (result) {
     case CallResult::kDone:
     case CallResult::kUnknown:
-      return result;
-    // The write has the condition that no job has the id.
+    // The write of a submit has the condition that no job has the id.
     case CallResult::kConflict:
       return result;
-    // The write has the condition that the job exists.
+    // The write of a cancel has the condition that the job exists.
     case CallResult::kUnknownJob:
       return kind == CallKind::kCancel ? result : CallResult::kUnknown;
     default:
