Log by what evidence runs of an earlier scheduler count as over

Change: LL930 names the previous holder. LL967 tells, at the first poll of a runner with inherited runs that gets no answer, how the poll ended and how long their lease may last. LL925 tells whether the runner was ever heard, has an entry, and how much of the lease is left.

Conclusion: a second start by evidence (LL925 with lease_left_ms above 0), one after the end of the assumed lease, and one of a run that was not listed (LL938) look different from each other now. No decision changes.

--- a/src/cli/merged_log.cc
+++ b/src/cli/merged_log.cc
@@ -94,6 +94,9 @@
     {"runner_silent", "runner {runner} does not answer"},
     {"runner_heard", "runner {runner} answers again"},
     {"runner_lost", "all {runs} runs on runner {runner} are over: {reason}"},
+    {"runs_held",
+     "runner {runner} does not answer ({poll}); its {runs} runs of an earlier "
+     "scheduler may last {lease_left_ms} ms more"},
     {"runner_avoided_for",
      "runner {runner} gets nothing new for {pause_ms} ms: {reason}"},
     {"leader_claimed", "schedules from now on, with epoch {epoch}"},
@@ -122,7 +125,7 @@
 }
 
 bool ConcernsRunner(const std::string& event) {
-  return absl::StartsWith(event, "runner_");
+  return absl::StartsWith(event, "runner_") || event == "runs_held";
 }
 
 /// Replaces the names in braces by the values of these fields.
--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -258,6 +258,9 @@
       {LogId::kCallInDoubt, kInfo, "call_in_doubt",
        "A write of a caller's call got no answer, so that it may be applied, "
        "or may be later; no refusal of the call is certain from then on."},
+      {LogId::kRunsHeld, kWarning, "runs_held",
+       "A runner with runs of an earlier scheduler does not answer; the fields "
+       "say how its first poll ended and how long their lease may last."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -118,6 +118,7 @@
   kProgressDivided = 964,
   kRowTooLarge = 965,
   kCallInDoubt = 966,
+  kRunsHeld = 967,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/leadership.cc
+++ b/src/dispatch/leadership.cc
@@ -200,6 +200,7 @@
   claim_.catalog = seen.catalog;
   claim_.catalog_revision = seen.catalog_revision;
   claim_.divides_progress = seen.divides_progress;
+  previous_holder_ = seen.holder;
   call_under_way_ = true;
   call_ = ctx.NewTicket();
   claim_sent_at_ = ctx.now();
@@ -216,7 +217,7 @@
   ScheduleRead(ctx.now(), options_.poll_interval);
   if (answer.outcome != StoreOutcome::kDone) return std::nullopt;
   has_led_ = true;
-  return Claimed{claim_, answer.revision, claim_sent_at_};
+  return Claimed{claim_, answer.revision, claim_sent_at_, previous_holder_};
 }
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/leadership.h
+++ b/src/dispatch/leadership.h
@@ -99,6 +99,8 @@
     Revision revision;
     /// When the claim was sent; the lease is counted from then.
     TimePoint sent_at;
+    /// The holder before this claim; empty if there was none.
+    std::string previous_holder;
   };
   void Handle(Context& ctx, const ReadCompleted& answer);
   /// Processes the answer to a claim; returns the lease if this node now holds
@@ -161,6 +163,7 @@
   /// Earliest time to create the row if it does not exist.
   std::optional<TimePoint> create_at_;
   LeaderRecord claim_;
+  std::string previous_holder_;
   TimePoint claim_sent_at_;
   TimePoint next_at_;
   TimePoint read_sent_at_;
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -393,7 +393,8 @@
   standbys_.emplace(options_.standbys, options_.peer_address, &store_timeout_,
                     ctx.now());
   ctx.Log(LogId::kLeaderClaimed,
-          {{"epoch", std::to_string(claimed.record.epoch.value())}});
+          {{"epoch", std::to_string(claimed.record.epoch.value())},
+           {"previous_holder", claimed.previous_holder}});
   if (shutting_down_) scheduler_->Release();
 }
 
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -306,6 +306,10 @@
   TimePoint lease_expires_at() const {
     return std::max(lease_expires_at_, previous_lease_until_);
   }
+  /// How long a lease may still last; 0 if all have expired.
+  Duration LeaseLeft(TimePoint now) const {
+    return std::max(Duration(0), lease_expires_at() - now);
+  }
   /// Records that a previous scheduler may have granted a lease of `length`
   /// just before the runner first answered this one; since then the runner
   /// rejects the previous scheduler. Precondition: `heard()`.
--- a/src/dispatch/scheduler_dump.cc
+++ b/src/dispatch/scheduler_dump.cc
@@ -47,8 +47,7 @@
   json["free_accelerators"] = Json::Int64(runner.free_capacity().accelerators);
   json["free_cpu_millis"] = Json::Int64(runner.free_capacity().cpu_millis);
   json["free_memory_mb"] = Json::Int64(runner.free_capacity().memory_mb);
-  json["lease_left_ms"] = Json::Int64(
-      std::max<std::int64_t>(0, (runner.lease_expires_at() - now).ms()));
+  json["lease_left_ms"] = Json::Int64(runner.LeaseLeft(now).ms());
   json["unstored_ends"] =
       Json::UInt64(static_cast<Json::UInt64>(runner.unstored_ends.size()));
   for (const auto& [name, run] : runner.runs()) {
--- a/src/dispatch/scheduler_health.cc
+++ b/src/dispatch/scheduler_health.cc
@@ -86,6 +86,19 @@
   if (outcome == OrderOutcome::kLost && runner->poll_grants_lease) {
     runner->late_orders.RecordGrant(ctx.now() + options_.late_order_window);
   }
+  const bool holds_inherited_runs =
+      !runner->heard() && runner->misses() == 0 && !runner->runs().empty();
+  if (holds_inherited_runs) {
+    ctx.Log(
+        LogId::kRunsHeld,
+        {{"runner", runner->id().value()},
+         {"born", ToString(runner->incarnation().start_time)},
+         {"address", runner->info().address},
+         {"runs", std::to_string(runner->runs().size())},
+         {"listed", runner->listed() ? "yes" : "no"},
+         {"poll", ToString(outcome)},
+         {"lease_left_ms", std::to_string(runner->LeaseLeft(ctx.now()).ms())}});
+  }
   HandleMissedAnswer(ctx, runner);
 }
 
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -20,6 +20,21 @@
 // Maximum number of ends that a runner reports in one answer.
 constexpr std::size_t kMaxReportedEnds = 500;
 
+/// Logs that runs on the runner are over, with what is known of the runner:
+/// whether it has answered this scheduler, whether it has an entry, and how
+/// long a lease that was granted by any scheduler may still last.
+void LogRunnerLost(Context& ctx, const Runner& runner, const char* reason,
+                   std::size_t runs) {
+  ctx.Log(
+      LogId::kRunnerLost,
+      {{"runner", runner.id().value()},
+       {"reason", reason},
+       {"runs", std::to_string(runs)},
+       {"heard", runner.heard() ? "yes" : "no"},
+       {"listed", runner.listed() ? "yes" : "no"},
+       {"lease_left_ms", std::to_string(runner.LeaseLeft(ctx.now()).ms())}});
+}
+
 }  // namespace
 
 const char* ToString(OrderOutcome outcome) {
@@ -214,10 +229,7 @@
 void Scheduler::EndAllRuns(Context& ctx, Runner* runner, const char* reason,
                            RunnerLossCause cause) {
   if (!runner->ended) {
-    ctx.Log(LogId::kRunnerLost,
-            {{"runner", runner->id().value()},
-             {"reason", reason},
-             {"runs", std::to_string(runner->runs().size())}});
+    LogRunnerLost(ctx, *runner, reason, runner->runs().size());
   }
   std::vector<TaskName> names;
   for (const auto& [name, run] : runner->runs()) names.push_back(name);
@@ -239,9 +251,7 @@
   const std::size_t ended_count =
       expired.size() + of_previous_incarnation.size();
   if (ended_count == 0) return;
-  ctx.Log(LogId::kRunnerLost, {{"runner", runner->id().value()},
-                               {"reason", "its lease expired"},
-                               {"runs", std::to_string(ended_count)}});
+  LogRunnerLost(ctx, *runner, "its lease expired", ended_count);
   // That this incarnation is shutting down says nothing about the previous one.
   if (!of_previous_incarnation.empty()) {
     MarkRunsLost(ctx, runner, of_previous_incarnation,
--- a/src/emulator/emulated_orders.cc
+++ b/src/emulator/emulated_orders.cc
@@ -125,9 +125,10 @@
       IsSeparated(node, id)) {
     const bool dead =
         at == runner_at_.end() && IsReachable(id) && !IsSeparated(node, id);
+    const bool refused = dead || RefusesConnections(id);
     answer.outcome =
-        dead ? OrderOutcome::kConnectionRefused : OrderOutcome::kLost;
-    RunAt(now_ + (dead ? options_.network : kOrderTimeout),
+        refused ? OrderOutcome::kConnectionRefused : OrderOutcome::kLost;
+    RunAt(now_ + (refused ? options_.network : kOrderTimeout),
           [this, node, incarnation, answer] {
             Deliver(node, incarnation, answer);
           });
@@ -252,16 +253,20 @@
       arrive(&responded);
     });
   }
-  RunAt(now_ + options_.network, [this, arrive, reply, answer, repeated] {
-    bool responded = false;
-    Answer body = arrive(&responded);
-    SetEarlierAttemptPending(repeated, &body);
-    if (responded) {
-      reply(faults_.order_time + options_.network, body);
-    } else {
-      reply(kOrderTimeout, answer);
-    }
-  });
+  RunAt(now_ + options_.network,
+        [this, recipient, arrive, reply, answer, repeated] {
+          bool responded = false;
+          Answer body = arrive(&responded);
+          SetEarlierAttemptPending(repeated, &body);
+          if (responded) {
+            reply(faults_.order_time + options_.network, body);
+          } else if (RefusesConnections(recipient.runner)) {
+            body.outcome = OrderOutcome::kNotSent;
+            reply(options_.network, body);
+          } else {
+            reply(kOrderTimeout, answer);
+          }
+        });
 }
 
 void EmulatedSystem::Perform(int node, const dispatch::StartRun& start) {
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -358,7 +358,8 @@
 }
 
 bool EmulatedSystem::IsReachable(const RunnerId& runner) const {
-  return faults_.unreachable_runners.count(runner) == 0;
+  return faults_.unreachable_runners.count(runner) == 0 &&
+         !RefusesConnections(runner);
 }
 
 bool EmulatedSystem::Responds(const RunnerId& runner) const {
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -105,6 +105,9 @@
   /// Partitions of the store that refuse calls while the others are available.
   std::set<std::string> partitions_down;
   std::set<RunnerId> unreachable_runners;
+  /// Runners that are cut off like `unreachable_runners`, while connections to
+  /// them are refused at once.
+  std::set<RunnerId> refusing_runners;
   /// Runners that receive and answer nothing although the network is sound.
   /// They do not excuse a node that keeps starting tasks there.
   std::set<RunnerId> mute_runners;
@@ -436,6 +439,10 @@
   /// Removes all runners that a task has crashed.
   void DropCrashed();
   bool IsReachable(const RunnerId& runner) const;
+  /// True if connections to the runner are refused although it is running.
+  bool RefusesConnections(const RunnerId& runner) const {
+    return faults_.refusing_runners.count(runner) != 0;
+  }
   /// True if a partition separates the node from the runner.
   bool IsSeparated(int node, const RunnerId& runner) const {
     return (faults_.partitioned_nodes.count(node) != 0) !=
