Show that a run on a cut-off runner is started again after a take-over

What callers see: a task runs twice at the same time, on two runners that are up. The runner of the first run is cut off from the store and all nodes, its connections are refused, and another node becomes the scheduler.

The emulator has runners that refuse connections while they run on.

--- /dev/null
+++ b/test/partitioned-runner-test.cc
@@ -0,0 +1,70 @@
+/// @file
+/// Tests of runs on runners that are cut off and keep running.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "scheduler-fixture.h"
+
+namespace limeledge::emulator {
+
+struct PartitionedRunnerFixture : SchedulerFixture {
+  /// Submits a job of one task, waits until the task runs, and cuts its runner
+  /// off, so that connections to it are refused and its entry expires.
+  JobId SubmitAndCutOff(Duration work) {
+    const JobId job = Submit(Step(1, 8, work));
+    system.Run(Duration(1000));
+    for (const RunnerId& id : system.RunnerIds()) {
+      system.FindRunner(id)->ForEachRun([&](const dispatch::TaskName&, int) {
+        system.faults().refusing_runners.insert(id);
+      });
+    }
+    LONGS_EQUAL(1, system.faults().refusing_runners.size());
+    return job;
+  }
+
+  void CheckDoneByOneRun(const JobId& job) {
+    STRCMP_EQUAL("done", system.StateOf(job).c_str());
+    LONGS_EQUAL(1, Watch(job).starts.begin()->second);
+    CheckNoViolation();
+  }
+};
+
+TEST_GROUP_BASE(PartitionedRunner, PartitionedRunnerFixture){};
+
+// Guards against a task that runs twice because a new scheduler takes a refused
+// connection to a runner without an entry as the end of the runner's process.
+TEST(PartitionedRunner, ThatRefusesConnectionsAfterATakeOverKeepsItsRun) {
+  const JobId job = SubmitAndCutOff(Duration(20000));
+  system.KillNode(system.leader(), Duration(3500));
+  system.Run(Duration(4000));
+  system.faults() = Faults();
+  system.Run(Duration(20000));
+  CheckDoneByOneRun(job);
+}
+
+// Guards against the same after a pause of the scheduler, for a run that is
+// done before its runner is reachable again.
+TEST(PartitionedRunner, WhoseRunIsDoneMeanwhileKeepsItsRun) {
+  const JobId job = SubmitAndCutOff(Duration(3500));
+  system.FreezeNode(system.leader(), Duration(3500));
+  system.Run(Duration(4000));
+  system.faults() = Faults();
+  system.Run(Duration(10000));
+  CheckDoneByOneRun(job);
+}
+
+// Guards against the same for a second successor, which has not seen the entry
+// of the runner.
+TEST(PartitionedRunner, ThatRefusesConnectionsAfterTwoTakeOversKeepsItsRun) {
+  const JobId job = SubmitAndCutOff(Duration(20000));
+  for (int i = 0; i < 2; ++i) {
+    system.KillNode(system.newest_leader(), Duration(20000));
+    system.Run(Duration(2000));
+  }
+  system.faults() = Faults();
+  system.Run(Duration(22000));
+  CheckDoneByOneRun(job);
+}
+
+}  // namespace limeledge::emulator
