Do not take a refused connection for the end of a runner

Cause: a scheduler that took over polled the runners of inherited runs at their stored addresses. Where a connection was refused and the runner had no entry, it took the process for gone and started its tasks elsewhere at once. A partition refuses connections too, and the runner behind it goes on until the lease ends that the previous scheduler granted.

Change: runs of a runner that was never heard end by its own answer, by that of another runner at its address, or when no lease of any earlier scheduler can last. A refused connection is a poll that was not sent. The outcome keeps its name in the logs.

Conclusion: runs end only by evidence about the process itself, or by time.

--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -132,8 +132,8 @@
   kOtherIncarnation,
   /// No connection could be opened, so the order was certainly not executed.
   kNotSent,
-  /// The host refused the connection of a poll: no process listens at the
-  /// runner's address, so its runs are over.
+  /// The connection of a poll was refused, so the poll was not sent. A runner
+  /// behind a partition may refuse connections and keep running.
   kConnectionRefused,
   /// No response: the order may have been executed, or may be seconds later.
   kLost,
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -71,8 +71,8 @@
   /// can neither reach its runner nor rule the run out. Any previous scheduler
   /// may renew for `longest_unconfirmed` after its last write, a lease on a
   /// slow clock lasts 5.3 s, and an order in flight adds half a second. That
-  /// the runner is not listed rules nothing out: it may be partitioned together
-  /// with a previous scheduler.
+  /// the runner is not listed, or refuses connections, rules nothing out: it
+  /// may be partitioned together with a previous scheduler.
   Duration previous_scheduler_lease{15800};
   /// Maximum number of first polls in flight. A new scheduler that opened
   /// hundreds of connections at once would fail to renew its own lease on a
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -404,10 +404,9 @@
   /// as the ends of the other members of their gangs show. A gang would wait
   /// for the lease otherwise, although nothing of it runs any more.
   void EndRunsOfBrokenGangs(Context& ctx, Runner* runner);
-  /// Ends all runs of a lost runner; with a cause if it may not have crashed.
+  /// Ends all runs of a lost runner. Precondition: an answer shows that the
+  /// runner's process has ended.
   void EndAllRuns(Context& ctx, Runner* runner, const char* reason);
-  void EndAllRuns(Context& ctx, Runner* runner, const char* reason,
-                  RunnerLossCause cause);
 
   // Runners.
   /// Handles a call that a runner rejected for its token: whether another
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -220,21 +220,16 @@
 }
 
 void Scheduler::EndAllRuns(Context& ctx, Runner* runner, const char* reason) {
-  EndAllRuns(ctx, runner, reason,
-             runner->LeftAsAnnounced() ? RunnerLossCause::kLeft
-                                       : RunnerLossCause::kCrashed);
-  ResolveLosses(ctx, runner->incarnation(), IncarnationFate::kCrashed);
-}
-
-void Scheduler::EndAllRuns(Context& ctx, Runner* runner, const char* reason,
-                           RunnerLossCause cause) {
   if (!runner->ended) {
     LogRunnerLost(ctx, *runner, reason, runner->runs().size());
   }
   std::vector<TaskName> names;
   for (const auto& [name, run] : runner->runs()) names.push_back(name);
-  MarkRunsLost(ctx, runner, names, cause);
+  MarkRunsLost(ctx, runner, names,
+               runner->LeftAsAnnounced() ? RunnerLossCause::kLeft
+                                         : RunnerLossCause::kCrashed);
   runner->ended = true;
+  ResolveLosses(ctx, runner->incarnation(), IncarnationFate::kCrashed);
 }
 
 void Scheduler::EndExpiredRuns(Context& ctx, Runner* runner) {
@@ -297,13 +292,6 @@
   }
   if (answer.outcome != OrderOutcome::kDone) {
     HandleMissedPoll(ctx, runner, answer.outcome);
-    // Without an entry, the runner does not come back under its id soon.
-    const bool is_gone = answer.outcome == OrderOutcome::kConnectionRefused &&
-                         !runner->heard() && !runner->listed();
-    if (is_gone) {
-      EndAllRuns(ctx, runner, "no process listens at its address",
-                 RunnerLossCause::kUnknown);
-    }
     return LeaseStatus::kHeld;
   }
   // A poll that was sent after an incarnation answered is itself answered by
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -30,8 +30,8 @@
 /// The result of an HTTP call.
 struct HttpReply {
   HttpOutcome outcome = HttpOutcome::kLost;
-  /// The request was not sent because the host refused the connection: it is
-  /// reachable, and no process listens at the address.
+  /// The request was not sent because the connection was refused. A firewall or
+  /// a partition may do that too, so the process may still be running.
   bool refused = false;
   /// The HTTP status; 0 unless `outcome` is `kAnswered`.
   int status = 0;
