Send no queued starts once leases are not renewed any more

What callers could see: a task that runs twice at the same time.

Cause: a successor relies on that no earlier scheduler renews a lease later than 10 s after its last confirmed write. Polls kept to that; starts did not. A start renews the lease on all that runs on its runner, and a scheduler that is partitioned together with a runner went on sending starts that it had stored before, for as long as its queue lasted. Same class: a bound that holds for one kind of call only was taken for the end of all.

Change: one condition for polls and starts; a queued start is dropped with the reason 'the store has not confirmed the scheduler lease recently'.

The tests of runs that start again after a take-over have lower bounds now, so that they fail too where a second start comes before the evidence: one start at 4.5, 7.0 and 17.1 s, two at 7.0, 9.0 and 18.5 s. In the test of two take-overs the entry has expired when the second successor reads the list.

--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -350,8 +350,7 @@
   // was read.
   if (fleet_.listed_once()) jobs_.Work(ctx);
   if (options_.runner_speeds != RunnerSpeedUse::kOff) speed_keeper_.Read(ctx);
-  const bool may_renew =
-      ctx.now() - writer_.confirmed_at() < options_.fleet.longest_unconfirmed;
+  const bool may_renew = MayRenewLeases(ctx.now());
   RunPeriodicChecks(ctx);
   if (IsPassDue(ctx.now())) RunPlanningPass(ctx);
   UpdateForecast(ctx);
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -157,6 +157,9 @@
   kAwaitingLeaseExpiry,
   /// The store rejects the job's progress.
   kNotStorable,
+  /// The store has not confirmed the scheduler lease for so long that a
+  /// successor may take the runner's lease as expired.
+  kSchedulerUnconfirmed,
 };
 
 /// Why a runner was lost together with its runs.
@@ -404,6 +407,11 @@
   /// as the ends of the other members of their gangs show. A gang would wait
   /// for the lease otherwise, although nothing of it runs any more.
   void EndRunsOfBrokenGangs(Context& ctx, Runner* runner);
+  /// True while calls to runners may renew their leases: a successor relies on
+  /// that no earlier scheduler does so any longer.
+  bool MayRenewLeases(TimePoint now) const {
+    return now - writer_.confirmed_at() < options_.fleet.longest_unconfirmed;
+  }
   /// Ends all runs of a lost runner. Precondition: an answer shows that the
   /// runner's process has ended.
   void EndAllRuns(Context& ctx, Runner* runner, const char* reason);
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -47,6 +47,8 @@
       return "its task crashes runners";
     case StartDropReason::kNotStorable:
       return "the store rejects its job's progress";
+    case StartDropReason::kSchedulerUnconfirmed:
+      return "the store has not confirmed the scheduler lease recently";
   }
   return "";
 }
@@ -138,6 +140,8 @@
   // to fail.
   if (HasGangEnded(*job, name, run.number)) return StartDropReason::kGangEnded;
   if (releasing_) return StartDropReason::kReleasing;
+  // A start renews the lease on all that runs there.
+  if (!MayRenewLeases(now)) return StartDropReason::kSchedulerUnconfirmed;
   if (runner.draining_since().has_value()) return StartDropReason::kDraining;
   if (catalog_->drained_halls.count(runner.info().hall) != 0) {
     return StartDropReason::kHallDraining;
--- a/test/take-over-test.cc
+++ b/test/take-over-test.cc
@@ -45,7 +45,9 @@
   system.Run(Duration(1000));
   system.KillRunner(RunnerOfAnyRun(), Duration(5000));
   system.KillNode(system.leader(), Duration(60000));
-  system.Run(Duration(7000));
+  system.Run(Duration(4500));
+  LONGS_EQUAL(1, Watch(job).starts.begin()->second);
+  system.Run(Duration(2500));
   LONGS_EQUAL(2, Watch(job).starts.begin()->second);
   system.Run(Duration(6000));
   STRCMP_EQUAL("done", system.StateOf(job).c_str());
@@ -61,9 +63,10 @@
   system.Run(Duration(1000));
   system.KillRunner(RunnerOfAnyRun(), Duration(60000));
   system.KillNode(system.leader(), Duration(60000));
-  system.Run(Duration(15000));
+  // The lease on scheduling expires after 1.3 s; then leases may last 15.8 s.
+  system.Run(Duration(17100));
   LONGS_EQUAL(1, Watch(job).starts.begin()->second);
-  system.Run(Duration(3500));
+  system.Run(Duration(1400));
   LONGS_EQUAL(2, Watch(job).starts.begin()->second);
   system.Run(Duration(6000));
   STRCMP_EQUAL("done", system.StateOf(job).c_str());
@@ -113,18 +116,41 @@
   CheckNoViolation();
 }
 
+// Guards against a run that outlasts the time after which a successor takes its
+// lease as expired: a scheduler that was partitioned together with the runner
+// went on sending queued starts, each of which renewed the lease.
+TEST(TakeOver, PartitionedSchedulerSendsNoStartsOnceItRenewsNoLeases) {
+  SystemOptions options;
+  options.runners = 1;
+  EmulatedSystem single(options);
+  single.Run(Duration(3000));
+  single.faults().order_time = Duration(900);
+  const JobId job = SubmitTo(&single, Step(24, 0, Duration(60000)));
+  single.Run(Duration(500));
+  const int leader = single.leader();
+  single.faults().partitioned_nodes.insert(leader);
+  single.faults().nodes_without_store.insert(leader);
+  single.faults().partitioned_runners.insert(single.RunnerIds().front());
+  single.Run(Duration(10500));
+  const std::size_t started = single.jobs().at(job).starts.size();
+  CHECK_TRUE(started > 5);
+  single.Run(Duration(10000));
+  LONGS_EQUAL(started, single.jobs().at(job).starts.size());
+}
+
 // Guards against a task that waits 16 s for a runner that was replaced, after
 // two take-overs: its entry has expired, and only the stored address leads to
 // the next runner.
 TEST(TakeOver, SecondSuccessorFindsTheNextRunnerAtTheAddressOfALostOne) {
   const JobId job = Submit(Step(1, 8, Duration(4000)));
   system.Run(Duration(1000));
-  system.CrashRunner(RunnerOfAnyRun(), Duration(6000));
+  system.CrashRunner(RunnerOfAnyRun(), Duration(7500));
   for (int i = 0; i < 2; ++i) {
     system.KillNode(system.newest_leader(), Duration(60000));
-    system.Run(Duration(2500));
+    system.Run(Duration(3500));
   }
-  system.Run(Duration(3000));
+  LONGS_EQUAL(1, Watch(job).starts.begin()->second);
+  system.Run(Duration(2000));
   LONGS_EQUAL(2, Watch(job).starts.begin()->second);
   system.Run(Duration(6000));
   STRCMP_EQUAL("done", system.StateOf(job).c_str());
