Cut runners off in the soak so that their entries expire and they run on

Cause, read from its code: a proxy that refuses accepts a connection and then resets it, which a node does not take for a refused one; and no fault lets the entry of a runner expire that goes on running.

Change: three faults. partition-runner stops a runner's heartbeats, resets its connections and closes the listener of its proxy, isolate-runner holds all data instead, and lapse-entry stops only the heartbeats. The port of a proxy now comes from below the ephemeral range and stays bound while it does not listen.

Tests: a closed proxy refuses connections and listens again beside open ones; the entry of a runner that is cut off expires and comes back.

In an earlier trial a proxy could not listen again while connections of its port were open, so that jobs stayed without an end; the test guards against it.

--- a/soak/experiment.cc
+++ b/soak/experiment.cc
@@ -25,7 +25,7 @@
   const char* name;
 };
 
-constexpr std::array<KindName, 28> kKindNames = {{
+constexpr std::array<KindName, 31> kKindNames = {{
     {FaultKind::kKillNode, "kill-node"},
     {FaultKind::kStopNode, "stop-node"},
     {FaultKind::kPauseNode, "pause-node"},
@@ -54,13 +54,15 @@
     {FaultKind::kLateOrders, "late-orders"},
     {FaultKind::kShrinkRoom, "shrink-room"},
     {FaultKind::kSuspendNode, "suspend-node"},
+    {FaultKind::kPartitionRunner, "partition-runner"},
+    {FaultKind::kIsolateRunner, "isolate-runner"},
+    {FaultKind::kLapseEntry, "lapse-entry"},
 }};
 
 /// Name of `kLeaderTarget` in experiment files.
 constexpr char kLeaderName[] = "leader";
 constexpr Duration kShortestFault{300};
 // Interval between faults of one kind in a series.
-constexpr double kSeriesShare = 0.2;
 constexpr Duration kSeriesGap{250};
 // Delay after which an unanswered order is carried out.
 constexpr Duration kLeastLateness{2000};
@@ -191,6 +193,7 @@
   ReadField(root, "callers", &experiment.callers, findings);
   ReadField(root, "jobs_per_caller", &experiment.jobs_per_caller, findings);
   ReadField(root, "jobs_at_once", &experiment.jobs_at_once, findings);
+  ReadDuration(root, "shortest_work_ms", &experiment.shortest_work, findings);
   ReadDuration(root, "longest_work_ms", &experiment.longest_work, findings);
   ReadDuration(root, "latest_cancel_ms", &experiment.latest_cancel, findings);
   ReadField(root, "gang_share", &experiment.gang_share, findings);
@@ -204,10 +207,14 @@
   ReadDuration(root, "fault_interval_ms", &experiment.fault_interval, findings);
   ReadDuration(root, "longest_fault_ms", &experiment.longest_fault, findings);
   ReadDuration(root, "faults_until_ms", &experiment.faults_until, findings);
+  ReadField(root, "series_share", &experiment.series_share, findings);
   ReadField(root, "leader_share", &experiment.leader_share, findings);
   ReadKinds(root, &experiment.faults, findings);
   ReadPlan(root, &experiment.plan, findings);
   ReadField(root, "checks_times", &experiment.checks_times, findings);
+  if (experiment.shortest_work > experiment.longest_work) {
+    findings->Add("shortest_work_ms", "must not be above longest_work_ms");
+  }
   CheckAtLeastOne("nodes", experiment.nodes, findings);
   CheckAtLeastOne("runners", experiment.runners, findings);
   CheckAtLeastOne("callers", experiment.callers, findings);
@@ -237,7 +244,7 @@
                              : experiment.length;
   Fault fault;
   while (fault.at < until) {
-    const bool series = !plan.empty() && chance() < kSeriesShare;
+    const bool series = !plan.empty() && chance() < experiment.series_share;
     fault.at = fault.at +
                Duration(series ? pick(0, kSeriesGap.ms())
                                : pick(1, experiment.fault_interval.ms() * 2));
--- a/soak/experiment.h
+++ b/soak/experiment.h
@@ -46,6 +46,9 @@
   kLateOrders,
   kShrinkRoom,
   kSuspendNode,
+  kPartitionRunner,
+  kIsolateRunner,
+  kLapseEntry,
 };
 
 const char* ToString(FaultKind kind);
@@ -80,7 +83,8 @@
   /// Number of jobs that a caller submits one after the other and cancels
   /// together.
   int jobs_at_once = 1;
-  /// Maximum work of a task.
+  /// Minimum and maximum work of a task.
+  Duration shortest_work{200};
   Duration longest_work{2500};
   /// Maximum time between the acceptance of a job and its cancellation, if any.
   Duration latest_cancel{1500};
@@ -92,6 +96,8 @@
   Duration longest_fault{6000};
   /// Latest start of a random fault; 0: the end of the load.
   Duration faults_until;
+  /// Share of random faults that follow one of the same kind within a moment.
+  double series_share = 0.2;
   /// Share of random node faults that hit the node that schedules.
   double leader_share = 0;
   std::vector<FaultKind> faults = RandomFaultKinds();
--- a/soak/fault_driver.cc
+++ b/soak/fault_driver.cc
@@ -54,6 +54,7 @@
   switch (kind) {
     case FaultKind::kCutStore:
     case FaultKind::kCutRunner:
+    case FaultKind::kIsolateRunner:
       link_fault.holds_requests = link_fault.holds_answers = true;
       break;
     case FaultKind::kHoldAnswers:
@@ -62,6 +63,9 @@
     case FaultKind::kResetStore:
       link_fault.refuses = true;
       break;
+    case FaultKind::kPartitionRunner:
+      link_fault.closed = true;
+      break;
     case FaultKind::kDelayCallers:
     case FaultKind::kDelayRunner:
       link_fault.delay = kLinkDelay;
@@ -352,6 +356,20 @@
      [platform, place] { platform->ReviveRunner(place); });
 }
 
+void FaultDriver::SchedulePartition(const Fault& fault, TimePoint at) {
+  SoakPlatform* platform = platform_;
+  const int place = PlaceOf(fault);
+  const std::string subject = RunnerSubject(place);
+  During(
+      fault, at, subject, [platform, place] { platform->CutOffStore(place); },
+      [platform, place] { platform->RejoinStore(place); });
+  if (fault.kind == FaultKind::kLapseEntry) return;
+  TcpProxy* link = &platform->runner_link(place);
+  DuringLink(fault, at, subject, link);
+  const bool resets = fault.kind == FaultKind::kPartitionRunner;
+  if (resets) At(at, [link] { link->ResetAll(); });
+}
+
 int FaultDriver::PlaceOf(const Fault& fault) const {
   return fault.target % platform_->runners();
 }
@@ -364,6 +382,11 @@
     case FaultKind::kDrainRunner:
       ScheduleDrain(fault, at);
       return;
+    case FaultKind::kPartitionRunner:
+    case FaultKind::kIsolateRunner:
+    case FaultKind::kLapseEntry:
+      SchedulePartition(fault, at);
+      return;
     case FaultKind::kKillRunner:
       During(
           fault, at, subject,
@@ -444,6 +467,7 @@
   for (int i = 0; i < platform_->runners(); ++i) {
     platform_->runner_link(i).SetFault({});
     platform_->ReviveRunner(i);
+    platform_->RejoinStore(i);
     platform_->SetSlowness(i, 1);
     platform_->SetFailing(i, false);
   }
--- a/soak/fault_driver.h
+++ b/soak/fault_driver.h
@@ -64,6 +64,9 @@
   /// Schedules the faults of a runner itself; does nothing for other kinds.
   void ScheduleRunner(const Fault& fault, TimePoint at);
   void ScheduleDrain(const Fault& fault, TimePoint at);
+  /// Cuts a runner off from the store, and from the nodes unless the fault is
+  /// `kLapseEntry`.
+  void SchedulePartition(const Fault& fault, TimePoint at);
   /// Returns the node, or the index of the runner, that a fault targets.
   NodeProcess* NodeOf(const Fault& fault);
   int PlaceOf(const Fault& fault) const;
--- a/soak/job_maker.cc
+++ b/soak/job_maker.cc
@@ -79,7 +79,8 @@
 DraftJob JobMaker::Make() {
   dispatch::StepSpec step;
   emulator::TaskTruth truth;
-  truth.work = Duration(Pick(200, experiment_.longest_work.ms()));
+  truth.work = Duration(
+      Pick(experiment_.shortest_work.ms(), experiment_.longest_work.ms()));
   truth.always_fails = Chance(experiment_.failing_share);
   // Draws no random number if the share is 0, so that existing seeds still give
   // the same jobs.
--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -32,7 +32,7 @@
 constexpr int kPortCount = 18000;
 // Each process id shifts the first port by this much, more than one soak test
 // uses, so that concurrent soak tests do not collide.
-constexpr int kPortsPerProcess = 97;
+constexpr int kPortsPerProcess = 197;
 
 std::string Loopback(int port) { return fmt::format("127.0.0.1:{}", port); }
 
--- a/soak/soak_platform.cc
+++ b/soak/soak_platform.cc
@@ -147,21 +147,29 @@
   if (!server->Start().ok()) return;
   server->Advertise(place.link.address());
   // Drops what the previous incarnation left under this id.
-  silent_.erase(std::remove_if(silent_.begin(), silent_.end(),
-                               [&info](const Silent& silent) {
-                                 return silent.id == info.id;
-                               }),
-                silent_.end());
+  DropSilent(info.id);
+  place.cut_off = false;
   const std::lock_guard<std::mutex> lock(shed_.mutex);
   draining_.erase(info.id);
   place.server = std::move(server);
 }
 
+void SoakPlatform::DropSilent(const RunnerId& id) {
+  silent_.erase(
+      std::remove_if(silent_.begin(), silent_.end(),
+                     [&id](const Silent& silent) { return silent.id == id; }),
+      silent_.end());
+}
+
+void SoakPlatform::WriteEntry(const Place& place) {
+  if (place.cut_off) return;
+  store_.Put("servers", place.server->id().value(), place.server->Entry());
+}
+
 void SoakPlatform::Beat() {
   const std::lock_guard<std::mutex> lock(mutex_);
   for (const auto& place : places_) {
-    if (place->server == nullptr) continue;
-    store_.Put("servers", place->server->id().value(), place->server->Entry());
+    if (place->server != nullptr) WriteEntry(*place);
   }
   const TimePoint before = clock_.Now() - kEntryLife;
   while (!silent_.empty() && silent_.front().since < before) {
@@ -280,9 +288,10 @@
 void SoakPlatform::DrainRunner(int index, Duration leaves_in) {
   const std::lock_guard<std::mutex> lock(mutex_);
   Place& place = *places_[index];
-  if (place.server == nullptr) return;
+  // A runner leaves only after the store has taken its announcement.
+  if (place.server == nullptr || place.cut_off) return;
   place.server->Drain(leaves_in);
-  store_.Put("servers", place.server->id().value(), place.server->Entry());
+  WriteEntry(place);
   const std::lock_guard<std::mutex> shed(shed_.mutex);
   draining_[place.server->id()] = clock_.Now();
 }
@@ -293,6 +302,22 @@
   return place.server != nullptr && place.server->draining();
 }
 
+void SoakPlatform::CutOffStore(int index) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Place& place = *places_[index];
+  if (place.server == nullptr || place.cut_off) return;
+  place.cut_off = true;
+  silent_.push_back({place.server->id(), clock_.Now()});
+}
+
+void SoakPlatform::RejoinStore(int index) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Place& place = *places_[index];
+  if (place.server == nullptr || !place.cut_off) return;
+  place.cut_off = false;
+  DropSilent(place.server->id());
+}
+
 void SoakPlatform::ReplaceLeaving() {
   for (int i = 0; i < runners(); ++i) {
     if (!IsLeaving(i)) continue;
@@ -320,7 +345,7 @@
     rooms_.RecordChange(place.server->id(), place.server->room(), clock_.Now());
   }
   place.server->SetCapacity(room);
-  store_.Put("servers", place.server->id().value(), place.server->Entry());
+  WriteEntry(place);
 }
 
 void SoakPlatform::SetFailing(int index, bool failing) {
--- a/soak/soak_platform.h
+++ b/soak/soak_platform.h
@@ -81,6 +81,11 @@
   void ReviveRunner(int place);
   void DrainRunner(int place, Duration leaves_in);
   bool IsLeaving(int place) const;
+  /// The runner no longer reaches the store, so that its entry expires. It
+  /// keeps running.
+  void CutOffStore(int place);
+  /// The runner reaches the store again.
+  void RejoinStore(int place);
   /// Immediately starts a new incarnation in place of a runner that is leaving.
   void ReplaceLeaving();
   void SetSlowness(int place, double factor);
@@ -125,6 +130,8 @@
     TcpProxy link;
     int port = 0;
     int incarnation = 0;
+    /// Its heartbeats do not reach the store.
+    bool cut_off = false;
     /// Null while the runner is down.
     std::unique_ptr<standin::RunnerServer> server;
   };
@@ -133,7 +140,8 @@
     int place = 0;
     TimePoint since;
   };
-  /// An incarnation that ended without notice; its entry is removed later.
+  /// An incarnation that ended or was cut off without notice; its entry is
+  /// removed later.
   struct Silent {
     RunnerId id;
     TimePoint since;
@@ -141,6 +149,11 @@
 
   void StartLife(int place);
   void Beat();
+  /// Writes the entry of a runner that reaches the store. Precondition: the
+  /// place has a runner.
+  void WriteEntry(const Place& place);
+  /// Keeps the entry under this id from being removed.
+  void DropSilent(const RunnerId& id);
   /// Samples all tasks that run.
   void Sample();
   /// Stops runners that tasks crashed, and restarts them later.
--- a/soak/tcp_proxy.cc
+++ b/soak/tcp_proxy.cc
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "soak/node_process.h"
 
 namespace limeledge::soak {
 
@@ -62,15 +63,18 @@
 absl::Status TcpProxy::Start(const Endpoint& server) {
   server_ = server;
   listener_ = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = LoopbackAddress(0);
-  socklen_t length = sizeof(address);
-  auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  // A port that the system chooses would be released by `SetListening(false)`.
+  port_ = FreePort();
+  const sockaddr_in address = LoopbackAddress(port_);
+  const auto* const generic = reinterpret_cast<const sockaddr*>(&address);
+  // Otherwise, connections that are closing would keep `SetListening(true)`
+  // from listening again.
+  const int on = 1;
+  setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   const bool listens = listener_ >= 0 &&
-                       bind(listener_, generic, length) == 0 &&
-                       listen(listener_, kBacklog) == 0 &&
-                       getsockname(listener_, generic, &length) == 0;
+                       bind(listener_, generic, sizeof(address)) == 0 &&
+                       listen(listener_, kBacklog) == 0;
   if (!listens) return absl::UnavailableError("a proxy cannot listen");
-  port_ = ntohs(address.sin_port);
   Prepare(listener_);
   thread_ = std::thread([this] { Loop(); });
   return absl::OkStatus();
@@ -108,7 +112,8 @@
 }
 
 void TcpProxy::Wait() {
-  std::vector<pollfd> waits = {{listener_, POLLIN, 0}};
+  std::vector<pollfd> waits;
+  if (listens_) waits.push_back({listener_, POLLIN, 0});
   bool pending = false;
   for (const Link& link : links_) {
     for (const Flow* flow : {&link.requests, &link.answers}) {
@@ -134,6 +139,7 @@
   while (!stopping_) {
     Wait();
     const LinkFault fault = TakeFault();
+    SetListening(!fault.closed);
     Accept(fault);
     for (auto link = links_.begin(); link != links_.end();) {
       if (!link->broken) Serve(&*link, fault);
@@ -167,6 +173,16 @@
   return -1;
 }
 
+void TcpProxy::SetListening(bool listens) {
+  if (listens == listens_) return;
+  if (listens) {
+    listens_ = listen(listener_, kBacklog) == 0;
+  } else {
+    // The socket stays bound.
+    listens_ = shutdown(listener_, SHUT_RD) != 0;
+  }
+}
+
 void TcpProxy::Accept(const LinkFault& fault) {
   for (;;) {
     const int caller = accept(listener_, nullptr, nullptr);
--- a/soak/tcp_proxy.h
+++ b/soak/tcp_proxy.h
@@ -34,6 +34,9 @@
   Duration late_by;
   /// New connections are reset immediately.
   bool refuses = false;
+  /// Nothing listens at the address, so that the system refuses new
+  /// connections.
+  bool closed = false;
 };
 
 /// Forwards connections to one server.
@@ -46,7 +49,8 @@
   TcpProxy(const TcpProxy&) = delete;
   TcpProxy& operator=(const TcpProxy&) = delete;
 
-  /// Listens on a free port. Fails with `kUnavailable`.
+  /// Listens on a free port, which stays reserved while nothing listens there.
+  /// Fails with `kUnavailable`.
   absl::Status Start(const Endpoint& server);
   void Stop();
   std::string address() const;
@@ -93,6 +97,9 @@
   /// Carries out pending one-time requests (reset, silence) and returns the
   /// active fault.
   LinkFault TakeFault();
+  /// Stops listening, or listens again; if the system refuses, the next call
+  /// tries again.
+  void SetListening(bool listens);
   void Accept(const LinkFault& fault);
   /// Opens a connection to the server; returns -1 on failure.
   int Connect();
@@ -108,6 +115,8 @@
   static void Close(Link* link, bool reset);
 
   int listener_ = -1;
+  /// Used only by the thread `thread_`.
+  bool listens_ = true;
   int port_ = 0;
   SteadyClock clock_;
   std::thread thread_;
--- a/test/soak-test.cc
+++ b/test/soak-test.cc
@@ -12,6 +12,7 @@
 #include <string>
 #include <thread>
 
+#include "absl/strings/str_cat.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "platform/wire.h"
@@ -66,14 +67,25 @@
     server->Stop();
   }
 
-  HttpReply Get(Duration timeout) {
+  /// Waits until the predicate has this value; returns false if it does not.
+  template <typename Predicate>
+  static bool Becomes(Predicate predicate, bool value) {
+    for (int i = 0; i < 500 && predicate() != value; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return predicate() == value;
+  }
+
+  HttpCall CallOf(Duration timeout) const {
     HttpCall call;
     call.address = proxy.address();
     call.method = "GET";
     call.path = "/";
     call.timeout = timeout;
-    return client.Call(call);
+    return call;
   }
+
+  HttpReply Get(Duration timeout) { return client.Call(CallOf(timeout)); }
 };
 
 TEST(Soak, ProxyWithoutFaultPassesCallsOn) {
@@ -89,6 +101,30 @@
   CHECK(Get(Duration(5000)).outcome != HttpOutcome::kAnswered);
 }
 
+// Guards against a proxy that resets connections instead, which nodes take for
+// another failure.
+TEST(Soak, ProxyThatIsClosedRefusesConnectionsUntilHealed) {
+  LinkFault fault;
+  fault.closed = true;
+  const auto is_refused = [this] {
+    return HttpClient().Call(CallOf(Duration(5000))).outcome ==
+           HttpOutcome::kNotSent;
+  };
+  for (int i = 0; i < 3; ++i) {
+    HeldCall open(proxy.address());
+    CHECK(open.Send("h", "k", "/"));
+    CHECK(open.IsAnswered(Duration(5000)));
+    proxy.SetFault(fault);
+    CHECK(Becomes(is_refused, true));
+    // Connections that are open do not keep it from listening again.
+    CHECK(open.Send("h", "k", "/"));
+    CHECK(open.IsAnswered(Duration(5000)));
+    proxy.SetFault({});
+    CHECK(Becomes(is_refused, false));
+    CHECK(HttpClient().Call(CallOf(Duration(5000))).ok());
+  }
+}
+
 TEST(Soak, ProxyThatHoldsAnswersLetsThemComeOnceHealed) {
   LinkFault fault;
   fault.holds_answers = true;
@@ -206,6 +242,34 @@
   }
 }
 
+TEST(Soak, PlanInSeriesKeepsToOneKind) {
+  Findings findings("x.yaml");
+  const Experiment experiment =
+      ReadExperiment("series_share: 1\nfault_interval_ms: 200\n", &findings);
+  CHECK(findings.empty());
+  const std::vector<Fault> plan = PlanFaults(experiment, 7);
+  CHECK(plan.size() > 3);
+  for (const Fault& fault : plan) CHECK(fault.kind == plan[0].kind);
+}
+
+TEST(Soak, TasksHaveTheWorkThatTheirFileSays) {
+  Findings findings("x.yaml");
+  const Experiment experiment = ReadExperiment(
+      "shortest_work_ms: 1500\nlongest_work_ms: 1600\n", &findings);
+  CHECK(findings.empty());
+  JobMaker maker(experiment, 11);
+  for (int i = 0; i < 100; ++i) {
+    const Duration work = maker.Make().truths[0].work;
+    CHECK(work >= Duration(1500) && work <= Duration(1600));
+  }
+}
+
+TEST(Soak, ExperimentFileWithShortestWorkAboveLongestIsReported) {
+  Findings findings("x.yaml");
+  ReadExperiment("shortest_work_ms: 1700\nlongest_work_ms: 1600\n", &findings);
+  CHECK_EQUAL(1, findings.all().size());
+}
+
 TEST(Soak, OrdersComeLateByTwoToTwelveSeconds) {
   Experiment experiment;
   experiment.faults = {FaultKind::kLateOrders};
@@ -268,6 +332,31 @@
   CHECK(page.find("| 250 | 30 |") != std::string::npos);
 }
 
+// Guards against an entry that does not expire, with which a new scheduler
+// would not take the runner for lost.
+TEST(Soak, EntryOfARunnerThatIsCutOffExpiresAndComesBack) {
+  FaultLog faults;
+  Experiment experiment;
+  experiment.runners = 1;
+  SoakPlatform platform(experiment, &faults);
+  CHECK(platform.Start().ok());
+  const auto has_entry = [&platform] {
+    HttpCall call;
+    call.address = absl::StrCat(kLocal, ":", platform.store_endpoint().port);
+    call.method = "GET";
+    call.path = "/v1/rows-get?table=servers";
+    call.timeout = Duration(5000);
+    const std::string rows = HttpClient().Call(call).body;
+    return rows.find("\"i-0-1\"") != std::string::npos;
+  };
+  CHECK(Becomes(has_entry, true));
+  platform.CutOffStore(0);
+  CHECK(has_entry());
+  CHECK(Becomes(has_entry, false));
+  platform.RejoinStore(0);
+  CHECK(Becomes(has_entry, true));
+}
+
 // If the faults ended while a runner was leaving, the runner never came back.
 TEST(Soak, RunnersThatAreLeavingAreReplaced) {
   FaultLog faults;
