Cut runners off in random simulations while schedulers come and go

What callers saw: tasks that ran twice at a time after a take-over, found by users and by no simulation. The mixes of faults cut runners off seldom, never with refused connections, and their tasks were over before a successor acted.

Change: a third mix of DispatchFuzz. One to four runners refuse connections, are silent, or lose only their entries; halls are partitioned with one or two nodes inside; one or two schedulers in a row are killed, paused, stopped or removed, in most cases shortly after a partition; a third of the steps take 4 to 9 s. There are five nodes, of which two may be removed.

The regular run plays 15 courses.

--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -248,17 +248,29 @@
 
 // The list of runners.
 
+bool EmulatedSystem::HasEntry(const RunnerId& runner) const {
+  // An unreachable runner cannot renew its entry either.
+  if (RenewsEntry(runner)) return true;
+  if (!options_.cut_off_entries_expire) return false;
+  const auto renewed_at = entry_renewed_at_.find(runner);
+  return renewed_at != entry_renewed_at_.end() &&
+         now_ < renewed_at->second + options_.entry_expiry;
+}
+
+void EmulatedSystem::RenewEntries() {
+  for (const auto& [id, runner] : runners_) {
+    if (RenewsEntry(id)) entry_renewed_at_[id] = now_;
+  }
+}
+
 dispatch::RunnersListed EmulatedSystem::RegisteredRunners() const {
   dispatch::RunnersListed listed;
   listed.ok = true;
   std::set<RunnerId> listed_ids;
   for (const auto& [id, runner] : runners_) {
-    // An unreachable runner cannot renew its entry either.
-    const bool is_listed =
-        IsReachable(id) && faults_.unlisted_runners.count(id) == 0;
     const auto at = listed_from_.find(id);
     const bool late = at != listed_from_.end() && now_ < at->second;
-    if (!is_listed || late) continue;
+    if (!HasEntry(id) || late) continue;
     listed.runners.push_back(runner->info());
     listed_ids.insert(id);
   }
--- a/src/emulator/emulated_oracle.cc
+++ b/src/emulator/emulated_oracle.cc
@@ -73,6 +73,7 @@
 void EmulatedSystem::ScheduleCancelCheck() {
   RunAt(now_ + kCancelCheckInterval, [this] {
     DropCrashed();
+    RenewEntries();
     if (HasActiveFault()) oracle_.RecordFault(now_);
     RecordTroubledProcesses();
     if (!faults_.mute_runners.empty()) oracle_.RecordMuteRunner(now_);
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -71,6 +71,9 @@
   /// entry stays in the list after the crash.
   Duration crash_down{3400};
   Duration entry_expiry{4500};
+  /// The entries of runners that cannot reach the store expire in the same way.
+  /// Otherwise they are removed at once.
+  bool cut_off_entries_expire = false;
   /// Restarted runners keep their ids. For `entry_lag` after a restart the list
   /// lacks the entry of the new incarnation; it may still contain that of the
   /// previous one, until that expires. Reported start times are off by a
@@ -439,6 +442,14 @@
   /// Removes all runners that a task has crashed.
   void DropCrashed();
   bool IsReachable(const RunnerId& runner) const;
+  /// True if the runner can write its entry to the store.
+  bool RenewsEntry(const RunnerId& runner) const {
+    return IsReachable(runner) && faults_.unlisted_runners.count(runner) == 0;
+  }
+  /// True if the store has the entry of a runner that is running.
+  bool HasEntry(const RunnerId& runner) const;
+  /// Records which runners can renew their entries now.
+  void RenewEntries();
   /// True if connections to the runner are refused although it is running.
   bool RefusesConnections(const RunnerId& runner) const {
     return faults_.refusing_runners.count(runner) != 0;
@@ -495,6 +506,8 @@
   /// Entries of crashed runners, and when they expire.
   std::map<RunnerId, std::pair<dispatch::RunnerInfo, TimePoint>>
       expiring_entries_;
+  /// When each runner was last able to renew its entry.
+  std::map<RunnerId, TimePoint> entry_renewed_at_;
   /// When a node last became or ceased to be the leader.
   TimePoint leader_changed_at_;
   /// From when on the list contains the entry of a restarted runner.
--- a/test/dispatch-fuzz-test.cc
+++ b/test/dispatch-fuzz-test.cc
@@ -17,6 +17,8 @@
 
 /// Number of simulations unless LIMELEDGE_COURSES is set.
 constexpr int kDefaultRunCount = 30;
+/// The same for simulations with tasks that take long.
+constexpr int kLongRunCount = 15;
 
 /// Runs a simulation. Prints its first violation; returns true if there is one.
 bool HasViolations(int seed, const dispatch::PlanningPolicy& policy,
@@ -79,6 +81,15 @@
                             FaultMix::kLostAnswers));
 }
 
+// A scheduler that took over took a refused connection to a runner without an
+// entry for the end of the runner, which was cut off, and started its tasks
+// elsewhere.
+TEST(DispatchFuzz, NoTaskRunsTwiceWhileItsRunnerIsCutOff) {
+  LONGS_EQUAL(
+      0, CountFailed(RunCountOr(kLongRunCount),
+                     dispatch::DefaultPlanningPolicy(), FaultMix::kPartitions));
+}
+
 TEST(DispatchFuzz, RandomSimulationsOfEachPolicyHaveNoViolations) {
   constexpr int kRunDivisor = 4;
   for (const std::string& name : dispatch::PlanningPolicyNames()) {
--- a/test/dispatch-simulation.h
+++ b/test/dispatch-simulation.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,8 +26,10 @@
 /// Which faults a simulation has: all, or only those that make a scheduler lose
 /// responses while it stays the leader. With `kLostAnswers`, responses are late
 /// or lost, the store compacts its history, the other nodes are killed, and
-/// runners leave or cannot be reached.
-enum class FaultMix { kAll, kLostAnswers };
+/// runners leave or cannot be reached. With `kPartitions`, runners that keep
+/// running are cut off, alone or with their hall and schedulers in it, while
+/// schedulers come and go.
+enum class FaultMix { kAll, kLostAnswers, kPartitions };
 
 /// One random simulation, with an emulated system of its own.
 class Simulation {
@@ -37,6 +40,7 @@
       : random_(static_cast<std::uint64_t>(seed)),
         restart_mode_(restart_mode),
         faults_(fault_mix),
+        nodes_(NodesOf(fault_mix)),
         system_(OptionsFor(seed, policy, restart_mode, fault_mix)) {
     TraceIfRequested(&system_);
   }
@@ -50,9 +54,7 @@
       system_.Run(Duration(Pick(100, 700)));
     }
     RemoveFaults();
-    // Tasks that crash their runners take longer, since they wait until it is
-    // known what happened to these runners.
-    system_.Run(Duration(restart_mode_ == RestartMode::kRare ? 60000 : 120000));
+    system_.Run(RestTime());
     std::vector<std::string> errors = system_.violations();
     for (const auto& [id, watch] : system_.jobs()) CheckEnd(id, watch, &errors);
     return errors;
@@ -69,6 +71,12 @@
   static constexpr int kSteps = 60;
   /// A task may be given up once this many runners crashed while running it.
   static constexpr int kCrashesToGiveUp = 2;
+  static constexpr int kMostRemovedNodes = 2;
+
+  /// Enough for schedulers on both sides of a partition after two are removed.
+  static int NodesOf(FaultMix mix) {
+    return mix == FaultMix::kPartitions ? 5 : SystemOptions().nodes;
+  }
 
   static SystemOptions OptionsFor(int seed,
                                   const dispatch::PlanningPolicy& policy,
@@ -79,6 +87,11 @@
     options.seed = static_cast<std::uint64_t>(seed);
     const bool keeps_ids = restart_mode == RestartMode::kSameIds;
     options.keeps_ids = keeps_ids;
+    options.nodes = NodesOf(fault_mix);
+    // Other nodes see the entry of a cut-off runner disappear at once, or after
+    // they have taken over.
+    options.cut_off_entries_expire =
+        fault_mix == FaultMix::kPartitions && seed % 2 == 0;
     // Runner entries lag behind in a third of the simulations, and clocks of
     // restarted runners jump back in another third.
     constexpr int kGroups = 3;
@@ -92,6 +105,16 @@
     return options;
   }
 
+  /// Time without faults within which all jobs end.
+  Duration RestTime() const {
+    // Tasks that crash their runners take longer, since they wait until it is
+    // known what happened to these runners. Jobs that fail after several long
+    // runs take longer, too.
+    const bool takes_longer =
+        restart_mode_ != RestartMode::kRare || faults_ == FaultMix::kPartitions;
+    return Duration(takes_longer ? 120000 : 60000);
+  }
+
   int Pick(int from, int to) {
     return from + static_cast<int>(random_() % (to - from + 1));
   }
@@ -100,7 +123,11 @@
   void Step() {
     if (!OneIn(3)) Submit();
     if (OneIn(12)) CancelOne();
-    if (OneIn(4)) faults_ == FaultMix::kAll ? AddFault() : LoseAnswers();
+    if (faults_ == FaultMix::kPartitions) {
+      if (OneIn(3)) Partition();
+    } else if (OneIn(4)) {
+      faults_ == FaultMix::kAll ? AddFault() : LoseAnswers();
+    }
     if (restart_mode_ != RestartMode::kRare && OneIn(4)) AddRestartFault();
   }
 
@@ -114,6 +141,11 @@
     step.same_rack = step.gang && OneIn(2);
     step.saves_progress = OneIn(2);
     if (OneIn(6)) step.max_per_runner = Pick(1, 3);
+    // Runs must outlast the detection of a lost scheduler and the claim of the
+    // next one.
+    if (faults_ == FaultMix::kPartitions && OneIn(3)) {
+      step.estimate = Duration(Pick(4000, 9000));
+    }
     truth->work = step.estimate * Pick(50, 200) / 100;
     truth->always_fails = OneIn(15);
     if (restart_mode_ != RestartMode::kRare && OneIn(40)) {
@@ -164,7 +196,7 @@
 
   int LeaderOrAny() {
     const int leader = system_.leader();
-    return leader >= 0 ? leader : Pick(0, 2);
+    return leader >= 0 ? leader : Pick(0, nodes_ - 1);
   }
 
   void AddFault() {
@@ -249,6 +281,92 @@
     }
   }
 
+  /// Adds one of the faults of `FaultMix::kPartitions`.
+  void Partition() {
+    Faults& faults = system_.faults();
+    switch (Pick(0, 7)) {
+      case 0:
+      case 1:
+        CutOffRunners(&faults.refusing_runners);
+        break;
+      case 2:
+        CutOffRunners(&faults.unreachable_runners);
+        break;
+      case 3:
+        CutOffRunners(&faults.unlisted_runners);
+        break;
+      case 4:
+        PartitionHall();
+        break;
+      case 5:
+      case 6:
+        DisturbSchedulers();
+        break;
+      default:
+        RemoveFaults();
+        return;
+    }
+    // Most take-overs follow a partition.
+    if (OneIn(2)) DisturbSchedulers();
+  }
+
+  void CutOffRunners(std::set<RunnerId>* runners) {
+    const int count = Pick(1, 4);
+    for (int i = 0; i < count; ++i) runners->insert(AnyRunner());
+  }
+
+  /// Partitions the hall of a runner, with one or two nodes, from the rest and
+  /// from the store.
+  void PartitionHall() {
+    Faults& faults = system_.faults();
+    const EmulatedRunner* any = system_.FindRunner(AnyRunner());
+    if (any == nullptr) return;
+    const HallId hall = any->info().hall;
+    for (const RunnerId& id : system_.RunnerIds()) {
+      if (system_.FindRunner(id)->info().hall != hall) continue;
+      faults.partitioned_runners.insert(id);
+      faults.unlisted_runners.insert(id);
+    }
+    for (const int node : {LeaderOrAny(), Pick(0, nodes_ - 1)}) {
+      faults.partitioned_nodes.insert(node);
+      faults.nodes_without_store.insert(node);
+      if (OneIn(2)) break;
+    }
+  }
+
+  /// Disturbs one or two schedulers, one after the other.
+  void DisturbSchedulers() {
+    const int count = Pick(1, 2);
+    for (int i = 0; i < count; ++i) {
+      system_.Run(Duration(Pick(0, 2500)));
+      DisturbNode(LeaderOrAny());
+    }
+  }
+
+  void DisturbNode(int node) {
+    switch (Pick(0, 9)) {
+      case 0:
+      case 1:
+      case 2:
+      case 3:
+        system_.KillNode(node, Duration(Pick(100, 8000)));
+        break;
+      case 4:
+      case 5:
+      case 6:
+        system_.FreezeNode(node, Duration(Pick(500, 8000)));
+        break;
+      case 7:
+      case 8:
+        system_.StopNode(node);
+        break;
+      default:
+        if (removed_nodes_ == kMostRemovedNodes) break;
+        ++removed_nodes_;
+        system_.RemoveNode(node);
+    }
+  }
+
   /// Adds one of the faults that matter only if runners restart.
   void AddRestartFault() {
     Faults& faults = system_.faults();
@@ -341,6 +459,8 @@
   std::mt19937_64 random_;
   const RestartMode restart_mode_;
   const FaultMix faults_;
+  const int nodes_;
+  int removed_nodes_ = 0;
   int given_up_ = 0;
   int given_up_wrongly_ = 0;
   EmulatedSystem system_;
