Refuse a job of too many tasks with 503

Only 429 and 503 say that the job was not taken and will never run.

Cause: the bounds on the tasks of a step, on the times and on all tasks together were findings like those of a malformed body.

Malformed bodies are answered with 400 as before.

--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -269,6 +269,9 @@
   JobSpec spec;
   /// Why the request body is invalid; empty if it is valid.
   std::string spec_error;
+  /// The request body is valid, but the job is larger than the product accepts;
+  /// `spec_error` says by what bound.
+  bool spec_too_large = false;
   /// Time until the caller stops waiting for the response.
   Duration deadline{3000};
   /// Another node passed the call on to this one.
--- a/src/dispatch/front_end.cc
+++ b/src/dispatch/front_end.cc
@@ -179,7 +179,10 @@
   if (call.kind != CallKind::kSubmit) {
     StartRead(ctx, call, *queue, id);
   } else if (!call.spec_error.empty()) {
-    Respond(ctx, call, CallResult::kInvalid, call.spec_error);
+    Respond(
+        ctx, call,
+        call.spec_too_large ? CallResult::kNeverServable : CallResult::kInvalid,
+        call.spec_error);
   } else {
     Submit(ctx, call, *catalog, *queue, workspace, id);
   }
--- a/test/platform-process-test.sh
+++ b/test/platform-process-test.sh
@@ -46,6 +46,9 @@
 expect 400 POST /recompute/00000000000000b1 '{"steps":[{"after":[0]}]}'
 expect 400 POST /recompute/00000000000000b1 '{"steps":[{"cpu":99999999999999999999}]}'
 expect 400 POST /recompute/not-an-id "$two_steps"
+# A job that is only too large for the product will never run.
+expect 503 POST /recompute/00000000000000b1 '{"steps":[{"count":20001}]}'
+expect 503 POST /recompute/00000000000000b1 '{"steps":[{"count":2}],"times":10001}'
 expect 410 GET /recompute/00000000000000b1
 expect 404 GET /nowhere/00000000000000b1
 KEY=foreign expect 401 GET /recompute/00000000000000a1
