Start a lasting gang again however its runs end

What callers saw: a gang whose tasks last is reported as failed after `attempts` failed runs, and is never started again; by the same branch it is done for good once a run of a member ends as done.

Cause: `Job::EndRun` returned from its branch for gangs before it asked whether the step lasts, and `EndGangRun` counts failures.

Change: one rule for the ends of lasting tasks, asked before the one for gangs. A lasting gang has no last attempt, so that its silent last member is over with the others, and the planner keeps no runner back for one.

--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -185,12 +185,17 @@
   task->incarnation = IncarnationId();
   task->phase = TaskPhase::kWaiting;
   task->gang_broken = end == RunEnd::kGangBroken;
+  // Its tasks start again however their runs end, members of a gang included.
+  if (step.long_running) {
+    if (step.gang) MarkStepChanged(name);
+    if (!checkpoint.empty()) SaveProgress(name, checkpoint);
+    return true;
+  }
   if (step.gang) {
     EndGangRun(name, end, checkpoint, max_attempts);
     return true;
   }
   if (!checkpoint.empty()) task->checkpoint = checkpoint;
-  if (step.long_running) return true;
   if (end == RunEnd::kDone) {
     task->phase = TaskPhase::kDone;
     return true;
@@ -203,11 +208,14 @@
 
 bool Job::IsOverWithItsGang(const TaskName& name, int run,
                             int max_attempts) const {
-  if (!spec_.steps[name.step].gang) return false;
+  const StepSpec& spec = spec_.steps[name.step];
+  if (!spec.gang) return false;
   const Step& step = occurrences_[name.occurrence].steps[name.step];
   const Task& task = step.tasks[name.index];
   const bool current = task.phase == TaskPhase::kAssigned && task.run == run;
-  if (!current || step.gang_failures + 1 >= max_attempts) return false;
+  const bool last_attempt =
+      !spec.long_running && step.gang_failures + 1 >= max_attempts;
+  if (!current || last_attempt) return false;
   for (const Task& member : step.tasks) {
     if (&member == &task) continue;
     const bool broken = member.phase == TaskPhase::kWaiting &&
--- a/src/dispatch/planner_placement.cc
+++ b/src/dispatch/planner_placement.cc
@@ -44,6 +44,7 @@
 
 bool Planner::Pass::NeedsReliableRunner(const PendingStep& pending,
                                         int failures) {
+  if (pending.spec->long_running) return false;
   if (failures + 1 < pending.policy.max_attempts) return false;
   if (!mostly_idle_) return true;
   const TimePoint end = pending.step->ready_since + options_.last_attempt_wait;
--- a/src/emulator/promise_oracle.cc
+++ b/src/emulator/promise_oracle.cc
@@ -28,6 +28,11 @@
 constexpr int kMaxCrashes = 3;
 constexpr int kFirstForbiddenStart = 3;
 
+/// True if the task starts again however its runs end.
+bool Lasts(const JobWatch& watch, const TaskName& name) {
+  return watch.spec.steps[name.step].long_running;
+}
+
 /// True if the task, or its gang, is one of those that take more work.
 bool HasTail(const TaskName& name, const TaskTruth& truth) {
   if (truth.tail_share <= 0) return false;
@@ -90,6 +95,8 @@
   if (misdelivered_.count({order.task, order.run}) != 0) return;
   int& highest_run = watch->highest_run[order.task];
   highest_run = std::max(highest_run, order.run);
+  CheckStepOrder(*watch, order.task);
+  if (Lasts(*watch, order.task)) return;
   if (watch->done.count(order.task) != 0) {
     Violate(
         absl::StrCat("start of ", task, " after it was acknowledged as done"));
@@ -99,7 +106,6 @@
         absl::StrCat("start of ", task, " after all of its attempts failed"));
   }
   CheckCrashes(watch, order.task);
-  CheckStepOrder(*watch, order.task);
 }
 
 void PromiseOracle::RecordCrashCause(const TaskName& task, TimePoint now) {
@@ -236,6 +242,7 @@
 void PromiseOracle::RecordEnd(const ReportedEnd& end) {
   JobWatch* watch = Find(end.task.job);
   if (watch == nullptr || misdelivered_.count({end.task, end.run}) != 0) return;
+  if (Lasts(*watch, end.task)) return;
   if (end.end == RunEnd::kDone) RecordDone(watch, end);
   if (end.end == RunEnd::kFailed) RecordFailure(watch, end);
 }
--- a/src/emulator/promise_oracle.h
+++ b/src/emulator/promise_oracle.h
@@ -77,6 +77,8 @@
 /// - no task starts before the preceding steps are done;
 /// - no task starts again after all of its attempts have failed;
 /// - a task that has crashed several runners is not restarted indefinitely;
+/// - these two and the one about done runs hold for all tasks but those of
+///   long-running steps, which start again until their job is cancelled;
 /// - the tasks of a cancelled job stop within `CancelBounds`.
 ///
 /// Thread safety: none; callers lock.
--- /dev/null
+++ b/test/lasting-tasks-test.cc
@@ -0,0 +1,81 @@
+/// @file
+/// Tests of how the ends of runs change tasks that last until their job is
+/// cancelled.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include "CppUTest/TestHarness.h"
+#include "dispatch/job.h"
+
+namespace limeledge::dispatch {
+
+/// A lasting task and a lasting gang of two members.
+TEST_GROUP(LastingTasks) {
+  static constexpr int kMaxAttempts = 2;
+  Job job{Spec()};
+
+  static JobSpec Spec() {
+    JobSpec spec;
+    spec.steps.resize(2);
+    for (StepSpec& step : spec.steps) step.long_running = true;
+    spec.steps[1].count = 2;
+    spec.steps[1].gang = true;
+    return spec;
+  }
+
+  static TaskName Task(int step, int index) {
+    return {JobId(), 0, step, index};
+  }
+
+  /// Runs all tasks once and lets them end in this way.
+  void RunAll(int run, RunEnd end) {
+    for (const TaskName& name : {Task(0, 0), Task(1, 0), Task(1, 1)}) {
+      job.Assign(name, run, {RunnerId("i-1"), StartTime()}, "", TimePoint());
+    }
+    for (const TaskName& name : {Task(0, 0), Task(1, 0), Task(1, 1)}) {
+      CHECK_TRUE(job.EndRun(name, run, end, "saved", kMaxAttempts));
+    }
+    job.Settle();
+  }
+
+  void CheckAllWait() {
+    STRCMP_EQUAL("running", ToString(job.state()));
+    LONGS_EQUAL(1, job.occurrences()[0].steps[0].CountIn(TaskPhase::kWaiting));
+    LONGS_EQUAL(2, job.occurrences()[0].steps[1].CountIn(TaskPhase::kWaiting));
+  }
+};
+
+// Guards against a rule for gangs that differs from that for other tasks.
+TEST(LastingTasks, TasksAndGangsWaitForTheNextRunAfterAnyEnd) {
+  int run = 0;
+  for (const RunEnd end :
+       {RunEnd::kFailed, RunEnd::kDone, RunEnd::kLeaseExpired, RunEnd::kStopped,
+        RunEnd::kGangBroken, RunEnd::kGangIncomplete, RunEnd::kRejected}) {
+    for (int i = 0; i < 3 * kMaxAttempts; ++i) RunAll(++run, end);
+    CheckAllWait();
+  }
+  STRCMP_EQUAL("saved", job.Find(Task(0, 0))->checkpoint.c_str());
+  STRCMP_EQUAL("saved", job.Find(Task(1, 1))->checkpoint.c_str());
+}
+
+TEST(LastingTasks, LateEndsOfEarlierRunsChangeNothing) {
+  for (int run = 1; run <= 2; ++run) RunAll(run, RunEnd::kLeaseExpired);
+  for (const TaskName& name : {Task(0, 0), Task(1, 0)}) {
+    CHECK_FALSE(job.RecordLateFailure(name, 1, 1));
+    CHECK_FALSE(job.CompleteLate(name));
+  }
+  CheckAllWait();
+}
+
+// Guards against a lasting gang whose last member is waited for until its lease
+// has expired, because its failure might be the last attempt.
+TEST(LastingTasks, SilentMemberOfABrokenGangIsOverWithAnyNumberOfAttempts) {
+  for (int i = 0; i < 2; ++i) {
+    job.Assign(Task(1, i), 1, {RunnerId("i-1"), StartTime()}, "", TimePoint());
+  }
+  job.EndRun(Task(1, 0), 1, RunEnd::kGangBroken, "", 1);
+  CHECK_TRUE(job.IsOverWithItsGang(Task(1, 1), 1, 1));
+}
+
+}  // namespace limeledge::dispatch
