Don't give a lasting task up when its runners crash

What callers saw: a job with a task that lasts is reported as failed after the fourth crash of its runners, and never started again, although nobody cancelled it and no run of it ended as failed.

A loss is forgotten only after a run that lasts more than twice as long, so that crashes at similar distances add up for ever. A lasting task was also held back until the fate of silent runners was known, up to 20 s.

Change: losses of a lasting task neither give it up nor hold it back. The two latest are kept, one of them at most as suspicious: the row of a service that crashes for months stays small, and a node of the version before, which may take over in a rolling update, does not give the task up for them. From the second loss on it is a suspect: it is placed where the least work is at risk, and nothing new is placed beside it until it has outlived its losses, for at most 20 s.

Losses that a run has outlived are dropped before the new one is judged, so that they don't make it suspicious.

--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -13,6 +13,21 @@
 
 namespace limeledge::dispatch {
 
+namespace {
+
+/// Lost runs that are kept of a task that lasts.
+constexpr std::size_t kKeptLosses = 2;
+
+/// Drops all losses but the latest ones, of which one at most stays suspicious:
+/// enough to tell a suspect, and too few for any version to give the task up.
+void KeepLatestLosses(std::vector<RunLoss>* losses) {
+  while (losses->size() > kKeptLosses) losses->erase(losses->begin());
+  if (losses->size() < kKeptLosses || !losses->back().suspicious) return;
+  losses->front().suspicious = false;
+}
+
+}  // namespace
+
 std::string ToString(const TaskName& name) {
   return absl::StrCat(name.job.value(), ".", name.occurrence, ".", name.step,
                       ".", name.index);
@@ -298,6 +313,7 @@
   if (task == nullptr || task->phase != TaskPhase::kAssigned) return false;
   if (task->run != loss.run) return false;
   task->losses.push_back(loss);
+  if (spec_.steps[name.step].long_running) KeepLatestLosses(&task->losses);
   MarkChanged(name);
   return true;
 }
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -8,11 +8,44 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "dispatch/planner_pass.h"
 
 namespace limeledge::dispatch {
 
+namespace {
+
+/// A run of a lasting suspect is alone for at most this long: longer than most
+/// runs take, so that those that start later lose little work in a crash.
+constexpr Duration kLongestIsolation{20000};
+
+/// True if the run may still be about to crash its runner as earlier runs of
+/// its task did. Only the tasks of long-running steps are started that often.
+bool NeedsIsolation(const Job& job, const TaskName& name, const Run& run,
+                    TimePoint now) {
+  if (!run.suspect || !job.step_spec(name.step).long_running) return false;
+  const Step& step = job.occurrences()[name.occurrence].steps[name.step];
+  std::vector<RunLoss> losses = step.tasks[name.index].losses;
+  const Duration healthy = now - run.started_at;
+  ForgetOutlived(healthy, LossRules(), &losses);
+  return healthy < kLongestIsolation && !losses.empty();
+}
+
+/// Keeps new runs off the runners of such runs.
+void IsolateSuspects(TimePoint now, JobRegistry* jobs, CandidatePool* pool) {
+  for (Candidate& candidate : pool->candidates()) {
+    for (const auto& [name, run] : candidate.runner->runs()) {
+      const Job* job = run.suspect ? jobs->Find(name.job) : nullptr;
+      if (job != nullptr && NeedsIsolation(*job, name, run, now)) {
+        candidate.on_probation = true;
+      }
+    }
+  }
+}
+
+}  // namespace
+
 const char* ToString(WaitReason reason) {
   switch (reason) {
     case WaitReason::kBlockedByEarlierStep:
@@ -54,6 +87,7 @@
       free_capacity_known_(fleet->KnowsFreeCapacity(now)),
       capacities_known_(fleet->KnowsCapacities(now)) {
   planner_.next_at_ = kNever;
+  IsolateSuspects(now, jobs, &pool_);
 }
 
 Plan Planner::Pass::Decide() {
--- a/src/dispatch/scheduler_losses.cc
+++ b/src/dispatch/scheduler_losses.cc
@@ -127,6 +127,9 @@
   // A run that never began can not have crashed its runner, and a start that
   // may arrive late counts only once.
   if (NeverBegan(run.phase) || run.counted_as_lost) return;
+  const Duration healthy =
+      TimeUntilSilence(run, runner.heard_at()).value_or(Duration(0));
+  job->DropOutlivedLosses(name, healthy, options_.loss);
   const std::optional<Duration> lasted =
       TimeUntilSilence(run, loss.silent_since);
   const bool soon = lasted.has_value() && *lasted <= options_.loss.soon;
@@ -140,10 +143,11 @@
   // A start without an answer may never have been carried out. Two of them lost
   // with their runners are no reason to fail a task.
   const bool began = run.phase == RunPhase::kRunning;
-  lost.suspicious = began && soon && !loss.correlated;
-  const Duration healthy =
-      TimeUntilSilence(run, runner.heard_at()).value_or(Duration(0));
-  job->DropOutlivedLosses(name, healthy, options_.loss);
+  // A task that lasts is not given up, so that its second loss already makes it
+  // a suspect.
+  const bool again = job->step_spec(name.step).long_running &&
+                     !job->Find(name)->losses.empty();
+  lost.suspicious = began && (soon || again) && !loss.correlated;
   if (!job->RecordLoss(name, lost)) return;
   if (lost.crashed) return;
   losses_.AddUnresolved(name, lost, ListedStartTime(lost.incarnation),
@@ -205,6 +209,7 @@
   Job* job = jobs_.Find(name.job);
   if (job == nullptr) return;
   Task* task = job->Find(name);
+  if (job->step_spec(name.step).long_running) return;
   const LossVerdict verdict =
       EvaluateLosses(task->losses, task->run, options_.loss);
   task->held_back = verdict == LossVerdict::kMustWait;
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -129,8 +129,11 @@
   const Task& task =
       job->occurrences()[name.occurrence].steps[name.step].tasks[name.index];
   // The run itself does not count as a failed start.
-  if (EvaluateLosses(task.losses, run.number - 1, options_.loss) !=
-      LossVerdict::kMayStart) {
+  const bool may_start =
+      job->step_spec(name.step).long_running ||
+      EvaluateLosses(task.losses, run.number - 1, options_.loss) ==
+          LossVerdict::kMayStart;
+  if (!may_start) {
     return StartDropReason::kTaskCrashesRunners;
   }
   if (run.stopping) return StartDropReason::kStopping;
