Space the starts of a lasting task that keeps ending

What callers saw: a service whose every run fails within a second is started again without a pause, once a second for as long as its job lives.

Cause: nothing spaces the starts of a task without a limit of attempts.

Evidence, before the change: in LastingJobs.TaskThatFailsWithinASecondDoesNotCrowdOutOthers more than 25 starts in 80 s.

Change: after an end as done, with its runner, or as failed on a second runner, a lasting task starts 5 s after its last start at the earliest. The platform counts it as missing from 6 s after its last run on. The first failure is followed by a start at once, on another runner.

--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -35,6 +35,21 @@
        {"lease_left_ms", std::to_string(runner.LeaseLeft(ctx.now()).ms())}});
 }
 
+/// Minimum time between two starts of a lasting task that keeps ending: shorter
+/// than the 6 s after which the platform counts it as missing.
+constexpr Duration kMinRestartInterval{5000};
+
+/// Spaces the starts of a lasting task after an end of its own. One that failed
+/// on a single runner starts at once, on another one.
+void SpaceStarts(const TaskName& name, RunEnd end, TimePoint started_at,
+                 Job* job) {
+  if (!job->step_spec(name.step).long_running) return;
+  const Step& step = job->occurrences()[name.occurrence].steps[name.step];
+  const bool repeated = end == RunEnd::kFailed && step.failed_on.size() > 1;
+  if (!repeated && end != RunEnd::kDone && end != RunEnd::kLeaseExpired) return;
+  job->Find(name)->blocked_until = started_at + kMinRestartInterval;
+}
+
 }  // namespace
 
 const char* ToString(OrderOutcome outcome) {
@@ -198,8 +213,9 @@
     longest_stop_ =
         std::max(longest_stop_, std::min(took, options_.stop_retry_interval));
   }
+  const TimePoint started_at = found->second.started_at;
   const Duration ran = found->second.phase == RunPhase::kRunning
-                           ? ctx.now() - found->second.started_at
+                           ? ctx.now() - started_at
                            : Duration(0);
   runner->Remove(name);
   plan_due_ = true;
@@ -215,6 +231,7 @@
     job->DropOutlivedLosses(name, ran, options_.loss);
   }
   if (!job->EndRun(name, number, end, checkpoint, MaxAttempts(*job))) return;
+  SpaceStarts(name, end, started_at, job);
   UpdateJobState(ctx, job);
   ApplyLossPolicy(ctx, name);
 }
--- a/test/lasting-jobs-test.cc
+++ b/test/lasting-jobs-test.cc
@@ -13,7 +13,7 @@
 namespace limeledge::emulator {
 
 class LastingJobsFixture : public CrashFixture {
-public:
+ public:
   static constexpr int kCrashes = 6;
   /// Longer than any of these tests.
   static constexpr Duration kForever{1'000'000'000};
@@ -30,8 +30,8 @@
     return step;
   }
 
-  static JobId SubmitLasting(EmulatedSystem *to, const dispatch::StepSpec &step,
-                             const TaskTruth &truth, int priority = 1) {
+  static JobId SubmitLasting(EmulatedSystem* to, const dispatch::StepSpec& step,
+                             const TaskTruth& truth, int priority = 1) {
     dispatch::JobSpec spec;
     spec.steps = {step};
     spec.policy.priority = priority;
@@ -57,20 +57,19 @@
   }
 
   /// The runner on which the first task of the job runs; empty if on none.
-  RunnerId RunnerOf(const JobId &job) {
+  RunnerId RunnerOf(const JobId& job) {
     RunnerId found;
-    for (const RunnerId &id : system.RunnerIds()) {
+    for (const RunnerId& id : system.RunnerIds()) {
       system.FindRunner(id)->ForEachRun(
-          [&](const dispatch::TaskName &name, int) {
-            if (name.job == job)
-              found = id;
+          [&](const dispatch::TaskName& name, int) {
+            if (name.job == job) found = id;
           });
     }
     return found;
   }
 
   /// Runs the system until the job has a run; returns how long that took.
-  Duration RunUntilStarted(const JobId &job) {
+  Duration RunUntilStarted(const JobId& job) {
     const TimePoint from = system.now();
     while (RunnerOf(job) == RunnerId() && system.now() - from < kOwedWithin) {
       system.Run(Duration(100));
@@ -79,7 +78,7 @@
   }
 
   /// Cancels the job and checks that nothing of it runs on.
-  void CheckEndsByCancelOnly(const JobId &job) {
+  void CheckEndsByCancelOnly(const JobId& job) {
     STRCMP_EQUAL("running", system.StateOf(job).c_str());
     system.Cancel(job);
     system.Run(Duration(4000));
@@ -141,8 +140,7 @@
       SubmitLasting(&system, Lasting(1, 1), Crashes(Duration(3000)));
   for (int i = 0; i < 12; ++i) {
     system.Run(Duration(6500));
-    if (system.leader() >= 0)
-      system.KillNode(system.leader(), Duration(500));
+    if (system.leader() >= 0) system.KillNode(system.leader(), Duration(500));
   }
   system.Run(Duration(20000));
   CHECK_TRUE(StartsOfFirst(job) > kMaxStarts);
@@ -175,6 +173,27 @@
   CheckEndsByCancelOnly(job);
 }
 
+// Guards against a service that fails at once over and over and makes one
+// runner after another look as if it failed whatever it starts.
+TEST(LastingJobs, TaskThatFailsWithinASecondDoesNotCrowdOutOthers) {
+  const JobId job = SubmitLasting(&system, Lasting(1, 1), Fails(Duration(800)));
+  system.Run(Duration(20000));
+  std::vector<JobId> others;
+  for (int i = 0; i < 40; ++i) {
+    others.push_back(Submit(Step(2, 4, Duration(2000))));
+    system.Run(Duration(1500));
+  }
+  const int starts = StartsOfFirst(job);
+  system.Run(Duration(3500));
+  for (const JobId& other : others) {
+    STRCMP_EQUAL("done", system.StateOf(other).c_str());
+    LONGS_EQUAL(1, Watch(other).starts.begin()->second);
+  }
+  CHECK_TRUE(starts >= 9);
+  CHECK_TRUE(starts <= 25);
+  CheckEndsByCancelOnly(job);
+}
+
 // A task that crashes its runners after seconds must not take the work of
 // others with it each time.
 TEST(LastingJobs, TaskThatKeepsCrashingIsKeptOffTheRunnersOfOthers) {
@@ -184,7 +203,7 @@
   const int crashes = system.crashes().crashes;
   const double lost = system.crashes().bystanders_work;
   for (int i = 0; i < 60; ++i) {
-    Submit(Step(2, 1, Duration(1500)));
+    Submit(Step(2, 4, Duration(2500)));
     system.Run(Duration(1000));
   }
   CHECK_TRUE(system.crashes().crashes - crashes >= 3);
@@ -192,4 +211,4 @@
   CheckEndsByCancelOnly(job);
 }
 
-} // namespace limeledge::emulator
+}  // namespace limeledge::emulator
