Show that a service may crash once an hour for as long as its job lives

The emulator plays six hours with one runner in some 5 s of processor time; a month of it would take many minutes, so that LastingTasks counts the 720 crashes of a month in the job alone: no verdict against the task, and a row that does not grow.

--- a/test/lasting-jobs-test.cc
+++ b/test/lasting-jobs-test.cc
@@ -211,4 +211,22 @@
   CheckEndsByCancelOnly(job);
 }
 
+// Guards against losses that add up over the life of a service, as they did
+// where no run lasts more than twice as long as the one before it.
+TEST(LastingJobs, TaskWhoseRunnerCrashesOnceAnHourLivesOn) {
+  SystemOptions options;
+  options.nodes = 1;
+  options.runners = 1;
+  EmulatedSystem small(options);
+  small.Run(Duration(3000));
+  constexpr Duration kHour{3'600'000};
+  constexpr int kHours = 6;
+  const JobId job = SubmitLasting(&small, Lasting(1, 1), Crashes(kHour));
+  small.Run(kHour * kHours + Duration(600000));
+  STRCMP_EQUAL("running", small.StateOf(job).c_str());
+  LONGS_EQUAL(kHours, small.crashes().crashes);
+  LONGS_EQUAL(kHours + 1, small.jobs().at(job).starts.begin()->second);
+  for (const std::string& what : small.violations()) FAIL(what.c_str());
+}
+
 }  // namespace limeledge::emulator
--- a/test/lasting-tasks-test.cc
+++ b/test/lasting-tasks-test.cc
@@ -7,6 +7,7 @@
 
 #include "CppUTest/TestHarness.h"
 #include "dispatch/job.h"
+#include "dispatch/row_codec.h"
 
 namespace limeledge::dispatch {
 
@@ -78,4 +79,33 @@
   CHECK_TRUE(job.IsOverWithItsGang(Task(1, 1), 1, 1));
 }
 
+// Guards against losses that add up: a crash an hour for a month neither gives
+// a task up, by the rules for other tasks, nor makes its row grow.
+TEST(LastingTasks, CrashesOfAMonthLeaveNoMoreThanTheLatestLosses) {
+  constexpr int kHours = 30 * 24;
+  constexpr Duration kHour{3'600'000};
+  std::size_t row_size = 0;
+  for (int run = 1; run <= kHours; ++run) {
+    const IncarnationId runner{RunnerId("i-1"), StartTime(1000 + run)};
+    job.Assign(Task(0, 0), run, runner, "", TimePoint());
+    job.DropOutlivedLosses(Task(0, 0), kHour, LossRules());
+    RunLoss loss;
+    loss.run = run;
+    loss.incarnation = runner;
+    loss.lasted = kHour;
+    loss.crashed = true;
+    loss.suspicious = run % 3 != 0;
+    CHECK_TRUE(job.RecordLoss(Task(0, 0), loss));
+    job.EndRun(Task(0, 0), run, RunEnd::kLeaseExpired, "", kMaxAttempts);
+    const std::vector<RunLoss>& losses = job.Find(Task(0, 0))->losses;
+    CHECK_TRUE(losses.size() <= 2);
+    LONGS_EQUAL(losses.back().run, run);
+    LONGS_EQUAL(static_cast<int>(LossVerdict::kMayStart),
+                static_cast<int>(EvaluateLosses(losses, run, LossRules())));
+    if (run == 2) row_size = EncodeProgress(job).size();
+  }
+  // The numbers of runs in it have two digits more.
+  CHECK_TRUE(EncodeProgress(job).size() < row_size + 20);
+}
+
 }  // namespace limeledge::dispatch
