Keep one runner at most for the suspects of a lasting step

What callers would see: tasks of a service that were lost together with the same runners again are all suspects, each is kept alone on a runner for up to 20 s, and the others wait although there is room.

Cause: the isolation of lasting suspects counts neither tasks nor runners.

Change: one run of each step is isolated at a time, and no more than a quarter of the runners.

--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -7,6 +7,8 @@
 #include "dispatch/planner.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -32,14 +34,22 @@
   return healthy < kLongestIsolation && !losses.empty();
 }
 
-/// Keeps new runs off the runners of such runs.
+/// At most one runner in this many is kept for a run of a suspect.
+constexpr std::size_t kRunnersPerIsolated = 4;
+
+/// Keeps new runs off the runners of such runs, one for each step: tasks that
+/// were lost together are all suspects, and must not take all runners.
 void IsolateSuspects(TimePoint now, JobRegistry* jobs, CandidatePool* pool) {
+  std::set<StepName> isolated;
   for (Candidate& candidate : pool->candidates()) {
     for (const auto& [name, run] : candidate.runner->runs()) {
-      const Job* job = run.suspect ? jobs->Find(name.job) : nullptr;
-      if (job != nullptr && NeedsIsolation(*job, name, run, now)) {
-        candidate.on_probation = true;
+      if (isolated.size() * kRunnersPerIsolated >= pool->candidates().size()) {
+        return;
       }
+      const Job* job = run.suspect ? jobs->Find(name.job) : nullptr;
+      if (job == nullptr || !NeedsIsolation(*job, name, run, now)) continue;
+      const StepName step{name.job, name.occurrence, name.step};
+      if (isolated.insert(step).second) candidate.on_probation = true;
     }
   }
 }
--- a/test/lasting-jobs-test.cc
+++ b/test/lasting-jobs-test.cc
@@ -68,6 +68,17 @@
     return found;
   }
 
+  int CountRuns(const JobId& job) {
+    int runs = 0;
+    for (const RunnerId& id : system.RunnerIds()) {
+      system.FindRunner(id)->ForEachRun(
+          [&](const dispatch::TaskName& name, int) {
+            if (name.job == job) ++runs;
+          });
+    }
+    return runs;
+  }
+
   /// Runs the system until the job has a run; returns how long that took.
   Duration RunUntilStarted(const JobId& job) {
     const TimePoint from = system.now();
@@ -211,6 +222,21 @@
   CheckEndsByCancelOnly(job);
 }
 
+// Guards against tasks of a service that wait for each other because all of
+// them were lost with the same runners, and only one of them at a time is tried
+// on a runner.
+TEST(LastingJobs, TasksLostTogetherAgainAreAllStartedInTime) {
+  constexpr int kTasks = 16;
+  const JobId job = SubmitLasting(&system, Lasting(kTasks, 1), Runs(kForever));
+  system.Run(Duration(7000));
+  for (int i = 0; i < 5; ++i) {
+    LONGS_EQUAL(kTasks, CountRuns(job));
+    system.CrashRunner(RunnerOf(job), Duration(4500));
+    system.Run(kOwedWithin);
+  }
+  CheckEndsByCancelOnly(job);
+}
+
 // Guards against losses that add up over the life of a service, as they did
 // where no run lasts more than twice as long as the one before it.
 TEST(LastingJobs, TaskWhoseRunnerCrashesOnceAnHourLivesOn) {
