--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -13,6 +13,21 @@
 
 namespace limeledge::dispatch {
 
+namespace {
+
+/// Lost runs that are kept of a task that lasts.
+constexpr std::size_t kKeptLosses = 2;
+
+/// Drops all losses but the latest ones, of which one at most stays suspicious:
+/// enough to tell a suspect, and too few for any version to give the task up.
+void KeepLatestLosses(std::vector<RunLoss>* losses) {
+  while (losses->size() > kKeptLosses) losses->erase(losses->begin());
+  if (losses->size() < kKeptLosses || !losses->back().suspicious) return;
+  losses->front().suspicious = false;
+}
+
+}  // namespace
+
 std::string ToString(const TaskName& name) {
   return absl::StrCat(name.job.value(), ".", name.occurrence, ".", name.step,
                       ".", name.index);
@@ -185,12 +200,17 @@
   task->incarnation = IncarnationId();
   task->phase = TaskPhase::kWaiting;
   task->gang_broken = end == RunEnd::kGangBroken;
+  // Its tasks start again however their runs end, members of a gang included.
+  if (step.long_running) {
+    if (step.gang) MarkStepChanged(name);
+    if (!checkpoint.empty()) SaveProgress(name, checkpoint);
+    return true;
+  }
   if (step.gang) {
     EndGangRun(name, end, checkpoint, max_attempts);
     return true;
   }
   if (!checkpoint.empty()) task->checkpoint = checkpoint;
-  if (step.long_running) return true;
   if (end == RunEnd::kDone) {
     task->phase = TaskPhase::kDone;
     return true;
@@ -203,11 +223,14 @@
 
 bool Job::IsOverWithItsGang(const TaskName& name, int run,
                             int max_attempts) const {
-  if (!spec_.steps[name.step].gang) return false;
+  const StepSpec& spec = spec_.steps[name.step];
+  if (!spec.gang) return false;
   const Step& step = occurrences_[name.occurrence].steps[name.step];
   const Task& task = step.tasks[name.index];
   const bool current = task.phase == TaskPhase::kAssigned && task.run == run;
-  if (!current || step.gang_failures + 1 >= max_attempts) return false;
+  const bool last_attempt =
+      !spec.long_running && step.gang_failures + 1 >= max_attempts;
+  if (!current || last_attempt) return false;
   for (const Task& member : step.tasks) {
     if (&member == &task) continue;
     const bool broken = member.phase == TaskPhase::kWaiting &&
@@ -290,6 +313,7 @@
   if (task == nullptr || task->phase != TaskPhase::kAssigned) return false;
   if (task->run != loss.run) return false;
   task->losses.push_back(loss);
+  if (spec_.steps[name.step].long_running) KeepLatestLosses(&task->losses);
   MarkChanged(name);
   return true;
 }
