--- a/test/partitioned-runner-test.cc
+++ b/test/partitioned-runner-test.cc
@@ -12,7 +12,7 @@
   /// Submits a job of one task, waits until the task runs, and cuts its runner
   /// off, so that connections to it are refused and its entry expires.
   JobId SubmitAndCutOff(Duration work) {
-    const JobId job = Submit(Step(1, 8, work));
+    JobId job = Submit(Step(1, 8, work));
     system.Run(Duration(1000));
     for (const RunnerId& id : system.RunnerIds()) {
       system.FindRunner(id)->ForEachRun([&](const dispatch::TaskName&, int) {
