--- a/test/lasting-jobs-test.cc
+++ b/test/lasting-jobs-test.cc
@@ -56,18 +56,6 @@
     return truth;
   }
 
-  /// The runner on which the first task of the job runs; empty if on none.
-  RunnerId RunnerOf(const JobId& job) {
-    RunnerId found;
-    for (const RunnerId& id : system.RunnerIds()) {
-      system.FindRunner(id)->ForEachRun(
-          [&](const dispatch::TaskName& name, int) {
-            if (name.job == job) found = id;
-          });
-    }
-    return found;
-  }
-
   int CountRuns(const JobId& job) {
     int runs = 0;
     for (const RunnerId& id : system.RunnerIds()) {
--- a/test/scheduler-fixture.h
+++ b/test/scheduler-fixture.h
@@ -61,6 +61,18 @@
     return racks;
   }
 
+  /// A runner on which a task of the job runs; empty if there is none.
+  RunnerId RunnerOf(const JobId& job) {
+    RunnerId found;
+    for (const RunnerId& id : system.RunnerIds()) {
+      system.FindRunner(id)->ForEachRun(
+          [&](const dispatch::TaskName& name, int) {
+            if (name.job == job) found = id;
+          });
+    }
+    return found;
+  }
+
   const JobWatch& Watch(const JobId& job) { return system.jobs().at(job); }
 
   void CheckNoViolation() {
