Keep a submit from storing its job after its cancel was acknowledged

What callers saw: a caller cancels a job whose submit got no response, and is told 410.

Cause: a cancel that found no job was answered at once and left nothing behind. A submit that was sent before it still waited: in the socket of a node that stood still, or in a write that the store carries out 1 to 6 s later. Nothing made that write fail, so the job was stored and scheduled. A check of ages at the node would end the first form, not the second.

Change: before a cancel of a job that is not stored is acknowledged, a tombstone is written under the condition that the job is not there, and the write of a submit has the condition that the tombstone is not. The store applies one of the two first, and the other one fails. The scheduler removes a tombstone 60 s after it read it first, if nobody wrote it again. A node that was paused for over 40 s, after which tombstones may be gone, refuses the submits that waited meanwhile. The tombstones that a workspace causes are limited. A job that a node of an earlier version stores despite the tombstone is cancelled by the scheduler; earlier versions ignore the row.

The emulator could not show the fault: its callers cancelled only jobs that they knew to be accepted, and its store carried no write out late. It does both now, and the oracle allows no start after such a cancel, whatever faults there are.

Cost: a cancel that finds no job is a read and a write in place of a read; a submit has a second condition and no further call.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -261,6 +261,9 @@
       {LogId::kRunsHeld, kWarning, "runs_held",
        "A runner with runs of an earlier scheduler does not answer; the fields "
        "say how its first poll ended and how long their lease may last."},
+      {LogId::kTombstonesNotRemoved, kWarning, "tombstones_not_removed",
+       "Tombstones of jobs that were cancelled before they were stored could "
+       "not be removed; they are tried again."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -119,6 +119,7 @@
   kRowTooLarge = 965,
   kCallInDoubt = 966,
   kRunsHeld = 967,
+  kTombstonesNotRemoved = 968,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/call_result.cc
+++ b/src/dispatch/call_result.cc
@@ -12,8 +12,10 @@
   switch (result) {
     case CallResult::kDone:
     case CallResult::kUnknown:
-    // The write of a submit has the condition that no job has the id.
+    // The write of a submit has the conditions that no job has the id, and that
+    // none with it was cancelled.
     case CallResult::kConflict:
+    case CallResult::kCancelled:
       return result;
     // The write of a cancel has the condition that the job exists.
     case CallResult::kUnknownJob:
@@ -43,6 +45,8 @@
       return "past use";
     case CallResult::kNeverServable:
       return "never servable";
+    case CallResult::kCancelled:
+      return "cancelled";
     case CallResult::kUnknown:
       return "unknown";
   }
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -246,6 +246,9 @@
   kPastUse,
   /// Refused like `kNotAccepted`, because no runner can ever run the job.
   kNeverServable,
+  /// Refused like `kNotAccepted`, because the job was cancelled before it was
+  /// stored. The id can be used again later.
+  kCancelled,
   /// The outcome is unknown: the call may have been accepted.
   kUnknown,
 };
--- a/src/dispatch/front_end.cc
+++ b/src/dispatch/front_end.cc
@@ -72,6 +72,15 @@
   return SameJob(row, EncodeJobSpec(requested));
 }
 
+/// The row with this key among rows that exist; null if there is none.
+const Row* FindRow(const std::vector<Row>& rows, const RowKey& key) {
+  for (const Row& row : rows) {
+    const bool exists = !row.removed && row.revision != Revision();
+    if (exists && row.key == key) return &row;
+  }
+  return nullptr;
+}
+
 /// The id at the end of a job's path; nothing if there is none.
 std::optional<JobId> JobIdIn(const std::string& path) {
   if (path.size() < kJobIdLength) return std::nullopt;
@@ -177,7 +186,7 @@
     return;
   }
   if (call.kind != CallKind::kSubmit) {
-    StartRead(ctx, call, *queue, id);
+    StartRead(ctx, call, *queue, workspace, id);
   } else if (!call.spec_error.empty()) {
     Respond(
         ctx, call,
@@ -242,7 +251,8 @@
 }
 
 void FrontEnd::StartRead(Context& ctx, const CallReceived& call,
-                         const Queue& queue, const JobId& id) {
+                         const Queue& queue, const WorkspaceId& workspace,
+                         const JobId& id) {
   const bool counts_known =
       counts_read_at_.has_value() &&
       ctx.now() - *counts_read_at_ < options_.max_counts_age;
@@ -254,6 +264,7 @@
   pending.call = call;
   pending.deadline = ctx.now() + call.deadline;
   pending.queue = queue.id;
+  pending.workspace = workspace;
   pending.job = id;
   if (call.kind == CallKind::kCancel) {
     Read(ctx, std::move(pending), Stage::kReadJob);
@@ -263,6 +274,12 @@
   }
 }
 
+bool FrontEnd::MayBeOlderThanTombstones(TimePoint now) const {
+  const Duration since_pause = now - pause_ended_at_;
+  return since_pause < options_.pause_backlog_time &&
+         pause_time_ + since_pause > options_.max_submit_age;
+}
+
 void FrontEnd::Submit(Context& ctx, const CallReceived& call,
                       const Catalog& catalog, const Queue& queue,
                       const WorkspaceId& workspace, const JobId& id) {
@@ -290,6 +307,8 @@
   const RowKey key{kJobTable, id.value()};
   pending.transaction.partition = JobPartition(id.value());
   pending.transaction.conditions.push_back({key, Revision()});
+  pending.transaction.conditions.push_back(
+      {TombstoneKey(id.value()), Revision()});
   pending.transaction.puts.push_back({key, pending.encoded_spec});
   // A call that was passed on may have been sent to the store before.
   const bool may_be_stored = call.forwarded || stored_id_set_.count(id) != 0;
@@ -305,6 +324,11 @@
 }
 
 void FrontEnd::Store(Context& ctx, Pending pending) {
+  if (MayBeOlderThanTombstones(ctx.now())) {
+    Respond(ctx, pending.call, CallResult::kNotAccepted,
+            "the node was paused, and the job may have been cancelled since");
+    return;
+  }
   pending.stage = Stage::kSubmit;
   pending.unanswered = 0;
   if (stored_id_set_.insert(pending.job).second) {
@@ -384,9 +408,11 @@
     read.from = pending.job.value();
   }
   // Covers the row and its derived rows, such as the cancel marker: their
-  // suffixes start with a character below '/'.
-  read.to = absl::StrCat(read.from, "/");
-  read.limit = 2;
+  // suffixes start with a character below '/'. Only the tombstone's starts with
+  // that one, and '0' follows it.
+  const bool with_tombstone = pending.call.kind == CallKind::kCancel;
+  read.to = absl::StrCat(read.from, with_tombstone ? "0" : "/");
+  read.limit = with_tombstone ? 3 : 2;
   pending.stage = stage;
   pending.read = std::move(read);
   pending.unanswered = 0;
@@ -409,6 +435,9 @@
   if (answer.outcome == StoreOutcome::kDone) {
     if (submit) {
       Accept(ctx, pending, "");
+    } else if (pending.stage == Stage::kTombstone) {
+      Respond(ctx, pending.call, CallResult::kUnknownJob,
+              "not stored; later submits are refused");
     } else {
       Respond(ctx, pending.call, CallResult::kDone);
     }
@@ -418,8 +447,7 @@
     if (submit) {
       HandleSubmitConflict(ctx, pending, answer);
     } else {
-      // The job row was removed after it was read.
-      Respond(ctx, pending.call, CallResult::kUnknownJob);
+      HandleCancelConflict(ctx, std::move(pending), answer);
     }
     return;
   }
@@ -463,9 +491,9 @@
 
 void FrontEnd::HandleSubmitConflict(Context& ctx, const Pending& pending,
                                     const CommitCompleted& answer) {
-  for (const Row& row : answer.rows) {
-    if (row.key.key != pending.job.value()) continue;
-    if (SameJob(row.value, pending.encoded_spec)) {
+  const Row* job = FindRow(answer.rows, {kJobTable, pending.job.value()});
+  if (job != nullptr) {
+    if (SameJob(job->value, pending.encoded_spec)) {
       Accept(ctx, pending, "known already");
     } else {
       Respond(ctx, pending.call, CallResult::kConflict,
@@ -473,6 +501,12 @@
     }
     return;
   }
+  if (FindRow(answer.rows, TombstoneKey(pending.job.value())) != nullptr) {
+    Respond(ctx, pending.call, CallResult::kCancelled,
+            "the job was cancelled before it was stored", "", -1,
+            options_.cancelled_retry_after);
+    return;
+  }
   Respond(ctx, pending.call, CallResult::kUnknown,
           "the job's row is unreadable");
 }
@@ -537,30 +571,76 @@
 
 void FrontEnd::HandleJob(Context& ctx, Pending pending,
                          const ReadCompleted& answer) {
+  if (pending.call.kind == CallKind::kCancel) {
+    CancelJob(ctx, std::move(pending), answer.rows);
+    return;
+  }
   if (answer.rows.empty()) {
     Respond(ctx, pending.call, CallResult::kUnknownJob);
     return;
   }
   const bool cancelled = answer.rows.size() > 1;
-  if (pending.call.kind == CallKind::kQuery) {
-    const JobState state = cancelled ? JobState::kCancelled : JobState::kQueued;
-    Respond(ctx, pending.call, CallResult::kDone, "", ToString(state));
+  const JobState state = cancelled ? JobState::kCancelled : JobState::kQueued;
+  Respond(ctx, pending.call, CallResult::kDone, "", ToString(state));
+}
+
+void FrontEnd::CancelJob(Context& ctx, Pending pending,
+                         const std::vector<Row>& rows) {
+  const std::string& id = pending.job.value();
+  const RowKey cancel_key{kJobTable, absl::StrCat(id, kCancelSuffix)};
+  const Row* job = FindRow(rows, {kJobTable, id});
+  if (job == nullptr) {
+    const Row* tombstone = FindRow(rows, TombstoneKey(id));
+    WriteTombstone(ctx, std::move(pending),
+                   tombstone == nullptr ? Revision() : tombstone->revision);
     return;
   }
-  if (cancelled) {
+  if (FindRow(rows, cancel_key) != nullptr) {
     Respond(ctx, pending.call, CallResult::kDone, "cancelled already");
     return;
   }
   pending.stage = Stage::kCancel;
   pending.unanswered = 0;
-  const Row& job = answer.rows.front();
-  pending.transaction.partition = JobPartition(pending.job.value());
-  pending.transaction.conditions.push_back({job.key, job.revision});
-  pending.transaction.puts.push_back(
-      {{kJobTable, absl::StrCat(pending.job.value(), kCancelSuffix)}, "{}"});
+  pending.transaction = RowTransaction();
+  pending.transaction.partition = JobPartition(id);
+  pending.transaction.conditions.push_back({job->key, job->revision});
+  pending.transaction.puts.push_back({cancel_key, "{}"});
   SendCommit(ctx, std::move(pending));
 }
 
+void FrontEnd::WriteTombstone(Context& ctx, Pending pending, Revision seen) {
+  if (!tombstone_quota_.Take(ctx.now(), pending.workspace)) {
+    Respond(ctx, pending.call, CallResult::kNotAccepted,
+            "too many cancels of jobs that are not stored");
+    return;
+  }
+  const std::string& id = pending.job.value();
+  const RowKey key = TombstoneKey(id);
+  pending.stage = Stage::kTombstone;
+  pending.unanswered = 0;
+  pending.transaction = RowTransaction();
+  pending.transaction.partition = JobPartition(id);
+  pending.transaction.conditions.push_back({{kJobTable, id}, Revision()});
+  pending.transaction.conditions.push_back({key, seen});
+  pending.transaction.puts.push_back({key, "{}"});
+  SendCommit(ctx, std::move(pending));
+}
+
+void FrontEnd::HandleCancelConflict(Context& ctx, Pending pending,
+                                    const CommitCompleted& answer) {
+  const bool rewritten =
+      pending.stage == Stage::kTombstone &&
+      FindRow(answer.rows, {kJobTable, pending.job.value()}) == nullptr &&
+      FindRow(answer.rows, TombstoneKey(pending.job.value())) != nullptr;
+  if (rewritten) {
+    // By an earlier attempt of this call, or by a cancel that came after it.
+    Respond(ctx, pending.call, CallResult::kUnknownJob,
+            "not stored; later submits are refused");
+    return;
+  }
+  CancelJob(ctx, std::move(pending), answer.rows);
+}
+
 void FrontEnd::HandleCount(Context& ctx, const Pending& pending,
                            const ReadCompleted& answer) {
   WaitingCounts counts;
--- a/src/dispatch/front_end.h
+++ b/src/dispatch/front_end.h
@@ -21,6 +21,8 @@
 #include "dispatch/peer_check.h"
 #include "dispatch/row_codec.h"
 #include "dispatch/store_timeout.h"
+#include "dispatch/tombstones.h"
+#include "dispatch/write_quota.h"
 
 namespace limeledge::dispatch {
 
@@ -52,6 +54,17 @@
   std::size_t max_remembered_ids = 4096;
   /// A job whose row would exceed them is refused.
   StoreLimits store_limits;
+  /// Submits that may have waited at this node for longer are refused: their
+  /// job may have been cancelled meanwhile, and its tombstone may be removed by
+  /// now.
+  Duration max_submit_age{40000};
+  /// After a pause of the process, calls that were received during the pause
+  /// are read within this time.
+  Duration pause_backlog_time{1000};
+  /// The `Retry-After` of submits whose job was cancelled before it was stored.
+  Duration cancelled_retry_after = kTombstoneRetention;
+  /// Limits on the tombstones that callers cause.
+  WriteQuotaOptions tombstone_quota;
 };
 
 /// Handles API calls, and keeps those that wait for the store.
@@ -65,7 +78,8 @@
       : options_(options),
         store_timeout_(store_timeout),
         catalog_(catalog),
-        admission_(admission) {}
+        admission_(admission),
+        tombstone_quota_(options.tombstone_quota) {}
 
   /// Starts a call or responds to it immediately. `store_answers` is false if
   /// this node considers the store unavailable.
@@ -106,6 +120,17 @@
   /// call of this function, and must live until then.
   void SetForecast(const KnownSummary& forecast) { forecast_ = forecast; }
 
+  /// Sets the number of nodes, which share the quota of tombstones.
+  void SetNodeCount(std::int64_t nodes) {
+    tombstone_quota_.SetNodeCount(nodes);
+  }
+
+  /// Records that the process was paused for `time`, until now.
+  void HandleProcessPause(TimePoint now, Duration time) {
+    pause_ended_at_ = now;
+    pause_time_ = time;
+  }
+
   /// True if no call is pending.
   bool idle() const { return calls_.empty(); }
 
@@ -124,6 +149,8 @@
     /// Reads the job row, for a query or before a cancel.
     kReadJob,
     kCancel,
+    /// Writes the tombstone of a job that is cancelled before it is stored.
+    kTombstone,
     /// Reads the numbers of waiting jobs.
     kCount,
   };
@@ -167,7 +194,10 @@
                          WorkspaceId* workspace);
   /// Starts a query, a count or a cancel.
   void StartRead(Context& ctx, const CallReceived& call, const Queue& queue,
-                 const JobId& id);
+                 const WorkspaceId& workspace, const JobId& id);
+  /// True if a call that is handled now may have waited for longer than
+  /// `max_submit_age` while the process was paused.
+  bool MayBeOlderThanTombstones(TimePoint now) const;
   void Submit(Context& ctx, const CallReceived& call, const Catalog& catalog,
               const Queue& queue, const WorkspaceId& workspace,
               const JobId& id);
@@ -192,6 +222,15 @@
                 bool store_answers) const;
   /// Timeout of the next attempt.
   Duration AttemptTimeout(TimePoint now, const Pending& pending) const;
+  /// Cancels a job, given the rows that exist of it. If it is not stored,
+  /// writes its tombstone: its submit may be on the way.
+  void CancelJob(Context& ctx, Pending pending, const std::vector<Row>& rows);
+  /// `seen` is the revision of the existing tombstone; 0 if there is none. An
+  /// existing one is written again, so that it is kept for the whole time.
+  void WriteTombstone(Context& ctx, Pending pending, Revision seen);
+  /// The rows changed after they were read.
+  void HandleCancelConflict(Context& ctx, Pending pending,
+                            const CommitCompleted& answer);
   void HandleSubmitConflict(Context& ctx, const Pending& pending,
                             const CommitCompleted& answer);
   /// Logs that the job was accepted, and responds to its submit.
@@ -218,6 +257,9 @@
   std::optional<std::string> serving_peer_;
   std::map<Ticket, Pending> calls_;
   Admission admission_;
+  WriteQuota tombstone_quota_;
+  TimePoint pause_ended_at_;
+  Duration pause_time_;
   KnownSummary forecast_;
   /// Ids of submits that this node sent to the store, the oldest first.
   std::deque<JobId> stored_ids_;
--- a/src/dispatch/job_registry.cc
+++ b/src/dispatch/job_registry.cc
@@ -15,6 +15,16 @@
 
 namespace limeledge::dispatch {
 
+namespace {
+
+/// Returns the job to which a key with the suffix belongs.
+std::optional<JobId> JobOfKey(const RowKey& key, const char* suffix) {
+  if (!absl::EndsWith(key.key, suffix)) return std::nullopt;
+  return JobId(std::string(absl::StripSuffix(key.key, suffix)));
+}
+
+}  // namespace
+
 bool JobRegistry::Owns(Ticket ticket) const {
   if (watch_in_flight_ && watch_ticket_ == ticket) return true;
   return std::any_of(reads_.begin(), reads_.end(),
@@ -41,6 +51,7 @@
   stage_ = Stage::kReadJobs;
   job_read_started_at_ = now;
   revision_ = Revision();
+  tombstones_.BeginReload();
   reads_.clear();
   for (const std::string& partition : AllJobPartitions()) {
     PartitionRead read;
@@ -134,6 +145,7 @@
     return;
   }
   loaded_ = true;
+  tombstones_.EndReload();
   for (const auto& [id, progress] : progress_) {
     if (!progress.row.empty()) orphans_.push_back(id.value());
     for (const auto& [key, block] : progress.blocks) orphans_.push_back(key);
@@ -175,7 +187,11 @@
   }
   unanswered_watches_ = 0;
   for (const Row& row : answer.rows) {
-    if (!row.removed) ApplyRow(ctx, row, &changed);
+    if (row.removed) {
+      ApplyRemoval(row.key);
+    } else {
+      ApplyRow(ctx, row, &changed);
+    }
   }
   // If a partition was read during this call, as of an earlier revision, the
   // next call must watch from that revision.
@@ -186,9 +202,14 @@
 
 void JobRegistry::ApplyRow(Context& ctx, const Row& row,
                            std::vector<JobId>* changed) {
-  if (absl::EndsWith(row.key.key, kCancelSuffix)) {
-    const auto id = absl::StripSuffix(row.key.key, kCancelSuffix);
-    ApplyCancel(JobId(std::string(id)), changed);
+  if (const auto cancelled = JobOfKey(row.key, kTombstoneSuffix)) {
+    tombstones_.Record(*cancelled, row.revision, ctx.now());
+    // Versions without tombstones store the job all the same.
+    ApplyCancel(*cancelled, changed);
+    return;
+  }
+  if (const auto cancelled = JobOfKey(row.key, kCancelSuffix)) {
+    ApplyCancel(*cancelled, changed);
     return;
   }
   const JobId id(row.key.key);
@@ -208,11 +229,17 @@
     final_jobs_[id] = ctx.now();
     return;
   }
+  if (tombstones_.Contains(id)) job->RequestCancel();
   jobs_[id] = std::move(job);
   active_.insert(id);
   changed->push_back(id);
 }
 
+void JobRegistry::ApplyRemoval(const RowKey& key) {
+  const auto job = JobOfKey(key, kTombstoneSuffix);
+  if (job.has_value()) tombstones_.Erase(*job);
+}
+
 absl::Status JobRegistry::Restore(const StoredProgress& progress, Job* job) {
   if (!progress.row.empty()) {
     absl::Status status = DecodeProgress(progress.row, job);
--- a/src/dispatch/job_registry.h
+++ b/src/dispatch/job_registry.h
@@ -19,6 +19,7 @@
 #include "dispatch/job.h"
 #include "dispatch/row_codec.h"
 #include "dispatch/store_timeout.h"
+#include "dispatch/tombstones.h"
 
 namespace limeledge::dispatch {
 
@@ -87,6 +88,10 @@
   /// only once: those without a job row, and blocks of final jobs.
   std::vector<std::string> TakeOrphans();
 
+  /// The tombstones in the partitions that have been read.
+  Tombstones& tombstones() { return tombstones_; }
+  const Tombstones& tombstones() const { return tombstones_; }
+
   /// Counts jobs without recurrence and without started tasks, per queue.
   WaitingCounts CountWaiting() const;
 
@@ -110,8 +115,11 @@
   void FinishStage(TimePoint now);
   bool CanWatch() const { return loaded_ && revision_ > Revision(); }
   void Watch(Context& ctx);
-  /// Applies a row of the job table: a job, or a request to cancel one.
+  /// Applies a row of the job table: a job, a request to cancel one, or a
+  /// tombstone.
   void ApplyRow(Context& ctx, const Row& row, std::vector<JobId>* changed);
+  /// Records that a row of the job table was removed.
+  void ApplyRemoval(const RowKey& key);
   /// The rows that hold a job's progress.
   struct StoredProgress {
     /// Empty if there is no such row.
@@ -154,6 +162,7 @@
   /// Final jobs, with the time at which the stored final state was confirmed,
   /// if it was.
   std::map<JobId, std::optional<TimePoint>> final_jobs_;
+  Tombstones tombstones_;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -167,15 +167,18 @@
              leadership_.record_written_after()};
   }
   front_end_.SetForecast(known);
+  front_end_.SetNodeCount(NodeCount());
   front_end_.Handle(ctx, call, store_answers);
   // The forecast may change before the next call.
   front_end_.SetForecast({});
 }
 
 void Node::CheckForProcessPause(Context& ctx) {
-  if (scheduler_ == nullptr || !next_event_due_at_.has_value()) return;
+  if (!next_event_due_at_.has_value()) return;
   const Duration late = ctx.now() - *next_event_due_at_;
-  if (late >= options_.max_pause) scheduler_->HandleProcessPause(ctx, late);
+  if (late < options_.max_pause) return;
+  front_end_.HandleProcessPause(ctx.now(), late);
+  if (scheduler_ != nullptr) scheduler_->HandleProcessPause(ctx, late);
 }
 
 void Node::RecordStoreRequests(const Effects& effects) {
@@ -218,6 +221,11 @@
   return next;
 }
 
+std::int64_t Node::NodeCount() const {
+  return standbys_.has_value() ? standbys_->nodes()
+                               : leadership_.record().nodes;
+}
+
 bool Node::StoreAnswers() const {
   const bool reachable = scheduler_ != nullptr ? scheduler_->store_answers()
                                                : leadership_.store_answers();
--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -125,7 +125,9 @@
   void StepDown(Context& ctx, const char* reason);
   /// Steps down unless this node still holds the scheduler lease.
   void CheckLease(Context& ctx, Scheduler::LeaseStatus status);
-  /// Notifies the scheduler if this process was paused.
+  /// The number of nodes as last known; 0 if unknown.
+  std::int64_t NodeCount() const;
+  /// Notifies the front end and the scheduler if this process was paused.
   void CheckForProcessPause(Context& ctx);
   /// True if the catalog is too old to decide the call, and it may still become
   /// possible to read a newer one or to pass the call on.
--- a/src/dispatch/rows.cc
+++ b/src/dispatch/rows.cc
@@ -34,6 +34,10 @@
   return key.substr(0, key.find(kKeySeparator));
 }
 
+RowKey TombstoneKey(const std::string& job) {
+  return {kJobTable, absl::StrCat(job, kTombstoneSuffix)};
+}
+
 std::string JobPartition(const std::string& job) {
   // Job ids are random, so that their last characters are evenly distributed.
   const unsigned last_char =
--- a/src/dispatch/rows.h
+++ b/src/dispatch/rows.h
@@ -124,6 +124,14 @@
 std::vector<std::string> AllJobPartitions();
 /// Appended to a job's key: the row that requests the job's cancellation.
 inline constexpr char kCancelSuffix[] = ".cancel";
+/// Appended to a job's key: the tombstone of a job that was cancelled before it
+/// was stored. No submit stores the job while it exists. The key lies outside
+/// the range that is read for the job's other rows, and ends in
+/// `kCancelSuffix`, so that nodes of versions without tombstones ignore it.
+inline constexpr char kTombstoneSuffix[] = "/.cancel";
+/// Returns the key of a job's tombstone. It is in the partition of the job's
+/// rows. Thread-safe.
+RowKey TombstoneKey(const std::string& job);
 
 }  // namespace limeledge::dispatch
 
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -43,6 +43,7 @@
       writer_(options.writer, claimed, store_timeout, now),
       jobs_(store_timeout, options.job_registry),
       cleaner_(options.cleaner),
+      tombstone_cleaner_(options.tombstone_cleaner),
       fleet_(options.fleet),
       losses_(options.loss),
       speed_keeper_(store_timeout, now, options.speed_keeper),
@@ -51,7 +52,7 @@
 
 bool Scheduler::Owns(Ticket ticket) const {
   return writer_.Owns(ticket) || jobs_.Owns(ticket) || cleaner_.Owns(ticket) ||
-         speed_keeper_.Owns(ticket);
+         tombstone_cleaner_.Owns(ticket) || speed_keeper_.Owns(ticket);
 }
 
 void Scheduler::Release() {
@@ -63,11 +64,15 @@
 
 Scheduler::LeaseStatus Scheduler::Handle(Context& ctx,
                                          const CommitCompleted& answer) {
-  if (!cleaner_.Owns(answer.ticket)) {
-    return ToLeaseStatus(writer_.Handle(ctx, answer));
+  if (cleaner_.Owns(answer.ticket)) {
+    cleaner_.Handle(ctx, answer, &jobs_, &writer_);
+    return LeaseStatus::kHeld;
   }
-  cleaner_.Handle(ctx, answer, &jobs_, &writer_);
-  return LeaseStatus::kHeld;
+  if (tombstone_cleaner_.Owns(answer.ticket)) {
+    tombstone_cleaner_.Handle(ctx, answer, &jobs_.tombstones());
+    return LeaseStatus::kHeld;
+  }
+  return ToLeaseStatus(writer_.Handle(ctx, answer));
 }
 
 void Scheduler::Handle(Context& ctx, const ReadCompleted& answer) {
@@ -278,6 +283,7 @@
   DropSpeedsOfGoneRunners(ctx);
   if (releasing_) return;
   cleaner_.Work(ctx, &jobs_, &writer_);
+  tombstone_cleaner_.Work(ctx, jobs_.tombstones());
   if (options_.runner_speeds == RunnerSpeedUse::kOff) return;
   speed_keeper_.Write(ctx, fleet_, speeds_in_use_, &speeds_, &writer_);
 }
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -69,6 +69,7 @@
   StateWriterOptions writer;
   JobRegistryOptions job_registry;
   JobCleanerOptions cleaner;
+  TombstoneCleanerOptions tombstone_cleaner;
   /// Size of the blocks into which the progress of a large job is divided: they
   /// have a task for each of these bytes of a row. Many times what a task
   /// takes that was never lost.
@@ -579,6 +580,7 @@
   StateWriter writer_;
   JobRegistry jobs_;
   JobCleaner cleaner_;
+  TombstoneCleaner tombstone_cleaner_;
   Fleet fleet_;
   LossTracker losses_;
   RunTimeEstimator run_time_estimator_;
--- a/src/dispatch/scheduler_dump.cc
+++ b/src/dispatch/scheduler_dump.cc
@@ -76,6 +76,7 @@
   json["epoch"] = Json::Int64(writer_.epoch().value());
   json["confirmed_ms_ago"] = Json::Int64((now - writer_.confirmed_at()).ms());
   json["jobs_read"] = jobs_.loaded();
+  json["tombstones"] = Json::UInt64(jobs_.tombstones().size());
   if (forecast() != nullptr) json["forecast"] = ForecastToJson(*forecast());
   json["speeds"]["spread"] = speeds_.Spread();
   json["speeds"]["measured"] = speeds_.measured_runners();
--- a/src/emulator/emulated_callers.cc
+++ b/src/emulator/emulated_callers.cc
@@ -74,29 +74,59 @@
   return spec.id;
 }
 
-void EmulatedSystem::SendSubmit(const JobId& job) {
+JobId EmulatedSystem::SubmitOnce(int node, dispatch::JobSpec spec,
+                                 std::vector<TaskTruth> truths) {
+  spec.id = JobId(absl::StrFormat("%016x", ++last_job_));
+  oracle_.Watch(spec, std::move(truths));
+  SubmitAgain(node, spec.id);
+  return spec.id;
+}
+
+void EmulatedSystem::SubmitAgain(int node, const JobId& job) {
+  SendCallTo(node, MakeJobCall(dispatch::CallKind::kSubmit, job),
+             [this, job](const dispatch::RespondToCall* answer) {
+               RecordSubmitted(job, answer);
+             });
+}
+
+dispatch::CallReceived EmulatedSystem::MakeJobCall(dispatch::CallKind kind,
+                                                   const JobId& job) const {
+  const JobWatch& watch = oracle_.jobs().at(job);
   dispatch::CallReceived call;
-  call.kind = dispatch::CallKind::kSubmit;
-  const JobWatch& watch = *oracle_.Find(job);
-  call.path = absl::StrCat(PrefixOf(oracle_.Find(job)->spec.policy.priority),
-                           job.value());
+  call.kind = kind;
+  call.path = absl::StrCat(PrefixOf(watch.spec.policy.priority), job.value());
+  if (kind != dispatch::CallKind::kSubmit) return call;
   call.spec = watch.spec;
   const WorkspaceId& workspace = watch.spec.workspace;
   if (!workspace.value().empty()) call.key = KeyOf(workspace);
-  SendCall(call, [this, job](const dispatch::RespondToCall* answer) {
-    JobWatch& submitted = *oracle_.Find(job);
-    if (answer != nullptr && answer->result == CallResult::kDone) {
-      submitted.accepted = true;
-      submitted.may_be_accepted = true;
-      return;
-    }
-    const bool refused =
-        answer != nullptr && (answer->result == CallResult::kNotAccepted ||
-                              answer->result == CallResult::kPastUse ||
-                              answer->result == CallResult::kNeverServable);
-    if (!refused) submitted.may_be_accepted = true;
-    RunAt(now_ + kCallerRetry, [this, job] { SendSubmit(job); });
-  });
+  return call;
+}
+
+bool EmulatedSystem::RecordSubmitted(const JobId& job,
+                                     const dispatch::RespondToCall* answer) {
+  JobWatch& submitted = *oracle_.Find(job);
+  if (answer != nullptr && answer->result == CallResult::kDone) {
+    submitted.accepted = true;
+    submitted.may_be_accepted = true;
+    return true;
+  }
+  const bool refused =
+      answer != nullptr && (answer->result == CallResult::kNotAccepted ||
+                            answer->result == CallResult::kPastUse ||
+                            answer->result == CallResult::kCancelled ||
+                            answer->result == CallResult::kNeverServable);
+  if (!refused) submitted.may_be_accepted = true;
+  return false;
+}
+
+void EmulatedSystem::SendSubmit(const JobId& job) {
+  SendCall(MakeJobCall(dispatch::CallKind::kSubmit, job),
+           [this, job](const dispatch::RespondToCall* answer) {
+             if (RecordSubmitted(job, answer)) return;
+             RunAt(now_ + kCallerRetry, [this, job] {
+               if (!oracle_.Find(job)->given_up) SendSubmit(job);
+             });
+           });
 }
 
 void EmulatedSystem::Cancel(const JobId& job) {
@@ -104,22 +134,42 @@
   SendCancel(job);
 }
 
+void EmulatedSystem::GiveUp(const JobId& job) {
+  oracle_.Find(job)->given_up = true;
+  Cancel(job);
+}
+
+std::optional<CallResult> EmulatedSystem::CancelAt(int node, const JobId& job) {
+  oracle_.Find(job)->cancel_sent = true;
+  std::optional<CallResult> result;
+  bool ended = false;
+  SendCallTo(node, MakeJobCall(dispatch::CallKind::kCancel, job),
+             [&](const dispatch::RespondToCall* answer) {
+               ended = true;
+               if (answer != nullptr) result = answer->result;
+               RecordCancelled(job, answer);
+             });
+  while (!ended) Run(Duration(10));
+  return result;
+}
+
+bool EmulatedSystem::RecordCancelled(const JobId& job,
+                                     const dispatch::RespondToCall* answer) {
+  if (answer == nullptr) return false;
+  const bool unknown = answer->result == CallResult::kUnknownJob;
+  if (answer->result != CallResult::kDone && !unknown) return false;
+  Trace(absl::StrCat("cancelled ", job.value(), unknown ? ", not stored" : ""));
+  oracle_.RecordCancellation(job, now_);
+  if (unknown) oracle_.RecordCancelledBeforeStored(job);
+  return true;
+}
+
 void EmulatedSystem::SendCancel(const JobId& job) {
-  dispatch::CallReceived call;
-  call.kind = dispatch::CallKind::kCancel;
-  call.path = absl::StrCat(PrefixOf(oracle_.Find(job)->spec.policy.priority),
-                           job.value());
-  SendCall(call, [this, job](const dispatch::RespondToCall* answer) {
-    const bool acknowledged =
-        answer != nullptr && (answer->result == CallResult::kDone ||
-                              answer->result == CallResult::kUnknownJob);
-    if (acknowledged) {
-      Trace(absl::StrCat("cancelled ", job.value()));
-      oracle_.RecordCancellation(job, now_);
-      return;
-    }
-    RunAt(now_ + kCallerRetry, [this, job] { SendCancel(job); });
-  });
+  SendCall(MakeJobCall(dispatch::CallKind::kCancel, job),
+           [this, job](const dispatch::RespondToCall* answer) {
+             if (RecordCancelled(job, answer)) return;
+             RunAt(now_ + kCallerRetry, [this, job] { SendCancel(job); });
+           });
 }
 
 std::int64_t EmulatedSystem::CountWaitingJobs() {
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -21,6 +21,9 @@
 constexpr Duration kWatchInterval{20};
 // The store refuses a transaction if its partition has more queued work.
 constexpr Duration kMaxPartitionQueue{1000};
+// When a late write is carried out.
+constexpr Duration kMinLateWrite{1000};
+constexpr Duration kMaxLateWrite{6000};
 
 }  // namespace
 
@@ -186,6 +189,10 @@
   }
   free_at = free_at + options_.transaction_time * faults_.store_slowness;
   const Duration queued = free_at - now_;
+  if (Happens(faults_.store_writes_late)) {
+    CommitLate(node, commit, lost);
+    return;
+  }
   CallStore<dispatch::CommitCompleted>(
       node, commit.timeout,
       [this, commit] {
@@ -196,6 +203,19 @@
       lost, queued);
 }
 
+void EmulatedSystem::CommitLate(int node, const dispatch::CommitRows& commit,
+                                const dispatch::CommitCompleted& lost) {
+  const double fraction = RandomFraction();
+  const auto span = static_cast<double>((kMaxLateWrite - kMinLateWrite).ms());
+  const Duration late =
+      kMinLateWrite + Duration(static_cast<std::int64_t>(fraction * span));
+  RunAt(now_ + late, [this, commit] { store_.Commit(commit.transaction); });
+  RunAt(now_ + commit.timeout,
+        [this, node, incarnation = processes_[node].incarnation, lost] {
+          Deliver(node, incarnation, lost);
+        });
+}
+
 void EmulatedSystem::Perform(int node, const dispatch::ReadRows& read) {
   ++reads_[read.lane].calls;
   dispatch::ReadCompleted lost;
--- a/src/emulator/emulated_oracle.cc
+++ b/src/emulator/emulated_oracle.cc
@@ -40,8 +40,9 @@
 
 bool Faults::none() const {
   const bool store = store_down || store_answers_lost > 0 ||
-                     store_slowness > 1 || !nodes_without_store.empty() ||
-                     !refused_nodes.empty() || !partitions_down.empty();
+                     store_writes_late > 0 || store_slowness > 1 ||
+                     !nodes_without_store.empty() || !refused_nodes.empty() ||
+                     !partitions_down.empty();
   const bool runners = orders_lost > 0 || polls_lost > 0 ||
                        starts_repeated > 0 || polls_late > 0 ||
                        !unreachable_runners.empty() ||
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -89,6 +89,9 @@
   /// Probability that the response to a call is lost after the call took
   /// effect. An order without a response takes effect within `late_order`.
   double store_answers_lost = 0;
+  /// Probability that a write gets no response and is carried out late, if its
+  /// conditions hold then.
+  double store_writes_late = 0;
   double orders_lost = 0;
   /// Probability that a poll never arrives.
   double polls_lost = 0;
@@ -159,8 +162,20 @@
   /// is accepted. Without a workspace in `spec`, the caller is of the workspace
   /// with a guarantee.
   JobId Submit(dispatch::JobSpec spec, std::vector<TaskTruth> truths);
+  /// Submits a job at this node once, without retries.
+  JobId SubmitOnce(int node, dispatch::JobSpec spec,
+                   std::vector<TaskTruth> truths);
+  /// Sends the submit of a job again, once.
+  void SubmitAgain(int node, const JobId& job);
   /// Cancels a job at a random node, and retries until that is acknowledged.
   void Cancel(const JobId& job);
+  /// Stops submitting a job and cancels it, whether or not it was accepted.
+  void GiveUp(const JobId& job);
+  /// Cancels a job at this node once, and returns the result; nothing if there
+  /// is no response in time.
+  std::optional<dispatch::CallResult> CancelAt(int node, const JobId& job);
+  /// The job may start again: its caller submits it anew.
+  void ForgetCancellation(const JobId& job) { oracle_.ForgetCancellation(job); }
   /// Number of waiting jobs in the ordinary queue as a node reports it; -1 if
   /// there is no response.
   std::int64_t CountWaitingJobs();
@@ -338,6 +353,9 @@
   void Reduce(int node, dispatch::EventBody body);
   // Performs an effect of a node.
   void Perform(int node, const dispatch::CommitRows& commit);
+  /// The write gets no response and is carried out late.
+  void CommitLate(int node, const dispatch::CommitRows& commit,
+                  const dispatch::CommitCompleted& lost);
   void Perform(int node, const dispatch::ReadRows& read);
   void Perform(int node, const dispatch::AwaitChanges& request);
   void Perform(int node, const dispatch::ReadCatalog&);
@@ -426,6 +444,13 @@
                    const dispatch::IncarnationId& runner);
   void HandleResponse(const dispatch::RespondToCall& answer);
   void SendSubmit(const JobId& job);
+  /// The call that submits or cancels a job.
+  dispatch::CallReceived MakeJobCall(dispatch::CallKind kind,
+                                     const JobId& job) const;
+  /// Records the response to a submit. Returns true if it was accepted.
+  bool RecordSubmitted(const JobId& job, const dispatch::RespondToCall* answer);
+  /// Records the response to a cancel. Returns true if it was acknowledged.
+  bool RecordCancelled(const JobId& job, const dispatch::RespondToCall* answer);
   void SendCancel(const JobId& job);
   /// `done` gets null if there is no response in time.
   using CallDone = std::function<void(const dispatch::RespondToCall*)>;
--- a/src/emulator/promise_oracle.cc
+++ b/src/emulator/promise_oracle.cc
@@ -166,6 +166,13 @@
 }
 
 void PromiseOracle::CheckStartAfterCancel(const RunName& run, TimePoint now) {
+  const JobWatch* watch = Find(run.task.job);
+  if (watch != nullptr && watch->cancelled_before_stored) {
+    Violate(absl::StrCat("start of ", ToString(run.task), " run ", run.number,
+                         " although its job was cancelled before it was "
+                         "stored"));
+    return;
+  }
   const std::optional<Duration> undisturbed =
       UndisturbedTimeSinceCancel(run, now);
   if (!undisturbed.has_value() || *undisturbed <= cancel_.notice) return;
--- a/src/emulator/promise_oracle.h
+++ b/src/emulator/promise_oracle.h
@@ -42,6 +42,11 @@
   /// job may run.
   bool may_be_accepted = false;
   bool cancel_sent = false;
+  /// The caller does not submit the job again.
+  bool given_up = false;
+  /// The caller was told that the job is not stored when it cancelled it. No
+  /// task may start from then on, unless the job is submitted anew later.
+  bool cancelled_before_stored = false;
   /// When the cancellation was first acknowledged to a caller.
   std::optional<TimePoint> cancelled_at;
   /// Per task, the starts that runners executed and the highest run number of
@@ -79,7 +84,9 @@
 /// - a task that has crashed several runners is not restarted indefinitely;
 /// - these two and the one about done runs hold for all tasks but those of
 ///   long-running steps, which start again until their job is cancelled;
-/// - the tasks of a cancelled job stop within `CancelBounds`.
+/// - the tasks of a cancelled job stop within `CancelBounds`;
+/// - no task starts once its job's cancellation was acknowledged while the job
+///   was not stored, whatever faults there are.
 ///
 /// Thread safety: none; callers lock.
 class PromiseOracle {
@@ -123,6 +130,15 @@
   void RecordUnreportedEnds(const std::vector<dispatch::ReportedEnd>& ends);
   /// The cancellation of a job was acknowledged to a caller.
   void RecordCancellation(const JobId& job, TimePoint now);
+  /// A cancellation was acknowledged for a job that is not stored.
+  void RecordCancelledBeforeStored(const JobId& job) {
+    Find(job)->cancelled_before_stored = true;
+  }
+  /// The caller submits a job anew, long after its cancellation.
+  void ForgetCancellation(const JobId& job) {
+    Find(job)->cancelled_before_stored = false;
+    Find(job)->cancelled_at.reset();
+  }
   /// A fault starts, is active or ends.
   void RecordFault(TimePoint now) { last_fault_ = now; }
   /// A runner receives no orders. Its runs cannot be stopped, but that does not
