Start nothing while the scheduler's view of the jobs is outdated

Cause: a scheduler with 1,100 runners that gets too little processor time handles the changes of the job table seconds late, and starts tasks of jobs whose cancel it has not read.

Change: the registry of jobs knows up to when all changes are applied: the time at which the last answered watch was sent. While that is over 2.5 s ago, below the 3 s that callers rely on, no pass plans and no waiting start is sent (LL969); stops, polls and renewals go on. Numbers of waiting jobs are written meanwhile too. A scheduler that stood still is covered by the same rule.

--- a/soak/node_client.cc
+++ b/soak/node_client.cc
@@ -48,7 +48,7 @@
 NodeReply NodeClient::Call(NodeProcess* node, const std::string& method,
                            const std::string& path, const std::string& body,
                            const std::string& key) {
-  const NodeReply reply = Send(node, method, path, body, key, kCallTimeout);
+  NodeReply reply = Send(node, method, path, body, key, kCallTimeout);
   if (reply.http.outcome == HttpOutcome::kLost) {
     CheckCut(node, reply.sent_at, absl::StrCat(method, " ", path));
   }
--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -264,6 +264,9 @@
       {LogId::kTombstonesNotRemoved, kWarning, "tombstones_not_removed",
        "Tombstones of jobs that were cancelled before they were stored could "
        "not be removed; they are tried again."},
+      {LogId::kJobsOutdated, kWarning, "jobs_outdated",
+       "The scheduler has not handled an answer of the store about jobs for "
+       "`age_ms`, and starts nothing until it does."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -120,6 +120,7 @@
   kCallInDoubt = 966,
   kRunsHeld = 967,
   kTombstonesNotRemoved = 968,
+  kJobsOutdated = 969,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/job_registry.cc
+++ b/src/dispatch/job_registry.cc
@@ -73,6 +73,7 @@
 void JobRegistry::Watch(Context& ctx) {
   watch_in_flight_ = true;
   watch_from_ = revision_;
+  watch_sent_at_ = ctx.now();
   watch_ticket_ = ctx.NewTicket();
   const Duration timeout =
       options_.watch_wait + store_timeout_->For(unanswered_watches_);
@@ -90,7 +91,10 @@
   const bool waited =
       stage_ == Stage::kReadJobs && !partitions_read_.empty() &&
       ctx.now() - job_read_started_at_ >= options_.partition_timeout;
-  loaded_ = loaded_ || waited;
+  if (waited && !loaded_) {
+    loaded_ = true;
+    current_at_ = job_read_started_at_;
+  }
   const bool watches =
       CanWatch() && !watch_in_flight_ && ctx.now() >= watch_at_;
   if (watches) Watch(ctx);
@@ -145,6 +149,7 @@
     return;
   }
   loaded_ = true;
+  current_at_ = std::max(current_at_, job_read_started_at_);
   tombstones_.EndReload();
   for (const auto& [id, progress] : progress_) {
     if (!progress.row.empty()) orphans_.push_back(id.value());
@@ -186,6 +191,7 @@
     return changed;
   }
   unanswered_watches_ = 0;
+  current_at_ = std::max(current_at_, watch_sent_at_);
   for (const Row& row : answer.rows) {
     if (row.removed) {
       ApplyRemoval(row.key);
--- a/src/dispatch/job_registry.h
+++ b/src/dispatch/job_registry.h
@@ -34,6 +34,10 @@
   /// a few reads of a healthy store, and less than what remains of the runs'
   /// leases after a take-over.
   Duration partition_timeout{700};
+  /// The jobs are outdated if no answer of the store to a later request was
+  /// handled for this long. Callers rely on it that nothing of a job starts 3 s
+  /// after its cancellation was acknowledged.
+  Duration max_age{2500};
   /// Rows per read; the store's own limit.
   int page_rows = 500;
 };
@@ -65,6 +69,15 @@
     return partitions_read_.size() == kJobPartitions;
   }
 
+  /// Returns true if all changes up to a short time before `now` have been
+  /// applied. While it returns false, nothing must be started: jobs may have
+  /// been cancelled.
+  bool IsCurrent(TimePoint now) const {
+    return loaded_ && now - current_at_ <= options_.max_age;
+  }
+  /// All changes up to this time have been applied.
+  TimePoint current_at() const { return current_at_; }
+
   bool Owns(Ticket ticket) const;
   /// Handles the response to one of this registry's calls (`Owns`). Returns the
   /// jobs that are new or whose cancellation was requested.
@@ -147,11 +160,13 @@
   // The watch call.
   bool watch_in_flight_ = false;
   Ticket watch_ticket_;
+  TimePoint watch_sent_at_;
   /// Revision from which the watch call in flight started.
   Revision watch_from_;
   TimePoint watch_at_;
   /// Consecutive watch calls without a response.
   int unanswered_watches_ = 0;
+  TimePoint current_at_;
   /// Changes after this revision have not been seen.
   Revision revision_;
   std::vector<std::string> orphans_;
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -282,6 +282,8 @@
   fleet_.RemoveGone(ctx);
   DropSpeedsOfGoneRunners(ctx);
   if (releasing_) return;
+  // No planning pass writes them.
+  if (jobs_.loaded() && !MayPlan()) WriteWaitingCounts(ctx);
   cleaner_.Work(ctx, &jobs_, &writer_);
   tombstone_cleaner_.Work(ctx, jobs_.tombstones());
   if (options_.runner_speeds == RunnerSpeedUse::kOff) return;
@@ -289,10 +291,26 @@
 }
 
 bool Scheduler::MayPlan() const {
-  return jobs_.loaded() && !releasing_ && !catalog_is_behind_ &&
+  return jobs_are_current_ && !releasing_ && !catalog_is_behind_ &&
          writer_.store_answers();
 }
 
+void Scheduler::UpdateJobsCurrent(Context& ctx) {
+  const bool current = jobs_.IsCurrent(ctx.now());
+  if (current == jobs_are_current_) return;
+  jobs_are_current_ = current;
+  const bool was_loaded = jobs_.current_at() > TimePoint();
+  if (!current && was_loaded) {
+    ctx.Log(LogId::kJobsOutdated,
+            {{"age_ms", std::to_string((ctx.now() - jobs_.current_at()).ms())},
+             {"epoch", std::to_string(epoch().value())}});
+  }
+  if (!current) return;
+  for (const auto& [id, runner] : fleet_.runners()) {
+    if (!runner->waiting_starts.empty()) orders_due_.insert(id);
+  }
+}
+
 bool Scheduler::IsPassDue(TimePoint now) const {
   if (!MayPlan() || now < next_pass_at_) return false;
   return plan_due_ || now >= planner_.next_at() ||
@@ -355,6 +373,7 @@
   // Inherited runs can only be matched with runners once the list of runners
   // was read.
   if (fleet_.listed_once()) jobs_.Work(ctx);
+  UpdateJobsCurrent(ctx);
   if (options_.runner_speeds != RunnerSpeedUse::kOff) speed_keeper_.Read(ctx);
   const bool may_renew = MayRenewLeases(ctx.now());
   RunPeriodicChecks(ctx);
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -266,6 +266,9 @@
   // Planning and orders.
   /// True if a planning pass is possible now.
   bool MayPlan() const;
+  /// Notes whether the jobs are current. When they become so, waiting starts
+  /// are due.
+  void UpdateJobsCurrent(Context& ctx);
   /// True if a planning pass is due and possible now.
   bool IsPassDue(TimePoint now) const;
   /// Runs the planner and applies its decisions.
@@ -604,6 +607,8 @@
   Planner planner_;
   const Catalog* catalog_ = nullptr;
   bool catalog_is_behind_ = false;
+  /// Whether the jobs that have been read are current (`JobRegistry`).
+  bool jobs_are_current_ = false;
   /// Runners that may have an order to send or a queued start to drop.
   std::set<RunnerId> orders_due_;
   std::int64_t nodes_ = 0;
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -97,7 +97,8 @@
   while (DropStaleStarts(ctx, runner)) {
   }
   if (runner->order_in_flight || SendNextStop(ctx, runner)) return;
-  if (runner->waiting_starts.empty()) return;
+  // The jobs of waiting starts may have been cancelled.
+  if (runner->waiting_starts.empty() || !jobs_are_current_) return;
   const auto [name, number] = runner->waiting_starts.front();
   runner->waiting_starts.pop_front();
   SendStart(ctx, runner, name, runner->FindRun(name, number));
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -261,9 +261,10 @@
     });
     return;
   }
-  RunAt(now_ + options_.network, [this, node, incarnation, answer] {
-    Deliver(node, incarnation, answer);
-  });
+  RunAt(now_ + options_.network + faults_.watch_delay,
+        [this, node, incarnation, answer] {
+          Deliver(node, incarnation, answer);
+        });
 }
 
 // The list of runners.
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -103,6 +103,9 @@
   double starts_repeated = 0;
   /// Probability that a poll gets no response and is executed late.
   double polls_late = 0;
+  /// Delay of the answers to watches of tables: a node that has more to do than
+  /// it can handles them late. `none` does not count it as a fault.
+  Duration watch_delay;
   /// Factor by which store calls take longer.
   int store_slowness = 1;
   std::set<int> nodes_without_store;
