--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -126,7 +126,7 @@
   kInvalidTicket,
   /// Rejected: the order is malformed, or the reason given is unknown.
   kInvalid,
-  /// The runner responded with another error and did nothing.
+  /// The runner responded that it is busy or unhealthy, and did nothing.
   kUnhealthy,
   /// Another incarnation of the runner responded.
   kOtherIncarnation,
--- a/test/runner-client-test.cc
+++ b/test/runner-client-test.cc
@@ -80,6 +80,24 @@
   CHECK(Start() == OrderOutcome::kLost);
 }
 
+// Guards against a task that runs twice: a runner that answers with a status of
+// which nothing is promised may have carried the start out.
+TEST(RunnerClient, StartWithAnUnknownStatusCountsAsLost) {
+  calls = 1;
+  for (const int status : {500, 502, 504}) {
+    second_status = status;
+    CHECK(Start() == OrderOutcome::kLost);
+  }
+}
+
+TEST(RunnerClient, RunnerThatSaysThatItIsBusyCarriedNothingOut) {
+  calls = 1;
+  for (const int status : {429, 503}) {
+    second_status = status;
+    CHECK(Start() == OrderOutcome::kUnhealthy);
+  }
+}
+
 // The scheduler checks a start just before it is sent. If the process is paused
 // or the event loop is delayed after that, the job may have been cancelled in
 // the meantime, and a late start would run it all the same.
