Send stored starts during an outage of the store as before

Cause: the bound counted the time of the outage, in which no cancel can be acknowledged, so that the jobs cannot be outdated by it.

Change: the age counts from the end of an outage if that is later. A watch of outdated jobs does not wait for a change, so that its answer shows at once that there was none. TakeOver.PartitionedSchedulerSendsNoStartsOnceItRenewsNoLeases is as it was before, and guards against this.

--- a/src/dispatch/job_registry.cc
+++ b/src/dispatch/job_registry.cc
@@ -75,10 +75,11 @@
   watch_from_ = revision_;
   watch_sent_at_ = ctx.now();
   watch_ticket_ = ctx.NewTicket();
-  const Duration timeout =
-      options_.watch_wait + store_timeout_->For(unanswered_watches_);
-  ctx.Emit(AwaitChanges{watch_ticket_, kJobTable, revision_,
-                        options_.watch_wait, timeout});
+  // What changed long ago is wanted at once, even if nothing did.
+  const bool outdated = ctx.now() - current_at_ > options_.max_age;
+  const Duration wait = outdated ? Duration(0) : options_.watch_wait;
+  const Duration timeout = wait + store_timeout_->For(unanswered_watches_);
+  ctx.Emit(AwaitChanges{watch_ticket_, kJobTable, revision_, wait, timeout});
 }
 
 void JobRegistry::Work(Context& ctx) {
--- a/src/dispatch/job_registry.h
+++ b/src/dispatch/job_registry.h
@@ -8,6 +8,7 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_JOB_REGISTRY_H_
 #define LIMELEDGE_SRC_DISPATCH_JOB_REGISTRY_H_
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -70,10 +71,12 @@
   }
 
   /// Returns true if all changes up to a short time before `now` have been
-  /// applied. While it returns false, nothing must be started: jobs may have
-  /// been cancelled.
-  bool IsCurrent(TimePoint now) const {
-    return loaded_ && now - current_at_ <= options_.max_age;
+  /// applied, as far as there are any: the store was unavailable until
+  /// `available_since`, or is available for longer. While it returns false,
+  /// nothing must be started: jobs may have been cancelled.
+  bool IsCurrent(TimePoint now, TimePoint available_since) const {
+    const TimePoint unseen_since = std::max(current_at_, available_since);
+    return loaded_ && now - unseen_since <= options_.max_age;
   }
   /// All changes up to this time have been applied.
   TimePoint current_at() const { return current_at_; }
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -296,7 +296,8 @@
 }
 
 void Scheduler::UpdateJobsCurrent(Context& ctx) {
-  const bool current = jobs_.IsCurrent(ctx.now());
+  if (!writer_.store_answers()) store_available_since_ = ctx.now();
+  const bool current = jobs_.IsCurrent(ctx.now(), store_available_since_);
   if (current == jobs_are_current_) return;
   jobs_are_current_ = current;
   const bool was_loaded = jobs_.current_at() > TimePoint();
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -607,6 +607,8 @@
   Planner planner_;
   const Catalog* catalog_ = nullptr;
   bool catalog_is_behind_ = false;
+  /// When the store was last unavailable to this scheduler.
+  TimePoint store_available_since_;
   /// Whether the jobs that have been read are current (`JobRegistry`).
   bool jobs_are_current_ = false;
   /// Runners that may have an order to send or a queued start to drop.
