Do not take a busy runner's answer for the end of a predecessor's lease

What callers would see: a task that runs twice at a time (TWICE), after a take-over during which its runner answers the new scheduler's stop with 429 or 503 and is then cut off together with the previous scheduler. It needs runners that do not say when they started.

Cause: any answer to an order that carried the runner's clock counted as the runner's first answer to this scheduler. From then on the lease of the previous scheduler was taken to last 5.3 s, since the runner rejects older fencing tokens. A busy runner has done nothing, so it need not have noted the token, and the previous scheduler renews for up to 10 s.

Change: a busy answer, and one that counts as no answer, is no contact.

Evidence: the emulator gets runners that are busy or do not say when they started. PartitionedRunner.ThatWasBusyAfterATakeOverKeepsItsRun failed before with two runs at a time, 6.4 s after the take-over, and passes.

--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -362,8 +362,10 @@
   /// Records that this incarnation of the runner answered.
   void RecordContact(Context& ctx, Runner* runner, std::int64_t clock_ms);
   /// Like `RecordContact`, for the answer to an order. Such an answer does not
-  /// name the incarnation that gave it.
-  void RecordOrderContact(Context& ctx, Runner* runner, std::int64_t clock_ms);
+  /// name the incarnation that gave it. Does nothing if the runner may have
+  /// ignored the order.
+  void RecordOrderContact(Context& ctx, Runner* runner, OrderOutcome outcome,
+                          std::int64_t clock_ms);
   /// The start time in the current list entry of the incarnation's runner.
   StartTime ListedStartTime(const IncarnationId& incarnation) const;
 
--- a/src/dispatch/scheduler_losses.cc
+++ b/src/dispatch/scheduler_losses.cc
@@ -256,8 +256,13 @@
 }
 
 void Scheduler::RecordOrderContact(Context& ctx, Runner* runner,
+                                   OrderOutcome outcome,
                                    std::int64_t clock_ms) {
   if (IsReported(runner->incarnation().start_time) || clock_ms <= 0) return;
+  // The runner may not have taken note of the order's fencing token, so that
+  // the previous scheduler may still renew its lease.
+  const bool did_nothing = outcome == OrderOutcome::kUnhealthy;
+  if (did_nothing || outcome == OrderOutcome::kLost) return;
   RecordContact(ctx, runner, clock_ms);
 }
 
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -101,7 +101,7 @@
   Runner* runner = fleet_.Find(answer.asked);
   if (runner == nullptr) return LeaseStatus::kHeld;
   RecordOrderAnswered(runner);
-  RecordOrderContact(ctx, runner, answer.clock_ms);
+  RecordOrderContact(ctx, runner, answer.outcome, answer.clock_ms);
   plan_due_ = true;
   Run* run = runner->FindRun(answer.task, answer.run);
   if (run == nullptr) return LeaseStatus::kHeld;
@@ -179,7 +179,7 @@
   Runner* runner = fleet_.Find(answer.asked);
   if (runner == nullptr) return LeaseStatus::kHeld;
   RecordOrderAnswered(runner);
-  RecordOrderContact(ctx, runner, answer.clock_ms);
+  RecordOrderContact(ctx, runner, answer.outcome, answer.clock_ms);
   if (answer.outcome == OrderOutcome::kOtherIncarnation) {
     EndAllRuns(ctx, runner, "another incarnation answers at its address");
     return LeaseStatus::kHeld;
--- a/src/emulator/emulated_oracle.cc
+++ b/src/emulator/emulated_oracle.cc
@@ -46,7 +46,8 @@
   const bool runners = orders_lost > 0 || polls_lost > 0 ||
                        starts_repeated > 0 || polls_late > 0 ||
                        !unreachable_runners.empty() ||
-                       !refusing_runners.empty() || !unlisted_runners.empty();
+                       !refusing_runners.empty() || !busy_runners.empty() ||
+                       !unlisted_runners.empty();
   return !store && !runners;
 }
 
--- a/src/emulator/emulated_orders.cc
+++ b/src/emulator/emulated_orders.cc
@@ -147,6 +147,13 @@
     });
     return;
   }
+  if (faults_.busy_runners.count(current.runner) != 0) {
+    answer.outcome = OrderOutcome::kUnhealthy;
+    RunAt(now_ + options_.network, [this, node, incarnation, answer] {
+      Deliver(node, incarnation, answer);
+    });
+    return;
+  }
   // The poll renews the lease when it arrives, not when it is answered.
   answer = runner->Poll(poll);
   oracle_.RecordUnreportedEnds(runner->TakeUnreportedEnds());
@@ -233,7 +240,12 @@
     const auto at = runner_at_.find(address);
     *responded = at != runner_at_.end() && Responds(recipient.runner) &&
                  Responds(at->second) && !IsSeparated(node, recipient.runner);
-    if (*responded) body = handler(FindRunner(at->second), sent_at);
+    if (*responded && faults_.busy_runners.count(at->second) != 0) {
+      body.outcome = OrderOutcome::kUnhealthy;
+      body.clock_ms = FindRunner(at->second)->clock_ms();
+    } else if (*responded) {
+      body = handler(FindRunner(at->second), sent_at);
+    }
     body.asked = recipient;
     return body;
   };
--- a/src/emulator/emulated_runner.h
+++ b/src/emulator/emulated_runner.h
@@ -136,6 +136,9 @@
   /// in core-milliseconds.
   double UnsavedWorkExcept(const dispatch::TaskName& name) const;
 
+  /// The runner's clock now.
+  std::int64_t clock_ms() const;
+
   /// Calls `visit` for each active run.
   void ForEachRun(
       const std::function<void(const dispatch::TaskName&, int)>& visit) const;
@@ -159,7 +162,6 @@
     TimePoint stops_at;
   };
 
-  std::int64_t clock_ms() const;
   /// Factor by which the work of this run takes longer at present.
   double PaceOf(const dispatch::TaskName& name, const ActiveRun& run) const;
   bool AcceptsToken(const dispatch::FencingToken& token);
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -236,9 +236,11 @@
   dispatch::RunnerInfo info;
   const int id_incarnation = options_.keeps_ids ? 1 : incarnation;
   info.id = RunnerId(absl::StrCat("i-", index, "-", id_incarnation));
-  info.start_time =
-      dispatch::StartTime(kWallClockStart + now_.ms() +
-                          options_.start_time_skew.ms() * (incarnation - 1));
+  if (options_.reports_start_times) {
+    info.start_time =
+        dispatch::StartTime(kWallClockStart + now_.ms() +
+                            options_.start_time_skew.ms() * (incarnation - 1));
+  }
   info.service = dispatch::ServiceId("compute");
   info.address = absl::StrCat("10.0.0.", index, ":80");
   info.room = options_.room;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -81,6 +81,8 @@
   bool keeps_ids = false;
   Duration entry_lag;
   Duration start_time_skew;
+  /// Runners say when they started.
+  bool reports_start_times = true;
 };
 
 /// Faults that are injected at the moment.
@@ -120,6 +122,8 @@
   /// Runners that receive and answer nothing although the network is sound.
   /// They do not excuse a node that keeps starting tasks there.
   std::set<RunnerId> mute_runners;
+  /// Runners that answer every call as busy, and do nothing.
+  std::set<RunnerId> busy_runners;
   /// Time that a runner takes to answer an order, in addition to the network
   /// delay. `none` does not count it as a fault.
   Duration order_time;
--- a/test/partitioned-runner-test.cc
+++ b/test/partitioned-runner-test.cc
@@ -5,6 +5,7 @@
 // SPDX-License-Identifier: MIT
 
 #include "scheduler-fixture.h"
+#include "simulation-settings.h"
 
 namespace limeledge::emulator {
 
@@ -66,4 +67,39 @@
   CheckNoViolation();
 }
 
+// Guards against a task that runs twice because a new scheduler takes a busy
+// runner's answer for a sign that the previous scheduler can no longer renew
+// its lease: such a runner has done nothing, and goes on obeying that one.
+TEST(PartitionedRunner, ThatWasBusyAfterATakeOverKeepsItsRun) {
+  SystemOptions options;
+  options.runners = 2;
+  options.reports_start_times = false;
+  EmulatedSystem pair(options);
+  TraceIfRequested(&pair);
+  pair.Run(Duration(3000));
+  const dispatch::StepSpec step = Step(1, 4, Duration(30000));
+  const JobId job = SubmitTo(&pair, step);
+  const JobId others[] = {SubmitTo(&pair, step), SubmitTo(&pair, step),
+                          SubmitTo(&pair, step)};
+  pair.Run(Duration(1000));
+  const RunnerId runner = RunnerOf(&pair, job);
+  const int first = pair.leader();
+  Faults partition;
+  partition.nodes_without_store.insert(first);
+  partition.partitioned_nodes.insert(first);
+  partition.partitioned_runners.insert(runner);
+  pair.faults() = partition;
+  for (const JobId& other : others) pair.Cancel(other);
+  pair.Run(Duration(1000));
+  // The next scheduler stops a run of a cancelled job on the runner.
+  pair.faults().partitioned_runners.clear();
+  pair.faults().busy_runners.insert(runner);
+  pair.Run(Duration(500));
+  CHECK_TRUE(pair.newest_leader() != first);
+  pair.faults() = partition;
+  pair.Run(Duration(9000));
+  LONGS_EQUAL(1, pair.jobs().at(job).starts.begin()->second);
+  for (const std::string& error : pair.violations()) FAIL(error.c_str());
+}
+
 }  // namespace limeledge::emulator
--- a/test/scheduler-fixture.h
+++ b/test/scheduler-fixture.h
@@ -62,10 +62,12 @@
   }
 
   /// A runner on which a task of the job runs; empty if there is none.
-  RunnerId RunnerOf(const JobId& job) {
+  RunnerId RunnerOf(const JobId& job) { return RunnerOf(&system, job); }
+  /// Like `RunnerOf`, of another system.
+  static RunnerId RunnerOf(EmulatedSystem* other, const JobId& job) {
     RunnerId found;
-    for (const RunnerId& id : system.RunnerIds()) {
-      system.FindRunner(id)->ForEachRun(
+    for (const RunnerId& id : other->RunnerIds()) {
+      other->FindRunner(id)->ForEachRun(
           [&](const dispatch::TaskName& name, int) {
             if (name.job == job) found = id;
           });
