Let the next incarnation of a runner hold a predecessor's lease

What callers would see: a task that runs twice at a time (TWICE), if a runner restarts under its id around a take-over, answers the new scheduler once, and is then cut off together with the previous scheduler.

Cause: what is assumed of the previous scheduler's leases was kept for the incarnation that was known at the take-over, and dropped with it. The next incarnation has seen no fencing token before its first answer, so that the previous scheduler may have renewed its lease until then.

Change: the next incarnation takes over the assumption as it was before any answer; its own first answer limits it.

Evidence: of RunnerLease, two of three tests failed before and all pass. PartitionedRunner, TakeOver, Reborn and Crash pass.

--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -132,6 +132,9 @@
   next->listed_ = listed_;
   next->unlisted_at_ = unlisted_at_;
   next->late_orders = std::move(late_orders);
+  // The next incarnation has seen no fencing token: a previous scheduler may
+  // have renewed its lease until it answers this one.
+  next->AssumePreviousLeaseUntil(assumed_lease_until_);
   // An entry that describes another incarnation is outdated.
   next->hinted_start_time = info_.start_time;
   if (next->DescribesThisIncarnation(info_) && info_.draining) {
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -245,7 +245,8 @@
       : info_(std::move(info)), incarnation_(info_.incarnation()) {}
 
   /// Creates the next incarnation under the same id. It takes over the list
-  /// entry, the incarnation count and the late orders.
+  /// entry, the incarnation count, the late orders and what is assumed of a
+  /// previous scheduler's leases.
   std::unique_ptr<Runner> Next(StartTime start_time, TimePoint now);
 
   const RunnerInfo& info() const { return info_; }
@@ -320,7 +321,10 @@
   void RecordLateGrant(TimePoint granted_at, Duration longest);
   /// Records that a previous scheduler, which the runner may still obey, may
   /// have granted a lease up to `at`.
-  void AssumePreviousLeaseUntil(TimePoint at) { previous_lease_until_ = at; }
+  void AssumePreviousLeaseUntil(TimePoint at) {
+    assumed_lease_until_ = at;
+    previous_lease_until_ = at;
+  }
   /// Shortens that bound once the runner has answered and no longer obeys the
   /// previous scheduler, whose leases lasted `longest` at most. Precondition:
   /// `heard()`.
@@ -481,6 +485,9 @@
   /// Latest expiry of leases that this scheduler granted, or that calls meant
   /// for an earlier incarnation may have granted.
   TimePoint lease_expires_at_;
+  /// Latest expiry of leases that a previous scheduler may have granted to an
+  /// incarnation that has not answered this one.
+  TimePoint assumed_lease_until_;
   /// Latest expiry of leases that a previous scheduler may have granted.
   TimePoint previous_lease_until_;
   std::set<std::int64_t> deferred_ends_;
