Await reports of gang runs that may have used up the attempts

Cause: a run on a silent runner is settled once all other members of its gang were broken, although it may have failed, which the runner may still report. That was left out only for what was the last attempt at that moment. If the next run failed too, before the report, a further one was started.

Change: a step keeps the runs that were settled so, until their runner has reported them or its leases have expired, from when on the platform ignores the end. While the attempts would be used up if each of them had failed, the gang does not start.

--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -7,9 +7,11 @@
 #include "dispatch/job.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "dispatch/context.h"
 
 namespace limeledge::dispatch {
 
@@ -240,6 +242,51 @@
   return step.tasks.size() > 1;
 }
 
+void Job::AwaitReport(const TaskName& name, int run, TimePoint now,
+                      TimePoint until) {
+  MarkStepChanged(name);
+  Step& step = occurrences_[name.occurrence].steps[name.step];
+  for (auto it = step.unreported_runs.begin();
+       it != step.unreported_runs.end();) {
+    it = it->second <= now ? step.unreported_runs.erase(it) : std::next(it);
+  }
+  step.unreported_runs[run] = until;
+}
+
+bool Job::RecordReport(const TaskName& name, int run) {
+  if (Find(name) == nullptr) return false;
+  Step& step = occurrences_[name.occurrence].steps[name.step];
+  if (step.unreported_runs.erase(run) == 0) return false;
+  MarkStepChanged(name);
+  return true;
+}
+
+void Job::LimitInheritedReports(TimePoint until) {
+  for (Occurrence& occurrence : occurrences_) {
+    for (Step& step : occurrence.steps) {
+      for (auto& [run, awaited_until] : step.unreported_runs) {
+        awaited_until = std::min(awaited_until, until);
+      }
+    }
+  }
+}
+
+TimePoint Job::MayHaveFailedUntil(const Occurrence& occurrence, int step,
+                                  TimePoint now, int max_attempts) const {
+  const Step& gang = occurrence.steps[step];
+  int may_have_failed = gang.gang_failures;
+  TimePoint first_known_at = kNever;
+  for (const auto& [run, until] : gang.unreported_runs) {
+    if (until <= now || gang.failed_runs.count(run) != 0) continue;
+    ++may_have_failed;
+    first_known_at = std::min(first_known_at, until);
+  }
+  const bool may_start = spec_.steps[step].long_running ||
+                         may_have_failed < max_attempts ||
+                         first_known_at == kNever;
+  return may_start ? now : first_known_at;
+}
+
 void Job::EndGangRun(const TaskName& name, RunEnd end,
                      const std::string& checkpoint, int max_attempts) {
   Step& step = occurrences_[name.occurrence].steps[name.step];
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -96,6 +96,10 @@
   /// Failures of runs up to this one were counted by a version that did not
   /// record their numbers.
   int failures_counted_until = 0;
+  /// Runs of the gang that may have failed although that was not reported, and
+  /// until when their runner may still report it: they were taken as over
+  /// because all other members were.
+  std::map<int, TimePoint> unreported_runs;
   /// Since when the step has been ready without interruption; the planner's
   /// waiting times count from it.
   TimePoint ready_since;
@@ -201,6 +205,20 @@
   /// would be the gang's last of `max_attempts`, since that may be how it
   /// ended.
   bool IsOverWithItsGang(const TaskName& name, int run, int max_attempts) const;
+  /// Records that this run of a gang member is taken as over with its gang. Its
+  /// runner may report until `until` that it has failed.
+  void AwaitReport(const TaskName& name, int run, TimePoint now,
+                   TimePoint until);
+  /// Records that the runner has reported how the run ended, if that was
+  /// awaited. Returns false if it was not.
+  bool RecordReport(const TaskName& name, int run);
+  /// Limits how long the reports are awaited that a predecessor waited for.
+  void LimitInheritedReports(TimePoint until);
+  /// Until when a step must not start again since its gang would have used up
+  /// its attempts if all runs whose reports are awaited have failed; `now` or
+  /// earlier if it may start.
+  TimePoint MayHaveFailedUntil(const Occurrence& occurrence, int step,
+                               TimePoint now, int max_attempts) const;
   /// Records the end of a run. Returns false and changes nothing if `run` isn't
   /// the task's current run.
   bool EndRun(const TaskName& name, int run, RunEnd end,
--- a/src/dispatch/planner_steps.cc
+++ b/src/dispatch/planner_steps.cc
@@ -128,6 +128,12 @@
   // A gang restarts only after all its earlier runs have ended.
   if (pending.spec->gang && pending.waiting.size() != step.tasks.size()) return;
   pending.policy = PolicyOf(*job, catalog_);
+  const TimePoint may_have_failed_until = job->MayHaveFailedUntil(
+      occurrence, index, now_, pending.policy.max_attempts);
+  if (may_have_failed_until > now_) {
+    WakeAt(may_have_failed_until);
+    return;
+  }
   if (MayOvercommit(pending.policy.service)) return;
   SetRank(occurrence, index, &pending);
   pending_steps_.push_back(std::move(pending));
--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -15,6 +15,7 @@
 
 #include "absl/strings/numbers.h"
 #include "codec/json.h"
+#include "dispatch/context.h"
 
 namespace limeledge::dispatch {
 
@@ -232,6 +233,20 @@
   }
 }
 
+/// Encodes which runs of a gang may be reported as failed. A successor takes
+/// each of them as awaited until `Job::LimitInheritedReports`.
+void EncodeUnreportedRuns(const Step& step, Json::Value* json) {
+  for (const auto& [run, until] : step.unreported_runs) {
+    (*json)["unreported_runs"].append(run);
+  }
+}
+
+void DecodeUnreportedRuns(const Json::Value& json, Step* step) {
+  for (const Json::Value& run : json["unreported_runs"]) {
+    step->unreported_runs[run.asInt()] = kNever;
+  }
+}
+
 /// Blocks of one step may have been stored at different times: none of the
 /// failures in them is dropped.
 void DecodeFailedRuns(const Json::Value& json, Step* step) {
@@ -263,6 +278,7 @@
   json["step"] = range.step;
   if (step.gang_failures > 0) json["failures"] = step.gang_failures;
   EncodeFailedRuns(step, &json);
+  EncodeUnreportedRuns(step, &json);
   json["tasks"] = std::move(tasks);
   return json;
 }
@@ -277,6 +293,7 @@
   if (k >= occurrences.size() || s >= occurrences[k].steps.size()) return;
   Step& step = occurrences[k].steps[s];
   DecodeFailedRuns(json, &step);
+  DecodeUnreportedRuns(json, &step);
   for (const Json::Value& task : json["tasks"]) {
     DecodeTask(task, addresses, &step);
   }
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -117,6 +117,8 @@
 }
 
 void Scheduler::InheritRuns(Context& ctx, Job* job) {
+  job->LimitInheritedReports(ctx.now() +
+                             options_.fleet.previous_scheduler_lease);
   std::set<Runner*> ended_runners;
   for (std::size_t k = 0; k < job->occurrences().size(); ++k) {
     std::vector<Step>& steps = job->occurrences()[k].steps;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -441,6 +441,8 @@
   void Unblock(const TaskName& name);
   /// Counts the failure of a run that was presumed over.
   void CountLateFailure(Context& ctx, const ReportedEnd& end);
+  /// Records that the end of a run was reported, if its gang waits for that.
+  void RecordReport(const ReportedEnd& end);
   /// Handles the end of a run that is no longer tracked.
   void HandleLateEnd(Context& ctx, const Runner& runner,
                      const ReportedEnd& end);
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -285,6 +285,10 @@
     if (is_over) over.push_back(name);
   }
   if (over.empty()) return;
+  for (const TaskName& name : over) {
+    jobs_.Find(name.job)->AwaitReport(name, runner->runs().at(name).number,
+                                      ctx.now(), runner->lease_expires_at());
+  }
   MarkRunsLost(ctx, runner, over,
                runner->LeftAsAnnounced() ? RunnerLossCause::kLeft
                                          : RunnerLossCause::kUnknown);
@@ -373,6 +377,7 @@
     } else if (presumed_over && end.number > runner->newest_expired_end) {
       CountLateFailure(ctx, end);
     }
+    RecordReport(end);
     HandleLateEnd(ctx, *runner, end);
     Unblock(end.task);
   } else {
@@ -437,6 +442,13 @@
   }
 }
 
+void Scheduler::RecordReport(const ReportedEnd& end) {
+  Job* job = jobs_.Find(end.task.job);
+  if (job == nullptr || !job->RecordReport(end.task, end.run)) return;
+  MarkProgressDirty(end.task.job);
+  plan_due_ = true;
+}
+
 // A run that counted as expired, or that the next incarnation started late, may
 // have succeeded after all. Its result is available, so another run of the task
 // would only duplicate it.
--- a/test/gang-failures-test.cc
+++ b/test/gang-failures-test.cc
@@ -37,6 +37,10 @@
 
   int Failures() const { return job.occurrences()[0].steps[0].gang_failures; }
 
+  TimePoint MayHaveFailedUntil(TimePoint now) const {
+    return job.MayHaveFailedUntil(job.occurrences()[0], 0, now, kMaxAttempts);
+  }
+
   bool HasFailed() const {
     return job.occurrences()[0].steps[0].CountIn(TaskPhase::kFailed) > 0;
   }
@@ -60,6 +64,43 @@
   LONGS_EQUAL(1, Failures());
 }
 
+// Guards against a third start of a gang that may fail twice: its first run was
+// taken as over with its gang, its second failed, and the failure of the first
+// was reported after the third had started.
+TEST(GangFailures, RunThatMayHaveBeenTheLastAttemptIsAwaited) {
+  const TimePoint now(1000);
+  const TimePoint until(6000);
+  job.AwaitReport(Member(1), 1, now, until);
+  RunAndLoseTheSecondMember(1, RunEnd::kGangBroken);
+  CHECK_TRUE(MayHaveFailedUntil(now) <= now);
+  RunAndLoseTheSecondMember(2, RunEnd::kFailed);
+  CHECK_TRUE(MayHaveFailedUntil(now) == until);
+  CHECK_TRUE(MayHaveFailedUntil(until) <= until);
+}
+
+TEST(GangFailures, RunWhoseEndWasReportedIsNotAwaited) {
+  const TimePoint now(1000);
+  job.AwaitReport(Member(1), 1, now, TimePoint(6000));
+  RunAndLoseTheSecondMember(1, RunEnd::kGangBroken);
+  RunAndLoseTheSecondMember(2, RunEnd::kFailed);
+  CHECK_TRUE(job.RecordReport(Member(1), 1));
+  CHECK_FALSE(job.RecordReport(Member(1), 1));
+  CHECK_TRUE(MayHaveFailedUntil(now) <= now);
+}
+
+// Guards against the same start by a successor, which cannot know for how long
+// its predecessor waited.
+TEST(GangFailures, SuccessorAwaitsTheRunsOfItsPredecessor) {
+  job.AwaitReport(Member(1), 1, TimePoint(1000), TimePoint(6000));
+  RunAndLoseTheSecondMember(1, RunEnd::kGangBroken);
+  RunAndLoseTheSecondMember(2, RunEnd::kFailed);
+  Job read(Spec());
+  CHECK_TRUE(DecodeProgress(EncodeProgress(job), &read).ok());
+  read.LimitInheritedReports(TimePoint(20000));
+  CHECK_TRUE(read.MayHaveFailedUntil(read.occurrences()[0], 0, TimePoint(2000),
+                                     kMaxAttempts) == TimePoint(20000));
+}
+
 // Guards against a failure that is counted twice by a successor.
 TEST(GangFailures, CountedRunsAreStored) {
   RunAndLoseTheSecondMember(3, RunEnd::kFailed);
--- a/test/scheduler-fixture.h
+++ b/test/scheduler-fixture.h
@@ -75,6 +75,19 @@
     return found;
   }
 
+  /// The runner on which this task runs; empty if there is none.
+  static RunnerId RunnerOf(EmulatedSystem* other,
+                           const dispatch::TaskName& task) {
+    RunnerId found;
+    for (const RunnerId& id : other->RunnerIds()) {
+      other->FindRunner(id)->ForEachRun(
+          [&](const dispatch::TaskName& name, int) {
+            if (name == task) found = id;
+          });
+    }
+    return found;
+  }
+
   const JobWatch& Watch(const JobId& job) { return system.jobs().at(job); }
 
   void CheckNoViolation() {
