Let a confirmation that outlasted its timeout confirm nothing

Cause: after a pause the scheduler waits for a write that was sent since. A second pause while that write is in flight is not noticed, since no timer was due in it, and the answer, seconds old by then, counted as the confirmation.

Change: if an answer on which the scheduler waits is handled after the call's timeout, the next write has to confirm the lease.

--- a/src/dispatch/state_writer.cc
+++ b/src/dispatch/state_writer.cc
@@ -186,9 +186,20 @@
 void StateWriter::Send(Context& ctx) {
   retry_scheduled_ = false;
   sent_at_ = ctx.now();
+  timeout_ = store_timeout_->For(unanswered_attempts_);
   ticket_ = ctx.NewTicket();
-  ctx.Emit(CommitRows{ticket_, StoreLane::kLeader, transaction_,
-                      store_timeout_->For(unanswered_attempts_)});
+  ctx.Emit(CommitRows{ticket_, StoreLane::kLeader, transaction_, timeout_});
+}
+
+void StateWriter::Confirm(TimePoint now) {
+  const bool confirmation_required = !MayAct();
+  // The lease counts from the time the write was sent.
+  confirmed_at_ = sent_at_;
+  // An answer that was handled after its timeout waited while the process was
+  // paused once more.
+  if (confirmation_required && now - sent_at_ > timeout_) {
+    RequireConfirmation(now);
+  }
 }
 
 void StateWriter::OnStored(Context& ctx, Revision revision) {
@@ -202,8 +213,7 @@
   unanswered_attempts_ = 0;
   record_ = next_record_;
   revision_ = revision;
-  // The lease counts from the time the write was sent.
-  confirmed_at_ = sent_at_;
+  Confirm(ctx.now());
   DirtyRows sent = std::move(in_flight_rows_);
   in_flight_rows_.clear();
   for (auto& [key, pending] : sent) {
--- a/src/dispatch/state_writer.h
+++ b/src/dispatch/state_writer.h
@@ -177,6 +177,8 @@
   void Send(Context& ctx);
   /// Schedules another attempt of the write in flight.
   void Resend(TimePoint now);
+  /// The write in flight is stored, which renews the lease.
+  void Confirm(TimePoint now);
   void OnStored(Context& ctx, Revision revision);
   void Requeue();
   /// Handles a transaction that the store does not accept.
@@ -213,6 +215,7 @@
   int unanswered_attempts_ = 0;
   Ticket ticket_;
   TimePoint sent_at_;
+  Duration timeout_;
   TimePoint retry_at_;
   LeaderRecord next_record_;
   RowTransaction transaction_;
--- a/test/config-fuzz-test.cc
+++ b/test/config-fuzz-test.cc
@@ -160,4 +160,12 @@
   LONGS_EQUAL(0, failed);
 }
 
+// Guards against a scheduler that was paused twice and polls runners before it
+// knows that it still holds its lease.
+TEST(ConfigFuzz, SchedulerThatWasPausedTwiceConfirmsItsLeaseFirst) {
+  constexpr int kSeed = 911792;
+  ConfigSimulation simulation(kSeed);
+  LONGS_EQUAL(0, simulation.Run().size());
+}
+
 }  // namespace limeledge::emulator
--- a/test/dispatch-fuzz-test.cc
+++ b/test/dispatch-fuzz-test.cc
@@ -90,6 +90,15 @@
                      dispatch::DefaultPlanningPolicy(), FaultMix::kPartitions));
 }
 
+// Guards against a scheduler that polls runners before it knows that it still
+// holds its lease: it was paused twice, and the answer to a write that was sent
+// between the pauses was taken for a confirmation.
+TEST(DispatchFuzz, SchedulerThatWasPausedTwiceConfirmsItsLeaseFirst) {
+  constexpr int kSeed = 3005049;
+  CHECK_FALSE(HasViolations(kSeed, dispatch::DefaultPlanningPolicy(),
+                            FaultMix::kPartitions));
+}
+
 TEST(DispatchFuzz, RandomSimulationsOfEachPolicyHaveNoViolations) {
   constexpr int kRunDivisor = 4;
   for (const std::string& name : dispatch::PlanningPolicyNames()) {
--- a/test/state-writer-test.cc
+++ b/test/state-writer-test.cc
@@ -318,4 +318,29 @@
   CHECK_TRUE(Flush() != nullptr);
 }
 
+// Guards against a paused scheduler that renews runners' leases before it knows
+// that it still holds its own: the answer on which it waited was held up by
+// another pause.
+TEST(StateWriter, ConfirmationThatWaitedThroughAnotherPauseDoesNotCount) {
+  now = now + Duration(1500);
+  writer.RequireConfirmation(now);
+  const CommitRows call = *Flush();
+  now = now + Duration(5000);
+  Answer(call, StoreOutcome::kDone);
+  CHECK_FALSE(writer.MayAct());
+  const CommitRows* next = Flush();
+  CHECK_TRUE(next != nullptr);
+  Answer(*next, StoreOutcome::kDone);
+  CHECK_TRUE(writer.MayAct());
+}
+
+TEST(StateWriter, ConfirmationInTimeLetsThePausedSchedulerGoOn) {
+  now = now + Duration(1500);
+  writer.RequireConfirmation(now);
+  const CommitRows call = *Flush();
+  now = now + Duration(100);
+  Answer(call, StoreOutcome::kDone);
+  CHECK_TRUE(writer.MayAct());
+}
+
 }  // namespace limeledge::dispatch
