Start nothing while the scheduler's list of runners is outdated

Cause: the scheduler handles the answers about the list late when it has more to do than its processor allows, and goes on planning with the old list.

Change: the fleet knows up to when all changes are applied: the time at which the last answered request was sent. While that is over 2.5 s ago, nothing is planned and no waiting start is sent (LL970). A list that cannot be read counts as current until then, since no runner can announce anything.

Evidence: LeavingRunners.NothingStartsThereIfTheListIsHandledLate failed with the bound switched off and passes.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -267,6 +267,9 @@
       {LogId::kJobsOutdated, kWarning, "jobs_outdated",
        "The scheduler has not handled an answer of the store about jobs for "
        "`age_ms`, and starts nothing until it does."},
+      {LogId::kRunnersOutdated, kWarning, "runners_outdated",
+       "The scheduler has not handled an answer of the store about the list of "
+       "runners for `age_ms`, and starts nothing until it does."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -121,6 +121,7 @@
   kRunsHeld = 967,
   kTombstonesNotRemoved = 968,
   kJobsOutdated = 969,
+  kRunnersOutdated = 970,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -110,9 +110,12 @@
   // A failed read says nothing about any runner.
   if (!answer.ok) {
     list_revision_ = Revision();
+    // Until now, no runner could announce that it leaves.
+    list_current_at_ = ctx.now();
     HandleFailedListRead(ctx.now());
     return;
   }
+  list_current_at_ = list_sent_at_;
   RecordListRead(ctx.now(), answer);
   capacities_read_at_ = is_outdated ? list_sent_at_ : ctx.now();
   const std::set<RunnerId> removed = RemovedBy(answer);
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -8,6 +8,7 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_FLEET_H_
 #define LIMELEDGE_SRC_DISPATCH_FLEET_H_
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -99,6 +100,11 @@
   /// How long a task that may crash its runners runs alone, so that a crash can
   /// be attributed to it.
   Duration probation = LossRules().probation;
+  /// The list is outdated if no answer to a later request was handled for this
+  /// long. Longer than the two requests in which an unchanged list is
+  /// confirmed, and shorter than the time that a runner which leaves may still
+  /// get work where there are so many that answers are handled late.
+  Duration max_list_age{2500};
   /// Replaces `list_interval` after a failed read while no list was read at
   /// all, since a new scheduler can do nothing before.
   Duration first_list_pause{250};
@@ -177,6 +183,16 @@
   /// Records that the process was paused: the answer to a list request in
   /// flight describes the state at the time of the request.
   void HandleProcessPause() { list_is_outdated_ = list_in_flight_; }
+  /// Returns true if all changes of the list up to a short time before `now`
+  /// have been applied, as far as there are any: the store was unavailable
+  /// until `available_since`, or is available for longer. While it returns
+  /// false, nothing must be started: runners may be leaving.
+  bool IsListCurrent(TimePoint now, TimePoint available_since) const {
+    const TimePoint unseen_since = std::max(list_current_at_, available_since);
+    return now - unseen_since <= options_.max_list_age;
+  }
+  /// All changes of the list up to this time have been applied.
+  TimePoint list_current_at() const { return list_current_at_; }
   /// Removes runners that are gone and hold nothing.
   void RemoveGone(Context& ctx);
 
@@ -276,6 +292,7 @@
   std::size_t missing_ = 0;
   TimePoint last_listed_at_;
   TimePoint list_sent_at_;
+  TimePoint list_current_at_;
   bool list_is_outdated_ = false;
   /// The time whose capacities the list describes.
   TimePoint capacities_read_at_;
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -293,22 +293,27 @@
 }
 
 bool Scheduler::MayPlan() const {
-  return jobs_are_current_ && !releasing_ && !catalog_is_behind_ &&
-         writer_.store_answers();
+  return jobs_are_current_ && list_is_current_ && !releasing_ &&
+         !catalog_is_behind_ && writer_.store_answers();
 }
 
-void Scheduler::UpdateJobsCurrent(Context& ctx) {
+void Scheduler::CheckViews(Context& ctx) {
   if (!writer_.store_answers()) store_available_since_ = ctx.now();
-  const bool current = jobs_.IsCurrent(ctx.now(), store_available_since_);
-  if (current == jobs_are_current_) return;
-  jobs_are_current_ = current;
-  const bool was_loaded = jobs_.current_at() > TimePoint();
-  if (!current && was_loaded) {
-    ctx.Log(LogId::kJobsOutdated,
-            {{"age_ms", std::to_string((ctx.now() - jobs_.current_at()).ms())},
-             {"epoch", std::to_string(epoch().value())}});
-  }
-  if (!current) return;
+  const bool were_current = jobs_are_current_ && list_is_current_;
+  const auto note = [&](bool current, TimePoint current_at, LogId id,
+                        bool* known) {
+    const bool was_read = current_at > TimePoint();
+    if (*known && !current && was_read) {
+      ctx.Log(id, {{"age_ms", std::to_string((ctx.now() - current_at).ms())},
+                   {"epoch", std::to_string(epoch().value())}});
+    }
+    *known = current;
+  };
+  note(jobs_.IsCurrent(ctx.now(), store_available_since_), jobs_.current_at(),
+       LogId::kJobsOutdated, &jobs_are_current_);
+  note(fleet_.IsListCurrent(ctx.now(), store_available_since_),
+       fleet_.list_current_at(), LogId::kRunnersOutdated, &list_is_current_);
+  if (were_current || !jobs_are_current_ || !list_is_current_) return;
   for (const auto& [id, runner] : fleet_.runners()) {
     if (!runner->waiting_starts.empty()) orders_due_.insert(id);
   }
@@ -376,7 +381,7 @@
   // Inherited runs can only be matched with runners once the list of runners
   // was read.
   if (fleet_.listed_once()) jobs_.Work(ctx);
-  UpdateJobsCurrent(ctx);
+  CheckViews(ctx);
   if (options_.runner_speeds != RunnerSpeedUse::kOff) speed_keeper_.Read(ctx);
   const bool may_renew = MayRenewLeases(ctx.now());
   RunPeriodicChecks(ctx);
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -266,9 +266,9 @@
   // Planning and orders.
   /// True if a planning pass is possible now.
   bool MayPlan() const;
-  /// Notes whether the jobs are current. When they become so, waiting starts
-  /// are due.
-  void UpdateJobsCurrent(Context& ctx);
+  /// Notes whether the jobs and the list of runners are current. When both
+  /// become so, waiting starts are due.
+  void CheckViews(Context& ctx);
   /// True if a planning pass is due and possible now.
   bool IsPassDue(TimePoint now) const;
   /// Runs the planner and applies its decisions.
@@ -615,6 +615,8 @@
   TimePoint store_available_since_;
   /// Whether the jobs that have been read are current (`JobRegistry`).
   bool jobs_are_current_ = false;
+  /// Whether the list of runners is (`Fleet`).
+  bool list_is_current_ = false;
   /// Runners that may have an order to send or a queued start to drop.
   std::set<RunnerId> orders_due_;
   std::int64_t nodes_ = 0;
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -97,8 +97,10 @@
   while (DropStaleStarts(ctx, runner)) {
   }
   if (runner->order_in_flight || SendNextStop(ctx, runner)) return;
-  // The jobs of waiting starts may have been cancelled.
-  if (runner->waiting_starts.empty() || !jobs_are_current_) return;
+  // The jobs of waiting starts may have been cancelled, and the runner may be
+  // leaving.
+  if (!jobs_are_current_ || !list_is_current_) return;
+  if (runner->waiting_starts.empty()) return;
   const auto [name, number] = runner->waiting_starts.front();
   runner->waiting_starts.pop_front();
   SendStart(ctx, runner, name, runner->FindRun(name, number));
--- a/src/emulator/emulated_calls.cc
+++ b/src/emulator/emulated_calls.cc
@@ -339,7 +339,8 @@
     });
     return;
   }
-  RunAt(now_ + options_.network, [this, node, incarnation, changes] {
+  const Duration delay = options_.network + faults_.runner_list_delay;
+  RunAt(now_ + delay, [this, node, incarnation, changes] {
     Process& later = processes_[node];
     if (later.incarnation == incarnation && changes.ok) {
       Apply(changes, &later.runner_list);
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -108,6 +108,8 @@
   /// Delay of the answers to watches of tables: a node that has more to do than
   /// it can handles them late. `none` does not count it as a fault.
   Duration watch_delay;
+  /// The same for changes of the list of runners.
+  Duration runner_list_delay;
   /// Factor by which store calls take longer.
   int store_slowness = 1;
   std::set<int> nodes_without_store;
--- a/test/leaving-runners-test.cc
+++ b/test/leaving-runners-test.cc
@@ -47,4 +47,33 @@
   LONGS_EQUAL(0, dispatch::TimeLeft(run, TimePoint(6000)).ms());
 }
 
+// Guards against tasks that a scheduler starts on a runner seconds after the
+// store has acknowledged that the runner leaves: it has more to do than it can,
+// and has not handled that change yet.
+TEST(LeavingRunners, NothingStartsThereIfTheListIsHandledLate) {
+  constexpr int kJobs = 60;
+  SystemOptions options;
+  options.runners = 2;
+  EmulatedSystem busy(options);
+  busy.Run(Duration(3000));
+  for (int i = 0; i < kJobs; ++i) SubmitTo(&busy, Step(1, 4, Duration(700)));
+  busy.Run(Duration(1500));
+  const RunnerId leaving = busy.RunnerIds().front();
+  busy.faults().runner_list_delay = Duration(12000);
+  busy.DrainRunner(leaving, Duration(60000));
+  // Where lists are handled this late, runners may get work for 4 s after they
+  // announced that they leave; what has started by then ends within a second.
+  busy.Run(Duration(5000));
+  for (int i = 0; i < 60; ++i) {
+    busy.Run(Duration(100));
+    LONGS_EQUAL(0, busy.FindRunner(leaving)->UsedCapacity().accelerators);
+  }
+  busy.faults().runner_list_delay = Duration();
+  busy.Run(Duration(40000));
+  for (const auto& [id, watch] : busy.jobs()) {
+    STRCMP_EQUAL("done", busy.StateOf(id).c_str());
+  }
+  for (const std::string& error : busy.violations()) FAIL(error.c_str());
+}
+
 }  // namespace limeledge::emulator
