Do not take a full answer of changes for an up-to-date view

Cause: an answer to a watch has 500 rows at most. Each full answer counted as current.

Change: an answer that is as large as answers get makes neither the list nor the jobs current, and is followed by the next request without a pause. If more changes were read than there are runners since the list was last current, the whole list is read: it takes fewer answers.

Evidence: Fleet.FullAnswerDoesNotBringTheListUpToDate and Fleet.WholeListIsReadOnceTheChangesOutnumberTheRunners; both need the flag that answers did not have.

--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -58,6 +58,8 @@
   StoreOutcome outcome = StoreOutcome::kUnknown;
   std::vector<Row> rows;
   Revision newest;
+  /// The answer is as large as answers get: there may be later changes already.
+  bool may_have_more = false;
 };
 
 /// The result of `ReadCatalog` or `AwaitCatalog`.
@@ -87,6 +89,11 @@
   bool snapshot = true;
   /// The list includes all changes up to this revision.
   Revision newest;
+  /// The answer is as large as answers get: there may be later changes already.
+  bool may_have_more = false;
+  /// If not a snapshot: the number of changes, including those that later ones
+  /// of the same runner replace.
+  std::size_t changes = 0;
   std::vector<RunnerInfo> runners;
   /// If not a snapshot: runners whose entries were removed.
   std::vector<RunnerId> removed;
--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -115,9 +115,11 @@
     HandleFailedListRead(ctx.now());
     return;
   }
-  list_current_at_ = list_sent_at_;
   RecordListRead(ctx.now(), answer);
-  capacities_read_at_ = is_outdated ? list_sent_at_ : ctx.now();
+  if (!answer.may_have_more) {
+    list_current_at_ = list_sent_at_;
+    capacities_read_at_ = is_outdated ? list_sent_at_ : ctx.now();
+  }
   const std::set<RunnerId> removed = RemovedBy(answer);
   LogUnreadable(ctx, answer);
   const std::size_t known_before = runners_.size();
@@ -133,8 +135,14 @@
 
 void Fleet::RecordListRead(TimePoint now, const RunnersListed& answer) {
   failed_list_reads_ = 0;
-  next_list_at_ = now + options_.list_pause;
+  next_list_at_ = answer.may_have_more ? now : now + options_.list_pause;
   list_revision_ = answer.newest;
+  changes_behind_ = answer.may_have_more ? changes_behind_ + answer.changes : 0;
+  if (changes_behind_ > runners_.size()) {
+    // The whole list takes fewer answers than what is left of the changes may.
+    changes_behind_ = 0;
+    list_revision_ = Revision();
+  }
   if (answer.snapshot) next_whole_list_at_ = now + options_.whole_list_interval;
   const bool store_was_unavailable =
       now - last_listed_at_ > options_.max_list_gap;
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -85,9 +85,10 @@
   /// A request for changes of the runner list waits this long, so that an
   /// unchanged list is confirmed about once a second.
   Duration list_interval{1000};
-  /// Minimum pause between requests for changes. A runner that is taken away at
-  /// short notice announces it two seconds before; with one read per second the
-  /// announcement would be seen late.
+  /// Minimum pause between requests for changes, unless there may be more
+  /// already. A runner that is taken away at short notice announces it two
+  /// seconds before; with one read per second the announcement would be seen
+  /// late.
   Duration list_pause{100};
   /// Capacities count as known if the list was read within this time. A
   /// capacity that shrank affects starts 4.5 s later at the earliest (3 s of
@@ -293,6 +294,8 @@
   TimePoint last_listed_at_;
   TimePoint list_sent_at_;
   TimePoint list_current_at_;
+  /// Changes that were read since the list was last current.
+  std::size_t changes_behind_ = 0;
   bool list_is_outdated_ = false;
   /// The time whose capacities the list describes.
   TimePoint capacities_read_at_;
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -527,4 +527,48 @@
   CHECK_TRUE(runner->lease_expires_at() == foreign);
 }
 
+// Guards against starts on runners that announced seconds ago that they leave:
+// there are more changes of entries than the scheduler reads, and each full
+// answer was taken as up to date.
+TEST(Fleet, FullAnswerDoesNotBringTheListUpToDate) {
+  AddRunner("i-1");
+  List();
+  const TimePoint read_at = now;
+  RunnersListed full;
+  full.ok = true;
+  full.snapshot = false;
+  full.may_have_more = true;
+  full.changes = 1;
+  for (int i = 0; i < 4; ++i) {
+    now = now + Duration(1000);
+    Context ctx = NewContext();
+    fleet.Handle(ctx, full);
+    CHECK_TRUE(List().has_value());
+  }
+  CHECK_TRUE(fleet.list_current_at() <= read_at);
+  CHECK_FALSE(fleet.IsListCurrent(now, TimePoint()));
+  full.may_have_more = false;
+  Context ctx = NewContext();
+  fleet.Handle(ctx, full);
+  CHECK_TRUE(fleet.IsListCurrent(now, TimePoint()));
+}
+
+TEST(Fleet, WholeListIsReadOnceTheChangesOutnumberTheRunners) {
+  AddRunner("i-1");
+  now = now + Duration(200);
+  RunnersListed full;
+  full.ok = true;
+  full.snapshot = false;
+  full.newest = Revision(7);
+  full.may_have_more = true;
+  full.changes = 1;
+  List();
+  Context ctx = NewContext();
+  fleet.Handle(ctx, full);
+  CHECK_TRUE(List()->after == Revision(7));
+  Context next = NewContext();
+  fleet.Handle(next, full);
+  CHECK_TRUE(List()->after == Revision());
+}
+
 }  // namespace limeledge::dispatch
