Add braces that the linter asks for

Cause: clang-tidy refuses an if statement over two lines without braces. Change: braces; no change of behaviour. The linter passes on the file.

--- a/src/dispatch/job_registry.cc
+++ b/src/dispatch/job_registry.cc
@@ -192,8 +192,9 @@
     return changed;
   }
   unanswered_watches_ = 0;
-  if (!answer.may_have_more)
+  if (!answer.may_have_more) {
     current_at_ = std::max(current_at_, watch_sent_at_);
+  }
   for (const Row& row : answer.rows) {
     if (row.removed) {
       ApplyRemoval(row.key);
