Drop starts that an outdated view holds back from a gang

What callers would see: members of a gang that wait until their runners end them as alone (GANG), since the starts of the others are held back while the jobs or the list of runners are outdated.

Cause: a start that is held back was kept for as long as the view stayed outdated, and a runner waits gang_ms (3 s or more) for the others.

Change: after one second, starts that wait are dropped, which stops the members that were started; the tasks are planned again.

Evidence: OutdatedJobs.StartedMembersOfAGangDoNotWaitForStartsThatAreHeldBack failed with one member that ended alone, without the limit, and passes.

--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -313,7 +313,24 @@
        LogId::kJobsOutdated, &jobs_are_current_);
   note(fleet_.IsListCurrent(ctx.now(), store_available_since_),
        fleet_.list_current_at(), LogId::kRunnersOutdated, &list_is_current_);
-  if (were_current || !jobs_are_current_ || !list_is_current_) return;
+  if (jobs_are_current_ && list_is_current_) {
+    views_outdated_since_.reset();
+    held_starts_dropped_ = false;
+    if (!were_current) ReviewWaitingStarts();
+    return;
+  }
+  if (!views_outdated_since_.has_value()) views_outdated_since_ = ctx.now();
+  if (held_starts_dropped_ || !AreViewsLongOutdated(ctx.now())) return;
+  held_starts_dropped_ = true;
+  ReviewWaitingStarts();
+}
+
+bool Scheduler::AreViewsLongOutdated(TimePoint now) const {
+  return views_outdated_since_.has_value() &&
+         now - *views_outdated_since_ > options_.max_start_hold;
+}
+
+void Scheduler::ReviewWaitingStarts() {
   for (const auto& [id, runner] : fleet_.runners()) {
     if (!runner->waiting_starts.empty()) orders_due_.insert(id);
   }
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -68,6 +68,9 @@
   PlannerOptions planner;
   StateWriterOptions writer;
   JobRegistryOptions job_registry;
+  /// Starts that wait while a view of the store is outdated are dropped after
+  /// this time. Members of their gangs that were started wait for 3 s at least.
+  Duration max_start_hold{1000};
   JobCleanerOptions cleaner;
   TombstoneCleanerOptions tombstone_cleaner;
   /// Size of the blocks into which the progress of a large job is divided: they
@@ -158,6 +161,8 @@
   kAwaitingLeaseExpiry,
   /// The store rejects the job's progress.
   kNotStorable,
+  /// The jobs or the list of runners have not been current for a while.
+  kOutdatedView,
   /// The store has not confirmed the scheduler lease for so long that a
   /// successor may take the runner's lease as expired.
   kSchedulerUnconfirmed,
@@ -269,6 +274,10 @@
   /// Notes whether the jobs and the list of runners are current. When both
   /// become so, waiting starts are due.
   void CheckViews(Context& ctx);
+  /// True if a view has been outdated for `max_start_hold`.
+  bool AreViewsLongOutdated(TimePoint now) const;
+  /// Makes orders due at the runners for which starts wait.
+  void ReviewWaitingStarts();
   /// True if a planning pass is due and possible now.
   bool IsPassDue(TimePoint now) const;
   /// Runs the planner and applies its decisions.
@@ -617,6 +626,10 @@
   bool jobs_are_current_ = false;
   /// Whether the list of runners is (`Fleet`).
   bool list_is_current_ = false;
+  /// Since when one of them is not; empty while both are.
+  std::optional<TimePoint> views_outdated_since_;
+  /// Waiting starts have been dropped since then.
+  bool held_starts_dropped_ = false;
   /// Runners that may have an order to send or a queued start to drop.
   std::set<RunnerId> orders_due_;
   std::int64_t nodes_ = 0;
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -47,6 +47,8 @@
       return "its task crashes runners";
     case StartDropReason::kNotStorable:
       return "the store rejects its job's progress";
+    case StartDropReason::kOutdatedView:
+      return "the scheduler's view of the jobs or runners is outdated";
     case StartDropReason::kSchedulerUnconfirmed:
       return "the store has not confirmed the scheduler lease recently";
   }
@@ -146,6 +148,8 @@
   // to fail.
   if (HasGangEnded(*job, name, run.number)) return StartDropReason::kGangEnded;
   if (releasing_) return StartDropReason::kReleasing;
+  // Members of its gang that were started must not wait for it in vain.
+  if (AreViewsLongOutdated(now)) return StartDropReason::kOutdatedView;
   // A start renews the lease on all that runs there.
   if (!MayRenewLeases(now)) return StartDropReason::kSchedulerUnconfirmed;
   if (runner.draining_since().has_value()) return StartDropReason::kDraining;
--- a/test/outdated-jobs-test.cc
+++ b/test/outdated-jobs-test.cc
@@ -88,4 +88,35 @@
   CHECK_TRUE(Starts() > 0);
 }
 
+// Guards against members of a gang that wait in vain for the others: the list
+// of runners became outdated after some had been started, and the starts of the
+// others were held back.
+TEST(OutdatedJobs, StartedMembersOfAGangDoNotWaitForStartsThatAreHeldBack) {
+  int alone = 0;
+  system->SetTrace([&alone](const std::string& line) {
+    if (line.find("end=alone") != std::string::npos) ++alone;
+  });
+  system->faults().order_time = Duration(300);
+  system->faults().runner_list_delay = Duration(15000);
+  system->Run(Duration(300));
+  dispatch::JobSpec spec;
+  dispatch::StepSpec step;
+  step.count = 16;
+  step.gang = true;
+  step.need = {1000, 64, 1};
+  step.estimate = Duration(1000);
+  spec.steps.push_back(step);
+  spec.policy.priority = 1;
+  TaskTruth truth;
+  truth.work = step.estimate;
+  jobs.push_back(system->Submit(spec, {truth}));
+  system->Run(Duration(10000));
+  CHECK_TRUE(Starts() > 0);
+  CHECK_TRUE(Starts() < step.count);
+  LONGS_EQUAL(0, alone);
+  system->faults() = Faults();
+  system->Run(Duration(20000));
+  STRCMP_EQUAL("done", system->StateOf(jobs.back()).c_str());
+}
+
 }  // namespace limeledge::emulator
