Say in CheckViews' comment that held starts are dropped

Cause: the comment told only what happens when the views become current. Change: the comment; no code.

--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -272,7 +272,8 @@
   /// True if a planning pass is possible now.
   bool MayPlan() const;
   /// Notes whether the jobs and the list of runners are current. When both
-  /// become so, waiting starts are due.
+  /// become so, waiting starts are due; when one has not been for
+  /// `max_start_hold`, they are dropped.
   void CheckViews(Context& ctx);
   /// True if a view has been outdated for `max_start_hold`.
   bool AreViewsLongOutdated(TimePoint now) const;
