Tell how late the reducer handles events

On a busy scheduler nothing told apart events that wait behind a long planning pass from starts that are held back because a view is outdated.

The host measures how long the oldest event of each batch waited and how long the batch took. While a node leads, LL971 tells the longest of both once a second at most, if an event waited for 100 ms, with the number of passes, of steps that they tried and of looks at runners and runs.

No decision depends on it.

--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -270,6 +270,11 @@
       {LogId::kRunnersOutdated, kWarning, "runners_outdated",
        "The scheduler has not handled an answer of the store about the list of "
        "runners for `age_ms`, and starts nothing until it does."},
+      {LogId::kReducerLate, kWarning, "reducer_late",
+       "Events waited for up to `waited_ms` before the scheduler handled them, "
+       "and handling took up to `batch_ms` at a time; the other fields count "
+       "what was done since the previous second: `looks` at runners and runs "
+       "in all planning passes. At most once a second."},
   };
   return catalogue;
 }
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -122,6 +122,7 @@
   kTombstonesNotRemoved = 968,
   kJobsOutdated = 969,
   kRunnersOutdated = 970,
+  kReducerLate = 971,
 };
 
 /// One line of the catalogue.
--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -68,6 +68,7 @@
   catalog_.Work(ctx, StoreAnswers());
   if (scheduler_ != nullptr) {
     scheduler_->Work(ctx, catalog_);
+    load_.Report(ctx, scheduler_->planning_use());
   } else if (catalog_.catalog() != nullptr) {
     leadership_.Follow(ctx);
   }
--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -22,6 +22,7 @@
 #include "dispatch/held_calls.h"
 #include "dispatch/leadership.h"
 #include "dispatch/peer_check.h"
+#include "dispatch/reducer_load.h"
 #include "dispatch/scheduler.h"
 #include "dispatch/standby_keeper.h"
 #include "dispatch/store_timeout.h"
@@ -81,6 +82,9 @@
   /// thousand runners, hundreds of responses arrive while one is processed.
   Effects ReduceAll(TimePoint now, std::int64_t wall_ms,
                     const std::vector<EventBody>& events);
+  /// Records how long the batch of the previous call of `ReduceAll` waited and
+  /// took. While this node leads, late batches are logged.
+  void RecordBatch(const BatchTime& batch) { load_.Record(batch); }
   /// When the next `TimerFired` event is needed, unless another event comes
   /// first.
   TimePoint next_at() const;
@@ -90,6 +94,10 @@
   SpeedStatus speed_status() const {
     return leads() ? scheduler_->speed_status() : SpeedStatus();
   }
+  /// The default unless this node leads.
+  PlanningUse planning_use() const {
+    return leads() ? scheduler_->planning_use() : PlanningUse();
+  }
   /// False while this node considers the store unavailable.
   bool StoreAnswers() const;
   /// The catalog in force; 0 if there is none yet.
@@ -169,6 +177,7 @@
   /// Set while this node leads.
   std::optional<StandbyKeeper> standbys_;
   CatalogWatcher catalog_;
+  ReducerLoad load_;
   bool ready_ = false;
   bool shutting_down_ = false;
   TimePoint shutdown_requested_at_;
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -83,6 +83,7 @@
   DropExpiredReservations();
   plan_.steps_waiting = static_cast<int>(waits_.size());
   plan_.idle_accelerators = MeasureIdleAccelerators();
+  plan_.looks = looks_;
   planner_.waits_ = std::move(waits_);
   return std::move(plan_);
 }
@@ -95,6 +96,7 @@
         job->step_spec(assignment.task.step).need.accelerators;
   }
   IdleAccelerators room;
+  CountLooksAtAll();
   for (const Candidate& candidate : pool_.candidates()) {
     const std::int64_t idle = std::max<std::int64_t>(
         0, candidate.runner->free_capacity().accelerators -
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -198,8 +198,11 @@
   IdleAccelerators idle_accelerators;
   /// Steps that wait for any reason.
   int steps_waiting = 0;
-  /// Steps that the pass tried to place; a measure of its cost.
+  /// Steps that the pass tried to place.
   int steps_tried = 0;
+  /// Candidates and runs that it looked at, each as often as it did; a measure
+  /// of its cost.
+  std::int64_t looks = 0;
 };
 
 /// Greedy planner. Places urgent work within its workspace's guarantee first,
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -7,6 +7,7 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_PLANNER_PASS_H_
 #define LIMELEDGE_SRC_DISPATCH_PLANNER_PASS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -65,6 +66,12 @@
   };
 
   void WakeAt(TimePoint at);
+  /// Counts looks at that many candidates or runs.
+  void CountLooks(std::size_t count) const {
+    looks_ += static_cast<std::int64_t>(count);
+  }
+  /// Counts a look at each candidate.
+  void CountLooksAtAll() const { CountLooks(pool_.candidates().size()); }
   /// Records why a step waits and adds it to the plan if the reason is new.
   void RecordWait(const PendingStep& pending, WaitReason reason);
   /// Keeps the previous reason of a step that is not tried in this pass.
@@ -170,6 +177,8 @@
   std::optional<PlacementRequest> WithUrgentRacks(
       const PendingStep& pending, const PlacementRequest& request,
       int tasks) const;
+  /// Like `CandidatePool`.
+  bool FitsMultiple(const PlacementRequest& request, int times) const;
   /// Like `CandidatePool`, but falls back to the urgent racks.
   Candidate* PlaceOne(const PendingStep& pending,
                       const PlacementRequest& request);
@@ -294,6 +303,7 @@
   std::set<ServiceId> blocked_services_;
   /// Reasons from this pass.
   std::map<StepName, WaitReason> waits_;
+  mutable std::int64_t looks_ = 0;
   Plan plan_;
 };
 
--- a/src/dispatch/planner_placement.cc
+++ b/src/dispatch/planner_placement.cc
@@ -94,6 +94,7 @@
   AdviceRequest advice_request;
   advice_request.step = pending.key;
   std::vector<IncarnationId> full;
+  CountLooksAtAll();
   for (const Candidate& candidate : pool_.candidates()) {
     if (!CandidatePool::MeetsConstraints(candidate, request)) continue;
     const bool fits = pending.spec->room().Fits(candidate.room);
@@ -126,7 +127,7 @@
   const bool has_waited_long =
       now_ - pending.step->ready_since >=
           options_.max_locality_wait_with_free_capacity &&
-      pool_.FitsMultiple(request, 2);
+      FitsMultiple(request, 2);
   if (has_waited_long) return false;
   PlacementRequest near = request;
   near.ignore_locality = false;
@@ -141,6 +142,7 @@
   if (work_at_risk_known_) return;
   work_at_risk_known_ = true;
   for (Candidate& candidate : pool_.candidates()) {
+    CountLooks(1 + candidate.runner->runs().size());
     for (const auto& [name, run] : candidate.runner->runs()) {
       candidate.work_at_risk += PreemptionCost(name, run);
     }
@@ -175,6 +177,7 @@
 bool Planner::Pass::LeavesHeadroom(const PendingStep& pending,
                                    int tasks) const {
   Resources idle;
+  CountLooksAtAll();
   for (const Candidate& candidate : pool_.candidates()) {
     if (candidate.reserved) idle += candidate.room;
   }
@@ -204,22 +207,34 @@
   return widened;
 }
 
+bool Planner::Pass::FitsMultiple(const PlacementRequest& request,
+                                 int times) const {
+  CountLooksAtAll();
+  return pool_.FitsMultiple(request, times);
+}
+
 Candidate* Planner::Pass::PlaceOne(const PendingStep& pending,
                                    const PlacementRequest& request) {
+  CountLooksAtAll();
   Candidate* candidate = pool_.PlaceOne(request);
   if (candidate != nullptr) return candidate;
   const std::optional<PlacementRequest> widened =
       WithUrgentRacks(pending, request, 1);
-  return widened.has_value() ? pool_.PlaceOne(*widened) : nullptr;
+  if (!widened.has_value()) return nullptr;
+  CountLooksAtAll();
+  return pool_.PlaceOne(*widened);
 }
 
 std::vector<Candidate*> Planner::Pass::PlaceAll(
     const PendingStep& pending, const PlacementRequest& request) {
+  CountLooksAtAll();
   std::vector<Candidate*> candidates = pool_.PlaceAll(request);
   if (!candidates.empty()) return candidates;
   const std::optional<PlacementRequest> widened =
       WithUrgentRacks(pending, request, request.count);
-  return widened.has_value() ? pool_.PlaceAll(*widened) : candidates;
+  if (!widened.has_value()) return candidates;
+  CountLooksAtAll();
+  return pool_.PlaceAll(*widened);
 }
 
 bool Planner::Pass::IsKnownNotToFit(const PendingStep& pending) const {
--- a/src/dispatch/planner_preemption.cc
+++ b/src/dispatch/planner_preemption.cc
@@ -98,6 +98,7 @@
 void Planner::Pass::ReserveOn(const PendingStep& pending,
                               const std::vector<RunnerId>& runners) {
   for (const RunnerId& id : runners) {
+    CountLooksAtAll();
     for (Candidate& candidate : pool_.candidates()) {
       if (candidate.runner->id() == id) candidate.room -= pending.spec->room();
     }
@@ -215,6 +216,7 @@
     const PendingStep& pending, Candidate* candidate, int limit) {
   const Resources need = pending.spec->room();
   std::vector<std::pair<std::int64_t, TaskName>> victims;
+  CountLooks(candidate->runner->runs().size());
   for (const auto& [name, run] : candidate->runner->runs()) {
     if (!MayPreempt(pending, name, run)) continue;
     victims.emplace_back(PreemptionCost(name, run), name);
@@ -300,6 +302,7 @@
     const PendingStep& pending, const PlacementRequest& request) {
   std::map<std::string, std::vector<Candidate*>> groups;
   const bool one_rack = pending.spec->gang && pending.spec->same_rack;
+  CountLooksAtAll();
   for (Candidate& candidate : pool_.candidates()) {
     if (!CandidatePool::MeetsConstraints(candidate, request)) continue;
     if (one_rack) groups[candidate.rack].push_back(&candidate);
@@ -345,6 +348,7 @@
 WaitReason Planner::Pass::PreemptFillers(const PendingStep& pending,
                                          const PlacementRequest& request) {
   std::vector<PreemptionOption> options;
+  CountLooksAtAll();
   for (Candidate& candidate : pool_.candidates()) {
     if (static_cast<int>(options.size()) == request.count) break;
     Candidate cleared = candidate;
@@ -449,6 +453,7 @@
     Candidate* candidate, const PlacementRequest& request,
     std::vector<std::pair<Duration, Candidate*>>* places) {
   std::vector<std::pair<Duration, Resources>> ends;
+  CountLooks(1 + candidate->runner->runs().size());
   for (const auto& [name, run] : candidate->runner->runs()) {
     ends.emplace_back(TimeLeft(run, now_), run.need);
   }
--- a/src/dispatch/planner_steps.cc
+++ b/src/dispatch/planner_steps.cc
@@ -19,6 +19,7 @@
   std::int64_t runners = 0;
   std::int64_t all = 0;
   std::int64_t free = 0;
+  CountLooksAtAll();
   for (const Candidate& candidate : pool_.candidates()) {
     if (size_of_rack[candidate.rack_number]++ == 0) {
       number_of_rack[candidate.rack] = candidate.rack_number;
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -354,6 +354,9 @@
   next_pass_at_ = ctx.now() + options_.min_pass_interval +
                   options_.pass_interval_per_hundred_steps * plan.steps_tried /
                       kStepsPerDelay;
+  ++planning_use_.passes;
+  planning_use_.steps += plan.steps_tried;
+  planning_use_.looks += plan.looks;
   idle_accelerators_ = plan.idle_accelerators;
   steps_waiting_ = plan.steps_waiting;
   ApplyPlan(ctx, plan);
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -24,6 +24,7 @@
 #include "dispatch/job_registry.h"
 #include "dispatch/loss_tracker.h"
 #include "dispatch/planner.h"
+#include "dispatch/reducer_load.h"
 #include "dispatch/run_move.h"
 #include "dispatch/runner_speeds.h"
 #include "dispatch/speed_keeper.h"
@@ -241,6 +242,7 @@
   SpeedStatus speed_status() const {
     return {speeds_in_use_, speeds_.Spread(), speeds_.measured_runners()};
   }
+  const PlanningUse& planning_use() const { return planning_use_; }
   /// When the store last confirmed the lease.
   TimePoint confirmed_at() const { return writer_.confirmed_at(); }
   bool store_answers() const { return writer_.store_answers(); }
@@ -619,6 +621,7 @@
   int steps_waiting_ = 0;
   TicketCache ticket_cache_;
   Planner planner_;
+  PlanningUse planning_use_;
   const Catalog* catalog_ = nullptr;
   bool catalog_is_behind_ = false;
   /// When the store was last unavailable to this scheduler.
