Simulate reducers that take time, and show late urgent jobs and incomplete gangs

Without processor time no play shows either.

The emulator can now charge time for each event and for each look of a planning pass. Events that come meanwhile wait and are handled together, as in the host.

--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -110,7 +111,9 @@
   options.scheduler.loss = options_.loss;
   options.admission = options_.admission;
   process.node = std::make_unique<dispatch::Node>(options);
-  Reduce(node, dispatch::TimerFired());
+  process.busy = false;
+  process.waiting_events.clear();
+  Reduce(node, {dispatch::TimerFired()});
 }
 
 void EmulatedSystem::KillNode(int node, Duration down) {
@@ -149,7 +152,9 @@
     std::vector<dispatch::EventBody> held_events =
         std::move(processes_[node].held_events);
     processes_[node].held_events.clear();
-    for (dispatch::EventBody& body : held_events) Reduce(node, std::move(body));
+    for (dispatch::EventBody& body : held_events) {
+      Deliver(node, incarnation, std::move(body));
+    }
   });
 }
 
@@ -197,24 +202,80 @@
     process.held_events.push_back(std::move(body));
     return;
   }
-  Reduce(node, std::move(body));
+  if (process.busy) {
+    if (process.waiting_events.empty()) process.waiting_since = now_;
+    process.waiting_events.push_back(std::move(body));
+    return;
+  }
+  process.waiting_since = now_;
+  std::vector<dispatch::EventBody> events;
+  events.push_back(std::move(body));
+  Reduce(node, std::move(events));
 }
 
-void EmulatedSystem::Reduce(int node, dispatch::EventBody body) {
+void EmulatedSystem::Reduce(int node, std::vector<dispatch::EventBody> events) {
   Process& process = processes_[node];
   if (process.node == nullptr) return;
-  RecordConfirmation(&process, body);
+  for (const dispatch::EventBody& body : events) {
+    RecordConfirmation(&process, body);
+  }
   const int incarnation = process.incarnation;
+  const std::int64_t looks_before = process.node->planning_use().looks;
   const auto started = std::chrono::steady_clock::now();
-  const dispatch::Effects effects = process.node->Reduce(
-      {now_, kWallClockStart + now_.ms(), std::move(body)});
+  dispatch::Effects effects =
+      process.node->ReduceAll(now_, kWallClockStart + now_.ms(), events);
   reducer_use_.time += std::chrono::steady_clock::now() - started;
-  ++reducer_use_.events;
+  reducer_use_.events += static_cast<std::int64_t>(events.size());
+  const std::int64_t looks = std::max<std::int64_t>(
+      0, process.node->planning_use().looks - looks_before);
+  const Duration taken = TimeOfBatch(&process, events.size(), looks);
+  process.node->RecordBatch(
+      {now_ - process.waiting_since, taken, events.size()});
+  if (taken == Duration(0)) {
+    FinishBatch(node, incarnation, effects);
+    return;
+  }
+  process.busy = true;
+  RunAt(now_ + taken, [this, node, incarnation, effects = std::move(effects)] {
+    FinishBatch(node, incarnation, effects);
+  });
+}
+
+Duration EmulatedSystem::TimeOfBatch(Process* process, std::size_t events,
+                                     std::int64_t looks) const {
+  const ReducerCost& cost = options_.reducer_cost;
+  process->unspent_ms += cost.per_event * static_cast<double>(events) +
+                         cost.per_look * static_cast<double>(looks);
+  const Duration taken(static_cast<std::int64_t>(process->unspent_ms));
+  process->unspent_ms -= static_cast<double>(taken.ms());
+  return taken;
+}
+
+void EmulatedSystem::FinishBatch(int node, int incarnation,
+                                 const dispatch::Effects& effects) {
+  if (processes_[node].incarnation != incarnation) return;
+  processes_[node].busy = false;
   for (const dispatch::Effect& effect : effects) {
     std::visit([this, node](const auto& known) { Perform(node, known); },
                effect);
   }
-  if (processes_[node].incarnation != incarnation) return;
+  Process& process = processes_[node];
+  if (process.incarnation != incarnation) return;
+  SetTimer(node);
+  std::vector<dispatch::EventBody> events =
+      std::exchange(process.waiting_events, {});
+  if (events.empty()) return;
+  if (now_ < process.frozen_until) {
+    std::move(events.begin(), events.end(),
+              std::back_inserter(process.held_events));
+    return;
+  }
+  Reduce(node, std::move(events));
+}
+
+void EmulatedSystem::SetTimer(int node) {
+  Process& process = processes_[node];
+  const int incarnation = process.incarnation;
   const TimePoint next = std::max(process.node->next_at(), now_ + Duration(1));
   const bool earlier_timer_set =
       process.timer_at > now_ && process.timer_at <= next;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -29,6 +29,14 @@
 
 namespace limeledge::emulator {
 
+/// Time that the reducer of a node takes, in milliseconds. While it is busy,
+/// events wait and are handled together.
+struct ReducerCost {
+  double per_event = 0;
+  /// Per look of a planning pass at a runner or run.
+  double per_look = 0;
+};
+
 /// Sizes and delays of an emulated system.
 struct SystemOptions {
   std::uint64_t seed = 1;
@@ -64,6 +72,7 @@
   /// One-way delay between any two parties.
   Duration network{1};
   Duration store_time{4};
+  ReducerCost reducer_cost;
   /// Time that a transaction occupies its partition, in addition to
   /// `store_time`.
   Duration transaction_time{5};
@@ -303,6 +312,13 @@
     int incarnation = 0;
     TimePoint frozen_until;
     std::vector<dispatch::EventBody> held_events;
+    /// The reducer handles a batch. Its effects follow at the end.
+    bool busy = false;
+    /// Events that wait for the reducer, and since when.
+    std::vector<dispatch::EventBody> waiting_events;
+    TimePoint waiting_since;
+    /// Time that the reducer has taken and that was too short to be added.
+    double unspent_ms = 0;
     bool ready = false;
     /// End of the last long pause, and whether the store has confirmed since
     /// then that the node holds the scheduler lease.
@@ -359,7 +375,16 @@
 
   void StartNode(int node);
   void Deliver(int node, int incarnation, dispatch::EventBody body);
-  void Reduce(int node, dispatch::EventBody body);
+  void Reduce(int node, std::vector<dispatch::EventBody> events);
+  /// The time in which the node has handled a batch after which its planner has
+  /// looked `looks` times in all.
+  Duration TimeOfBatch(Process* process, std::size_t events,
+                       std::int64_t looks) const;
+  /// Performs the effects of a batch and handles the events that came
+  /// meanwhile.
+  void FinishBatch(int node, int incarnation, const dispatch::Effects& effects);
+  /// Sets the timer for the next time at which the node has something to do.
+  void SetTimer(int node);
   // Performs an effect of a node.
   void Perform(int node, const dispatch::CommitRows& commit);
   /// The write gets no response and is carried out late.
