Look at each run once in a planning pass

Callers of a busy fleet saw incomplete gangs and late urgent jobs, because one pass took so long that everything else waited for it.

A pass now lists the runs of a candidate that may be preempted, and the times of their ends, once, when they are first needed. A step goes through the cheapest runs of each candidate in that list, and alternatives are built for as many candidates only as it has tasks. A step that needs no less than an earlier one for which too little could be preempted is not tried again in the pass. The earliest places for a gang are kept in a heap in place of sorting all of them, and a reserved runner is found by its id.

The choices are the same: candidates are compared in the same order, and groups by the names of racks as before.

--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -7,6 +7,7 @@
 #include "dispatch/planner.h"
 
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 #include "dispatch/planner_pass.h"
@@ -32,7 +33,7 @@
   return "";
 }
 
-QueuePolicy PolicyOf(const Job& job, const Catalog& catalog) {
+const QueuePolicy& PolicyOf(const Job& job, const Catalog& catalog) {
   const Queue* queue = catalog.Find(job.spec().queue);
   return queue == nullptr ? job.spec().policy : queue->policy;
 }
@@ -51,6 +52,7 @@
       advice_(advice),
       jobs_(*jobs),
       pool_(fleet->Candidates(now, catalog.drained_halls)),
+      runs_(pool_.candidates().size()),
       fleet_(*fleet),
       free_capacity_known_(fleet->KnowsFreeCapacity(now)),
       capacities_known_(fleet->KnowsCapacities(now)) {
@@ -89,7 +91,7 @@
 }
 
 IdleAccelerators Planner::Pass::MeasureIdleAccelerators() {
-  std::map<const Runner*, std::int64_t> assigned;
+  std::unordered_map<const Runner*, std::int64_t> assigned;
   for (const Assignment& assignment : plan_.assignments) {
     const Job* job = jobs_.Find(assignment.task.job);
     assigned[assignment.runner] +=
@@ -98,9 +100,10 @@
   IdleAccelerators room;
   CountLooksAtAll();
   for (const Candidate& candidate : pool_.candidates()) {
+    const auto found = assigned.find(candidate.runner);
+    const std::int64_t taken = found == assigned.end() ? 0 : found->second;
     const std::int64_t idle = std::max<std::int64_t>(
-        0, candidate.runner->free_capacity().accelerators -
-               assigned[candidate.runner]);
+        0, candidate.runner->free_capacity().accelerators - taken);
     const std::int64_t open =
         std::clamp<std::int64_t>(candidate.room.accelerators, 0, idle);
     room.all += candidate.runner->info().room.accelerators;
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -295,8 +295,9 @@
 };
 
 /// The policy that applies to a job: its queue's current one, or the one it was
-/// accepted with if the queue no longer exists.
-QueuePolicy PolicyOf(const Job& job, const Catalog& catalog);
+/// accepted with if the queue no longer exists. Valid as long as both arguments
+/// are.
+const QueuePolicy& PolicyOf(const Job& job, const Catalog& catalog);
 
 }  // namespace limeledge::dispatch
 
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -47,6 +47,43 @@
     std::vector<Candidate*> candidates;
     Duration until;
   };
+  /// Candidates on which the tasks of a step may run together.
+  struct CandidateGroup {
+    /// They are in several racks although the tasks belong in one.
+    bool spread = false;
+    std::vector<Candidate*> candidates;
+  };
+  /// A run that steps of a higher rank may preempt.
+  struct Victim {
+    /// Work lost by stopping it, in weighted core-milliseconds.
+    std::int64_t cost = 0;
+    const TaskName* name = nullptr;
+    const Run* run = nullptr;
+    int priority = 0;
+    bool within_guarantee = false;
+  };
+  /// Capacity that a run takes, and the time until it ends.
+  struct RunEndForecast {
+    Duration until;
+    Resources need;
+  };
+  /// What is known of a candidate's runs, once it was asked for in this pass.
+  struct CandidateRuns {
+    /// Cheapest first.
+    std::optional<std::vector<Victim>> victims;
+    /// Earliest first.
+    std::optional<std::vector<RunEndForecast>> ends;
+  };
+  /// Tasks for which too few runs can be preempted, on any runner.
+  struct UnmetDemand {
+    ServiceId service;
+    bool within_guarantee = false;
+    int priority = 0;
+    Resources need;
+    int count = 0;
+  };
+  /// Keeps the earliest of the places that are added to it.
+  class EarliestPlaces;
   /// A placement for one task, and the runs that must be preempted for it.
   struct PreemptionOption {
     Candidate* candidate = nullptr;
@@ -205,6 +242,8 @@
   bool MayPreemptForDeadline(const PendingStep& pending);
   void ReserveOn(const PendingStep& pending,
                  const std::vector<RunnerId>& runners);
+  /// The candidate of a runner; null if it gets no work in this pass.
+  Candidate* FindCandidate(const RunnerId& id);
   /// Work lost by stopping the run, in weighted core-milliseconds.
   std::int64_t PreemptionCost(const TaskName& name, const Run& run);
   /// The same from the progress that the run and all members of its gang have
@@ -217,15 +256,28 @@
   /// than a stop would free it. Reserves that capacity.
   bool WaitsForFreeCapacity(const PendingStep& pending,
                             const PlacementRequest& request);
+  /// The candidate's runs that may be preempted at all.
+  const std::vector<Victim>& VictimsOn(const Candidate& candidate);
+  /// The candidate's runs by the times of their ends.
+  const std::vector<RunEndForecast>& EndsOn(const Candidate& candidate);
+  CandidateRuns& RunsOf(const Candidate& candidate) {
+    return runs_[&candidate - pool_.candidates().data()];
+  }
   /// True if the step may preempt this run. A step preempts lower priorities;
   /// within its guarantee it also preempts urgent work beyond its own
   /// guarantee.
-  bool MayPreempt(const PendingStep& pending, const TaskName& name,
-                  const Run& run);
+  bool MayPreempt(const PendingStep& pending, const Victim& victim) const;
   /// Returns at most `limit` options on one candidate, cheapest first.
   std::vector<PreemptionOption> PreemptionOptionsOn(const PendingStep& pending,
                                                     Candidate* candidate,
                                                     int limit);
+  /// The mean cost of the candidate's first sequence; nothing if there is none.
+  std::optional<double> LowestMeanCost(const PendingStep& pending,
+                                       const Candidate& candidate, int limit);
+  /// The candidates that the cheapest options of the request are on, in order.
+  std::vector<Candidate*> CheapestCandidates(
+      const PendingStep& pending, const std::vector<Candidate*>& candidates,
+      int limit, int count);
   /// Groups the options into sequences whose mean cost does not decrease.
   std::vector<PreemptionSequence> PreemptionSequencesOn(
       const PendingStep& pending, Candidate* candidate, int limit);
@@ -234,10 +286,14 @@
   std::vector<PreemptionOption> CheapestOptions(
       const PendingStep& pending, const std::vector<Candidate*>& candidates,
       const PlacementRequest& request);
-  /// Eligible candidates grouped by where the step's tasks may run together: by
-  /// rack, and all of them under an empty key.
-  std::map<std::string, std::vector<Candidate*>> GroupCandidates(
-      const PendingStep& pending, const PlacementRequest& request);
+  /// Eligible candidates grouped by where the step's tasks may run together:
+  /// all of them first, then those of each rack.
+  std::vector<CandidateGroup> GroupCandidates(const PendingStep& pending,
+                                              const PlacementRequest& request);
+  /// True if this pass found too few runs to preempt for a step that needs no
+  /// more than this one.
+  bool IsKnownUnmet(const PendingStep& pending,
+                    const PlacementRequest& request) const;
   /// Preempts the cheapest runs that free capacity for the whole step.
   WaitReason Preempt(const PendingStep& pending,
                      const PlacementRequest& request);
@@ -266,7 +322,7 @@
       const PendingStep& pending, const PlacementRequest& request);
   /// Adds the times at which the candidate has capacity for one more task.
   void AddFuturePlaces(Candidate* candidate, const PlacementRequest& request,
-                       std::vector<std::pair<Duration, Candidate*>>* places);
+                       EarliestPlaces* places);
   void DropExpiredReservations();
 
   Planner& planner_;
@@ -280,6 +336,10 @@
   const TicketCache& advice_;
   JobRegistry& jobs_;
   CandidatePool pool_;
+  /// By the index of the candidate in `pool_`.
+  std::vector<CandidateRuns> runs_;
+  /// Numbers of the racks, in the order of their names.
+  std::vector<std::size_t> racks_by_name_;
   Fleet& fleet_;
   std::set<JobId> jobs_within_guarantee_;
   /// Total capacity of the urgent racks, free or not.
@@ -299,6 +359,7 @@
   int gangs_seen_ = 0;
   /// Requirements that fit nowhere any more in this pass, by service.
   std::map<ServiceId, std::vector<Resources>> unplaceable_;
+  std::vector<UnmetDemand> unmet_demands_;
   /// Services with a step that did not fit.
   std::set<ServiceId> blocked_services_;
   /// Reasons from this pass.
--- a/src/dispatch/planner_placement.cc
+++ b/src/dispatch/planner_placement.cc
@@ -27,9 +27,11 @@
   request.ignore_locality = now_ >= end;
   WakeAt(end);
   request.avoided = &pending.step->failed_on;
-  for (const Task& task : pending.step->tasks) {
-    if (task.phase == TaskPhase::kAssigned) {
-      ++request.tasks_per_runner[task.incarnation.runner];
+  if (pending.spec->max_per_runner > 0) {
+    for (const Task& task : pending.step->tasks) {
+      if (task.phase == TaskPhase::kAssigned) {
+        ++request.tasks_per_runner[task.incarnation.runner];
+      }
     }
   }
   if (pending.policy.priority == 0) {
@@ -290,7 +292,9 @@
       continue;
     }
     if (candidate == nullptr) break;
-    ++request->tasks_per_runner[candidate->runner->id()];
+    if (pending->spec->max_per_runner > 0) {
+      ++request->tasks_per_runner[candidate->runner->id()];
+    }
     const int run = pending->step->tasks[index].run + 1;
     Assign(*pending, index, run, candidate, false, PaceOn({candidate}));
     ++placed.tasks;
--- a/src/dispatch/planner_preemption.cc
+++ b/src/dispatch/planner_preemption.cc
@@ -1,5 +1,5 @@
 /// @file
-/// Preemption and reservation in a planning pass.
+/// Preemption in a planning pass.
 //
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <iterator>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 #include "dispatch/planner_pass.h"
@@ -98,13 +99,23 @@
 void Planner::Pass::ReserveOn(const PendingStep& pending,
                               const std::vector<RunnerId>& runners) {
   for (const RunnerId& id : runners) {
-    CountLooksAtAll();
-    for (Candidate& candidate : pool_.candidates()) {
-      if (candidate.runner->id() == id) candidate.room -= pending.spec->room();
-    }
+    Candidate* candidate = FindCandidate(id);
+    if (candidate != nullptr) candidate->room -= pending.spec->room();
   }
 }
 
+Candidate* Planner::Pass::FindCandidate(const RunnerId& id) {
+  std::vector<Candidate>& candidates = pool_.candidates();
+  // The fleet lists them in the order of their ids.
+  const auto found =
+      std::lower_bound(candidates.begin(), candidates.end(), id,
+                       [](const Candidate& candidate, const RunnerId& wanted) {
+                         return candidate.runner->id() < wanted;
+                       });
+  const bool known = found != candidates.end() && found->runner->id() == id;
+  return known ? &*found : nullptr;
+}
+
 std::int64_t Planner::Pass::PreemptionCost(const TaskName& name,
                                            const Run& run) {
   const Job* job = jobs_.Find(name.job);
@@ -178,9 +189,9 @@
   // Spares the forecast to steps that wait no more, however soon there is room.
   if (!ShouldWaitForCapacity(choice)) return false;
   std::optional<CapacityForecast> best;
-  for (const auto& [rack, candidates] : GroupCandidates(pending, request)) {
+  for (const CandidateGroup& group : GroupCandidates(pending, request)) {
     std::optional<CapacityForecast> forecast =
-        EarliestCapacity(candidates, request);
+        EarliestCapacity(group.candidates, request);
     if (!forecast.has_value()) continue;
     if (best.has_value() && best->until <= forecast->until) continue;
     best = std::move(forecast);
@@ -199,41 +210,51 @@
   return true;
 }
 
-bool Planner::Pass::MayPreempt(const PendingStep& pending, const TaskName& name,
-                               const Run& run) {
-  if (run.stopping || preempted_.count(name) != 0) return false;
-  Job* job = jobs_.Find(name.job);
-  if (job == nullptr) return false;
-  const StepSpec& step = job->step_spec(name.step);
-  if (!step.preemptible()) return false;
-  if (pending.rank.within_guarantee) {
-    return jobs_within_guarantee_.count(name.job) == 0;
-  }
-  return PolicyOf(*job, catalog_).priority > pending.policy.priority;
+const std::vector<Planner::Pass::Victim>& Planner::Pass::VictimsOn(
+    const Candidate& candidate) {
+  std::optional<std::vector<Victim>>& known = RunsOf(candidate).victims;
+  if (known.has_value()) return *known;
+  std::vector<Victim>& victims = known.emplace();
+  CountLooks(candidate.runner->runs().size());
+  for (const auto& [name, run] : candidate.runner->runs()) {
+    if (run.stopping) continue;
+    const Job* job = jobs_.Find(name.job);
+    if (job == nullptr || !job->step_spec(name.step).preemptible()) continue;
+    victims.push_back({PreemptionCost(name, run), &name, &run,
+                       PolicyOf(*job, catalog_).priority,
+                       jobs_within_guarantee_.count(name.job) != 0});
+  }
+  std::sort(victims.begin(), victims.end(),
+            [](const Victim& a, const Victim& b) {
+              return std::tie(a.cost, *a.name) < std::tie(b.cost, *b.name);
+            });
+  return victims;
+}
+
+bool Planner::Pass::MayPreempt(const PendingStep& pending,
+                               const Victim& victim) const {
+  const bool outranked = pending.rank.within_guarantee
+                             ? !victim.within_guarantee
+                             : victim.priority > pending.policy.priority;
+  return outranked && preempted_.count(*victim.name) == 0;
 }
 
 std::vector<Planner::Pass::PreemptionOption> Planner::Pass::PreemptionOptionsOn(
     const PendingStep& pending, Candidate* candidate, int limit) {
   const Resources need = pending.spec->room();
-  std::vector<std::pair<std::int64_t, TaskName>> victims;
-  CountLooks(candidate->runner->runs().size());
-  for (const auto& [name, run] : candidate->runner->runs()) {
-    if (!MayPreempt(pending, name, run)) continue;
-    victims.emplace_back(PreemptionCost(name, run), name);
-  }
-  std::sort(victims.begin(), victims.end());
+  const std::vector<Victim>& victims = VictimsOn(*candidate);
   Resources room = candidate->room;
   room += candidate->releasing;
   std::vector<PreemptionOption> options;
-  std::size_t next = 0;
+  auto next = victims.begin();
   while (static_cast<int>(options.size()) < limit) {
     PreemptionOption option;
     option.candidate = candidate;
-    while (!need.Fits(room) && next < victims.size()) {
-      option.cost += victims[next].first;
-      option.victims.push_back(victims[next].second);
-      room += candidate->runner->runs().at(victims[next].second).need;
-      ++next;
+    for (; !need.Fits(room) && next != victims.end(); ++next) {
+      if (!MayPreempt(pending, *next)) continue;
+      option.cost += next->cost;
+      option.victims.push_back(*next->name);
+      room += next->run->need;
     }
     if (!need.Fits(room)) break;
     room -= need;
@@ -242,6 +263,32 @@
   return options;
 }
 
+std::optional<double> Planner::Pass::LowestMeanCost(const PendingStep& pending,
+                                                    const Candidate& candidate,
+                                                    int limit) {
+  CountLooks(1);
+  const Resources need = pending.spec->room();
+  const std::vector<Victim>& victims = VictimsOn(candidate);
+  Resources room = candidate.room;
+  room += candidate.releasing;
+  std::optional<double> lowest;
+  std::int64_t cost = 0;
+  auto next = victims.begin();
+  // The first sequence ends where the mean over all options so far is lowest.
+  for (int options = 1; options <= limit; ++options) {
+    for (; !need.Fits(room) && next != victims.end(); ++next) {
+      if (!MayPreempt(pending, *next)) continue;
+      cost += next->cost;
+      room += next->run->need;
+    }
+    if (!need.Fits(room)) break;
+    room -= need;
+    const double mean = static_cast<double>(cost) / options;
+    lowest = std::min(lowest.value_or(mean), mean);
+  }
+  return lowest;
+}
+
 std::vector<Planner::Pass::PreemptionSequence>
 Planner::Pass::PreemptionSequencesOn(const PendingStep& pending,
                                      Candidate* candidate, int limit) {
@@ -266,6 +313,40 @@
   return sequences;
 }
 
+std::vector<Candidate*> Planner::Pass::CheapestCandidates(
+    const PendingStep& pending, const std::vector<Candidate*>& candidates,
+    int limit, int count) {
+  struct Offer {
+    double cost = 0;
+    std::size_t position = 0;
+  };
+  std::vector<Offer> offers;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const std::optional<double> cost =
+        LowestMeanCost(pending, *candidates[i], limit);
+    if (cost.has_value()) offers.push_back({*cost, i});
+  }
+  // Sequences are taken in the order of their mean costs. Each has an option at
+  // least, so that those of further candidates are not reached.
+  const auto most = static_cast<std::size_t>(count);
+  if (offers.size() > most) {
+    const auto end = offers.begin() + count;
+    std::nth_element(
+        offers.begin(), end, offers.end(), [](const Offer& a, const Offer& b) {
+          return std::tie(a.cost, a.position) < std::tie(b.cost, b.position);
+        });
+    offers.erase(end, offers.end());
+    std::sort(offers.begin(), offers.end(), [](const Offer& a, const Offer& b) {
+      return a.position < b.position;
+    });
+  }
+  std::vector<Candidate*> cheapest;
+  for (const Offer& offer : offers) {
+    cheapest.push_back(candidates[offer.position]);
+  }
+  return cheapest;
+}
+
 std::vector<Planner::Pass::PreemptionOption> Planner::Pass::CheapestOptions(
     const PendingStep& pending, const std::vector<Candidate*>& candidates,
     const PlacementRequest& request) {
@@ -274,7 +355,8 @@
           ? std::min(request.step->max_per_runner, request.count)
           : request.count;
   std::vector<PreemptionSequence> sequences;
-  for (Candidate* candidate : candidates) {
+  for (Candidate* candidate :
+       CheapestCandidates(pending, candidates, per_seat, request.count)) {
     std::vector<PreemptionSequence> own =
         PreemptionSequencesOn(pending, candidate, per_seat);
     sequences.insert(sequences.end(), std::make_move_iterator(own.begin()),
@@ -298,27 +380,27 @@
   return {};
 }
 
-std::map<std::string, std::vector<Candidate*>> Planner::Pass::GroupCandidates(
-    const PendingStep& pending, const PlacementRequest& request) {
-  std::map<std::string, std::vector<Candidate*>> groups;
-  const bool one_rack = pending.spec->gang && pending.spec->same_rack;
-  CountLooksAtAll();
-  for (Candidate& candidate : pool_.candidates()) {
-    if (!CandidatePool::MeetsConstraints(candidate, request)) continue;
-    if (one_rack) groups[candidate.rack].push_back(&candidate);
-    // The empty key groups all candidates, whatever their rack.
-    if (!one_rack || request.ignore_locality) groups[""].push_back(&candidate);
-  }
-  return groups;
+bool Planner::Pass::IsKnownUnmet(const PendingStep& pending,
+                                 const PlacementRequest& request) const {
+  const auto needs_no_more = [&](const UnmetDemand& unmet) {
+    return unmet.service == pending.policy.service &&
+           unmet.within_guarantee == pending.rank.within_guarantee &&
+           unmet.priority == pending.policy.priority &&
+           unmet.count <= request.count &&
+           unmet.need.Fits(pending.spec->room());
+  };
+  return std::any_of(unmet_demands_.begin(), unmet_demands_.end(),
+                     needs_no_more);
 }
 
 WaitReason Planner::Pass::Preempt(const PendingStep& pending,
                                   const PlacementRequest& request) {
+  if (IsKnownUnmet(pending, request)) return WaitReason::kNotEnoughPreemptible;
   std::vector<PreemptionOption> best;
   std::int64_t best_cost = std::numeric_limits<std::int64_t>::max();
-  for (const auto& [rack, candidates] : GroupCandidates(pending, request)) {
+  for (const CandidateGroup& group : GroupCandidates(pending, request)) {
     std::vector<PreemptionOption> options =
-        CheapestOptions(pending, candidates, request);
+        CheapestOptions(pending, group.candidates, request);
     if (options.empty()) continue;
     std::int64_t cost = 0;
     for (const PreemptionOption& option : options) cost += option.cost;
@@ -326,7 +408,15 @@
     best_cost = cost;
     best = std::move(options);
   }
-  if (best.empty()) return WaitReason::kNotEnoughPreemptible;
+  if (best.empty()) {
+    // Later in the pass there is even less to preempt.
+    if (IsUnconstrained(pending, request) && !request.is_last_attempt) {
+      unmet_demands_.push_back(
+          {pending.policy.service, pending.rank.within_guarantee,
+           pending.policy.priority, pending.spec->room(), request.count});
+    }
+    return WaitReason::kNotEnoughPreemptible;
+  }
   CommitPreemptions(pending, best);
   return WaitReason::kPreempting;
 }
@@ -390,93 +480,6 @@
   planner_.reservations_[pending.key] = std::move(reservation);
 }
 
-bool Planner::Pass::ReserveForGang(const PendingStep& pending,
-                                   const PlacementRequest& request) {
-  const TimePoint from =
-      pending.step->ready_since + options_.gang_reservation_delay;
-  if (now_ < from) {
-    WakeAt(from);
-    return false;
-  }
-  const int limit =
-      options_.policy->MaxReservedGangs(options_.max_reserved_gangs);
-  const bool worthless =
-      pending.rank.deadline_status == DeadlineStatus::kWorthless;
-  if (worthless || reserved_gangs_ >= limit) return false;
-  const std::optional<CapacityForecast> forecast =
-      EarliestCompletion(pending, request);
-  if (!forecast.has_value()) return false;
-  ++reserved_gangs_;
-  for (Candidate* candidate : forecast->candidates) {
-    candidate->room -= pending.spec->room();
-  }
-  return true;
-}
-
-std::optional<Planner::Pass::CapacityForecast>
-Planner::Pass::EarliestCompletion(const PendingStep& pending,
-                                  const PlacementRequest& request) {
-  std::optional<CapacityForecast> best;
-  for (const auto& [rack, candidates] : GroupCandidates(pending, request)) {
-    std::optional<CapacityForecast> forecast =
-        EarliestCapacity(candidates, request);
-    if (!forecast.has_value()) continue;
-    const bool spread = pending.spec->same_rack && rack.empty();
-    forecast->until = forecast->until + ExpectedTimeNear(pending) *
-                                            (spread ? kRemoteSlowdown : 1);
-    if (best.has_value() && best->until <= forecast->until) continue;
-    best = std::move(forecast);
-  }
-  return best;
-}
-
-std::optional<Planner::Pass::CapacityForecast> Planner::Pass::EarliestCapacity(
-    const std::vector<Candidate*>& candidates,
-    const PlacementRequest& request) {
-  std::vector<std::pair<Duration, Candidate*>> places;
-  for (Candidate* candidate : candidates) {
-    AddFuturePlaces(candidate, request, &places);
-  }
-  if (static_cast<int>(places.size()) < request.count) return std::nullopt;
-  std::stable_sort(
-      places.begin(), places.end(),
-      [](const auto& a, const auto& b) { return a.first < b.first; });
-  CapacityForecast forecast;
-  forecast.until = places[request.count - 1].first;
-  for (int i = 0; i < request.count; ++i) {
-    forecast.candidates.push_back(places[i].second);
-  }
-  return forecast;
-}
-
-void Planner::Pass::AddFuturePlaces(
-    Candidate* candidate, const PlacementRequest& request,
-    std::vector<std::pair<Duration, Candidate*>>* places) {
-  std::vector<std::pair<Duration, Resources>> ends;
-  CountLooks(1 + candidate->runner->runs().size());
-  for (const auto& [name, run] : candidate->runner->runs()) {
-    ends.emplace_back(TimeLeft(run, now_), run.need);
-  }
-  std::sort(ends.begin(), ends.end(),
-            [](const auto& a, const auto& b) { return a.first < b.first; });
-  Resources room = candidate->room;
-  Duration at;
-  std::size_t next = 0;
-  for (int found = 0; found < request.count;) {
-    if (request.step->room().Fits(room)) {
-      room -= request.step->room();
-      places->emplace_back(at, candidate);
-      ++found;
-    } else if (next < ends.size()) {
-      at = ends[next].first;
-      room += ends[next].second;
-      ++next;
-    } else {
-      return;
-    }
-  }
-}
-
 void Planner::Pass::DropExpiredReservations() {
   for (auto it = planner_.reservations_.begin();
        it != planner_.reservations_.end();) {
--- a/src/dispatch/planner_steps.cc
+++ b/src/dispatch/planner_steps.cc
@@ -30,6 +30,9 @@
   }
   const double used = static_cast<double>(all - free);
   mostly_idle_ = used < options_.idle_share * static_cast<double>(all);
+  for (const auto& [rack, number] : number_of_rack) {
+    racks_by_name_.push_back(number);
+  }
   double left = options_.urgent_share * static_cast<double>(runners);
   std::vector<bool> is_urgent(pool_.rack_count());
   for (const auto& [rack, number] : number_of_rack) {
