Bound the time of a planning pass

A pass took as long as its steps, runners and runs made it, and everything else waited: new jobs, answers, the starts of the other members of a gang.

The scheduler now learns how long each batch with a pass took. Passes take at most half of the time, so that what waited for one is handled before the next.

--- a/src/dispatch/job_spec.h
+++ b/src/dispatch/job_spec.h
@@ -182,6 +182,12 @@
   int occurrence = 0;
   int step = 0;
 
+  friend bool operator==(const StepName& a, const StepName& b) {
+    return a.occurrence == b.occurrence && a.step == b.step && a.job == b.job;
+  }
+  friend bool operator!=(const StepName& a, const StepName& b) {
+    return !(a == b);
+  }
   friend bool operator<(const StepName& a, const StepName& b) {
     return std::tie(a.job, a.occurrence, a.step) <
            std::tie(b.job, b.occurrence, b.step);
--- a/src/dispatch/node.h
+++ b/src/dispatch/node.h
@@ -84,7 +84,10 @@
                     const std::vector<EventBody>& events);
   /// Records how long the batch of the previous call of `ReduceAll` waited and
   /// took. While this node leads, late batches are logged.
-  void RecordBatch(const BatchTime& batch) { load_.Record(batch); }
+  void RecordBatch(const BatchTime& batch) {
+    load_.Record(batch);
+    if (scheduler_ != nullptr) scheduler_->RecordBatch(batch.taken);
+  }
   /// When the next `TimerFired` event is needed, unless another event comes
   /// first.
   TimePoint next_at() const;
--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -72,8 +72,12 @@
     SortPendingSteps();
   }
   ++planner_.passes_;
+  ResumePreviousPass();
   for (PendingStep& pending : pending_steps_) {
-    if (IsBlocked(pending)) {
+    if (IsOutOfTime(pending)) {
+      if (!planner_.resume_at_.has_value()) planner_.resume_at_ = pending.key;
+      KeepWaitReason(pending);
+    } else if (IsBlocked(pending)) {
       RecordWait(pending, WaitReason::kBlockedByEarlierStep);
     } else if (IsTriedInThisPass(pending)) {
       Place(&pending);
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -20,6 +20,7 @@
 #include "dispatch/fleet.h"
 #include "dispatch/job_registry.h"
 #include "dispatch/on_time_selection.h"
+#include "dispatch/pass_budget.h"
 #include "dispatch/placement.h"
 #include "dispatch/planning_policy.h"
 #include "dispatch/run_time_estimator.h"
@@ -228,6 +229,9 @@
     stop_time_ =
         longest_stop > Duration(0) ? longest_stop : options_.default_stop_time;
   }
+  /// Sets after how many looks a pass tries only steps within a guarantee. The
+  /// next pass goes on with the others.
+  void SetMaxLooks(std::int64_t looks) { max_looks_ = looks; }
   /// The next time at which a waiting step becomes due or one of its waits
   /// ends.
   TimePoint next_at() const { return next_at_; }
@@ -281,6 +285,9 @@
   std::map<StepName, TimePoint> delayed_since_;
   bool preempts_by_loss_ = false;
   Duration stop_time_;
+  std::int64_t max_looks_ = PassBudget::kUnlimited;
+  /// The first step that the previous pass did not try for lack of time.
+  std::optional<StepName> resume_at_;
   int passes_ = 0;
   /// Accelerators of an urgent gang, as an average of those that waited lately.
   double urgent_gang_accelerators_ = 0;
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -125,6 +125,13 @@
   void CollectPendingSteps();
   /// Sorts the steps by the policy, first to place first.
   void SortPendingSteps();
+  /// Puts the steps that the previous pass did not get to before the others
+  /// that are not within a guarantee. Precondition: the steps are sorted.
+  void ResumePreviousPass();
+  /// True if the pass has no time left for the step.
+  bool IsOutOfTime(const PendingStep& pending) const {
+    return !pending.rank.within_guarantee && looks_ >= planner_.max_looks_;
+  }
 
   // Selection and shares (planner_shares.cc).
   /// Excludes a worthless step beyond its guarantee from everything that would
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -348,6 +348,7 @@
   UpdateSpeedUse(ctx);
   planner_.CountUse(ctx.now(), *catalog_, &jobs_, fleet_);
   planner_.SetPreemptionByLoss(DecidesByGain(), longest_stop_);
+  planner_.SetMaxLooks(pass_budget_.max_looks());
   const Plan plan = planner_.Decide(
       ctx.now(), ctx.wall_ms(), *catalog_, run_time_estimator_,
       speeds_in_use_ ? &speeds_ : nullptr, ticket_cache_, &jobs_, &fleet_);
@@ -357,6 +358,7 @@
   ++planning_use_.passes;
   planning_use_.steps += plan.steps_tried;
   planning_use_.looks += plan.looks;
+  looks_in_batch_ = plan.looks;
   idle_accelerators_ = plan.idle_accelerators;
   steps_waiting_ = plan.steps_waiting;
   ApplyPlan(ctx, plan);
@@ -364,6 +366,15 @@
   WriteWaitingCounts(ctx);
 }
 
+void Scheduler::RecordBatch(Duration taken) {
+  const std::optional<std::int64_t> looks =
+      std::exchange(looks_in_batch_, std::nullopt);
+  if (!looks.has_value()) return;
+  pass_budget_.Record(*looks, taken);
+  // Passes take at most half of the time.
+  next_pass_at_ = std::max(next_pass_at_, last_pass_at_ + taken * 2);
+}
+
 void Scheduler::LogIdleAccelerators(Context& ctx, const Plan& plan) {
   if (plan.steps_waiting == 0 || ctx.now() < next_idle_accelerators_at_) return;
   next_idle_accelerators_at_ = ctx.now() + options_.idle_accelerators_interval;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -229,6 +229,10 @@
   /// Sets the number of nodes that the leader row tells; 0 if it is not known.
   void SetNodeCount(std::int64_t nodes) { nodes_ = nodes; }
 
+  /// Records how long the latest batch of events took, all work that was due
+  /// included.
+  void RecordBatch(Duration taken);
+
   /// Starts no more runs and releases the lease once all changes are stored.
   void Release();
 
@@ -622,6 +626,9 @@
   TicketCache ticket_cache_;
   Planner planner_;
   PlanningUse planning_use_;
+  PassBudget pass_budget_;
+  /// Looks of the pass in the latest batch; nothing if it had none.
+  std::optional<std::int64_t> looks_in_batch_;
   const Catalog* catalog_ = nullptr;
   bool catalog_is_behind_ = false;
   /// When the store was last unavailable to this scheduler.
