--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -93,17 +93,6 @@
                     [phase](const Task& task) { return task.phase == phase; }));
 }
 
-Duration Step::MeanDurationElsewhere(const IncarnationId& incarnation) const {
-  Duration sum;
-  std::int64_t count = 0;
-  for (const auto& [other, length] : observed_durations) {
-    if (other.runner == incarnation.runner) continue;
-    sum = sum + length;
-    ++count;
-  }
-  return count == 0 ? Duration(0) : sum / count;
-}
-
 Job::Job(JobSpec spec) : spec_(std::move(spec)) {
   ComputeCriticalPaths();
   occurrences_.resize(spec_.occurrences());
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -17,6 +17,7 @@
 
 #include "dispatch/incarnation.h"
 #include "dispatch/job_spec.h"
+#include "dispatch/observed_durations.h"
 #include "dispatch/progress_blocks.h"
 #include "dispatch/run_loss.h"
 #include "limeledge/base.h"
@@ -118,14 +119,9 @@
   /// Runners on which a run of one of the tasks failed; other runners are tried
   /// first.
   std::set<IncarnationId> failed_on;
-  /// Shortest observed run duration per runner. A run that is slow on every
-  /// runner is not the fault of one of them.
-  std::map<IncarnationId, Duration> observed_durations;
+  ObservedDurations observed_durations;
 
   int CountIn(TaskPhase phase) const;
-  /// Returns the mean observed duration on other runners than that of
-  /// `incarnation`; 0 if there is none.
-  Duration MeanDurationElsewhere(const IncarnationId& incarnation) const;
 };
 
 /// The largest number of accelerators that the steps of a job need, each for
--- a/src/dispatch/scheduler_pace.cc
+++ b/src/dispatch/scheduler_pace.cc
@@ -53,14 +53,13 @@
   // says nothing about their runners.
   const bool comparable = !by_gain || !job->step_spec(name.step).gang;
   const Duration elsewhere =
-      comparable ? step.MeanDurationElsewhere(runner->incarnation())
+      comparable ? step.observed_durations.MeanElsewhere(runner->id())
                  : Duration(0);
   const Duration measured(std::llround(duration_ms));
   if (elsewhere > Duration(0)) {
     runner->RecordUsualPace(duration_ms / static_cast<double>(elsewhere.ms()));
   }
-  Duration& shortest = step.observed_durations[runner->incarnation()];
-  shortest = shortest == Duration(0) ? measured : std::min(shortest, measured);
+  step.observed_durations.Record(runner->incarnation(), measured);
   const std::optional<double> factor =
       run_time_estimator_.UpperBoundFactor(job->spec().queue);
   if (!factor.has_value()) return;
--- a/test/progress-blocks-test.cc
+++ b/test/progress-blocks-test.cc
@@ -58,8 +58,10 @@
   for (int i = 0; i < 3; ++i) Start(&job, Name(0, 1, i), 2);
   Start(&job, Name(0, 0, 3));
   job.SaveProgress(Name(0, 0, 3), "half \"done\"");
-  job.RecordLoss(Name(0, 0, 3),
-                 RunLoss{1, {RunnerId("i-1"), StartTime(1700)}, "10.0.0.1:80"});
+  RunLoss loss;
+  loss.run = 1;
+  loss.incarnation = {RunnerId("i-1"), StartTime(1700)};
+  job.RecordLoss(Name(0, 0, 3), loss);
   job.EndRun(Name(0, 1, 1), 2, RunEnd::kFailed, "", 5);
   const std::string whole = EncodeProgress(job);
   STRCMP_EQUAL(WriteJson(*ParseJson(whole)).c_str(), whole.c_str());
