Check only runs that may have stalled or have to leave

A run that has progressed within the shortest time after which one counts as stalled, on a runner that does not drain, is not looked at further.

--- a/src/dispatch/scheduler_pace.cc
+++ b/src/dispatch/scheduler_pace.cc
@@ -129,8 +129,13 @@
       continue;
     }
     if (silent) EndRunsOfBrokenGangs(ctx, runner.get());
+    const bool drains = runner->draining_since().has_value();
     std::vector<TaskName> names;
-    for (const auto& [name, run] : runner->runs()) names.push_back(name);
+    for (const auto& [name, run] : runner->runs()) {
+      const bool may_have_stalled =
+          ctx.now() - run.progressed_at >= options_.stall_timeout;
+      if (drains || may_have_stalled) names.push_back(name);
+    }
     for (const TaskName& name : names) {
       const auto found = runner->runs().find(name);
       if (found == runner->runs().end()) continue;
