Keep the order of steps in passes that are cut short

A pass that went on where the previous one had stopped tried later steps first.

Steps are tried in order for three quarters of the time, and those for which capacity is kept in any case.

--- a/src/dispatch/planner.cc
+++ b/src/dispatch/planner.cc
@@ -15,6 +15,14 @@
 
 namespace limeledge::dispatch {
 
+namespace {
+
+// A pass that has not enough time for all steps uses one part in this many for
+// those that it did not get to in their order.
+constexpr std::int64_t kLooksOfLeftSteps = 4;
+
+}  // namespace
+
 const char* ToString(WaitReason reason) {
   switch (reason) {
     case WaitReason::kBlockedByEarlierStep:
@@ -72,19 +80,7 @@
     SortPendingSteps();
   }
   ++planner_.passes_;
-  ResumePreviousPass();
-  for (PendingStep& pending : pending_steps_) {
-    if (IsOutOfTime(pending)) {
-      if (!planner_.resume_at_.has_value()) planner_.resume_at_ = pending.key;
-      KeepWaitReason(pending);
-    } else if (IsBlocked(pending)) {
-      RecordWait(pending, WaitReason::kBlockedByEarlierStep);
-    } else if (IsTriedInThisPass(pending)) {
-      Place(&pending);
-    } else {
-      KeepWaitReason(pending);
-    }
-  }
+  TryLeftSteps(TryStepsInOrder());
   if (shares_capacity) RecordStarts();
   DropExpiredReservations();
   plan_.steps_waiting = static_cast<int>(waits_.size());
@@ -94,6 +90,54 @@
   return std::move(plan_);
 }
 
+bool Planner::Pass::IsTriedInOrder(const PendingStep& pending) const {
+  // Otherwise others would take the capacity that was freed for the step.
+  const bool has_reservation = planner_.reservations_.count(pending.key) != 0;
+  return pending.rank.within_guarantee || has_reservation ||
+         looks_ <
+             planner_.max_looks_ / kLooksOfLeftSteps * (kLooksOfLeftSteps - 1);
+}
+
+std::vector<Planner::PendingStep*> Planner::Pass::TryStepsInOrder() {
+  std::vector<PendingStep*> left;
+  for (PendingStep& pending : pending_steps_) {
+    if (IsTriedInOrder(pending)) {
+      Try(&pending);
+    } else {
+      left.push_back(&pending);
+    }
+  }
+  return left;
+}
+
+void Planner::Pass::TryLeftSteps(std::vector<PendingStep*> left) {
+  const std::optional<StepName> from =
+      std::exchange(planner_.resume_at_, std::nullopt);
+  const auto resumed = std::find_if(
+      left.begin(), left.end(),
+      [&from](const PendingStep* step) { return step->key == from; });
+  if (resumed != left.end()) std::rotate(left.begin(), resumed, left.end());
+  for (PendingStep* pending : left) {
+    // One in any case, so that each step is tried in the end.
+    if (pending == left.front() || looks_ < planner_.max_looks_) {
+      Try(pending);
+      continue;
+    }
+    if (!planner_.resume_at_.has_value()) planner_.resume_at_ = pending->key;
+    KeepWaitReason(*pending);
+  }
+}
+
+void Planner::Pass::Try(PendingStep* pending) {
+  if (IsBlocked(*pending)) {
+    RecordWait(*pending, WaitReason::kBlockedByEarlierStep);
+  } else if (IsTriedInThisPass(*pending)) {
+    Place(pending);
+  } else {
+    KeepWaitReason(*pending);
+  }
+}
+
 IdleAccelerators Planner::Pass::MeasureIdleAccelerators() {
   std::unordered_map<const Runner*, std::int64_t> assigned;
   for (const Assignment& assignment : plan_.assignments) {
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -229,8 +229,8 @@
     stop_time_ =
         longest_stop > Duration(0) ? longest_stop : options_.default_stop_time;
   }
-  /// Sets after how many looks a pass tries only steps within a guarantee. The
-  /// next pass goes on with the others.
+  /// Sets after how many looks a pass tries only steps for which capacity must
+  /// be kept: those within a guarantee, and those that preempted others.
   void SetMaxLooks(std::int64_t looks) { max_looks_ = looks; }
   /// The next time at which a waiting step becomes due or one of its waits
   /// ends.
@@ -286,7 +286,7 @@
   bool preempts_by_loss_ = false;
   Duration stop_time_;
   std::int64_t max_looks_ = PassBudget::kUnlimited;
-  /// The first step that the previous pass did not try for lack of time.
+  /// The first step that the previous pass left out for lack of time.
   std::optional<StepName> resume_at_;
   int passes_ = 0;
   /// Accelerators of an urgent gang, as an average of those that waited lately.
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -125,13 +125,16 @@
   void CollectPendingSteps();
   /// Sorts the steps by the policy, first to place first.
   void SortPendingSteps();
-  /// Puts the steps that the previous pass did not get to before the others
-  /// that are not within a guarantee. Precondition: the steps are sorted.
-  void ResumePreviousPass();
-  /// True if the pass has no time left for the step.
-  bool IsOutOfTime(const PendingStep& pending) const {
-    return !pending.rank.within_guarantee && looks_ >= planner_.max_looks_;
-  }
+  /// True if the pass tries the step in its order, whatever follows: there is
+  /// time, or capacity must be kept for it.
+  bool IsTriedInOrder(const PendingStep& pending) const;
+  /// Tries the sorted steps as far as time allows. Returns the others.
+  std::vector<PendingStep*> TryStepsInOrder();
+  /// Tries the steps that are left, from where the previous pass stopped, as
+  /// far as time allows: they may fit where those before them do not.
+  void TryLeftSteps(std::vector<PendingStep*> left);
+  /// Tries to place a step, unless it skips this pass.
+  void Try(PendingStep* pending);
 
   // Selection and shares (planner_shares.cc).
   /// Excludes a worthless step beyond its guarantee from everything that would
--- a/src/dispatch/planner_steps.cc
+++ b/src/dispatch/planner_steps.cc
@@ -182,20 +182,6 @@
   return DeadlineStatus::kLate;
 }
 
-void Planner::Pass::ResumePreviousPass() {
-  const std::optional<StepName> from =
-      std::exchange(planner_.resume_at_, std::nullopt);
-  if (!from.has_value()) return;
-  const auto first = std::find_if(
-      pending_steps_.begin(), pending_steps_.end(),
-      [](const PendingStep& step) { return !step.rank.within_guarantee; });
-  const auto resumed = std::find_if(
-      first, pending_steps_.end(),
-      [&from](const PendingStep& step) { return step.key == *from; });
-  if (resumed == pending_steps_.end()) return;
-  std::rotate(first, resumed, pending_steps_.end());
-}
-
 void Planner::Pass::SortPendingSteps() {
   const PlanningPolicy& policy = *options_.policy;
   std::sort(pending_steps_.begin(), pending_steps_.end(),
