--- a/src/dispatch/node.cc
+++ b/src/dispatch/node.cc
@@ -394,6 +394,8 @@
 }
 
 void Node::BecomeLeader(Context& ctx, const Leadership::Claimed& claimed) {
+  // What was recorded before says nothing about the scheduler.
+  load_ = ReducerLoad();
   scheduler_ = std::make_unique<Scheduler>(options_.scheduler, claimed,
                                            &store_timeout_, claimed.sent_at);
   // The process may have been paused while the response to the claim waited.
--- a/src/dispatch/reducer_load.cc
+++ b/src/dispatch/reducer_load.cc
@@ -31,9 +31,7 @@
 void ReducerLoad::Report(Context& ctx, const PlanningUse& use) {
   if (ctx.now() < next_report_at_) return;
   next_report_at_ = ctx.now() + kReportInterval;
-  const bool is_new_scheduler = use.passes < reported_use_.passes;
-  const PlanningUse before = is_new_scheduler ? PlanningUse() : reported_use_;
-  reported_use_ = use;
+  const PlanningUse before = std::exchange(reported_use_, use);
   const Duration waited = std::exchange(longest_wait_, Duration(0));
   const Duration taken = std::exchange(longest_batch_, Duration(0));
   const std::int64_t batches = std::exchange(batches_, 0);
--- a/src/dispatch/reducer_load.h
+++ b/src/dispatch/reducer_load.h
@@ -33,7 +33,7 @@
   std::int64_t looks = 0;
 };
 
-/// Collects the times of batches, and logs those of late ones.
+/// Collects the times of a scheduler's batches, and logs those of late ones.
 ///
 /// Thread safety: none; use it from one thread.
 class ReducerLoad {
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -113,6 +113,7 @@
   process.node = std::make_unique<dispatch::Node>(options);
   process.busy = false;
   process.waiting_events.clear();
+  process.waiting_since = now_;
   Reduce(node, {dispatch::TimerFired()});
 }
 
