--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -209,12 +209,11 @@
     return;
   }
   process.waiting_since = now_;
-  std::vector<dispatch::EventBody> events;
-  events.push_back(std::move(body));
-  Reduce(node, std::move(events));
+  Reduce(node, {std::move(body)});
 }
 
-void EmulatedSystem::Reduce(int node, std::vector<dispatch::EventBody> events) {
+void EmulatedSystem::Reduce(int node,
+                            const std::vector<dispatch::EventBody>& events) {
   Process& process = processes_[node];
   if (process.node == nullptr) return;
   for (const dispatch::EventBody& body : events) {
@@ -271,7 +270,7 @@
               std::back_inserter(process.held_events));
     return;
   }
-  Reduce(node, std::move(events));
+  Reduce(node, events);
 }
 
 void EmulatedSystem::SetTimer(int node) {
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -375,7 +375,7 @@
 
   void StartNode(int node);
   void Deliver(int node, int incarnation, dispatch::EventBody body);
-  void Reduce(int node, std::vector<dispatch::EventBody> events);
+  void Reduce(int node, const std::vector<dispatch::EventBody>& events);
   /// The time in which the node has handled a batch after which its planner has
   /// looked `looks` times in all.
   Duration TimeOfBatch(Process* process, std::size_t events,
--- a/test/busy-planner-test.cc
+++ b/test/busy-planner-test.cc
@@ -147,8 +147,10 @@
   constexpr int kGangs = 40;
   constexpr int kLooksAtACandidate = 4;
   const std::int64_t looks = LooksBeside(kGangs);
-  const int runs = kRunners * kRunsPerRunner;
-  CHECK_TRUE(looks <= 2 * runs + kLooksAtACandidate * kRunners * (kGangs + 2));
+  constexpr int kRuns = kRunners * kRunsPerRunner;
+  constexpr int kSteps = kGangs + 2;
+  constexpr int kMostLooks = 2 * kRuns + kSteps * kLooksAtACandidate * kRunners;
+  CHECK_TRUE(looks <= kMostLooks);
 }
 
 // Guards against steps that are never tried because the passes have no time.
@@ -159,7 +161,8 @@
   ReadJobs();
   FillRunners();
   // Enough for a few steps, most of them the first ones in order.
-  planner.SetMaxLooks(2 * kRunners * kRunsPerRunner);
+  constexpr int kFewSteps = 2 * kRunners * kRunsPerRunner;
+  planner.SetMaxLooks(kFewSteps);
   std::set<std::string> served;
   for (int pass = 0; pass < 3 * kGangs; ++pass) {
     for (const Preemption& preemption : Decide().preemptions) {
--- a/test/json-text-test.cc
+++ b/test/json-text-test.cc
@@ -45,7 +45,7 @@
 // Guards against rows that cannot be read because of an id or a checkpoint.
 TEST(JsonText, AnyTextIsEscaped) {
   json.BeginObject();
-  json.Key("a\"b\\").Text(std::string("q\"\\/\n\t\x01 \x7f \u00e9 \u20ac", 19));
+  json.Key("a\"b\\").Text("q\"\\/\n\t\x01 \x7f \u00e9 \u20ac");
   json.EndObject();
   CheckSameAsWriteJson(std::move(json).Take());
 }
--- a/test/late-reducer-test.cc
+++ b/test/late-reducer-test.cc
@@ -31,7 +31,7 @@
   SystemOptions options;
   std::optional<EmulatedSystem> system;
   /// The workspace of callers that name none; it has a guarantee.
-  const WorkspaceId guaranteed;
+  const WorkspaceId guaranteed{""};
   const WorkspaceId other{"parks"};
   /// Gang runs that ended because not all members started.
   std::vector<std::string> incomplete;
