--- a/test/pass-budget-test.cc
+++ b/test/pass-budget-test.cc
@@ -4,9 +4,8 @@
 // Copyright (c) 2026 the limeledge authors.
 // SPDX-License-Identifier: MIT
 
-#include "dispatch/pass_budget.h"
-
 #include "CppUTest/TestHarness.h"
+#include "dispatch/pass_budget.h"
 
 namespace limeledge::dispatch {
 
