Check each start of a gang right before it is sent

All of them were checked first, each beside what had been sent before. Where the capacity had shrunk since they were planned, they fitted one by one, but not together.

Change: each start is checked again right before it is sent; if it no longer fits, it is dropped and its gang stopped.

--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -111,7 +111,16 @@
         {name.job, name.occurrence, name.step}, number};
     if (runner->orders_in_flight > 0 && runner->gang_in_flight != gang) return;
     runner->waiting_starts.pop_front();
-    SendStart(ctx, runner, name, runner->FindRun(name, number));
+    Run* run = runner->FindRun(name, number);
+    // The members that were sent just now take capacity too.
+    const std::optional<StartDropReason> reason =
+        FindDropReason(ctx.now(), *runner, name, *run);
+    if (reason.has_value()) {
+      DropStart(ctx, runner, name, *reason);
+      orders_due_.insert(runner->id());
+      return;
+    }
+    SendStart(ctx, runner, name, run);
   }
 }
 
--- a/test/late-reducer-test.cc
+++ b/test/late-reducer-test.cc
@@ -125,7 +125,7 @@
   }
 
   /// Urgent gangs of a workspace without a guarantee compete for the runners,
-  /// and one job within its guarantee comes every five seconds.
+  /// and one job within its guarantee comes every other second.
   void PlayBusyFleet() {
     Start();
     FillRunners();
--- a/test/odd-entries-test.cc
+++ b/test/odd-entries-test.cc
@@ -16,7 +16,6 @@
 #include "absl/strings/str_replace.h"
 #include "codec/json.h"
 #include "dispatch/row_codec.h"
-#include "dispatch/speed_rows.h"
 #include "platform/peer_client.h"
 #include "platform/wire.h"
 
@@ -181,6 +180,14 @@
   });
 }
 
+TEST(OddEntries, JobsOfCallersAreAcceptedOrRejected) {
+  ForEachOddVersion(
+      R"({"spec":"x","steps":[{"count":4,"cpu":500,"estimate-ms":900},)"
+      R"({"count":2,"gpu":1,"gang":true,"after":[0],"requires":"a"}],)"
+      R"("times":2,"start-at-ms":1700000000000,"interval-ms":500})",
+      [](const std::string& text) { (void)DecodeJob(text); });
+}
+
 TEST(OddEntries, ConfigurationsAreAcceptedOrRejected) {
   ForEachOddVersion(
       R"({"version":4,"routes":[{"name":"q","host":"h","path-prefix":"/q/",)"
--- a/test/room-fuzz-test.cc
+++ b/test/room-fuzz-test.cc
@@ -159,4 +159,13 @@
   LONGS_EQUAL(0, failed_seeds);
 }
 
+// Guards against starts of a gang that fit a runner one by one, but not
+// together, since its capacity shrank after they were planned.
+TEST(RoomFuzz, GangThatDoesNotFitAShrunkRunnerIsNotStarted) {
+  constexpr int kSeed = 9300053;
+  const std::vector<std::string> failures = CapacitySimulation(kSeed).Run();
+  CHECK_TEXT(failures.empty(),
+             failures.empty() ? "" : failures.front().c_str());
+}
+
 }  // namespace limeledge::emulator
