Let the next incarnation answer calls to a runner that is down

Callers of a runner that crashes and starts again under its id see, on real processes, that a call which was sent while it was down is carried out and answered by the next incarnation. No emulated course has shown that: a call to a runner that is down was refused or lost at once, and the poll that waited there failed within 20 ms of the crash, so that the scheduler took the runner as silent and dropped the starts that were still to be sent. A call to an earlier incarnation reached the next one only if it was carried out late, and then it got no answer.

While `Faults::resend_interval` is not 0, such calls are sent again at this interval until the runner is up or their callers stop waiting, with the end of the lease that they were sent with. Polls that wait at a runner that goes down get no response before the next incarnation is up.

--- a/src/emulator/emulated_orders.cc
+++ b/src/emulator/emulated_orders.cc
@@ -57,11 +57,11 @@
   const int incarnation = processes_[node].incarnation;
   ++polls_;
   if (Happens(faults_.polls_lost)) {
-    LosePoll(node, incarnation, poll);
+    LosePoll(node, incarnation, poll, now_ + poll.wait + kOrderTimeout);
     return;
   }
   if (Happens(faults_.polls_late)) {
-    LosePoll(node, incarnation, poll);
+    LosePoll(node, incarnation, poll, now_ + poll.wait + kOrderTimeout);
     RunAt(now_ + LateOrderDelay(), [this, poll] { DeliverLatePoll(poll); });
     return;
   }
@@ -72,12 +72,12 @@
 }
 
 void EmulatedSystem::LosePoll(int node, int incarnation,
-                              const dispatch::PollRunner& poll) {
+                              const dispatch::PollRunner& poll, TimePoint at) {
   dispatch::RunnerPolled lost;
   lost.asked = poll.target.incarnation;
   lost.number = poll.number;
   lost.fence = poll.target.fence;
-  RunAt(now_ + poll.wait + kOrderTimeout,
+  RunAt(at,
         [this, node, incarnation, lost] { Deliver(node, incarnation, lost); });
 }
 
@@ -111,10 +111,36 @@
   });
 }
 
+bool EmulatedSystem::IsResent(int node, const dispatch::OrderTarget& target) {
+  if (faults_.resend_interval == Duration(0)) return false;
+  DropIfCrashed(target.address);
+  const RunnerId& id = target.incarnation.runner;
+  return runner_at_.count(target.address) == 0 && Responds(id) &&
+         !IsSeparated(node, id);
+}
+
+void EmulatedSystem::ResendPoll(int node, int incarnation,
+                                const dispatch::PollRunner& poll,
+                                TimePoint until,
+                                const dispatch::IncarnationId& waiting_at) {
+  const TimePoint next = now_ + faults_.resend_interval;
+  if (next < until + kOrderTimeout) {
+    RunAt(next, [this, node, incarnation, poll, until, waiting_at] {
+      AnswerPoll(node, incarnation, poll, until, waiting_at);
+    });
+    return;
+  }
+  LosePoll(node, incarnation, poll, until + kOrderTimeout);
+}
+
 void EmulatedSystem::AnswerPoll(int node, int incarnation,
                                 const dispatch::PollRunner& poll,
                                 TimePoint until,
                                 const dispatch::IncarnationId& waiting_at) {
+  if (IsResent(node, poll.target)) {
+    ResendPoll(node, incarnation, poll, until, waiting_at);
+    return;
+  }
   DropIfCrashed(poll.target.address);
   const RunnerId& id = poll.target.incarnation.runner;
   dispatch::RunnerPolled answer;
@@ -238,6 +264,25 @@
   if (found != in_flight.end()) in_flight.erase(found);
 }
 
+void EmulatedSystem::ArriveOrResend(int node,
+                                    const dispatch::OrderTarget& target,
+                                    TimePoint until,
+                                    const std::function<void()>& arrive,
+                                    const std::function<void()>& lose) {
+  if (!IsResent(node, target)) {
+    arrive();
+    return;
+  }
+  const TimePoint next = now_ + faults_.resend_interval;
+  if (next >= until) {
+    RunAt(until, lose);
+    return;
+  }
+  RunAt(next, [this, node, target, until, arrive, lose] {
+    ArriveOrResend(node, target, until, arrive, lose);
+  });
+}
+
 template <typename Answer, typename Order>
 void EmulatedSystem::SendOrderNow(int node, const Order& order,
                                   const std::string& group, Answer answer,
@@ -285,20 +330,24 @@
       arrive(&responded);
     });
   }
-  RunAt(now_ + options_.network,
-        [this, recipient, arrive, reply, answer, repeated] {
-          bool responded = false;
-          Answer body = arrive(&responded);
-          SetEarlierAttemptPending(repeated, &body);
-          if (responded) {
-            reply(faults_.order_time + options_.network, body);
-          } else if (RefusesConnections(recipient.runner)) {
-            body.outcome = OrderOutcome::kNotSent;
-            reply(options_.network, body);
-          } else {
-            reply(kOrderTimeout, answer);
-          }
-        });
+  const auto deliver = [this, recipient, arrive, reply, answer, repeated] {
+    bool responded = false;
+    Answer body = arrive(&responded);
+    SetEarlierAttemptPending(repeated, &body);
+    if (responded) {
+      reply(faults_.order_time + options_.network, body);
+    } else if (RefusesConnections(recipient.runner)) {
+      body.outcome = OrderOutcome::kNotSent;
+      reply(options_.network, body);
+    } else {
+      reply(kOrderTimeout, answer);
+    }
+  };
+  const auto lose = [reply, answer] { reply(Duration(0), answer); };
+  RunAt(now_ + options_.network, [this, node, target = order.target,
+                                  until = now_ + kOrderTimeout, deliver, lose] {
+    ArriveOrResend(node, target, until, deliver, lose);
+  });
 }
 
 void EmulatedSystem::Perform(int node, const dispatch::StartRun& start) {
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -138,6 +138,12 @@
   /// Time that a runner takes to answer an order, in addition to the network
   /// delay. `none` does not count it as a fault.
   Duration order_time;
+  /// Unless it is 0, runners that are down do not refuse connections. Calls are
+  /// sent again at this interval, so that the next incarnation carries out and
+  /// answers those whose callers still wait. A poll that waits at a runner that
+  /// goes down gets no response before the next incarnation is up. `none` does
+  /// not count it as a fault.
+  Duration resend_interval;
   /// Runners that keep serving without an entry in the list.
   std::set<RunnerId> unlisted_runners;
   /// Addresses that another writer has put into the entries of runners.
@@ -464,10 +470,18 @@
   /// Records the processes that a fault keeps from the store.
   void RecordTroubledProcesses();
   bool IsInTouch(const Process& process) const;
+  /// True if calls to the target are sent again until a runner is up at its
+  /// address.
+  bool IsResent(int node, const dispatch::OrderTarget& target);
   void AnswerPoll(int node, int incarnation, const dispatch::PollRunner& poll,
                   TimePoint until, const dispatch::IncarnationId& waiting_at);
-  /// The poll gets no response.
-  void LosePoll(int node, int incarnation, const dispatch::PollRunner& poll);
+  /// Sends a poll again to a runner that is down, unless its caller has stopped
+  /// waiting, with the parameters of `AnswerPoll`.
+  void ResendPoll(int node, int incarnation, const dispatch::PollRunner& poll,
+                  TimePoint until, const dispatch::IncarnationId& waiting_at);
+  /// The poll gets no response; its caller stops waiting at `at`.
+  void LosePoll(int node, int incarnation, const dispatch::PollRunner& poll,
+                TimePoint at);
   /// Delivers a poll that got no response to whatever runner is at its address
   /// now.
   void DeliverLatePoll(const dispatch::PollRunner& poll);
@@ -491,6 +505,11 @@
   template <typename Answer, typename Order>
   void SendOrderNow(int node, const Order& order, const std::string& group,
                     Answer answer, const OrderHandler<Answer>& execute);
+  /// Lets an order arrive. While its runner is down it is sent again, until it
+  /// arrives or `until` has come: then it is lost.
+  void ArriveOrResend(int node, const dispatch::OrderTarget& target,
+                      TimePoint until, const std::function<void()>& arrive,
+                      const std::function<void()>& lose);
   /// Records that an order is no longer in flight.
   void FinishOrder(int node, int incarnation,
                    const dispatch::IncarnationId& runner,
