Bound the leases of foreign calls by one rule

Cause: the end of a lease is given on the clock of the incarnation that a call was meant for. The next one's clock starts anew, so that a call to an earlier incarnation grants it the longest lease, 10 s, which holds for all that runs there later. The scheduler counted that only where it knew of such a call: of a start or poll in flight when it found the next incarnation, and after a take-over on runners of inherited runs. It did not where the next incarnation had answered the start, where the poll had been superseded by another one, or where a successor inherited no run there. Then it took runs as over after 5.3 s that went on for up to 10 s.

RunnerLease holds the rule now: as long as an incarnation has not answered a call that outranks all foreign ones, what such calls may still grant; from that answer on, the longest lease. What is known of runs or calls does not matter, so that no path can forget it. The scheduler of the first epoch assumes no previous one, nor does one whose take-over is so long ago that no call of a predecessor can arrive (22.5 s).

RunnerLease: three tests of the former parts are replaced. In Fleet, LateGrantOutlastsTheFirstAnswerOfAnIncarnation now plays a next incarnation, which alone can be reached by such a call.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -33,7 +33,6 @@
     fence_generation_ = fence_generation_.Next();
   }
   place->fence_generation = fence_generation_;
-  place->rejects_earlier_calls = false;
   MarkForReschedule(place.get());
   return place.get();
 }
@@ -49,10 +48,9 @@
     runner = Add(info);
     runner->Unlist(now);
   }
-  if (runner->heard()) {
-    runner->RecordPreviousLease(PreviousLeaseOf(*runner));
-  } else {
-    runner->AssumePreviousLeaseUntil(now + options_.previous_scheduler_lease);
+  if (!runner->heard()) {
+    runner->AssumeForeignLeaseUntil(now + options_.previous_scheduler_lease,
+                                    LeaseBasis::kPreviousScheduler);
     // Where another incarnation was called says nothing about this one.
     const bool is_present = incarnation == runner->incarnation();
     if (is_present && !address.empty()) runner->RecordAddress(address);
@@ -69,18 +67,20 @@
   return runner;
 }
 
-Duration Fleet::PreviousLeaseOf(const Runner& runner) const {
+Duration Fleet::LongestForeignLease(const Runner& runner) const {
   const bool keeps_id = IsReported(runner.incarnation().start_time);
   return keeps_id ? options_.longest_lease : options_.run_lease;
 }
 
-void Fleet::HandleAnswer(Runner* runner, TimePoint now,
-                         std::int64_t clock_ms) const {
-  const bool first = !runner->heard();
-  runner->RecordAnswer(now, clock_ms);
-  // If the runner is lost soon after a take-over, its runs need not wait for
-  // the longer lease that was assumed before its first answer.
-  if (first) runner->LimitPreviousLease(PreviousLeaseOf(*runner));
+void Fleet::HandleForeignCallsRejected(Runner* runner, TimePoint now) const {
+  // The first incarnation that is known here has received no calls of this
+  // scheduler to an earlier one.
+  std::optional<TimePoint> latest = now;
+  if (runner->incarnations() == 1) {
+    latest = foreign_calls_until_;
+    if (latest.has_value()) latest = std::min(*latest, now);
+  }
+  runner->RecordForeignCallsRejected(latest, LongestForeignLease(*runner));
 }
 
 void Fleet::List(Context& ctx, const StoreTimeout& store_timeout) {
@@ -257,7 +257,7 @@
 Duration Fleet::PollWaitFor(const Runner& runner) const {
   // Until the answer shows which incarnation is present, it may carry out late
   // calls to the previous one.
-  if (runner.may_have_restarted || !runner.rejects_earlier_calls) {
+  if (runner.may_have_restarted || !runner.rejects_foreign_calls()) {
     return Duration(0);
   }
   if (runner.runs().empty()) return options_.idle_wait;
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -33,6 +34,9 @@
   /// meant for an earlier incarnation whose clock was far ahead grants this
   /// much.
   Duration longest_lease{10000};
+  /// How long a call without an answer may still be carried out, whatever lease
+  /// end it names: at most twelve seconds, plus a margin for clock skew.
+  Duration late_call_window{12500};
   /// How long a poll waits for a run to end; short enough to renew the lease in
   /// time. `busy_wait` is for runners with runs, `idle_wait` for the others.
   Duration busy_wait{1000};
@@ -118,6 +122,13 @@
  public:
   explicit Fleet(FleetOptions options) : options_(options) {}
 
+  /// Records that there were previous schedulers, of which the latest was
+  /// deposed at `now` or before.
+  void AssumePreviousScheduler(TimePoint now) {
+    foreign_calls_until_ =
+        now + options_.longest_unconfirmed + options_.late_call_window;
+  }
+
   const FleetOptions& options() const { return options_; }
   std::map<RunnerId, std::unique_ptr<Runner>>& runners() { return runners_; }
   const std::map<RunnerId, std::unique_ptr<Runner>>& runners() const {
@@ -136,8 +147,9 @@
   /// scheduler.
   Runner* FindOrInherit(const IncarnationId& incarnation,
                         const std::string& address, TimePoint now);
-  /// Records an answer that carried the runner's clock.
-  void HandleAnswer(Runner* runner, TimePoint now, std::int64_t clock_ms) const;
+  /// Records that the incarnation answered a call that outranks all foreign
+  /// ones (`RunnerLease`).
+  void HandleForeignCallsRejected(Runner* runner, TimePoint now) const;
   /// Replaces `before`, which is over and must not be used any more, by the
   /// incarnation with this start time.
   Runner* StartIncarnation(Runner* before, StartTime start_time, TimePoint now);
@@ -198,11 +210,10 @@
   void RemoveGone(Context& ctx);
 
  private:
-  /// The longest lease that a previous scheduler may have granted. A runner
-  /// that keeps its id may have carried out a late call meant for an earlier
-  /// incarnation, whose clock was far ahead; it then holds the longest lease
-  /// that it accepts.
-  Duration PreviousLeaseOf(const Runner& runner) const;
+  /// The longest lease that a foreign call may have granted. On a runner that
+  /// keeps its id, it may have been sent to an earlier incarnation, whose clock
+  /// was far ahead; it then grants the longest lease that the runner accepts.
+  Duration LongestForeignLease(const Runner& runner) const;
   /// True if missing entries may only have expired during an outage of the
   /// store.
   bool MayHaveExpired(TimePoint now) const;
@@ -267,6 +278,9 @@
 
   FleetOptions options_;
   std::map<RunnerId, std::unique_ptr<Runner>> runners_;
+  /// Calls of previous schedulers may arrive up to this time; empty if there
+  /// were none.
+  std::optional<TimePoint> foreign_calls_until_;
   /// Due polls of runners that have answered before, and of those that have
   /// not. Without these sets every event would iterate over all runners, which
   /// took a third of the scheduler's time with 1,100 runners.
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -14,10 +14,6 @@
 
 namespace {
 
-// A runner's steady clock may run 2% slow; the third percent covers rounding.
-constexpr std::int64_t kSlowClockPercent = 103;
-// Timers on the runner fire slightly late.
-constexpr Duration kExpiryMargin{150};
 // Weight of the latest measurement of the pace, and bounds on one measurement.
 constexpr double kPaceWeight = 0.4;
 constexpr double kMinPace = 0.25;
@@ -40,10 +36,6 @@
 // duration divided by this.
 constexpr int kMinRemainingDivisor = 4;
 
-Duration OnSlowClock(std::int64_t ms) {
-  return Duration(ms * kSlowClockPercent / 100) + kExpiryMargin;
-}
-
 }  // namespace
 
 std::string ToString(StartTime start_time) {
@@ -143,9 +135,6 @@
   next->listed_ = listed_;
   next->unlisted_at_ = unlisted_at_;
   next->late_orders = std::move(late_orders);
-  // The next incarnation has seen no fencing token: a previous scheduler may
-  // have renewed its lease until it answers this one.
-  next->AssumePreviousLeaseUntil(assumed_lease_until_);
   // An entry that describes another incarnation is outdated.
   next->hinted_start_time = info_.start_time;
   if (next->DescribesThisIncarnation(info_) && info_.draining) {
@@ -250,8 +239,11 @@
   }
 }
 
-void Runner::RecordEarlierCallsRejected() {
-  rejects_earlier_calls = true;
+void Runner::RecordForeignCallsRejected(std::optional<TimePoint> latest,
+                                        Duration longest) {
+  if (rejects_foreign_calls_) return;
+  rejects_foreign_calls_ = true;
+  if (latest.has_value()) lease_.BoundForeign(*latest, longest);
   for (auto& [key, orphan] : orphans_) orphan.may_start_late = false;
 }
 
@@ -261,7 +253,6 @@
 }
 
 void Runner::RecordAnswer(TimePoint now, std::int64_t clock_ms) {
-  if (!heard_) first_answer_at_ = now;
   heard_ = true;
   misses_ = 0;
   silent_since_.reset();
@@ -285,12 +276,12 @@
 TimePoint Runner::DeferAcknowledgement(std::int64_t number, TimePoint now,
                                        Duration lease) {
   deferred_ends_.insert(number);
-  const Duration longest = OnSlowClock(lease.ms());
+  const Duration longest = OnSlowClock(lease);
   // The runner's clock may have stopped for a while, and a call in flight may
   // still grant a lease.
   const TimePoint newest_grant = std::max(now, late_orders.grants_until());
   no_grant_until_ =
-      std::max({no_grant_until_, lease_expires_at(), newest_grant + longest});
+      std::max({no_grant_until_, lease_.expires_at(), newest_grant + longest});
   return no_grant_until_;
 }
 
@@ -304,28 +295,11 @@
   return !silent_since_.has_value() || *draining_since_ <= *silent_since_;
 }
 
-void Runner::RecordPreviousLease(Duration length) {
-  lease_expires_at_ =
-      std::max(lease_expires_at_, first_answer_at_ + OnSlowClock(length.ms()));
-}
-
-void Runner::LimitPreviousLease(Duration longest) {
-  previous_lease_until_ = std::min(
-      previous_lease_until_, first_answer_at_ + OnSlowClock(longest.ms()));
-}
-
-void Runner::RecordLateGrant(TimePoint granted_at, Duration longest) {
-  const TimePoint at = std::max(granted_at, late_orders.grants_until());
-  if (at == TimePoint()) return;
-  lease_expires_at_ =
-      std::max(lease_expires_at_, at + OnSlowClock(longest.ms()));
-}
-
 std::int64_t Runner::GrantLease(TimePoint now, Duration length) {
   const std::int64_t until =
       heard_clock_ms_ + (now - heard_at_).ms() + length.ms();
-  const TimePoint over = heard_at_ + OnSlowClock(until - heard_clock_ms_);
-  lease_expires_at_ = std::max(lease_expires_at_, over);
+  lease_.RecordGrant(heard_at_ +
+                     OnSlowClock(Duration(until - heard_clock_ms_)));
   return until;
 }
 
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -23,6 +23,7 @@
 #include "dispatch/incarnation.h"
 #include "dispatch/job_spec.h"
 #include "dispatch/late_orders.h"
+#include "dispatch/runner_lease.h"
 #include "limeledge/base.h"
 #include "limeledge/clock.h"
 
@@ -249,8 +250,7 @@
       : info_(std::move(info)), incarnation_(info_.incarnation()) {}
 
   /// Creates the next incarnation under the same id. It takes over the list
-  /// entry, the address, the incarnation count, the late orders and what is
-  /// assumed of a previous scheduler's leases.
+  /// entry, the address, the incarnation count and the late orders.
   std::unique_ptr<Runner> Next(StartTime start_time, TimePoint now);
 
   const RunnerInfo& info() const { return info_; }
@@ -324,42 +324,32 @@
   /// Returns the end of a lease of `length` from now, on the runner's clock,
   /// and records that the lease may be granted. Precondition: `heard()`.
   std::int64_t GrantLease(TimePoint now, Duration length);
-  /// From this moment on every lease that was granted has expired.
-  TimePoint lease_expires_at() const {
-    return std::max(lease_expires_at_, previous_lease_until_);
-  }
+  /// Until when the incarnation may hold a lease, whoever granted it.
+  const RunnerLease& lease() const { return lease_; }
   /// How long a lease may still last; 0 if all have expired.
   Duration LeaseLeft(TimePoint now) const {
-    return std::max(Duration(0), lease_expires_at() - now);
+    return std::max(Duration(0), lease_.expires_at() - now);
   }
-  /// Records that a previous scheduler may have granted a lease of `length`
-  /// just before the runner first answered this one; since then the runner
-  /// rejects the previous scheduler. Precondition: `heard()`.
-  void RecordPreviousLease(Duration length);
-  /// Records that calls meant for an earlier incarnation may have granted this
-  /// one a lease of `longest`, at `granted_at` or up to the latest arrival of a
-  /// late call.
-  void RecordLateGrant(TimePoint granted_at, Duration longest);
-  /// Records that a previous scheduler, which the runner may still obey, may
-  /// have granted a lease up to `at`.
-  void AssumePreviousLeaseUntil(TimePoint at) {
-    assumed_lease_until_ = at;
-    previous_lease_until_ = at;
+  /// Records that calls that are foreign to the incarnation (`RunnerLease`) may
+  /// still arrive, and that leases that they grant expire at `at` at the
+  /// latest.
+  void AssumeForeignLeaseUntil(TimePoint at, LeaseBasis basis) {
+    lease_.AssumeForeignUntil(at, basis);
   }
-  /// Shortens that bound once the runner has answered and no longer obeys the
-  /// previous scheduler, whose leases lasted `longest` at most. Precondition:
-  /// `heard()`.
-  void LimitPreviousLease(Duration longest);
 
   /// The generation of the fencing tokens of calls to this incarnation, higher
   /// than that of all calls to earlier incarnations.
   FenceGeneration fence_generation;
-  /// False until this incarnation has answered a poll of that generation. Until
-  /// then it may carry out late calls to earlier incarnations.
-  bool rejects_earlier_calls = true;
+  /// False until this incarnation has answered a call of that generation and of
+  /// this scheduler. Until then it may carry out calls that were sent to
+  /// earlier incarnations, and those of previous schedulers.
+  bool rejects_foreign_calls() const { return rejects_foreign_calls_; }
   /// Records that it answered one. Starts that were sent to earlier
-  /// incarnations have either begun, and are reported, or never will.
-  void RecordEarlierCallsRejected();
+  /// incarnations have either begun, and are reported, or never will. The
+  /// latest foreign call, which may have granted a lease of `longest`, arrived
+  /// at `latest` or before; `latest` is empty if there was no such call.
+  void RecordForeignCallsRejected(std::optional<TimePoint> latest,
+                                  Duration longest);
 
   // Orders are starts and stops. One is in flight at a time, or the starts of
   // one gang. Queued orders are kept here, and the next one is chosen when it
@@ -499,21 +489,12 @@
   /// Logarithm of the usual pace.
   double usual_pace_ = 0;
   bool heard_ = false;
-  /// When the runner first answered; from then on it obeys no previous
-  /// scheduler.
-  TimePoint first_answer_at_;
+  bool rejects_foreign_calls_ = false;
   int misses_ = 0;
   std::optional<TimePoint> silent_since_;
   TimePoint heard_at_;
   std::int64_t heard_clock_ms_ = 0;
-  /// Latest expiry of leases that this scheduler granted, or that calls meant
-  /// for an earlier incarnation may have granted.
-  TimePoint lease_expires_at_;
-  /// Latest expiry of leases that a previous scheduler may have granted to an
-  /// incarnation that has not answered this one.
-  TimePoint assumed_lease_until_;
-  /// Latest expiry of leases that a previous scheduler may have granted.
-  TimePoint previous_lease_until_;
+  RunnerLease lease_;
   std::set<std::int64_t> deferred_ends_;
   TimePoint no_grant_until_;
 };
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -48,7 +48,10 @@
       losses_(options.loss),
       speed_keeper_(store_timeout, now, options.speed_keeper),
       forecast_(options.forecast),
-      planner_(options.planner) {}
+      planner_(options.planner) {
+  constexpr Epoch kFirstEpoch(1);
+  if (kFirstEpoch < writer_.epoch()) fleet_.AssumePreviousScheduler(now);
+}
 
 bool Scheduler::Owns(Ticket ticket) const {
   return writer_.Owns(ticket) || jobs_.Owns(ticket) || cleaner_.Owns(ticket) ||
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -101,9 +101,6 @@
   /// A stop without effect is sent again after this time, which exceeds the
   /// time that a runner takes to stop a run.
   Duration stop_retry_interval{1500};
-  /// How long an order without an answer may still be carried out, whatever
-  /// lease end it names: at most twelve seconds, plus a margin for clock skew.
-  Duration late_order_window{12500};
   /// A failure within this time, or within this part of the run's expected
   /// duration, counts against the runner: broken runners fail runs immediately,
   /// whereas a faulty job fails at any time.
--- a/src/dispatch/scheduler_health.cc
+++ b/src/dispatch/scheduler_health.cc
@@ -84,7 +84,8 @@
 void Scheduler::HandleMissedPoll(Context& ctx, Runner* runner,
                                  OrderOutcome outcome) {
   if (outcome == OrderOutcome::kLost && runner->poll_grants_lease) {
-    runner->late_orders.RecordGrant(ctx.now() + options_.late_order_window);
+    runner->late_orders.RecordGrant(ctx.now() +
+                                    options_.fleet.late_call_window);
   }
   const bool holds_inherited_runs =
       !runner->heard() && runner->misses() == 0 && !runner->runs().empty();
--- a/src/dispatch/scheduler_incarnations.cc
+++ b/src/dispatch/scheduler_incarnations.cc
@@ -131,22 +131,22 @@
                                       StartTime start_time) {
   // The answer to a start in flight will not be handled. The start may reach
   // any later incarnation, not only the next one.
-  const TimePoint latest_arrival = now + options_.late_order_window;
+  const TimePoint latest_arrival = now + options_.fleet.late_call_window;
   for (const auto& [name, run] : previous->runs()) {
     if (run.phase != RunPhase::kStarting) continue;
     previous->late_orders.RecordStart({name, run.number}, run.need, now,
                                       latest_arrival);
     previous->late_orders.RecordGrant(latest_arrival);
   }
-  const bool poll_grants_lease = previous->poll_grants_lease;
   const TimePoint poll_sent_at = previous->poll_sent_at;
   const PollNumber poll_number = previous->poll_number;
   Runner* next = fleet_.StartIncarnation(previous, start_time, now);
   // The poll whose answer revealed the next incarnation counts as its first.
   next->poll_sent_at = poll_sent_at;
   next->poll_number = poll_number;
-  next->RecordLateGrant(poll_grants_lease ? now : TimePoint(),
-                        options_.fleet.longest_lease);
+  next->AssumeForeignLeaseUntil(
+      latest_arrival + OnSlowClock(options_.fleet.longest_lease),
+      LeaseBasis::kCallToEarlierIncarnation);
   return next;
 }
 
--- a/src/dispatch/scheduler_losses.cc
+++ b/src/dispatch/scheduler_losses.cc
@@ -272,7 +272,7 @@
 void Scheduler::RecordContact(Context& ctx, Runner* runner,
                               std::int64_t clock_ms,
                               const std::string& address) {
-  fleet_.HandleAnswer(runner, ctx.now(), clock_ms);
+  runner->RecordAnswer(ctx.now(), clock_ms);
   runner->RecordAddress(address);
   if (!losses_.HasUnresolved()) return;
   ResolveLosses(ctx, runner->incarnation(), IncarnationFate::kAlive);
@@ -296,6 +296,7 @@
   if (IsReported(runner->incarnation().start_time) || clock_ms <= 0) return;
   // Otherwise the previous scheduler might still renew the runner's lease.
   if (!ShowsTokenWasNoted(outcome)) return;
+  fleet_.HandleForeignCallsRejected(runner, ctx.now());
   RecordContact(ctx, runner, clock_ms, address);
 }
 
--- a/src/dispatch/scheduler_pace.cc
+++ b/src/dispatch/scheduler_pace.cc
@@ -124,7 +124,7 @@
     runner->ReleaseDeferredAcknowledgements(ctx.now());
     if (runner->runs().empty()) continue;
     const bool silent = !runner->reachable();
-    if (silent && ctx.now() >= runner->lease_expires_at()) {
+    if (silent && ctx.now() >= runner->lease().expires_at()) {
       EndExpiredRuns(ctx, runner.get());
       continue;
     }
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -142,7 +142,7 @@
   const bool may_arrive_late =
       answer.earlier_attempt_pending || answer.outcome == OrderOutcome::kLost;
   if (!may_arrive_late) return;
-  const TimePoint until = now + options_.late_order_window;
+  const TimePoint until = now + options_.fleet.late_call_window;
   runner->late_orders.RecordStart({answer.task, answer.run}, run.need, now,
                                   until);
   runner->late_orders.RecordGrant(until);
@@ -292,7 +292,7 @@
   for (const auto& [name, run] : runner->runs()) {
     const bool may_still_start =
         run.phase == RunPhase::kUnconfirmed &&
-        ctx.now() - run.answered_at < options_.late_order_window;
+        ctx.now() - run.answered_at < options_.fleet.late_call_window;
     if (may_still_start) continue;
     (IsOfEarlierIncarnation(*runner, run) ? of_previous_incarnation : expired)
         .push_back(name);
@@ -339,7 +339,7 @@
   if (answer.start_time != runner->incarnation().start_time) {
     runner = BeginIncarnation(ctx, runner, answer);
   } else {
-    runner->RecordEarlierCallsRejected();
+    fleet_.HandleForeignCallsRejected(runner, ctx.now());
     runner->may_have_restarted = false;
   }
   if (!runner->reachable()) {
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -149,14 +149,14 @@
   AddRun(runner);
   runner->RecordAnswer(now, 500000);
   CHECK_TRUE(Poll().has_value());
-  const TimePoint over = runner->lease_expires_at();
+  const TimePoint over = runner->lease().expires_at();
   runner->poll_in_flight = false;
   runner->RecordMiss(now);
   now = now + Duration(2000);
   const std::optional<PollRunner> poll = Poll();
   CHECK_TRUE(poll.has_value());
   LONGS_EQUAL(0, poll->until_ms);
-  CHECK_TRUE(over == runner->lease_expires_at());
+  CHECK_TRUE(over == runner->lease().expires_at());
 }
 
 TEST(Fleet, FirstPollsInFlightAreLimited) {
@@ -319,6 +319,7 @@
 TEST(Fleet, PollWaitsBrieflyWhileAStopMustResolveAnUnconfirmedRun) {
   Runner* runner = AddRunner("i-1");
   AddRun(runner);
+  fleet.HandleForeignCallsRejected(runner, now);
   runner->RecordAnswer(now, 500000);
   Run& run = runner->runs().begin()->second;
   run.phase = RunPhase::kUnconfirmed;
@@ -393,7 +394,7 @@
   next->RecordAnswer(now, 1000);
   LONGS_EQUAL(0, Poll()->wait.ms());
   next->poll_in_flight = false;
-  next->rejects_earlier_calls = true;
+  fleet.HandleForeignCallsRejected(next, now);
   CHECK_TRUE(Poll()->wait > Duration(0));
 }
 
@@ -443,7 +444,7 @@
   CHECK_FALSE(next->ended);
   DOUBLES_EQUAL(1, next->slowness(), 0);
   LONGS_EQUAL(8, next->free_capacity().accelerators);
-  CHECK_TRUE(next->lease_expires_at() <= now);
+  CHECK_TRUE(next->lease().expires_at() <= now);
 }
 
 TEST(Fleet, EndsAreAcknowledgedOnceAndOnlyToAnIncarnationThatJustAnswered) {
@@ -497,34 +498,64 @@
 }
 
 TEST(Fleet, LeaseOfAPreviousSchedulerIsBoundedOnceItsRunnerAnswers) {
+  fleet.AssumePreviousScheduler(now);
   Runner* runner = Inherit("i-1", StartTime());
-  const TimePoint unheard = runner->lease_expires_at();
+  const TimePoint unheard = runner->lease().expires_at();
   now = now + Duration(50);
-  fleet.HandleAnswer(runner, now, 500);
-  CHECK_TRUE(runner->lease_expires_at() < unheard);
+  fleet.HandleForeignCallsRejected(runner, now);
+  CHECK_TRUE(runner->lease().expires_at() < unheard);
   // A lease of 5 s on a clock that runs 2% slow lasts up to 5.1 s.
-  CHECK_TRUE(runner->lease_expires_at() >= now + Duration(5100));
-  CHECK_TRUE(runner->lease_expires_at() <= now + Duration(5500));
+  CHECK_TRUE(runner->lease().expires_at() >= now + Duration(5100));
+  CHECK_TRUE(runner->lease().expires_at() <= now + Duration(5500));
 }
 
 // A late call to the previous incarnation may have granted the longest lease
 // that a runner accepts.
 TEST(Fleet,
      LeaseOfAPreviousSchedulerIsBoundedByTheLongestOnRunnersThatKeepIds) {
+  fleet.AssumePreviousScheduler(now);
   Runner* runner = Inherit("i-1", StartTime(1700000000000));
-  fleet.HandleAnswer(runner, now, 500);
-  CHECK_TRUE(runner->lease_expires_at() >= now + Duration(10200));
-  CHECK_TRUE(runner->lease_expires_at() <= now + Duration(10800));
+  fleet.HandleForeignCallsRejected(runner, now);
+  CHECK_TRUE(runner->lease().expires_at() >= now + Duration(10200));
+  CHECK_TRUE(runner->lease().expires_at() <= now + Duration(10800));
 }
 
-// The first answer of an incarnation says nothing about the lease that a call
-// to the previous incarnation granted.
+// Guards against a task that runs twice: a lease that outlives a scheduler also
+// holds for runs that its successor starts there, whether or not it inherited
+// any.
+TEST(Fleet, LeaseOfAPreviousSchedulerIsAssumedWithoutInheritedRuns) {
+  fleet.AssumePreviousScheduler(now);
+  Runner* runner = AddRunner("i-1", StartTime(1700000000000));
+  fleet.HandleForeignCallsRejected(runner, now);
+  CHECK_TRUE(runner->lease().expires_at() >= now + Duration(10200));
+  CHECK_TRUE(runner->lease().expires_at() <= now + Duration(10800));
+}
+
+TEST(Fleet, NoForeignLeaseIsAssumedWithoutAPreviousScheduler) {
+  Runner* runner = AddRunner("i-1", StartTime(1700000000000));
+  now = now + Duration(60000);
+  fleet.HandleForeignCallsRejected(runner, now);
+  CHECK_TRUE(runner->lease().expires_at() <= now);
+}
+
+TEST(Fleet, NoForeignLeaseIsAssumedLongAfterATakeOver) {
+  fleet.AssumePreviousScheduler(now);
+  Runner* runner = AddRunner("i-1", StartTime(1700000000000));
+  now = now + Duration(60000);
+  fleet.HandleForeignCallsRejected(runner, now);
+  CHECK_TRUE(runner->lease().expires_at() <= now);
+}
+
+// The first answer of an incarnation may precede the arrival of a call to the
+// previous one, which grants a lease.
 TEST(Fleet, LateGrantOutlastsTheFirstAnswerOfAnIncarnation) {
-  Runner* runner = Inherit("i-1", StartTime(1700000000000));
-  runner->RecordLateGrant(now + Duration(12500), Duration(10000));
-  const TimePoint foreign = runner->lease_expires_at();
-  fleet.HandleAnswer(runner, now, 500);
-  CHECK_TRUE(runner->lease_expires_at() == foreign);
+  Runner* before = Inherit("i-1", StartTime(1700000000000));
+  fleet.HandleForeignCallsRejected(before, now);
+  Runner* next = fleet.StartIncarnation(before, StartTime(1700000009000), now);
+  const TimePoint late = now + Duration(12500) + Duration(10300);
+  next->AssumeForeignLeaseUntil(late, LeaseBasis::kCallToEarlierIncarnation);
+  next->RecordAnswer(now, 500);
+  CHECK_TRUE(next->lease().expires_at() == late);
 }
 
 // Guards against starts on runners that announced seconds ago that they leave:
--- a/test/runner-lease-test.cc
+++ b/test/runner-lease-test.cc
@@ -15,44 +15,70 @@
 
 TEST_GROUP(RunnerLease) {
   static constexpr Duration kLongestLease{10000};
+  // A lease of 10 s on a clock that runs 2% slow lasts up to 10.2 s.
+  static constexpr Duration kLongestOnSlowClock{10200};
+  static constexpr Duration kLongestExpected{10800};
   const TimePoint assumed_until{20000};
   Runner runner{RunnerInfo()};
 
-  /// Lets an incarnation answer for the first time, at `now`.
+  /// Lets an incarnation answer a call that outranks all foreign ones, at
+  /// `now`.
   static void AnswerFirst(Runner * incarnation, TimePoint now) {
+    incarnation->RecordForeignCallsRejected(now, kLongestLease);
     incarnation->RecordAnswer(now, now.ms());
-    incarnation->LimitPreviousLease(kLongestLease);
+  }
+
+  static void CheckHoldsLongestLeaseFrom(TimePoint from, const Runner& holder) {
+    const TimePoint until = holder.lease().expires_at();
+    CHECK_TRUE(until >= from + kLongestOnSlowClock);
+    CHECK_TRUE(until <= from + kLongestExpected);
   }
 };
 
-// Guards against a task that runs twice: a previous scheduler that is cut off
-// renews the lease of the next incarnation, which was taken to hold none.
-TEST(RunnerLease, NextIncarnationMayHoldOneOfAPreviousScheduler) {
-  runner.AssumePreviousLeaseUntil(assumed_until);
-  const std::unique_ptr<Runner> next =
-      runner.Next(StartTime(2), TimePoint(5000));
-  AnswerFirst(next.get(), TimePoint(5000));
-  CHECK_TRUE(next->lease_expires_at() >= TimePoint(5000) + kLongestLease);
+// Guards against a task that runs twice: a call that was meant for an earlier
+// incarnation granted the longest lease, on a runner whose runs the scheduler
+// had not inherited.
+TEST(RunnerLease, MayHaveBeenGrantedByAForeignCallBeforeTheFirstAnswer) {
+  AnswerFirst(&runner, TimePoint(5000));
+  CheckHoldsLongestLeaseFrom(TimePoint(5000), runner);
+  CHECK_TRUE(runner.lease().basis() ==
+             LeaseBasis::kForeignCallBeforeFirstAnswer);
 }
 
-// That the previous incarnation rejects the previous scheduler says nothing of
-// the next one.
-TEST(RunnerLease, NextIncarnationOfOneThatAnsweredMayHoldOneToo) {
-  runner.AssumePreviousLeaseUntil(assumed_until);
+// Guards against the same where the scheduler knew the earlier incarnation: the
+// answer to a start does not tell which incarnation has carried it out.
+TEST(RunnerLease, OfTheNextIncarnationLastsTheLongestFromItsFirstAnswer) {
   AnswerFirst(&runner, TimePoint(5000));
   const std::unique_ptr<Runner> next =
-      runner.Next(StartTime(2), TimePoint(8000));
-  AnswerFirst(next.get(), TimePoint(8000));
-  CHECK_TRUE(next->lease_expires_at() >= TimePoint(8000) + kLongestLease);
+      runner.Next(StartTime(2), TimePoint(60000));
+  next->AssumeForeignLeaseUntil(TimePoint(85000),
+                                LeaseBasis::kCallToEarlierIncarnation);
+  AnswerFirst(next.get(), TimePoint(60100));
+  CheckHoldsLongestLeaseFrom(TimePoint(60100), *next);
 }
 
-TEST(RunnerLease, NextIncarnationHoldsNoneLongAfterATakeOver) {
-  runner.AssumePreviousLeaseUntil(assumed_until);
+// Later answers show nothing about leases that were granted before the first.
+TEST(RunnerLease, IsNotProlongedByLaterAnswers) {
   AnswerFirst(&runner, TimePoint(5000));
-  const std::unique_ptr<Runner> next =
-      runner.Next(StartTime(2), TimePoint(60000));
-  AnswerFirst(next.get(), TimePoint(60000));
-  CHECK_TRUE(next->lease_expires_at() <= assumed_until);
+  AnswerFirst(&runner, TimePoint(9000));
+  CheckHoldsLongestLeaseFrom(TimePoint(5000), runner);
+}
+
+TEST(RunnerLease, LastsAsAssumedUntilTheFirstAnswer) {
+  runner.AssumeForeignLeaseUntil(assumed_until, LeaseBasis::kPreviousScheduler);
+  runner.AssumeForeignLeaseUntil(TimePoint(15000),
+                                 LeaseBasis::kPreviousScheduler);
+  CHECK_TRUE(runner.lease().expires_at() == assumed_until);
+  CHECK_TRUE(runner.lease().basis() == LeaseBasis::kPreviousScheduler);
+}
+
+TEST(RunnerLease, IsBasedOnTheLatestGrantOfThisSchedulerLater) {
+  AnswerFirst(&runner, TimePoint(5000));
+  runner.RecordAnswer(TimePoint(30000), 30000);
+  runner.GrantLease(TimePoint(30000), Duration(5000));
+  CHECK_TRUE(runner.lease().basis() == LeaseBasis::kGranted);
+  CHECK_TRUE(runner.lease().expires_at() >= TimePoint(35100));
+  CHECK_TRUE(runner.lease().expires_at() <= TimePoint(35500));
 }
 
 // Guards against a lease that lasts longer than the scheduler assumes, on a
@@ -78,7 +104,7 @@
     const std::int64_t until_ms = runner.GrantLease(granted_at, kLease);
     const double lasts_until =
         static_cast<double>(until_ms - kClockStart) / kRate;
-    CHECK_TRUE(static_cast<double>(runner.lease_expires_at().ms()) >=
+    CHECK_TRUE(static_cast<double>(runner.lease().expires_at().ms()) >=
                lasts_until);
   }
 }
