Outrank calls to runners that were removed and are added again

A scheduler forgets a runner that left the list and holds nothing. If it is added again under its id, its calls had the same fencing token as those to the incarnation before, so that it went on carrying out the latter, and nothing was assumed of the leases that they grant: the same cause as that of two runs at once after a restart.

Test: Fleet.ForeignLeaseIsAssumedForARunnerThatIsAddedAgain fails without the change.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -29,14 +29,18 @@
   DropReferences(before);
   std::unique_ptr<Runner>& place = runners_.at(before->id());
   place = before->Next(start_time, now);
-  if (fence_generation_ < FencingToken::kMaxGeneration) {
-    fence_generation_ = fence_generation_.Next();
-  }
+  RaiseFenceGeneration();
   place->fence_generation = fence_generation_;
   MarkForReschedule(place.get());
   return place.get();
 }
 
+void Fleet::RaiseFenceGeneration() {
+  if (fence_generation_ < FencingToken::kMaxGeneration) {
+    fence_generation_ = fence_generation_.Next();
+  }
+}
+
 Runner* Fleet::FindOrInherit(const IncarnationId& incarnation,
                              const std::string& address, TimePoint now) {
   Runner* runner = FindPresent(incarnation.runner);
@@ -465,6 +469,8 @@
       continue;
     }
     ctx.Log(LogId::kRunnerGone, {{"runner", runner.id().value()}});
+    AssumeForeignCallsUntil(ctx.now() + options_.late_call_window);
+    RaiseFenceGeneration();
     DropReferences(it->second.get());
     it = runners_.erase(it);
   }
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -122,11 +122,16 @@
  public:
   explicit Fleet(FleetOptions options) : options_(options) {}
 
-  /// Records that there were previous schedulers, of which the latest was
-  /// deposed at `now` or before.
+  /// Records that calls that are foreign to every incarnation (`RunnerLease`)
+  /// may arrive up to `at`.
+  void AssumeForeignCallsUntil(TimePoint at) {
+    foreign_calls_until_ = std::max(foreign_calls_until_.value_or(at), at);
+  }
+  /// The same for calls of previous schedulers, of which the latest was deposed
+  /// at `now` or before.
   void AssumePreviousScheduler(TimePoint now) {
-    foreign_calls_until_ =
-        now + options_.longest_unconfirmed + options_.late_call_window;
+    AssumeForeignCallsUntil(now + options_.longest_unconfirmed +
+                            options_.late_call_window);
   }
 
   const FleetOptions& options() const { return options_; }
@@ -214,6 +219,9 @@
   /// keeps its id, it may have been sent to an earlier incarnation, whose clock
   /// was far ahead; it then grants the longest lease that the runner accepts.
   Duration LongestForeignLease(const Runner& runner) const;
+  /// Makes calls to runners that are found or restart from now on outrank all
+  /// calls that were sent before.
+  void RaiseFenceGeneration();
   /// True if missing entries may only have expired during an outage of the
   /// store.
   bool MayHaveExpired(TimePoint now) const;
@@ -278,8 +286,8 @@
 
   FleetOptions options_;
   std::map<RunnerId, std::unique_ptr<Runner>> runners_;
-  /// Calls of previous schedulers may arrive up to this time; empty if there
-  /// were none.
+  /// Calls of previous schedulers, and calls to runners that were removed, may
+  /// arrive up to this time; empty if there are none.
   std::optional<TimePoint> foreign_calls_until_;
   /// Due polls of runners that have answered before, and of those that have
   /// not. Without these sets every event would iterate over all runners, which
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -546,6 +546,24 @@
   CHECK_TRUE(runner->lease().expires_at() <= now);
 }
 
+// Guards against a task that runs twice: what the scheduler forgets with a
+// runner's object includes the calls that a later incarnation may carry out.
+TEST(Fleet, ForeignLeaseIsAssumedForARunnerThatIsAddedAgain) {
+  Runner* before = AddRunner("i-1", StartTime(1700));
+  before->RecordAnswer(now, 500000);
+  const FencingToken token = Fleet::TargetOf(*before, Epoch(1)).fence;
+  ListNone();
+  now = now + FleetOptions().unlisted_grace;
+  Context ctx = NewContext();
+  fleet.RemoveGone(ctx);
+  Runner* again = AddRunner("i-1", StartTime(1800));
+  CHECK_TRUE(token < Fleet::TargetOf(*again, Epoch(1)).fence);
+  now = now + Duration(1000);
+  fleet.HandleForeignCallsRejected(again, now);
+  CHECK_TRUE(again->lease().expires_at() >= now + Duration(10200));
+  CHECK_TRUE(again->lease().expires_at() <= now + Duration(10800));
+}
+
 // The first answer of an incarnation may precede the arrival of a call to the
 // previous one, which grants a lease.
 TEST(Fleet, LateGrantOutlastsTheFirstAnswerOfAnIncarnation) {
