Keep runs that a runner began after it answered the poll

Callers saw a task that ran twice for a short time, and runs that were stopped and made again, after a runner had restarted under its id.

The answer to a start may overtake the answer to a poll. If the next incarnation of a runner answers a poll first, and then carries out a start that was meant for the incarnation before, the scheduler learns of the new incarnation from an answer that lacks the run. It compared no times there, unlike where the incarnation is known, took the run for lost, counted that as a crash under its task, and started the task again while the next incarnation ran it.

A run whose start was answered after the poll was sent is now carried over, and the next poll settles it. The clock in the answer to the start tells most runs that the incarnation before had begun: its clock is usually far ahead of the next one's. Those are lost as before.

Test: NextIncarnation, with answers to polls that take longer in the emulator.

--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -109,6 +109,13 @@
   std::optional<TimePoint> sent_at_;
 };
 
+/// The answer to the start of a run.
+struct StartAnswer {
+  TimePoint at;
+  /// The clock of the incarnation that carried the start out.
+  std::int64_t clock_ms = 0;
+};
+
 /// A run that takes capacity on a runner.
 struct Run {
   int number = 0;
@@ -126,6 +133,8 @@
   /// When its start was sent; empty if it was not sent, or was sent by a
   /// previous scheduler.
   std::optional<TimePoint> sent_at;
+  /// Set once the present incarnation, as far as it is known, began the run.
+  std::optional<StartAnswer> start_answer;
   /// When the latest answer about the run arrived.
   TimePoint answered_at;
   /// Expected duration of the whole run.
--- a/src/dispatch/scheduler_incarnations.cc
+++ b/src/dispatch/scheduler_incarnations.cc
@@ -33,6 +33,18 @@
          std::any_of(answer.ended.begin(), answer.ended.end(), matches);
 }
 
+/// True if the incarnation that answered the poll may have begun the run after
+/// it answered. The clock of a previous incarnation that began the run is
+/// usually far ahead.
+bool MayHaveBegunAfter(const RunnerPolled& poll, TimePoint poll_sent_at,
+                       const Run& run, TimePoint now) {
+  if (!run.start_answer.has_value()) return false;
+  const StartAnswer& start = *run.start_answer;
+  const Duration longest = OnSlowClock(now - poll_sent_at);
+  return start.at >= poll_sent_at &&
+         start.clock_ms <= poll.clock_ms + longest.ms();
+}
+
 }  // namespace
 
 Scheduler::CarriedRunStatus Scheduler::ClassifyRun(TimePoint now,
@@ -45,6 +57,9 @@
   // `HandleUnreportedRuns` compares the run with the incarnation it was stored
   // for.
   if (run.phase == RunPhase::kInherited) return CarriedRunStatus::kMayExist;
+  if (MayHaveBegunAfter(answer, previous.poll_sent_at, run, now)) {
+    return CarriedRunStatus::kMayExist;
+  }
   // A start without an answer may have crashed the previous incarnation.
   const bool may_start_late =
       run.phase == RunPhase::kStarting ||
@@ -162,6 +177,7 @@
   run.usable_for_estimates = false;
   run.answered_at = ctx.now();
   if (run.sent_at.has_value()) run.sent_at = ctx.now();
+  run.start_answer.reset();
   run.started_at = ctx.now();
   run.progressed_at = ctx.now();
   run.pace_measured_from = TimePoint();
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -125,6 +125,7 @@
   run->answered_at = ctx.now();
   if (answer.outcome == OrderOutcome::kDone) {
     run->phase = RunPhase::kRunning;
+    run->start_answer = {ctx.now(), answer.clock_ms};
     run->started_at = ctx.now();
     run->progressed_at = ctx.now();
     run->pace_measured_from = ctx.now();
--- a/src/emulator/emulated_orders.cc
+++ b/src/emulator/emulated_orders.cc
@@ -198,9 +198,10 @@
   }
   if (answer.outcome == OrderOutcome::kDone) runner->RecordContact();
   RecordPoll(poll, answer, *runner);
-  RunAt(now_ + options_.network, [this, node, incarnation, answer] {
-    Deliver(node, incarnation, answer);
-  });
+  RunAt(now_ + options_.network + faults_.poll_answer_time,
+        [this, node, incarnation, answer] {
+          Deliver(node, incarnation, answer);
+        });
 }
 
 void EmulatedSystem::Perform(int node, const dispatch::RequestAdvice& request) {
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -144,6 +144,9 @@
   /// goes down gets no response before the next incarnation is up. `none` does
   /// not count it as a fault.
   Duration resend_interval;
+  /// Time that the answer to a poll takes, in addition to the network delay.
+  /// Answers to orders may pass it. `none` does not count it as a fault.
+  Duration poll_answer_time;
   /// Runners that keep serving without an entry in the list.
   std::set<RunnerId> unlisted_runners;
   /// Addresses that another writer has put into the entries of runners.
--- /dev/null
+++ b/test/next-incarnation-test.cc
@@ -0,0 +1,89 @@
+/// @file
+/// Tests of starts that the next incarnation of a runner carries out before the
+/// scheduler knows of it.
+//
+// Copyright (c) 2026 the limeledge authors.
+// SPDX-License-Identifier: MIT
+
+#include <memory>
+#include <string>
+
+#include "absl/strings/match.h"
+#include "scheduler-fixture.h"
+
+namespace limeledge::emulator {
+
+namespace {
+
+constexpr Duration kNetwork{40};
+
+}  // namespace
+
+TEST_GROUP_BASE(NextIncarnation, SchedulerFixture) {
+  const RunnerId runner{"i-0-1"};
+  SystemOptions options;
+  std::unique_ptr<EmulatedSystem> fleet;
+  /// Runs that counted as lost with their runner.
+  int lost = 0;
+
+  void setup() override {
+    options.runners = 1;
+    options.keeps_ids = true;
+  }
+
+  void Start() {
+    fleet = std::make_unique<EmulatedSystem>(options);
+    fleet->SetTrace([this](const std::string& line) {
+      if (absl::StrContains(line, "run_lost")) ++lost;
+    });
+    fleet->Run(Duration(3000));
+  }
+
+  void CheckNoViolationOfFleet() {
+    for (const std::string& error : fleet->violations()) FAIL(error.c_str());
+  }
+};
+
+// Guards against two runs of a task at a time. The answer to a start that the
+// next incarnation carried out overtakes its answer to an earlier poll, which
+// lacks the run, and the run was held to be lost with the incarnation before.
+TEST(NextIncarnation, RunBegunAfterItsFirstPollIsNotLost) {
+  Start();
+  // The entry of the next incarnation is there before the scheduler notices
+  // that its poll of the previous one was cut short.
+  fleet->Run(Duration(6));
+  fleet->CrashRunner(runner, Duration(1));
+  fleet->faults().poll_answer_time = Duration(150);
+  const JobId job = SubmitTo(fleet.get(), Step(1, 1, Duration(2000)));
+  fleet->Run(Duration(100));
+  CHECK_TRUE(RunnerOf(fleet.get(), job) == runner);
+  fleet->faults() = Faults();
+  fleet->Run(Duration(6000));
+  STRCMP_EQUAL("done", fleet->StateOf(job).c_str());
+  LONGS_EQUAL(1, fleet->jobs().at(job).starts.begin()->second);
+  LONGS_EQUAL(0, lost);
+  CheckNoViolationOfFleet();
+}
+
+// Guards against a crash that does not count against the task. The previous
+// incarnation began the run and crashed while a poll was on its way, which the
+// next one answered.
+TEST(NextIncarnation, RunBegunByThePreviousOneDuringThePollIsLost) {
+  options.network = kNetwork;
+  options.entry_lag = Duration(5000);
+  Start();
+  const int polls = fleet->polls();
+  while (fleet->polls() == polls) fleet->Run(Duration(1));
+  // An idle runner is polled every 2080 ms, and a task starts 277 ms after its
+  // job was submitted.
+  fleet->Run(Duration(2080 - 250));
+  const JobId job = SubmitTo(fleet.get(), Step(1, 1, Duration(2000)));
+  fleet->Run(Duration(280));
+  LONGS_EQUAL(polls + 2, fleet->polls());
+  CHECK_TRUE(RunnerOf(fleet.get(), job) == runner);
+  fleet->CrashRunner(runner, Duration(1));
+  fleet->Run(Duration(2500));
+  LONGS_EQUAL(1, lost);
+}
+
+}  // namespace limeledge::emulator
