Count no crash under a task that the next incarnation began

Callers saw a job that failed although nothing failed it: a task was given up after two runs (LL935), with four attempts allowed.

What an answer shows about one incarnation counted for another. An answer to a start does not name the incarnation that gave it, but shows its clock, which starts anew in each incarnation and never runs back. A reading below the one that the runner had shown before the start was sent comes from another incarnation. If so, the loss of the run is no reason to suspect its task. It still counts towards the four crashes of any kind, since the other incarnation may have crashed, too. A start without an answer counts as before.

Test: NextIncarnation, TaskThatItBeganIsNotGivenUpForEarlierCrashes; it gave the task up before (expected 0, was 1).

--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -72,6 +72,12 @@
   run->saved_percent = percent;
 }
 
+bool WasBegunByOtherIncarnation(const Run& run) {
+  if (!run.start_answer.has_value()) return false;
+  const std::int64_t clock_ms = run.start_answer->clock_ms;
+  return clock_ms > 0 && clock_ms < run.clock_ms_at_send;
+}
+
 Duration TimeLeft(const Run& run, TimePoint now) {
   if (run.phase != RunPhase::kRunning) return run.expected;
   const Duration elapsed = now - run.started_at;
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -112,7 +112,8 @@
 /// The answer to the start of a run.
 struct StartAnswer {
   TimePoint at;
-  /// The clock of the incarnation that carried the start out.
+  /// The clock of the incarnation that carried the start out; 0 if the answer
+  /// did not tell.
   std::int64_t clock_ms = 0;
 };
 
@@ -133,7 +134,10 @@
   /// When its start was sent; empty if it was not sent, or was sent by a
   /// previous scheduler.
   std::optional<TimePoint> sent_at;
-  /// Set once the present incarnation, as far as it is known, began the run.
+  /// The latest reading of the incarnation's clock when the start was sent; 0
+  /// if there was none.
+  std::int64_t clock_ms_at_send = 0;
+  /// Set once the start was carried out.
   std::optional<StartAnswer> start_answer;
   /// When the latest answer about the run arrived.
   TimePoint answered_at;
@@ -209,6 +213,11 @@
 void RecordSave(int percent, const std::string& checkpoint, TimePoint now,
                 Run* run);
 
+/// True if the clock in the answer to the run's start shows that another
+/// incarnation began the run than the one that it was sent to: clocks start
+/// anew in each incarnation and never run back. Thread-safe.
+bool WasBegunByOtherIncarnation(const Run& run);
+
 /// Estimates the remaining time of a run, from its progress if it reported any.
 /// Thread-safe.
 Duration TimeLeft(const Run& run, TimePoint now);
@@ -319,6 +328,8 @@
   /// Records a call without an answer.
   void RecordMiss(TimePoint now);
   bool heard() const { return heard_; }
+  /// The runner's clock in the latest answer; 0 if there was none.
+  std::int64_t heard_clock_ms() const { return heard_clock_ms_; }
   /// When the latest answer arrived.
   TimePoint heard_at() const { return heard_at_; }
   /// True if the latest call was answered.
--- a/src/dispatch/scheduler_incarnations.cc
+++ b/src/dispatch/scheduler_incarnations.cc
@@ -177,6 +177,7 @@
   run.usable_for_estimates = false;
   run.answered_at = ctx.now();
   if (run.sent_at.has_value()) run.sent_at = ctx.now();
+  run.clock_ms_at_send = 0;
   run.start_answer.reset();
   run.started_at = ctx.now();
   run.progressed_at = ctx.now();
--- a/src/dispatch/scheduler_losses.cc
+++ b/src/dispatch/scheduler_losses.cc
@@ -181,9 +181,11 @@
   // A task crashes its runner before its run would have ended.
   lost.lasted = lasted.value_or(run.expected);
   lost.crashed = loss.cause == RunnerLossCause::kCrashed;
-  // A start without an answer may never have been carried out. Two of them lost
-  // with their runners are no reason to fail a task.
-  const bool began = run.phase == RunPhase::kRunning;
+  // A start without an answer may never have been carried out, and one that
+  // another incarnation carried out says nothing of the lost one. Two of them
+  // lost with their runners are no reason to fail a task.
+  const bool began =
+      run.phase == RunPhase::kRunning && !WasBegunByOtherIncarnation(run);
   // A task that lasts is not given up, so that its second loss already makes it
   // a suspect.
   const bool again = job->step_spec(name.step).long_running &&
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -230,6 +230,7 @@
   Job* job = jobs_.Find(name.job);
   run->phase = RunPhase::kStarting;
   run->sent_at = ctx.now();
+  run->clock_ms_at_send = runner->heard_clock_ms();
   ++runner->orders_in_flight;
   runner->gang_in_flight.reset();
   if (job->step_spec(name.step).gang) {
--- a/test/next-incarnation-test.cc
+++ b/test/next-incarnation-test.cc
@@ -23,8 +23,11 @@
   const RunnerId runner{"i-0-1"};
   SystemOptions options;
   std::unique_ptr<EmulatedSystem> fleet;
-  /// Runs that counted as lost with their runner.
+  /// Numbers of trace lines: runs that were assigned, runs that counted as lost
+  /// with their runner, and tasks that were given up.
+  int assigned = 0;
   int lost = 0;
+  int given_up = 0;
 
   void setup() override {
     options.runners = 1;
@@ -34,11 +37,31 @@
   void Start() {
     fleet = std::make_unique<EmulatedSystem>(options);
     fleet->SetTrace([this](const std::string& line) {
+      if (absl::StrContains(line, "run_assigned")) ++assigned;
       if (absl::StrContains(line, "run_lost")) ++lost;
+      if (absl::StrContains(line, "task_given_up")) ++given_up;
     });
     fleet->Run(Duration(3000));
   }
 
+  /// Restarts the runner while the next start of the job's task is on its way
+  /// to it, so that the next incarnation carries it out, and until the answer
+  /// arrives. The network has to take `kNetwork`.
+  void RestartUnderTheNextStart(const JobId& job) {
+    const int before = assigned;
+    while (assigned == before) fleet->Run(Duration(1));
+    // The start is sent once the assignment is stored, about now. The crash is
+    // not noticed by then.
+    fleet->Run(kNetwork * 3);
+    fleet->CrashRunner(runner, Duration(1));
+    const TimePoint latest = fleet->now() + kNetwork * 2;
+    while (RunnerOf(fleet.get(), job) != runner && fleet->now() < latest) {
+      fleet->Run(Duration(1));
+    }
+    CHECK_TRUE(RunnerOf(fleet.get(), job) == runner);
+    fleet->Run(kNetwork);
+  }
+
   void CheckNoViolationOfFleet() {
     for (const std::string& error : fleet->violations()) FAIL(error.c_str());
   }
@@ -86,4 +109,24 @@
   LONGS_EQUAL(1, lost);
 }
 
+// Guards against a task that is given up for crashes that it did not cause.
+// Each of its starts was carried out by the next incarnation of the runner,
+// which was cut off and did not crash, and was held to have crashed the one
+// before.
+TEST(NextIncarnation, TaskThatItBeganIsNotGivenUpForEarlierCrashes) {
+  options.network = kNetwork;
+  Start();
+  const JobId job = SubmitTo(fleet.get(), Step(1, 1, Duration(40000)));
+  for (int i = 0; i < 2; ++i) {
+    RestartUnderTheNextStart(job);
+    fleet->faults().mute_runners.insert(runner);
+    fleet->Run(Duration(25000));
+    fleet->faults() = Faults();
+  }
+  fleet->Run(Duration(60000));
+  LONGS_EQUAL(0, given_up);
+  STRCMP_EQUAL("done", fleet->StateOf(job).c_str());
+  CheckNoViolationOfFleet();
+}
+
 }  // namespace limeledge::emulator
