Count the lease of an incarnation that answered only a start

Callers may have seen two runs of a task at once. A runner restarts under its id, carries out a start that was meant for its former life, and is cut off before a poll reaches it. The start names the end of its lease on the former clock, which lies far ahead on the new one, so that the runner holds the longest lease, 10 s, whereas the scheduler counted 5.3 s and made the task again elsewhere. The bound on foreign leases begins with the answer to a poll that shows the new incarnation, and there was none.

The clock in the answer to the start shows that another incarnation gave it. From then on, calls to earlier incarnations are assumed to grant leases there until they can no longer arrive, as where a poll shows the next incarnation. The first answered poll replaces the bound. The price is a wait of 23 s at most, where a runner is lost right after such an answer.

Test: NextIncarnation, RunOfOneThatWasNotPolledIsNotMadeAgain- WhileItsLeaseLasts; before, run 1 was active on the first runner when run 2 started on the second.

--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -130,6 +130,14 @@
     run->progressed_at = ctx.now();
     run->pace_measured_from = ctx.now();
     run->saved_at = ctx.now();
+    if (WasBegunByOtherIncarnation(*run)) {
+      // Until it is polled, it carries out calls to earlier incarnations.
+      const TimePoint latest_arrival =
+          ctx.now() + options_.fleet.late_call_window;
+      runner->AssumeForeignLeaseUntil(
+          latest_arrival + OnSlowClock(options_.fleet.longest_lease),
+          LeaseBasis::kCallToEarlierIncarnation);
+    }
     if (run->stopping) RequestStop(ctx, runner, answer.task);
     return LeaseStatus::kHeld;
   }
--- a/test/next-incarnation-test.cc
+++ b/test/next-incarnation-test.cc
@@ -129,4 +129,33 @@
   CheckNoViolationOfFleet();
 }
 
+// Guards against two runs of a task at a time. A call names the end of its
+// lease on the clock of the incarnation that it was sent to, which lies far
+// ahead for the next one, and that one was cut off before it was polled.
+TEST(NextIncarnation,
+     RunOfOneThatWasNotPolledIsNotMadeAgainWhileItsLeaseLasts) {
+  options.network = kNetwork;
+  options.runners = 2;
+  Start();
+  const RunnerId other("i-1-1");
+  fleet->SetCapacity(other, dispatch::Resources());
+  fleet->Run(Duration(10000));
+  const JobId job = SubmitTo(fleet.get(), Step(1, 1, Duration(30000)));
+  RestartUnderTheNextStart(job);
+  fleet->SetCapacity(other, fleet->room());
+  fleet->faults().mute_runners.insert(runner);
+  int starts = 1;
+  for (int i = 0; starts == 1; ++i) {
+    CHECK_TRUE(i < 30000);
+    fleet->Run(Duration(1));
+    starts = fleet->jobs().at(job).starts.begin()->second;
+  }
+  bool runs_still = false;
+  fleet->FindRunner(runner)->ForEachRun(
+      [&](const dispatch::TaskName& name, int) {
+        runs_still = runs_still || name.job == job;
+      });
+  CHECK_FALSE(runs_still);
+}
+
 }  // namespace limeledge::emulator
