Poll a runner at once when another incarnation answers a start

A restart showed only when a poll failed, or when the list of runners told of it, although the answer to a start had shown a clock below the one that the runner had shown before. Until then, the scheduler goes on to send starts to the former incarnation, which the next one carries out.

Such an answer now has the runner polled at once, as a new entry in the list does, unless it is being polled for that already.

Test: NextIncarnation, IsPolledAtOnceIfItAnswersAStart, with an entry that comes 5 s late; fails without the poll (expected 1, was 0).

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -236,11 +236,21 @@
           {{"runner", runner->id().value()},
            {"born", ToString(started)},
            {"known", ToString(runner->incarnation().start_time)}});
+  runner->ended = false;
+  PollForRestart(ctx.now(), runner);
+}
+
+void Fleet::HandleOtherIncarnation(TimePoint now, Runner* runner) {
+  if (runner->may_have_restarted) return;
+  PollForRestart(now, runner);
+  MarkForReschedule(runner);
+}
+
+void Fleet::PollForRestart(TimePoint now, Runner* runner) {
   // A poll in flight may wait on a dead connection.
   runner->poll_in_flight = false;
   runner->may_have_restarted = true;
-  runner->ended = false;
-  runner->next_poll_at = ctx.now();
+  runner->next_poll_at = now;
 }
 
 bool Fleet::MayHaveExpired(TimePoint now) const {
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -159,6 +159,10 @@
   /// incarnation with this start time.
   Runner* StartIncarnation(Runner* before, StartTime start_time, TimePoint now);
 
+  /// Polls the runner at once because another incarnation answered an order,
+  /// unless it is being polled for that.
+  void HandleOtherIncarnation(TimePoint now, Runner* runner);
+
   /// Requests the runner list if that is due, with the timeout that
   /// `store_timeout` gives.
   void List(Context& ctx, const StoreTimeout& store_timeout);
@@ -248,6 +252,9 @@
   /// The list lags, so that may be an earlier one; the poll shows which
   /// incarnation is present.
   void PollForNewIncarnation(Context& ctx, Runner* runner, StartTime started);
+  /// Polls the runner at once, whether or not a poll is in flight, because its
+  /// incarnation may be over.
+  static void PollForRestart(TimePoint now, Runner* runner);
   /// Records that a runner's entry is gone.
   void Unlist(Context& ctx, Runner* runner);
   /// Records that the due time of the runner's next poll may have changed.
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -392,8 +392,8 @@
   /// Start time from the list entry because of which the runner was polled at
   /// once.
   StartTime hinted_start_time;
-  /// True from that entry until a poll was answered: this incarnation may be
-  /// over.
+  /// True from that entry, or from the answer of another incarnation to an
+  /// order, until a poll was answered: this incarnation may be over.
   bool may_have_restarted = false;
   /// Position of the next poll in the schedule of `Fleet`.
   ScheduledPoll scheduled_poll;
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -131,6 +131,7 @@
     run->pace_measured_from = ctx.now();
     run->saved_at = ctx.now();
     if (WasBegunByOtherIncarnation(*run)) {
+      fleet_.HandleOtherIncarnation(ctx.now(), runner);
       // Until it is polled, it carries out calls to earlier incarnations.
       const TimePoint latest_arrival =
           ctx.now() + options_.fleet.late_call_window;
--- a/test/next-incarnation-test.cc
+++ b/test/next-incarnation-test.cc
@@ -28,6 +28,8 @@
   int assigned = 0;
   int lost = 0;
   int given_up = 0;
+  /// Next incarnations that answered.
+  int began = 0;
 
   void setup() override {
     options.runners = 1;
@@ -38,6 +40,7 @@
     fleet = std::make_unique<EmulatedSystem>(options);
     fleet->SetTrace([this](const std::string& line) {
       if (absl::StrContains(line, "run_assigned")) ++assigned;
+      if (absl::StrContains(line, "runner_began")) ++began;
       if (absl::StrContains(line, "run_lost")) ++lost;
       if (absl::StrContains(line, "task_given_up")) ++given_up;
     });
@@ -158,4 +161,16 @@
   CHECK_FALSE(runs_still);
 }
 
+// Guards against a restart that is noticed only when a poll fails or the list
+// of runners shows it.
+TEST(NextIncarnation, IsPolledAtOnceIfItAnswersAStart) {
+  options.network = kNetwork;
+  options.entry_lag = Duration(5000);
+  Start();
+  const JobId job = SubmitTo(fleet.get(), Step(1, 1, Duration(2000)));
+  RestartUnderTheNextStart(job);
+  fleet->Run(kNetwork * 2);
+  LONGS_EQUAL(1, began);
+}
+
 }  // namespace limeledge::emulator
