--- a/src/emulator/emulated_orders.cc
+++ b/src/emulator/emulated_orders.cc
@@ -82,8 +82,10 @@
 }
 
 Duration EmulatedSystem::LateOrderDelay() {
-  return Duration(static_cast<std::int64_t>(
-      RandomFraction() * static_cast<double>(faults_.late_order.ms())));
+  const Duration span = faults_.late_order - faults_.min_late_order;
+  return faults_.min_late_order +
+         Duration(static_cast<std::int64_t>(RandomFraction() *
+                                            static_cast<double>(span.ms())));
 }
 
 void EmulatedSystem::DeliverLatePoll(const dispatch::PollRunner& poll) {
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -106,9 +106,10 @@
   double orders_lost = 0;
   /// Probability that a poll never arrives.
   double polls_lost = 0;
-  /// Maximum delay after which a lost or repeated order, or a late poll, is
-  /// executed.
+  /// Maximum and minimum delay after which a lost or repeated order, or a late
+  /// poll, is executed.
   Duration late_order{0};
+  Duration min_late_order{0};
   /// Probability that the first attempt of a start gets no response and is
   /// executed late, while the second attempt gets a response.
   double starts_repeated = 0;
