Tell in logs what the end of a runner's lease is derived from

Two runs of a task at once, of which the first was taken as over because "its lease expired", could not be traced to the call that had granted the longer lease: LL925 named no bound and nothing that it came from, and LL937 did not tell which calls were answered or in flight when the next incarnation was found.

LL925, LL933 and LL967 name the `lease_basis`; LL925 also when the lease expired, since when the runner rejects foreign calls, and its clock at its first answer. LL937 counts the starts that were answered since the incarnation before was heard (and those that another one answered by their clock), starts in flight and unanswered, and when a poll that grants a lease was given up. LL924 has the clock. limeledge_lost_runners_total counts by reason and basis.

No logic is changed.

--- a/src/cli/merged_log.cc
+++ b/src/cli/merged_log.cc
@@ -127,6 +127,27 @@
     {"run_lost", "called", " ({called})"},
     {"run_lost", "heard_ms_ago", "; heard {heard_ms_ago} ms ago"},
     {"run_lost", "lease_left_ms", "; lease may last {lease_left_ms} ms more"},
+    {"run_lost", "lease_basis", " ({lease_basis})"},
+    {"runs_held", "lease_basis", " ({lease_basis})"},
+    {"runner_lost", "heard_ms_ago", "; heard {heard_ms_ago} ms ago"},
+    {"runner_lost", "lease_left_ms",
+     "; lease may last {lease_left_ms} ms more"},
+    {"runner_lost", "lease_basis", " ({lease_basis})"},
+    {"runner_lost", "lease_expired_ms_ago",
+     ", expired {lease_expired_ms_ago} ms ago"},
+    {"runner_lost", "foreign_rejected_ms_ago",
+     "; has rejected foreign calls for {foreign_rejected_ms_ago} ms"},
+    {"runner_lost", "first_clock_ms",
+     "; its clock was at {first_clock_ms} ms in its first answer"},
+    {"runner_heard", "clock_ms", "; its clock is at {clock_ms} ms"},
+    {"runner_began", "starts_answered",
+     "; {starts_answered} starts were answered since that one was heard, "
+     "{starts_answered_by_another} of them surely by another life; "
+     "{starts_in_flight} are in flight, {starts_unanswered} without an answer "
+     "may arrive"},
+    {"runner_began", "poll_unanswered_ms_ago",
+     "; a poll that grants a lease got no answer {poll_unanswered_ms_ago} ms "
+     "ago"},
     {"run_not_listed", "polled_ms_ago", "; polled {polled_ms_ago} ms ago"},
     {"run_not_listed", "lease_left_ms",
      "; lease may last {lease_left_ms} ms more"},
--- a/src/core/log_event.cc
+++ b/src/core/log_event.cc
@@ -142,11 +142,15 @@
       {LogId::kRunnerSilent, kWarning, "runner_silent",
        "A runner does not answer."},
       {LogId::kRunnerHeard, kInfo, "runner_heard",
-       "A runner answers for the first time, or again."},
+       "A runner answers for the first time, or again; the fields give its "
+       "clock, and whether it rejects calls of earlier schedulers and calls "
+       "to earlier incarnations."},
       {LogId::kRunnerLost, kWarning, "runner_lost",
-       "All that ran on a runner is over; the fields say why, how long ago the "
-       "runner was heard, which address was called, which one its entry names, "
-       "and how long its lease may still last."},
+       "All that ran on a runner is over; the fields say why, how long ago "
+       "the runner was heard, which address was called, which one its entry "
+       "names, how long its lease may still last or when it expired, and what "
+       "that is derived from: the `lease_basis`, since when the runner "
+       "rejects foreign calls, and its clock in its first answer."},
       {LogId::kRunnerGone, kInfo, "runner_gone",
        "A runner that holds nothing is forgotten."},
       {LogId::kRunnerAvoidedFor, kWarning, "runner_avoided_for",
@@ -164,11 +168,12 @@
        "The list of runners was read and differs; the fields say how many are "
        "listed, new, and known but missing."},
       {LogId::kRunLost, kWarning, "run_lost",
-       "A run went with its runner; the fields say by which `evidence` the run "
-       "counts as over (none while its late start is being cancelled), which "
-       "address was called, how long ago the runner was heard, how long its "
-       "lease may still last, how long the run had been under way when the "
-       "runner fell silent, and how the runner ended."},
+       "A run went with its runner; the fields say by which `evidence` the "
+       "run counts as over (none while its late start is being cancelled), "
+       "which address was called, how long ago the runner was heard, how long "
+       "its lease may still last and by which `lease_basis`, how long the run "
+       "had been under way when the runner fell silent, and how the runner "
+       "ended."},
       {LogId::kLossSettled, kInfo, "loss_settled",
        "It is known what became of a silent runner that runs were lost with."},
       {LogId::kTaskGivenUp, kWarning, "task_given_up",
@@ -179,7 +184,9 @@
        "store has confirmed that it still schedules."},
       {LogId::kRunnerBegan, kWarning, "runner_began",
        "A runner started again under its id; the fields say both births, how "
-       "many lives were seen, and what became of the runs of the life before."},
+       "many lives were seen, what became of the runs of the life before, and "
+       "how many calls that grant a lease were sent to that life and may have "
+       "been carried out by the next."},
       {LogId::kRunNotListed, kWarning, "run_not_listed",
        "A run is neither running nor ended where it was started; it counts as "
        "lapsed. The fields say how long ago the runner was polled, and how "
@@ -268,8 +275,9 @@
        "A write of a caller's call got no answer, so that it may be applied, "
        "or may be later; no refusal of the call is certain from then on."},
       {LogId::kRunsHeld, kWarning, "runs_held",
-       "A runner with runs of an earlier scheduler does not answer; the fields "
-       "say how its first poll ended and how long their lease may last."},
+       "A runner with runs of an earlier scheduler does not answer; the "
+       "fields say how its first poll ended, how long their lease may last, "
+       "and by which `lease_basis`."},
       {LogId::kTombstonesNotRemoved, kWarning, "tombstones_not_removed",
        "Tombstones of jobs that were cancelled before they were stored could "
        "not be removed; they are tried again."},
--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -77,6 +77,7 @@
 }
 
 void Fleet::HandleForeignCallsRejected(Runner* runner, TimePoint now) const {
+  if (!runner->rejects_foreign_calls()) runner->foreign_calls_rejected_at = now;
   // The first incarnation that is known here has received no calls of this
   // scheduler to an earlier one.
   std::optional<TimePoint> latest = now;
@@ -248,6 +249,8 @@
 
 void Fleet::PollForRestart(TimePoint now, Runner* runner) {
   // A poll in flight may wait on a dead connection.
+  const bool grants = runner->poll_in_flight && runner->poll_grants_lease;
+  if (grants) runner->RecordUnansweredPoll(now);
   runner->poll_in_flight = false;
   runner->may_have_restarted = true;
   runner->next_poll_at = now;
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -102,6 +102,10 @@
   return now - runner.heard_at();
 }
 
+std::string MsSince(std::optional<TimePoint> at, TimePoint now) {
+  return at.has_value() ? std::to_string((now - *at).ms()) : "";
+}
+
 bool IsOfEarlierIncarnation(const Runner& runner, const Run& run) {
   return run.phase == RunPhase::kInherited &&
          IsReported(run.stored_incarnation) &&
@@ -141,6 +145,7 @@
   next->listed_ = listed_;
   next->unlisted_at_ = unlisted_at_;
   next->late_orders = std::move(late_orders);
+  next->grants_.poll_unanswered_at = grants_.poll_unanswered_at;
   // An entry that describes another incarnation is outdated.
   next->hinted_start_time = info_.start_time;
   if (next->DescribesThisIncarnation(info_) && info_.draining) {
@@ -259,13 +264,26 @@
 }
 
 void Runner::RecordAnswer(TimePoint now, std::int64_t clock_ms) {
+  if (!heard_) first_clock_ms_ = clock_ms;
   heard_ = true;
+  grants_.starts_answered = 0;
+  grants_.starts_answered_by_another = 0;
   misses_ = 0;
   silent_since_.reset();
   heard_at_ = now;
   heard_clock_ms_ = clock_ms;
 }
 
+void Runner::RecordStartAnswer(TimePoint sent_at, std::int64_t clock_ms) {
+  ++grants_.starts_answered;
+  // Answers may overtake each other, so only a clock that was reported before
+  // the start was sent can be compared.
+  const bool comparable = heard_ && heard_at_ <= sent_at;
+  if (comparable && clock_ms < heard_clock_ms_) {
+    ++grants_.starts_answered_by_another;
+  }
+}
+
 void Runner::RecordMiss(TimePoint now) {
   ++misses_;
   if (!silent_since_.has_value()) silent_since_ = now;
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -207,6 +207,20 @@
   bool may_start_late = false;
 };
 
+/// Calls that grant a lease and that the next incarnation of a runner may have
+/// carried out in place of this one, for logs.
+struct UnattributedGrants {
+  /// Starts that were answered since this incarnation last answered a poll. The
+  /// answer to a start does not name the incarnation.
+  int starts_answered = 0;
+  /// Those of them whose answer has a clock that was behind this incarnation's
+  /// before the start was sent.
+  int starts_answered_by_another = 0;
+  /// When it was noticed that a poll got no answer, of the latest such poll to
+  /// any incarnation under this id.
+  std::optional<TimePoint> poll_unanswered_at;
+};
+
 /// Records that a running run reported this progress and checkpoint at `now`.
 /// Precondition: `run->percent` is still the progress reported before.
 /// Thread-safe for different runs.
@@ -235,6 +249,10 @@
 /// Thread-safe.
 std::optional<Duration> AgeOfLatestAnswer(const Runner& runner, TimePoint now);
 
+/// How many milliseconds before `now` something was, for logs; empty if it
+/// never was. Thread-safe.
+std::string MsSince(std::optional<TimePoint> at, TimePoint now);
+
 /// True if a previous scheduler stored the run for another incarnation of the
 /// runner. Thread-safe.
 bool IsOfEarlierIncarnation(const Runner& runner, const Run& run);
@@ -268,7 +286,8 @@
       : info_(std::move(info)), incarnation_(info_.incarnation()) {}
 
   /// Creates the next incarnation under the same id. It takes over the list
-  /// entry, the address, the incarnation count and the late orders.
+  /// entry, the address, the incarnation count, the late orders and when a poll
+  /// got no answer.
   std::unique_ptr<Runner> Next(StartTime start_time, TimePoint now);
 
   const RunnerInfo& info() const { return info_; }
@@ -330,6 +349,9 @@
   bool heard() const { return heard_; }
   /// The runner's clock in the latest answer; 0 if there was none.
   std::int64_t heard_clock_ms() const { return heard_clock_ms_; }
+  /// The runner's clock in its first answer to this scheduler. It starts near
+  /// zero with each incarnation. Precondition: `heard()`.
+  std::int64_t first_clock_ms() const { return first_clock_ms_; }
   /// When the latest answer arrived.
   TimePoint heard_at() const { return heard_at_; }
   /// True if the latest call was answered.
@@ -356,6 +378,13 @@
   void AssumeForeignLeaseUntil(TimePoint at, LeaseBasis basis) {
     lease_.AssumeForeignUntil(at, basis);
   }
+  /// Records the answer to a start that was sent at `sent_at` and that may have
+  /// granted a lease.
+  void RecordStartAnswer(TimePoint sent_at, std::int64_t clock_ms);
+  /// Records that a poll that grants a lease got no answer that will be
+  /// handled.
+  void RecordUnansweredPoll(TimePoint now) { grants_.poll_unanswered_at = now; }
+  const UnattributedGrants& unattributed_grants() const { return grants_; }
 
   /// The generation of the fencing tokens of calls to this incarnation, higher
   /// than that of all calls to earlier incarnations.
@@ -364,6 +393,8 @@
   /// this scheduler. Until then it may carry out calls that were sent to
   /// earlier incarnations, and those of previous schedulers.
   bool rejects_foreign_calls() const { return rejects_foreign_calls_; }
+  /// When that answer arrived; empty until then.
+  std::optional<TimePoint> foreign_calls_rejected_at;
   /// Records that it answered one. Starts that were sent to earlier
   /// incarnations have either begun, and are reported, or never will. The
   /// latest foreign call, which may have granted a lease of `longest`, arrived
@@ -514,7 +545,9 @@
   std::optional<TimePoint> silent_since_;
   TimePoint heard_at_;
   std::int64_t heard_clock_ms_ = 0;
+  std::int64_t first_clock_ms_ = 0;
   RunnerLease lease_;
+  UnattributedGrants grants_;
   std::set<std::int64_t> deferred_ends_;
   TimePoint no_grant_until_;
 };
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -359,6 +359,9 @@
   /// may therefore arrive late.
   void RecordLateStart(TimePoint now, Runner* runner,
                        const StartRunCompleted& answer, const Run& run);
+  /// Records, for logs, an answer to a start that may have granted a lease.
+  static void RecordStartAnswer(Runner* runner, const StartRunCompleted& answer,
+                                const Run& run);
   /// Handles a start that was rejected or whose outcome is unknown.
   void HandleFailedStart(Context& ctx, Runner* runner,
                          const StartRunCompleted& answer, Run* run);
--- a/src/dispatch/scheduler_health.cc
+++ b/src/dispatch/scheduler_health.cc
@@ -86,6 +86,7 @@
   if (outcome == OrderOutcome::kLost && runner->poll_grants_lease) {
     runner->late_orders.RecordGrant(ctx.now() +
                                     options_.fleet.late_call_window);
+    runner->RecordUnansweredPoll(ctx.now());
   }
   const bool holds_inherited_runs =
       !runner->heard() && runner->misses() == 0 && !runner->runs().empty();
@@ -98,7 +99,8 @@
          {"runs", std::to_string(runner->runs().size())},
          {"listed", runner->listed() ? "yes" : "no"},
          {"poll", ToString(outcome)},
-         {"lease_left_ms", std::to_string(runner->LeaseLeft(ctx.now()).ms())}});
+         {"lease_left_ms", std::to_string(runner->LeaseLeft(ctx.now()).ms())},
+         {"lease_basis", ToString(runner->lease().basis())}});
   }
   HandleMissedAnswer(ctx, runner);
 }
--- a/src/dispatch/scheduler_incarnations.cc
+++ b/src/dispatch/scheduler_incarnations.cc
@@ -15,6 +15,8 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,6 +47,45 @@
          start.clock_ms <= poll.clock_ms + longest.ms();
 }
 
+/// What becomes of the runs of an incarnation that is over.
+struct CarriedRunCounts {
+  std::size_t lost = 0;
+  std::size_t kept = 0;
+  std::size_t to_be_ruled_out = 0;
+};
+
+/// Describes the next incarnation for logs: when it began, what becomes of the
+/// runs of the previous one, and which calls to that one it may have carried
+/// out.
+std::vector<LogField> DescribeNext(TimePoint now, Runner* previous,
+                                   const RunnerPolled& answer,
+                                   const CarriedRunCounts& runs) {
+  const std::optional<Duration> heard = AgeOfLatestAnswer(*previous, now);
+  const UnattributedGrants& grants = previous->unattributed_grants();
+  const auto starts_in_flight = std::count_if(
+      previous->runs().begin(), previous->runs().end(),
+      [](const auto& run) { return run.second.phase == RunPhase::kStarting; });
+  const std::size_t starts_unanswered =
+      previous->late_orders.StartsArrivingAfter(now).size();
+  return {
+      {"runner", previous->id().value()},
+      {"born", ToString(answer.start_time)},
+      {"before", ToString(previous->incarnation().start_time)},
+      {"lives", std::to_string(previous->incarnations() + 1)},
+      {"lost", std::to_string(runs.lost)},
+      {"kept", std::to_string(runs.kept)},
+      {"to_be_ruled_out", std::to_string(runs.to_be_ruled_out)},
+      {"clock_ms", std::to_string(answer.clock_ms)},
+      {"heard_ms_ago", heard.has_value() ? std::to_string(heard->ms()) : ""},
+      {"starts_answered", std::to_string(grants.starts_answered)},
+      {"starts_answered_by_another",
+       std::to_string(grants.starts_answered_by_another)},
+      {"starts_in_flight", std::to_string(starts_in_flight)},
+      {"starts_unanswered", std::to_string(starts_unanswered)},
+      {"poll_grants_lease", previous->poll_grants_lease ? "yes" : "no"},
+      {"poll_unanswered_ms_ago", MsSince(grants.poll_unanswered_at, now)}};
+}
+
 }  // namespace
 
 Scheduler::CarriedRunStatus Scheduler::ClassifyRun(TimePoint now,
@@ -93,13 +134,8 @@
     }
   }
   ctx.Log(LogId::kRunnerBegan,
-          {{"runner", previous_incarnation.runner.value()},
-           {"born", ToString(answer.start_time)},
-           {"before", ToString(previous_incarnation.start_time)},
-           {"lives", std::to_string(previous->incarnations() + 1)},
-           {"lost", std::to_string(lost.size())},
-           {"kept", std::to_string(carried.size())},
-           {"to_be_ruled_out", std::to_string(to_cancel.size())}});
+          DescribeNext(ctx.now(), previous, answer,
+                       {lost.size(), carried.size(), to_cancel.size()}));
   RunnerLoss loss;
   loss.cause = previous->LeftAsAnnounced() ? RunnerLossCause::kLeft
                                            : RunnerLossCause::kCrashed;
--- a/src/dispatch/scheduler_losses.cc
+++ b/src/dispatch/scheduler_losses.cc
@@ -154,6 +154,7 @@
        {"called", loss.called},
        {"heard_ms_ago", age.has_value() ? std::to_string(age->ms()) : ""},
        {"lease_left_ms", std::to_string(runner.LeaseLeft(ctx.now()).ms())},
+       {"lease_basis", ToString(runner.lease().basis())},
        {"lasted_ms", lasted.has_value() ? std::to_string(lasted->ms()) : ""},
        {"runner_end", ToString(loss.cause)},
        {"with_others", loss.correlated ? "yes" : "no"}});
@@ -302,4 +303,11 @@
   RecordContact(ctx, runner, clock_ms, address);
 }
 
+void Scheduler::RecordStartAnswer(Runner* runner,
+                                  const StartRunCompleted& answer,
+                                  const Run& run) {
+  if (!run.sent_at.has_value() || !ShowsTokenWasNoted(answer.outcome)) return;
+  runner->RecordStartAnswer(*run.sent_at, answer.clock_ms);
+}
+
 }  // namespace limeledge::dispatch
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -21,23 +21,33 @@
 constexpr std::size_t kMaxReportedEnds = 500;
 
 /// Logs that runs on the runner are over, with what is known of the runner: how
-/// long ago it answered this scheduler, its address in the list, and how long a
-/// lease that was granted by any scheduler may still last. `called` is the
-/// address whose answer ended the runs; empty if there was none.
+/// long ago it answered this scheduler, its address in the list, until when it
+/// may hold a lease that any scheduler granted, and what that is derived from.
+/// `called` is the address whose answer ended the runs; empty if there was
+/// none.
 void LogRunnerLost(Context& ctx, const Runner& runner, EndEvidence evidence,
                    std::size_t runs, const std::string& called) {
   const std::optional<Duration> age = AgeOfLatestAnswer(runner, ctx.now());
-  ctx.Log(
-      LogId::kRunnerLost,
-      {{"runner", runner.id().value()},
-       {"reason", ToString(evidence)},
-       {"runs", std::to_string(runs)},
-       {"heard", runner.heard() ? "yes" : "no"},
-       {"heard_ms_ago", age.has_value() ? std::to_string(age->ms()) : ""},
-       {"listed", runner.listed() ? "yes" : "no"},
-       {"called", called},
-       {"entry_address", runner.listed() ? runner.info().address : ""},
-       {"lease_left_ms", std::to_string(runner.LeaseLeft(ctx.now()).ms())}});
+  const RunnerLease& lease = runner.lease();
+  const bool expired =
+      lease.basis() != LeaseBasis::kNone && lease.expires_at() <= ctx.now();
+  ctx.Log(LogId::kRunnerLost,
+          {{"runner", runner.id().value()},
+           {"reason", ToString(evidence)},
+           {"runs", std::to_string(runs)},
+           {"heard", runner.heard() ? "yes" : "no"},
+           {"heard_ms_ago", age.has_value() ? std::to_string(age->ms()) : ""},
+           {"listed", runner.listed() ? "yes" : "no"},
+           {"called", called},
+           {"entry_address", runner.listed() ? runner.info().address : ""},
+           {"lease_left_ms", std::to_string(runner.LeaseLeft(ctx.now()).ms())},
+           {"lease_expired_ms_ago",
+            expired ? MsSince(lease.expires_at(), ctx.now()) : ""},
+           {"lease_basis", ToString(lease.basis())},
+           {"foreign_rejected_ms_ago",
+            MsSince(runner.foreign_calls_rejected_at, ctx.now())},
+           {"first_clock_ms",
+            runner.heard() ? std::to_string(runner.first_clock_ms()) : ""}});
 }
 
 /// What the loss of the runner means for its runs that count as over for this
@@ -122,6 +132,7 @@
   Run* run = runner->FindRun(answer.task, answer.run);
   if (run == nullptr) return LeaseStatus::kHeld;
   RecordLateStart(ctx.now(), runner, answer, *run);
+  RecordStartAnswer(runner, answer, *run);
   run->answered_at = ctx.now();
   if (answer.outcome == OrderOutcome::kDone) {
     run->phase = RunPhase::kRunning;
@@ -353,8 +364,12 @@
     runner->may_have_restarted = false;
   }
   if (!runner->reachable()) {
-    ctx.Log(LogId::kRunnerHeard, {{"runner", runner->id().value()},
-                                  {"born", ToString(answer.start_time)}});
+    ctx.Log(
+        LogId::kRunnerHeard,
+        {{"runner", runner->id().value()},
+         {"born", ToString(answer.start_time)},
+         {"clock_ms", std::to_string(answer.clock_ms)},
+         {"rejects_foreign", runner->rejects_foreign_calls() ? "yes" : "no"}});
     plan_due_ = true;
   }
   RecordContact(ctx, runner, answer.clock_ms, answer.address);
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -497,6 +497,30 @@
   CHECK_TRUE(runner->DeferAcknowledgement(1, now, lease) > now + kLate + lease);
 }
 
+// Guards against logs that do not tell that a poll that grants a lease was
+// given up when an entry named another incarnation, which may carry it out.
+TEST(Fleet, GrantOfAPollThatIsGivenUpIsRemembered) {
+  Runner* runner = AddRunner("i-1", StartTime(1700));
+  AddRun(runner);
+  runner->RecordAnswer(now, 500000);
+  CHECK_TRUE(Poll()->until_ms > 0);
+  now = now + Duration(20);
+  AddRunner("i-1", StartTime(1800));
+  CHECK_TRUE(runner->unattributed_grants().poll_unanswered_at == now);
+  const TimePoint given_up_at = now;
+  now = now + Duration(20);
+  const Runner* next = fleet.StartIncarnation(runner, StartTime(1800), now);
+  CHECK_TRUE(next->unattributed_grants().poll_unanswered_at == given_up_at);
+}
+
+TEST(Fleet, PollWithoutAGrantThatIsGivenUpIsNotRemembered) {
+  Runner* runner = AddRunner("i-1", StartTime(1700));
+  runner->RecordAnswer(now, 500000);
+  CHECK_TRUE(Poll()->until_ms == 0);
+  AddRunner("i-1", StartTime(1800));
+  CHECK_FALSE(runner->unattributed_grants().poll_unanswered_at.has_value());
+}
+
 TEST(Fleet, LeaseOfAPreviousSchedulerIsBoundedOnceItsRunnerAnswers) {
   fleet.AssumePreviousScheduler(now);
   Runner* runner = Inherit("i-1", StartTime());
--- a/test/log-story-test.cc
+++ b/test/log-story-test.cc
@@ -140,6 +140,70 @@
       Describe(not_listed).c_str());
 }
 
+// Guards against a history that hides until when a runner may have held a
+// lease, and why.
+TEST(LogStory, BasisOfALeaseIsDescribedIfItIsLogged) {
+  LogEntry lost;
+  lost.event = "runner_lost";
+  lost.fields = {
+      {"runner", "i-1"}, {"runs", "5"}, {"reason", "its lease expired"}};
+  const std::string without_basis =
+      "all 5 runs on runner i-1 are over: its lease expired";
+  STRCMP_EQUAL(without_basis.c_str(), Describe(lost).c_str());
+  lost.fields["heard_ms_ago"] = "5368";
+  lost.fields["lease_left_ms"] = "0";
+  lost.fields["lease_expired_ms_ago"] = "18";
+  lost.fields["lease_basis"] = "granted by this scheduler";
+  lost.fields["foreign_rejected_ms_ago"] = "5401";
+  lost.fields["first_clock_ms"] = "1615";
+  STRCMP_EQUAL(
+      (without_basis +
+       "; heard 5368 ms ago; lease may last 0 ms more (granted by this "
+       "scheduler), expired 18 ms ago; has rejected foreign calls for 5401 ms; "
+       "its clock was at 1615 ms in its first answer")
+          .c_str(),
+      Describe(lost).c_str());
+  LogEntry held;
+  held.event = "runs_held";
+  held.fields = {{"runner", "i-1"},
+                 {"poll", "no answer"},
+                 {"runs", "2"},
+                 {"lease_left_ms", "900"},
+                 {"lease_basis", "a previous scheduler may renew it"}};
+  STRCMP_EQUAL(
+      "runner i-1 does not answer (no answer); its 2 runs of an earlier "
+      "scheduler may last 900 ms more (a previous scheduler may renew it)",
+      Describe(held).c_str());
+}
+
+// Guards against a history that hides calls that another life than the one that
+// they were meant for may have carried out.
+TEST(LogStory, CallsToAnEarlierLifeAreDescribedIfTheyAreLogged) {
+  LogEntry began;
+  began.event = "runner_began";
+  began.fields = {{"runner", "i-1"},
+                  {"born", "8"},
+                  {"before", "7"},
+                  {"lives", "2"},
+                  {"lost", "0"}};
+  const std::string without_calls =
+      "runner i-1 started again: its life 2, born 8 after 7; 0 runs went with "
+      "the one before";
+  STRCMP_EQUAL(without_calls.c_str(), Describe(began).c_str());
+  began.fields["starts_answered"] = "2";
+  began.fields["starts_answered_by_another"] = "1";
+  began.fields["starts_in_flight"] = "3";
+  began.fields["starts_unanswered"] = "4";
+  began.fields["poll_unanswered_ms_ago"] = "120";
+  STRCMP_EQUAL(
+      (without_calls +
+       "; 2 starts were answered since that one was heard, 1 of them surely by "
+       "another life; 3 are in flight, 4 without an answer may arrive; a poll "
+       "that grants a lease got no answer 120 ms ago")
+          .c_str(),
+      Describe(began).c_str());
+}
+
 // Guards against a history in which a start does not lead to the run before.
 TEST(LogStory, StartOfALaterRunIsDescribedWithTheEndOfTheRunBefore) {
   LogEntry assigned;
@@ -267,6 +331,17 @@
     CHECK_TEXT(digit >= '0' && digit <= '9', (field + ": " + line).c_str());
   }
 
+  /// Returns the latest line of the event about this runner.
+  std::string FindLatest(const std::string& event, const RunnerId& runner) {
+    std::string found;
+    const std::string subject = " " + event + " runner=" + runner.value() + " ";
+    for (const std::string& line : lines) {
+      if (line.find(subject) != std::string::npos) found = line;
+    }
+    CHECK_TEXT(!found.empty(), ("no line" + subject).c_str());
+    return found;
+  }
+
   /// Checks the only line about the loss of the job's first run, and returns
   /// it.
   std::string CheckLoss(const JobId& job, const RunnerId& runner,
@@ -296,6 +371,119 @@
   CheckHasNumber(line, "heard_ms_ago");
 }
 
+// Guards against a log that does not tell a lease of this scheduler from one
+// that was assumed.
+TEST(LogOfRuns, LossOfARunnerNamesTheBasisOfItsLease) {
+  EmulatedSystem system{SystemOptions()};
+  Trace(&system);
+  const JobId job = SchedulerFixture::SubmitTo(
+      &system, SchedulerFixture::Step(1, 8, Duration(60000)));
+  system.Run(Duration(30000));
+  const RunnerId runner = SchedulerFixture::RunnerOf(&system, job);
+  system.faults().unreachable_runners.insert(runner);
+  system.Run(Duration(9000));
+  const std::string line = FindLatest("runner_lost", runner);
+  CheckHas(line, "lease_basis=granted by this scheduler");
+  CheckHasNumber(line, "lease_expired_ms_ago");
+  CheckHasNumber(line, "foreign_rejected_ms_ago");
+  CheckHasNumber(line, "first_clock_ms");
+  CheckHas(CheckLoss(job, runner, "its lease expired"),
+           "lease_basis=granted by this scheduler");
+}
+
+// Guards against a log that hides why a runner counts as lost late: it is cut
+// off soon after a take-over.
+TEST(LogOfRuns, LossSoonAfterATakeOverNamesTheLeaseOfAForeignCall) {
+  SystemOptions options;
+  options.keeps_ids = true;
+  EmulatedSystem system(options);
+  Trace(&system);
+  system.KillNode(system.leader(), Duration(60000));
+  system.Run(Duration(4000));
+  const JobId job = SchedulerFixture::SubmitTo(
+      &system, SchedulerFixture::Step(1, 8, Duration(60000)));
+  system.Run(Duration(500));
+  const RunnerId runner = SchedulerFixture::RunnerOf(&system, job);
+  system.faults().unreachable_runners.insert(runner);
+  system.Run(Duration(12000));
+  const std::string line = FindLatest("runner_lost", runner);
+  CheckHas(line,
+           "lease_basis=a foreign call may have preceded the first answer");
+  CheckHasNumber(line, "lease_expired_ms_ago");
+  CheckHasNumber(line, "foreign_rejected_ms_ago");
+}
+
+// Guards against a log that does not tell what the wait for runs of an earlier
+// scheduler is derived from.
+TEST(LogOfRuns, HeldRunsOfAnEarlierSchedulerNameTheBasisOfTheirLease) {
+  EmulatedSystem system{SystemOptions()};
+  Trace(&system);
+  const JobId job = SchedulerFixture::SubmitTo(
+      &system, SchedulerFixture::Step(1, 8, Duration(60000)));
+  system.Run(Duration(1000));
+  const RunnerId runner = SchedulerFixture::RunnerOf(&system, job);
+  system.faults().unreachable_runners.insert(runner);
+  system.KillNode(system.leader(), Duration(60000));
+  system.Run(Duration(30000));
+  const std::string basis = "lease_basis=a previous scheduler may renew it";
+  CheckHas(FindLatest("runs_held", runner), basis);
+  const std::string line = FindLatest("runner_lost", runner);
+  CheckHas(line, basis);
+  CheckHas(line, "heard=no");
+  CheckHas(line, "foreign_rejected_ms_ago=");
+  CheckHas(line, "first_clock_ms=");
+}
+
+// Guards against a log that leaves open which calls to the life before the next
+// one may have carried out.
+TEST(LogOfRuns, NextIncarnationTellsOfStartsWithoutAnAnswer) {
+  SystemOptions options;
+  options.runners = 1;
+  options.keeps_ids = true;
+  EmulatedSystem system(options);
+  Trace(&system);
+  system.faults().orders_lost = 1;
+  system.faults().late_order = Duration(12000);
+  SchedulerFixture::SubmitTo(&system,
+                             SchedulerFixture::Step(1, 1, Duration(2000)));
+  system.Run(Duration(500));
+  const RunnerId runner = system.RunnerIds().front();
+  system.CrashRunner(runner, Duration(600));
+  system.faults() = Faults();
+  system.Run(Duration(2500));
+  const std::string began = FindLatest("runner_began", runner);
+  CheckHas(began, "starts_unanswered=1");
+  CheckHas(began, "starts_answered=0");
+  CheckHasNumber(began, "clock_ms");
+  CheckHasNumber(began, "heard_ms_ago");
+  const std::string heard = FindLatest("runner_heard", runner);
+  CheckHas(heard, "rejects_foreign=no");
+  CheckHasNumber(heard, "clock_ms");
+}
+
+// Guards against a log that does not tell that a start was answered by another
+// incarnation than the one that it was sent to.
+TEST(LogOfRuns, NextIncarnationTellsOfAStartThatItAnsweredBefore) {
+  SystemOptions options;
+  options.runners = 1;
+  options.keeps_ids = true;
+  options.entry_lag = Duration(600);
+  EmulatedSystem system(options);
+  Trace(&system);
+  system.Run(Duration(15000));
+  system.faults().resend_interval = Duration(20);
+  const RunnerId runner = system.RunnerIds().front();
+  system.CrashRunner(runner, Duration(300));
+  SchedulerFixture::SubmitTo(&system,
+                             SchedulerFixture::Step(1, 1, Duration(4000)));
+  system.Run(Duration(3000));
+  const std::string began = FindLatest("runner_began", runner);
+  CheckHas(began, "starts_answered=1");
+  CheckHas(began, "starts_answered_by_another=1");
+  CheckHas(began, "starts_in_flight=0");
+  CheckHas(began, "starts_unanswered=0");
+}
+
 // Guards against a log that leaves open which process's answer ended a run.
 TEST(LogOfRuns, LossByAnAnswerOfAnotherIncarnationNamesTheAddress) {
   EmulatedSystem system{SystemOptions()};
--- a/test/metrics-test.cc
+++ b/test/metrics-test.cc
@@ -74,6 +74,26 @@
   CHECK_TRUE(text.find("evidence=\"e\"") == std::string::npos);
 }
 
+// Guards against a longer wait for leases of foreign calls whose frequency
+// nobody can tell.
+TEST(Metrics, LostRunnersAreCountedByWhatTheirLeaseIsDerivedFrom) {
+  const auto count = [this](LogId id, const std::string& basis) {
+    metrics.CountEvent(
+        {id, {{"reason", "its lease expired"}, {"lease_basis", basis}}});
+  };
+  count(LogId::kRunnerLost, "granted");
+  count(LogId::kRunnerLost, "foreign");
+  count(LogId::kRunnerLost, "foreign");
+  count(LogId::kRunLost, "run");
+  CheckLine(
+      "limeledge_lost_runners_total{lease_basis=\"granted\",reason=\"its lease "
+      "expired\"} 1");
+  CheckLine(
+      "limeledge_lost_runners_total{lease_basis=\"foreign\",reason=\"its lease "
+      "expired\"} 2");
+  CHECK_TRUE(metrics.Text().find("lease_basis=\"run\"") == std::string::npos);
+}
+
 // Guards against values of an earlier term that stay visible.
 TEST(Metrics, SpeedsAreZeroAgainAfterTheTerm) {
   metrics.SetSpeeds({true, 0.25, 7});
--- a/test/runner-lease-test.cc
+++ b/test/runner-lease-test.cc
@@ -81,6 +81,38 @@
   CHECK_TRUE(runner.lease().expires_at() <= TimePoint(35500));
 }
 
+// Guards against logs that do not tell that another incarnation answered a
+// start, which its answer does not name.
+TEST(RunnerLease, AnswerToAStartWithAnEarlierClockIsOfAnotherIncarnation) {
+  runner.RecordAnswer(TimePoint(5000), 300000);
+  runner.RecordStartAnswer(TimePoint(5100), 300120);
+  runner.RecordStartAnswer(TimePoint(5100), 80);
+  LONGS_EQUAL(2, runner.unattributed_grants().starts_answered);
+  LONGS_EQUAL(1, runner.unattributed_grants().starts_answered_by_another);
+}
+
+// An answer to a poll may overtake the answer to a start.
+TEST(RunnerLease, OvertakenAnswerToAStartIsNotOfAnotherIncarnation) {
+  runner.RecordAnswer(TimePoint(5000), 300000);
+  runner.RecordStartAnswer(TimePoint(4990), 299995);
+  LONGS_EQUAL(1, runner.unattributed_grants().starts_answered);
+  LONGS_EQUAL(0, runner.unattributed_grants().starts_answered_by_another);
+}
+
+TEST(RunnerLease, StartsAnsweredBeforeAnAnsweredPollAreOfTheIncarnation) {
+  runner.RecordAnswer(TimePoint(5000), 300000);
+  runner.RecordStartAnswer(TimePoint(5100), 80);
+  runner.RecordAnswer(TimePoint(5200), 300200);
+  LONGS_EQUAL(0, runner.unattributed_grants().starts_answered);
+  LONGS_EQUAL(0, runner.unattributed_grants().starts_answered_by_another);
+}
+
+TEST(RunnerLease, ClockInTheFirstAnswerIsKept) {
+  runner.RecordAnswer(TimePoint(5000), 90);
+  runner.RecordAnswer(TimePoint(6000), 1090);
+  LONGS_EQUAL(90, runner.first_clock_ms());
+}
+
 // Guards against a lease that lasts longer than the scheduler assumes, on a
 // clock that is 2% slow, where answers take seconds and pass one another.
 TEST(RunnerLease, LastsNoLongerThanAssumedOnASlowClockWithLateAnswers) {
