Count double runs of misdelivered starts that a scheduler was shown

A run whose start reached the next incarnation of its runner was excused from "two runs at a time" for good, since no scheduler can prevent such a start. It can prevent the second run, though: once a poll has listed the first one, its scheduler knows of it and has to wait for its end.

The excuse now ends 1.5 s after a poll first listed the run to the scheduler that sends the second start. The time leaves room for a poll that supersedes the one that listed the run.

--- a/src/emulator/emulated_oracle.cc
+++ b/src/emulator/emulated_oracle.cc
@@ -171,7 +171,9 @@
     RunAt(now_ + *crash + Duration(1),
           [this, address = order.target.address] { DropIfCrashed(address); });
   }
-  oracle_.CheckRunning(ActiveRuns());
+  const std::vector<RunName> running = ActiveRuns();
+  oracle_.CheckRunning(running);
+  oracle_.CheckStartBesideListed(order, sent_at, running);
 }
 
 }  // namespace limeledge::emulator
--- a/src/emulator/emulated_orders.cc
+++ b/src/emulator/emulated_orders.cc
@@ -198,7 +198,10 @@
           });
     return;
   }
-  if (answer.outcome == OrderOutcome::kDone) runner->RecordContact();
+  if (answer.outcome == OrderOutcome::kDone) {
+    runner->RecordContact();
+    oracle_.RecordListedRuns(answer.running, poll.target.fence.epoch, now_);
+  }
   RecordPoll(poll, answer, *runner);
   RunAt(now_ + options_.network + faults_.poll_answer_time,
         [this, node, incarnation, answer] {
--- a/src/emulator/promise_oracle.cc
+++ b/src/emulator/promise_oracle.cc
@@ -27,6 +27,9 @@
 /// `kFirstForbiddenStart` from then on is a violation.
 constexpr int kMaxCrashes = 3;
 constexpr int kFirstForbiddenStart = 3;
+/// Once a run has been listed to a scheduler for this long, the scheduler knows
+/// of it: enough for a poll that supersedes the one whose answer listed it.
+constexpr Duration kListedBound{1500};
 
 /// True if the task starts again however its runs end.
 bool Lasts(const JobWatch& watch, const TaskName& name) {
@@ -206,6 +209,29 @@
   }
 }
 
+void PromiseOracle::RecordListedRuns(
+    const std::vector<dispatch::ReportedRun>& running, Epoch epoch,
+    TimePoint now) {
+  for (const dispatch::ReportedRun& run : running) {
+    const RunName name{run.task, run.run};
+    if (misdelivered_.count(name) == 0) continue;
+    listed_at_.emplace(std::make_pair(name, epoch), now);
+  }
+}
+
+void PromiseOracle::CheckStartBesideListed(
+    const dispatch::StartRun& order, TimePoint sent_at,
+    const std::vector<RunName>& running) {
+  for (const RunName& run : running) {
+    if (!(run.task == order.task) || run.number >= order.run) continue;
+    const auto listed = listed_at_.find({run, order.target.fence.epoch});
+    if (listed == listed_at_.end()) continue;
+    if (sent_at - listed->second <= kListedBound) continue;
+    Violate(absl::StrCat("two runs of ", ToString(run.task),
+                         " at a time, one by a misdelivered start"));
+  }
+}
+
 void PromiseOracle::RecordPoll(
     const dispatch::PollRunner& poll, const dispatch::RunnerPolled& answer,
     const std::function<bool(std::int64_t)>& lease_held) {
--- a/src/emulator/promise_oracle.h
+++ b/src/emulator/promise_oracle.h
@@ -116,6 +116,10 @@
   int misdelivered_starts() const {
     return static_cast<int>(misdelivered_.size());
   }
+  /// A poll by the scheduler of this epoch was answered at `now` with the runs
+  /// that are active.
+  void RecordListedRuns(const std::vector<dispatch::ReportedRun>& running,
+                        Epoch epoch, TimePoint now);
   /// A runner crashed while it executed these tasks.
   void RecordRunnerCrash(const std::vector<dispatch::TaskName>& tasks);
   /// The task crashed a runner.
@@ -155,6 +159,12 @@
   void CheckCancelledRuns(const std::vector<RunName>& runs, TimePoint now);
   /// Checks that no task has two of the active runs.
   void CheckRunning(const std::vector<RunName>& running);
+  /// Checks a start that was sent at `sent_at` against earlier active runs of
+  /// misdelivered starts: a scheduler that has been shown such a run waits for
+  /// its end.
+  void CheckStartBesideListed(const dispatch::StartRun& order,
+                              TimePoint sent_at,
+                              const std::vector<RunName>& running);
 
   /// Sets a function that is called with a line of text for each violation and
   /// for each end that was acknowledged.
@@ -192,6 +202,8 @@
   std::map<RunName, TimePoint> late_starts_;
   /// Runs started by an order that was sent to the previous incarnation.
   std::set<RunName> misdelivered_;
+  /// When such runs were first listed to the scheduler of an epoch.
+  std::map<std::pair<RunName, Epoch>, TimePoint> listed_at_;
   /// Runs already reported as active too long after the cancellation.
   std::set<RunName> reported_overdue_;
   std::map<JobId, JobWatch> jobs_;
--- a/test/promise-oracle-test.cc
+++ b/test/promise-oracle-test.cc
@@ -161,6 +161,27 @@
   CHECK_EQUAL(1, oracle.violations().size());
 }
 
+// Guards against double runs that go unseen: the run of a misdelivered start is
+// excused only as long as the scheduler cannot know of it.
+TEST(PromiseOracle, StartBesideAListedRunOfAMisdeliveredStartIsAViolation) {
+  const RunName misdelivered{first, 1};
+  oracle.RecordMisdeliveredStart(misdelivered);
+  dispatch::StartRun second_run;
+  second_run.task = first;
+  second_run.run = 2;
+  second_run.target.fence.epoch = Epoch(7);
+  const std::vector<RunName> running{misdelivered, {first, 2}};
+  // It was listed to another scheduler only.
+  oracle.RecordListedRuns({{first, 1, "", 0}}, Epoch(6), TimePoint(1000));
+  oracle.CheckStartBesideListed(second_run, TimePoint(9000), running);
+  CHECK(oracle.violations().empty());
+  oracle.RecordListedRuns({{first, 1, "", 0}}, Epoch(7), TimePoint(8000));
+  oracle.CheckStartBesideListed(second_run, TimePoint(9000), running);
+  CHECK(oracle.violations().empty());
+  oracle.CheckStartBesideListed(second_run, TimePoint(9600), running);
+  CHECK_EQUAL(1, oracle.violations().size());
+}
+
 TEST(PromiseOracle, RepeatedlyReportedEndCountsOnce) {
   Poll(0, {EndOf(first, 1, RunEnd::kFailed)});
   Poll(0, {EndOf(first, 1, RunEnd::kFailed)});
