Let waiting polls acknowledge ends only on arrival in the emulator

A poll that waited at an emulated runner acknowledged ends again every 20 ms. The renewal of the lease was already limited to the arrival; the stand-in's comment says the same of acknowledgements.

--- a/src/emulator/emulated_orders.cc
+++ b/src/emulator/emulated_orders.cc
@@ -184,17 +184,21 @@
     });
     return;
   }
-  // The poll renews the lease when it arrives, not when it is answered.
-  answer = runner->Poll(poll);
+  // The poll renews the lease and acknowledges ends when it arrives, not when
+  // it is answered.
+  dispatch::PollRunner effective = poll;
+  if (waiting_at == current) {
+    effective.until_ms = 0;
+    effective.acknowledged_end = 0;
+  }
+  answer = runner->Poll(effective);
   oracle_.RecordUnreportedEnds(runner->TakeUnreportedEnds());
   const bool waits = answer.outcome == OrderOutcome::kDone && now_ < until &&
                      !runner->HasNewEnds(poll.acknowledged_end);
   if (waits) {
-    dispatch::PollRunner retry = poll;
-    retry.until_ms = 0;
     RunAt(now_ + kPollRetryInterval,
-          [this, node, incarnation, retry, until, current] {
-            AnswerPoll(node, incarnation, retry, until, current);
+          [this, node, incarnation, poll, until, current] {
+            AnswerPoll(node, incarnation, poll, until, current);
           });
     return;
   }
