Fuzz restarts whose next incarnations answer earlier calls

Courses with kept ids were clean although tasks ran twice on real processes, for four reasons:

- A call to a runner that is down was refused or lost.
A call of a former life reached the next one only through `orders_lost`, `starts_repeated` or `polls_late`, and got no answer.
The scheduler counts those as late grants.
- The poll that waited at a runner that crashed failed within 20 ms, so that the scheduler sent nothing more to it.
- Cuts hit a random runner (one in thirteen faults) and were not related to restarts.
They rarely follow a restart by less than the 4.7 s by which the two leases differ, and most tasks take less than 5 s, so that a run is over before its lease matters.
- The oracle excused the runs of misdelivered starts for good.

The clock of an emulated life did start anew, and `ExtendLease` did cut the lease to the longest one.

In the new mix, runners go down for 5 to 900 ms while jobs are submitted, take the calls of their former life, and are cut off 0.3 to 7 s later, for 6 to 16 s, half of the time with a kill of the scheduler between. Half of the steps have tasks of 6 to 9 s.

--- a/test/dispatch-simulation.h
+++ b/test/dispatch-simulation.h
@@ -8,6 +8,8 @@
 #define LIMELEDGE_TEST_DISPATCH_SIMULATION_H_
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 #include <map>
 #include <random>
 #include <set>
@@ -30,8 +32,17 @@
 /// runners leave or cannot be reached. With `kPartitions`, runners that keep
 /// running are cut off, alone or with their hall and schedulers in it, while
 /// schedulers come and go. With `kWrongAddresses`, entries of runners name the
-/// addresses of others for a while, among all other faults.
-enum class FaultMix { kAll, kLostAnswers, kPartitions, kWrongAddresses };
+/// addresses of others for a while, among all other faults. With `kEarlyCalls`,
+/// runners restart, their next incarnations carry out and answer calls that
+/// were sent meanwhile, and are cut off within seconds while they run long
+/// tasks.
+enum class FaultMix {
+  kAll,
+  kLostAnswers,
+  kPartitions,
+  kWrongAddresses,
+  kEarlyCalls
+};
 
 /// One random simulation, with an emulated system of its own.
 class Simulation {
@@ -74,6 +85,7 @@
   /// A task may be given up once this many runners crashed while running it.
   static constexpr int kCrashesToGiveUp = 2;
   static constexpr int kMostRemovedNodes = 2;
+  static constexpr std::size_t kMostCutRunners = 3;
   /// How long entries name the addresses of other runners.
   static constexpr int kLongestOverwriteMs = 2000;
 
@@ -128,6 +140,11 @@
     if (!OneIn(3)) Submit();
     if (OneIn(12)) CancelOne();
     if (faults_ == FaultMix::kWrongAddresses) OverwriteAddresses();
+    if (faults_ == FaultMix::kEarlyCalls) {
+      CutOffRestartedRunners();
+      if (OneIn(4)) RestartAndCutOffSoon();
+      return;
+    }
     if (faults_ == FaultMix::kPartitions) {
       if (OneIn(3)) Partition();
     } else if (OneIn(4)) {
@@ -151,6 +168,10 @@
     if (faults_ == FaultMix::kPartitions && OneIn(3)) {
       step.estimate = Duration(Pick(4000, 9000));
     }
+    // Runs must outlast the lease that the scheduler counts.
+    if (faults_ == FaultMix::kEarlyCalls && OneIn(2)) {
+      step.estimate = Duration(Pick(6000, 9000));
+    }
     truth->work = step.estimate * Pick(50, 200) / 100;
     truth->always_fails = OneIn(15);
     if (restart_mode_ != RestartMode::kRare && OneIn(40)) {
@@ -442,6 +463,39 @@
     system_.faults().unreachable_runners.erase(runner);
   }
 
+  /// Restarts a runner, which takes calls to its earlier incarnation, and plans
+  /// to cut it off for longer than a lease lasts. Ends the scheduler in half
+  /// of the cases.
+  void RestartAndCutOffSoon() {
+    const RunnerId runner = AnyRunner();
+    const Duration down(Pick(5, 900));
+    system_.faults().resend_interval = Duration(20);
+    if (cuts_.count(runner) != 0 || cuts_.size() >= kMostCutRunners) return;
+    system_.CrashRunner(runner, down);
+    for (int i = 0; i < 4; ++i) Submit();
+    system_.Run(down);
+    const TimePoint from = system_.now() + Duration(Pick(300, 7000));
+    cuts_[runner] = {from, from + Duration(Pick(6000, 16000))};
+    if (!OneIn(2)) return;
+    system_.Run(Duration(Pick(0, 1500)));
+    system_.KillNode(LeaderOrAny(), Duration(Pick(100, 4000)));
+  }
+
+  /// Cuts runners off, and ends the cuts, as planned.
+  void CutOffRestartedRunners() {
+    std::set<RunnerId>& cut = system_.faults().unreachable_runners;
+    for (auto it = cuts_.begin(); it != cuts_.end();) {
+      const auto& [runner, span] = *it;
+      const bool over = system_.now() >= span.second;
+      if (over) {
+        cut.erase(runner);
+      } else if (system_.now() >= span.first) {
+        cut.insert(runner);
+      }
+      it = over ? cuts_.erase(it) : std::next(it);
+    }
+  }
+
   /// Removes all faults.
   void RemoveFaults() { system_.faults() = Faults(); }
 
@@ -484,6 +538,8 @@
   const int nodes_;
   int removed_nodes_ = 0;
   TimePoint addresses_wrong_until_;
+  /// When restarted runners are cut off, from and until.
+  std::map<RunnerId, std::pair<TimePoint, TimePoint>> cuts_;
   int given_up_ = 0;
   int given_up_wrongly_ = 0;
   EmulatedSystem system_;
--- a/test/reborn-fuzz-test.cc
+++ b/test/reborn-fuzz-test.cc
@@ -33,11 +33,12 @@
   int given_up_wrongly = 0;
 };
 
-Outcome RunSimulations(RestartMode restarts) {
+Outcome RunSimulations(RestartMode restarts, FaultMix mix = FaultMix::kAll) {
   Outcome all;
   for (int i = 0; i < RunCountOr(kDefaultRunCount); ++i) {
     const int seed = FirstSeed() + i;
-    Simulation simulation(seed, dispatch::DefaultPlanningPolicy(), restarts);
+    Simulation simulation(seed, dispatch::DefaultPlanningPolicy(), restarts,
+                          mix);
     const std::vector<std::string> wrong = simulation.Run();
     all.jobs += simulation.jobs();
     all.given_up += simulation.given_up();
@@ -74,6 +75,22 @@
   Check(RunSimulations(RestartMode::kNewIds));
 }
 
+// Guards against tasks that run twice on runners that restart under their ids,
+// carry out calls to their earlier incarnations, and are cut off soon after.
+TEST(RebornFuzz, CallsToEarlierIncarnationsBreakNoPromise) {
+  Check(RunSimulations(RestartMode::kSameIds, FaultMix::kEarlyCalls));
+}
+
+// Seeds that failed the test above.
+TEST(RebornFuzz, CoursesThatOnceRanATaskTwiceAfterEarlyCallsBreakNoPromise) {
+  for (const int seed :
+       {8700060, 8700102, 8700127, 8700176, 8700192, 8700217, 8700289}) {
+    Simulation simulation(seed, dispatch::DefaultPlanningPolicy(),
+                          RestartMode::kSameIds, FaultMix::kEarlyCalls);
+    for (const std::string& error : simulation.Run()) FAIL(error.c_str());
+  }
+}
+
 // A start in flight at the end of an incarnation was cancelled on the next one
 // only, and carried out by the one after that, when its task was done.
 TEST(RebornFuzz, StartInFlightIsCancelledOnEachLaterIncarnation) {
