Count the lease that the answer to a start shows

Two runs of a task at once remain possible where a runner restarts twice in close succession: the clock of the next incarnation is then no longer behind the one that the incarnation before had shown when it answers a start that was meant for that one, so that nothing tells the two apart. The start names the end of its lease on the former clock, some seconds later on the present one, and a cut right after lets the run outlast what is counted, by up to about 2 s.

The answer has the clock of the incarnation that gave it, and the end of the lease was named in the start: what is left between them is how long the lease lasts, whoever answered. It is counted from the answer, also where the start was rejected for want of room or as old, which renews the lease too. In the incarnation that was meant this adds a round trip.

Test: RunnerLease.IsCountedByTheClockInTheAnswerToAStart.

Beside it: the comparison of clocks and the time since when foreign calls are rejected stood twice.

--- a/src/dispatch/fleet.cc
+++ b/src/dispatch/fleet.cc
@@ -77,15 +77,14 @@
 }
 
 void Fleet::HandleForeignCallsRejected(Runner* runner, TimePoint now) const {
-  if (!runner->rejects_foreign_calls()) runner->foreign_calls_rejected_at = now;
   // The first incarnation that is known here has received no calls of this
-  // scheduler to an earlier one.
+  // scheduler to an earlier one, except to a runner that was removed since.
   std::optional<TimePoint> latest = now;
   if (runner->incarnations() == 1) {
     latest = foreign_calls_until_;
     if (latest.has_value()) latest = std::min(*latest, now);
   }
-  runner->RecordForeignCallsRejected(latest, LongestForeignLease(*runner));
+  runner->RecordForeignCallsRejected(now, latest, LongestForeignLease(*runner));
 }
 
 void Fleet::List(Context& ctx, const StoreTimeout& store_timeout) {
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -75,7 +75,8 @@
   /// A new scheduler does not touch a run of a previous one for this long if it
   /// can neither reach its runner nor rule the run out. Any previous scheduler
   /// may renew for `longest_unconfirmed` after its last write, a lease on a
-  /// slow clock lasts 5.3 s, and an order in flight adds half a second. That
+  /// slow clock lasts 5.3 s, and an order in flight adds half a second. A call
+  /// that reaches a later incarnation grants more, which is not covered. That
   /// the runner is not listed, or refuses connections, rules nothing out: it
   /// may be partitioned together with a previous scheduler.
   Duration previous_scheduler_lease{15800};
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -72,12 +72,15 @@
   run->saved_percent = percent;
 }
 
-bool WasBegunByOtherIncarnation(const Run& run) {
-  if (!run.start_answer.has_value()) return false;
-  const std::int64_t clock_ms = run.start_answer->clock_ms;
+bool IsClockOfOtherIncarnation(const Run& run, std::int64_t clock_ms) {
   return clock_ms > 0 && clock_ms < run.clock_ms_at_send;
 }
 
+bool WasBegunByOtherIncarnation(const Run& run) {
+  return run.start_answer.has_value() &&
+         IsClockOfOtherIncarnation(run, run.start_answer->clock_ms);
+}
+
 Duration TimeLeft(const Run& run, TimePoint now) {
   if (run.phase != RunPhase::kRunning) return run.expected;
   const Duration elapsed = now - run.started_at;
@@ -250,10 +253,11 @@
   }
 }
 
-void Runner::RecordForeignCallsRejected(std::optional<TimePoint> latest,
+void Runner::RecordForeignCallsRejected(TimePoint now,
+                                        std::optional<TimePoint> latest,
                                         Duration longest) {
-  if (rejects_foreign_calls_) return;
-  rejects_foreign_calls_ = true;
+  if (rejects_foreign_calls()) return;
+  foreign_calls_rejected_at_ = now;
   if (latest.has_value()) lease_.BoundForeign(*latest, longest);
   for (auto& [key, orphan] : orphans_) orphan.may_start_late = false;
 }
@@ -274,14 +278,15 @@
   heard_clock_ms_ = clock_ms;
 }
 
-void Runner::RecordStartAnswer(TimePoint sent_at, std::int64_t clock_ms) {
+void Runner::RecordStartAnswer(TimePoint now, const Run& run,
+                               std::int64_t clock_ms, Duration longest) {
   ++grants_.starts_answered;
-  // Answers may overtake each other, so only a clock that was reported before
-  // the start was sent can be compared.
-  const bool comparable = heard_ && heard_at_ <= sent_at;
-  if (comparable && clock_ms < heard_clock_ms_) {
+  if (IsClockOfOtherIncarnation(run, clock_ms)) {
     ++grants_.starts_answered_by_another;
   }
+  if (clock_ms <= 0 || run.until_ms <= clock_ms) return;
+  const Duration left = std::min(Duration(run.until_ms - clock_ms), longest);
+  lease_.RecordGrant(now + OnSlowClock(left));
 }
 
 void Runner::RecordMiss(TimePoint now) {
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -137,6 +137,9 @@
   /// The latest reading of the incarnation's clock when the start was sent; 0
   /// if there was none.
   std::int64_t clock_ms_at_send = 0;
+  /// The end of the lease that the start grants, on the clock of the
+  /// incarnation that it was sent to; 0 if it was not sent.
+  std::int64_t until_ms = 0;
   /// Set once the start was carried out.
   std::optional<StartAnswer> start_answer;
   /// When the latest answer about the run arrived.
@@ -213,8 +216,8 @@
   /// Starts that were answered since this incarnation last answered a poll. The
   /// answer to a start does not name the incarnation.
   int starts_answered = 0;
-  /// Those of them whose answer has a clock that was behind this incarnation's
-  /// before the start was sent.
+  /// Those of them that another incarnation answered
+  /// (`IsClockOfOtherIncarnation`).
   int starts_answered_by_another = 0;
   /// When it was noticed that a poll got no answer, of the latest such poll to
   /// any incarnation under this id.
@@ -227,9 +230,13 @@
 void RecordSave(int percent, const std::string& checkpoint, TimePoint now,
                 Run* run);
 
-/// True if the clock in the answer to the run's start shows that another
-/// incarnation began the run than the one that it was sent to: clocks start
-/// anew in each incarnation and never run back. Thread-safe.
+/// True if an answer with this clock to the run's start comes from another
+/// incarnation than the one that it was sent to: clocks start anew in each
+/// incarnation and never run back. Thread-safe.
+bool IsClockOfOtherIncarnation(const Run& run, std::int64_t clock_ms);
+
+/// True if the answer to the run's start shows that another incarnation began
+/// the run. Thread-safe.
 bool WasBegunByOtherIncarnation(const Run& run);
 
 /// Estimates the remaining time of a run, from its progress if it reported any.
@@ -378,9 +385,11 @@
   void AssumeForeignLeaseUntil(TimePoint at, LeaseBasis basis) {
     lease_.AssumeForeignUntil(at, basis);
   }
-  /// Records the answer to a start that was sent at `sent_at` and that may have
-  /// granted a lease.
-  void RecordStartAnswer(TimePoint sent_at, std::int64_t clock_ms);
+  /// Records an answer with this clock to the start of a run. Whichever
+  /// incarnation gave it holds a lease up to the end that the start named, but
+  /// for `longest` at most.
+  void RecordStartAnswer(TimePoint now, const Run& run, std::int64_t clock_ms,
+                         Duration longest);
   /// Records that a poll that grants a lease got no answer that will be
   /// handled.
   void RecordUnansweredPoll(TimePoint now) { grants_.poll_unanswered_at = now; }
@@ -392,14 +401,19 @@
   /// False until this incarnation has answered a call of that generation and of
   /// this scheduler. Until then it may carry out calls that were sent to
   /// earlier incarnations, and those of previous schedulers.
-  bool rejects_foreign_calls() const { return rejects_foreign_calls_; }
+  bool rejects_foreign_calls() const {
+    return foreign_calls_rejected_at_.has_value();
+  }
   /// When that answer arrived; empty until then.
-  std::optional<TimePoint> foreign_calls_rejected_at;
-  /// Records that it answered one. Starts that were sent to earlier
+  std::optional<TimePoint> foreign_calls_rejected_at() const {
+    return foreign_calls_rejected_at_;
+  }
+  /// Records that it answered one at `now`. Starts that were sent to earlier
   /// incarnations have either begun, and are reported, or never will. The
   /// latest foreign call, which may have granted a lease of `longest`, arrived
   /// at `latest` or before; `latest` is empty if there was no such call.
-  void RecordForeignCallsRejected(std::optional<TimePoint> latest,
+  void RecordForeignCallsRejected(TimePoint now,
+                                  std::optional<TimePoint> latest,
                                   Duration longest);
 
   // Orders are starts and stops. One is in flight at a time, or the starts of
@@ -540,7 +554,7 @@
   /// Logarithm of the usual pace.
   double usual_pace_ = 0;
   bool heard_ = false;
-  bool rejects_foreign_calls_ = false;
+  std::optional<TimePoint> foreign_calls_rejected_at_;
   int misses_ = 0;
   std::optional<TimePoint> silent_since_;
   TimePoint heard_at_;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -359,9 +359,9 @@
   /// may therefore arrive late.
   void RecordLateStart(TimePoint now, Runner* runner,
                        const StartRunCompleted& answer, const Run& run);
-  /// Records, for logs, an answer to a start that may have granted a lease.
-  static void RecordStartAnswer(Runner* runner, const StartRunCompleted& answer,
-                                const Run& run);
+  /// Records an answer to a start that may have granted a lease.
+  void RecordStartAnswer(TimePoint now, Runner* runner,
+                         const StartRunCompleted& answer, const Run& run) const;
   /// Handles a start that was rejected or whose outcome is unknown.
   void HandleFailedStart(Context& ctx, Runner* runner,
                          const StartRunCompleted& answer, Run* run);
@@ -441,6 +441,10 @@
   /// runs.
   Runner* ReplaceIncarnation(TimePoint now, Runner* previous,
                              StartTime start_time);
+  /// Records that another incarnation of the runner was there at `now` than the
+  /// one before, and that it carries out calls to earlier ones until it is
+  /// polled.
+  void AssumeCallsToEarlierIncarnations(TimePoint now, Runner* runner) const;
   /// `lost`: the run was lost with the previous incarnation and is kept only
   /// until its late start is cancelled.
   void AddCarriedRun(Context& ctx, Runner* next, const TaskName& name, Run run,
--- a/src/dispatch/scheduler_incarnations.cc
+++ b/src/dispatch/scheduler_incarnations.cc
@@ -195,10 +195,16 @@
   // The poll whose answer revealed the next incarnation counts as its first.
   next->poll_sent_at = poll_sent_at;
   next->poll_number = poll_number;
-  next->AssumeForeignLeaseUntil(
+  AssumeCallsToEarlierIncarnations(now, next);
+  return next;
+}
+
+void Scheduler::AssumeCallsToEarlierIncarnations(TimePoint now,
+                                                 Runner* runner) const {
+  const TimePoint latest_arrival = now + options_.fleet.late_call_window;
+  runner->AssumeForeignLeaseUntil(
       latest_arrival + OnSlowClock(options_.fleet.longest_lease),
       LeaseBasis::kCallToEarlierIncarnation);
-  return next;
 }
 
 void Scheduler::AddCarriedRun(Context& ctx, Runner* next, const TaskName& name,
@@ -214,6 +220,7 @@
   run.answered_at = ctx.now();
   if (run.sent_at.has_value()) run.sent_at = ctx.now();
   run.clock_ms_at_send = 0;
+  run.until_ms = 0;
   run.start_answer.reset();
   run.started_at = ctx.now();
   run.progressed_at = ctx.now();
--- a/src/dispatch/scheduler_losses.cc
+++ b/src/dispatch/scheduler_losses.cc
@@ -303,11 +303,12 @@
   RecordContact(ctx, runner, clock_ms, address);
 }
 
-void Scheduler::RecordStartAnswer(Runner* runner,
+void Scheduler::RecordStartAnswer(TimePoint now, Runner* runner,
                                   const StartRunCompleted& answer,
-                                  const Run& run) {
+                                  const Run& run) const {
   if (!run.sent_at.has_value() || !ShowsTokenWasNoted(answer.outcome)) return;
-  runner->RecordStartAnswer(*run.sent_at, answer.clock_ms);
+  runner->RecordStartAnswer(now, run, answer.clock_ms,
+                            options_.fleet.longest_lease);
 }
 
 }  // namespace limeledge::dispatch
--- a/src/dispatch/scheduler_orders.cc
+++ b/src/dispatch/scheduler_orders.cc
@@ -248,7 +248,8 @@
                          .tasks[name.index]
                          .checkpoint;
   start.ticket = TicketOf(ctx.now(), *runner, name);
-  start.until_ms = runner->GrantLease(ctx.now(), options_.fleet.run_lease);
+  run->until_ms = runner->GrantLease(ctx.now(), options_.fleet.run_lease);
+  start.until_ms = run->until_ms;
   ctx.Emit(std::move(start));
 }
 
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -45,7 +45,7 @@
             expired ? MsSince(lease.expires_at(), ctx.now()) : ""},
            {"lease_basis", ToString(lease.basis())},
            {"foreign_rejected_ms_ago",
-            MsSince(runner.foreign_calls_rejected_at, ctx.now())},
+            MsSince(runner.foreign_calls_rejected_at(), ctx.now())},
            {"first_clock_ms",
             runner.heard() ? std::to_string(runner.first_clock_ms()) : ""}});
 }
@@ -132,7 +132,7 @@
   Run* run = runner->FindRun(answer.task, answer.run);
   if (run == nullptr) return LeaseStatus::kHeld;
   RecordLateStart(ctx.now(), runner, answer, *run);
-  RecordStartAnswer(runner, answer, *run);
+  RecordStartAnswer(ctx.now(), runner, answer, *run);
   run->answered_at = ctx.now();
   if (answer.outcome == OrderOutcome::kDone) {
     run->phase = RunPhase::kRunning;
@@ -143,12 +143,7 @@
     run->saved_at = ctx.now();
     if (WasBegunByOtherIncarnation(*run)) {
       fleet_.HandleOtherIncarnation(ctx.now(), runner);
-      // Until it is polled, it carries out calls to earlier incarnations.
-      const TimePoint latest_arrival =
-          ctx.now() + options_.fleet.late_call_window;
-      runner->AssumeForeignLeaseUntil(
-          latest_arrival + OnSlowClock(options_.fleet.longest_lease),
-          LeaseBasis::kCallToEarlierIncarnation);
+      AssumeCallsToEarlierIncarnations(ctx.now(), runner);
     }
     if (run->stopping) RequestStop(ctx, runner, answer.task);
     return LeaseStatus::kHeld;
--- a/test/runner-lease-test.cc
+++ b/test/runner-lease-test.cc
@@ -24,7 +24,7 @@
   /// Lets an incarnation answer a call that outranks all foreign ones, at
   /// `now`.
   static void AnswerFirst(Runner * incarnation, TimePoint now) {
-    incarnation->RecordForeignCallsRejected(now, kLongestLease);
+    incarnation->RecordForeignCallsRejected(now, now, kLongestLease);
     incarnation->RecordAnswer(now, now.ms());
   }
 
@@ -81,27 +81,56 @@
   CHECK_TRUE(runner.lease().expires_at() <= TimePoint(35500));
 }
 
+// Guards against a task that runs twice: a young incarnation crashed, and the
+// next one, which was as old by then, answered a start that was meant for it.
+TEST(RunnerLease, IsCountedByTheClockInTheAnswerToAStart) {
+  runner.RecordAnswer(TimePoint(1000), 300);
+  Run run;
+  run.clock_ms_at_send = 300;
+  run.until_ms = runner.GrantLease(TimePoint(1900), Duration(5000));
+  runner.RecordStartAnswer(TimePoint(2050), run, 350, kLongestLease);
+  // 5,850 ms are left, on a clock that runs 2% slow.
+  CHECK_TRUE(runner.lease().expires_at() >= TimePoint(2050 + 5967));
+  CHECK_TRUE(runner.lease().expires_at() <= TimePoint(2050 + 6300));
+}
+
+TEST(RunnerLease, IsCountedUpToTheLongestAfterTheAnswerToAStart) {
+  runner.RecordAnswer(TimePoint(1000), 300000);
+  Run run;
+  run.clock_ms_at_send = 300000;
+  run.until_ms = runner.GrantLease(TimePoint(1900), Duration(5000));
+  runner.RecordStartAnswer(TimePoint(2050), run, 80, kLongestLease);
+  CheckHoldsLongestLeaseFrom(TimePoint(2050), runner);
+}
+
 // Guards against logs that do not tell that another incarnation answered a
 // start, which its answer does not name.
 TEST(RunnerLease, AnswerToAStartWithAnEarlierClockIsOfAnotherIncarnation) {
+  Run run;
+  run.clock_ms_at_send = 300000;
   runner.RecordAnswer(TimePoint(5000), 300000);
-  runner.RecordStartAnswer(TimePoint(5100), 300120);
-  runner.RecordStartAnswer(TimePoint(5100), 80);
+  runner.RecordStartAnswer(TimePoint(5100), run, 300120, kLongestLease);
+  runner.RecordStartAnswer(TimePoint(5100), run, 80, kLongestLease);
   LONGS_EQUAL(2, runner.unattributed_grants().starts_answered);
   LONGS_EQUAL(1, runner.unattributed_grants().starts_answered_by_another);
 }
 
-// An answer to a poll may overtake the answer to a start.
+// An answer to a poll may overtake the answer to a start, whose clock is then
+// behind the one that is known.
 TEST(RunnerLease, OvertakenAnswerToAStartIsNotOfAnotherIncarnation) {
+  Run run;
+  run.clock_ms_at_send = 299900;
   runner.RecordAnswer(TimePoint(5000), 300000);
-  runner.RecordStartAnswer(TimePoint(4990), 299995);
+  runner.RecordStartAnswer(TimePoint(5100), run, 299995, kLongestLease);
   LONGS_EQUAL(1, runner.unattributed_grants().starts_answered);
   LONGS_EQUAL(0, runner.unattributed_grants().starts_answered_by_another);
 }
 
 TEST(RunnerLease, StartsAnsweredBeforeAnAnsweredPollAreOfTheIncarnation) {
+  Run run;
+  run.clock_ms_at_send = 300000;
   runner.RecordAnswer(TimePoint(5000), 300000);
-  runner.RecordStartAnswer(TimePoint(5100), 80);
+  runner.RecordStartAnswer(TimePoint(5100), run, 80, kLongestLease);
   runner.RecordAnswer(TimePoint(5200), 300200);
   LONGS_EQUAL(0, runner.unattributed_grants().starts_answered);
   LONGS_EQUAL(0, runner.unattributed_grants().starts_answered_by_another);
