Let the fixture of early calls stop where the start is carried out

The three tests that restart a runner under a start waited for 330 ms and required that the next incarnation was not known by then. Since its answer to the start has it polled at once, it is known some milliseconds later, so that this precondition failed (EarlyCall, 3 of 4). The fixture now stops in the millisecond in which the start is carried out, and requires the same there. What the tests check is unchanged: with the bounds on foreign leases taken out of RunnerLease, all four fail as before.

--- a/test/early-call-fixture.h
+++ b/test/early-call-fixture.h
@@ -77,7 +77,11 @@
   JobId RestartWithEarlyStart(Duration work) {
     system.CrashRunner(runner, Duration(300));
     JobId job = Submit(1, work);
-    system.Run(Duration(330));
+    constexpr int kLatestMs = 330;
+    for (int i = 0; i < kLatestMs; ++i) {
+      if (SchedulerFixture::RunnerOf(&system, job) == runner) break;
+      system.Run(Duration(1));
+    }
     // The run was started by the next incarnation, which is not known yet.
     CHECK_TRUE(SchedulerFixture::RunnerOf(&system, job) == runner);
     LONGS_EQUAL(0, incarnations_found);
