Test prompt starts on runners that a successor never hears

The counterpart of the late calls, which passes: a start that waits less than a second for the next incarnation, whose sender then loses the store but not the runner.

--- a/test/unheard-runner-test.cc
+++ b/test/unheard-runner-test.cc
@@ -78,6 +78,20 @@
 
 TEST_GROUP_BASE(UnheardRunner, UnheardRunnerFixture){};
 
+// A start that waits for the next incarnation is carried out within a second,
+// and the scheduler that sent it renews the lease on that incarnation's clock,
+// as long as it may without the store.
+TEST(UnheardRunner, HoldsNoLeaseOfAPromptStartLongerThanASuccessorAssumes) {
+  system.faults().resend_interval = Duration(20);
+  system.CrashRunner(runner, Duration(900));
+  job = Submit(1, kLongWork);
+  system.Run(Duration(100));
+  CutOffWithLeader();
+  system.Run(Duration(900));
+  CHECK_TRUE(SchedulerFixture::RunnerOf(&system, job) == runner);
+  CheckTaskRunsOnceAtATime();
+}
+
 // Guards against a task that runs twice because a successor assumes that a
 // start which arrives late grants five seconds, as its sender meant it to.
 TEST(UnheardRunner, MayCarryOutALateStartUnderTheLongestLease) {
