Give calls to a crashed runner to its next incarnation in the soak

Runners that started twice ran tasks twice, and the soak could not show it. A runner that it kills resets its connections and refuses new ones, also through a link that keeps calls, so that no call that was meant for an incarnation, with its until-ms, reached the next one. Where runners kept their ids, cuts were too short for a lease to expire, and so were the tasks; where cuts were long, ids were new.

The fault restart-runner-dark crashes a runner with its machine: open connections go silent, new ones are accepted, and what is sent on them is delivered to the next incarnation when it starts. A random plan cuts the runner off 1 to 4 s later for 6 to 9 s, and kills the node that schedules between the two in a share of the cases. A bound on the accelerators of a task keeps starts frequent while tasks are long.

--- a/soak/experiment.cc
+++ b/soak/experiment.cc
@@ -25,7 +25,7 @@
   const char* name;
 };
 
-constexpr std::array<KindName, 35> kKindNames = {{
+constexpr std::array<KindName, 36> kKindNames = {{
     {FaultKind::kKillNode, "kill-node"},
     {FaultKind::kStopNode, "stop-node"},
     {FaultKind::kPauseNode, "pause-node"},
@@ -61,6 +61,7 @@
     {FaultKind::kOverwriteEntry, "overwrite-entry"},
     {FaultKind::kAliasEntry, "alias-entry"},
     {FaultKind::kHoldCalls, "hold-calls"},
+    {FaultKind::kRestartRunnerDark, "restart-runner-dark"},
 }};
 
 /// Name of `kLeaderTarget` in experiment files.
@@ -78,6 +79,16 @@
 // expects orders to be carried out.
 constexpr Duration kShortestHold{12600};
 constexpr Duration kLongestHold{16000};
+// Time for which a runner is down that restarts with calls to its previous
+// incarnation waiting: less than the life of its entry.
+constexpr Duration kShortestDark{100};
+constexpr Duration kLongestDark{850};
+// The new incarnation is cut off this long after it started, for longer than a
+// scheduler counts its lease, and within the longest lease that it can hold.
+constexpr Duration kShortestUncut{1000};
+constexpr Duration kLongestUncut{4000};
+constexpr Duration kShortestCut{6000};
+constexpr Duration kLongestCut{9000};
 
 bool StrikesNode(FaultKind kind) {
   switch (kind) {
@@ -140,6 +151,11 @@
   }
 }
 
+void SortByTime(std::vector<Fault>* plan) {
+  std::stable_sort(plan->begin(), plan->end(),
+                   [](const Fault& a, const Fault& b) { return a.at < b.at; });
+}
+
 void ReadPlan(const YAML::Node& root, std::vector<Fault>* plan,
               Findings* findings) {
   for (const YAML::Node& entry : root["plan"]) {
@@ -159,8 +175,32 @@
     }
     plan->push_back(fault);
   }
-  std::stable_sort(plan->begin(), plan->end(),
-                   [](const Fault& a, const Fault& b) { return a.at < b.at; });
+  SortByTime(plan);
+}
+
+Duration PickBetween(Duration least, Duration most, std::mt19937_64* random) {
+  return Duration(std::uniform_int_distribution<std::int64_t>(
+      least.ms(), most.ms())(*random));
+}
+
+/// Adds the cut of a runner that has restarted, and for some a take-over
+/// between the two.
+void AddCutAfter(const Experiment& experiment, const Fault& restart,
+                 std::mt19937_64* random, std::vector<Fault>* plan) {
+  const Duration uncut = PickBetween(kShortestUncut, kLongestUncut, random);
+  const bool resets = std::uniform_int_distribution<>(0, 1)(*random) == 1;
+  Fault cut = restart;
+  cut.at = restart.at + restart.length + uncut;
+  cut.kind = resets ? FaultKind::kPartitionRunner : FaultKind::kIsolateRunner;
+  cut.length = PickBetween(kShortestCut, kLongestCut, random);
+  plan->push_back(cut);
+  const double chance = std::uniform_real_distribution<>()(*random);
+  if (chance >= experiment.take_over_share) return;
+  Fault kill;
+  kill.at = cut.at - PickBetween(Duration(0), uncut, random);
+  kill.kind = FaultKind::kKillNode;
+  kill.target = kLeaderTarget;
+  plan->push_back(kill);
 }
 
 void CheckAtLeastOne(const char* name, int value, Findings* findings) {
@@ -206,6 +246,7 @@
   ReadField(root, "jobs_at_once", &experiment.jobs_at_once, findings);
   ReadDuration(root, "shortest_work_ms", &experiment.shortest_work, findings);
   ReadDuration(root, "longest_work_ms", &experiment.longest_work, findings);
+  ReadField(root, "most_accelerators", &experiment.most_accelerators, findings);
   ReadDuration(root, "latest_cancel_ms", &experiment.latest_cancel, findings);
   ReadField(root, "gang_share", &experiment.gang_share, findings);
   ReadField(root, "urgent_share", &experiment.urgent_share, findings);
@@ -221,6 +262,7 @@
   ReadDuration(root, "faults_until_ms", &experiment.faults_until, findings);
   ReadField(root, "series_share", &experiment.series_share, findings);
   ReadField(root, "leader_share", &experiment.leader_share, findings);
+  ReadField(root, "take_over_share", &experiment.take_over_share, findings);
   ReadKinds(root, &experiment.faults, findings);
   ReadPlan(root, &experiment.plan, findings);
   ReadField(root, "checks_times", &experiment.checks_times, findings);
@@ -230,6 +272,7 @@
   CheckAtLeastOne("nodes", experiment.nodes, findings);
   CheckAtLeastOne("runners", experiment.runners, findings);
   CheckAtLeastOne("callers", experiment.callers, findings);
+  CheckAtLeastOne("most_accelerators", experiment.most_accelerators, findings);
   CheckAtLeastOne("jobs_at_once", experiment.jobs_at_once, findings);
   if (experiment.jobs_per_caller <= 0) {
     findings->Add("jobs_per_caller", "must be above 0");
@@ -284,8 +327,12 @@
                         StrikesNode(fault.kind) &&
                         chance() < experiment.leader_share;
     if (leader) fault.target = kLeaderTarget;
+    const bool dark = fault.kind == FaultKind::kRestartRunnerDark;
+    if (dark) fault.length = PickBetween(kShortestDark, kLongestDark, &random);
     plan.push_back(fault);
+    if (dark) AddCutAfter(experiment, fault, &random, &plan);
   }
+  SortByTime(&plan);
   return plan;
 }
 
--- a/soak/experiment.h
+++ b/soak/experiment.h
@@ -53,6 +53,8 @@
   kOverwriteEntry,
   kAliasEntry,
   kHoldCalls,
+  /// In random plans, the runner is cut off some time after its restart.
+  kRestartRunnerDark,
 };
 
 const char* ToString(FaultKind kind);
@@ -90,6 +92,8 @@
   /// Minimum and maximum work of a task.
   Duration shortest_work{200};
   Duration longest_work{2500};
+  /// Maximum number of accelerators of a task.
+  int most_accelerators = 8;
   /// Maximum time between the acceptance of a job and its cancellation, if any.
   Duration latest_cancel{1500};
   /// Duration of load and faults.
@@ -104,6 +108,9 @@
   double series_share = 0.2;
   /// Share of random node faults that hit the node that schedules.
   double leader_share = 0;
+  /// Share of the cuts of restarted runners before which the node that
+  /// schedules is killed.
+  double take_over_share = 0;
   std::vector<FaultKind> faults = RandomFaultKinds();
   /// If not empty, these faults are injected in order of time, and no random
   /// ones.
--- a/soak/fault_driver.cc
+++ b/soak/fault_driver.cc
@@ -425,6 +425,12 @@
           [platform, place] { platform->KillRunner(place); },
           [platform, place] { platform->ReviveRunner(place); });
       return;
+    case FaultKind::kRestartRunnerDark:
+      During(
+          fault, at, subject,
+          [platform, place] { platform->KillRunnerSilently(place); },
+          [platform, place] { platform->ReviveRunner(place); });
+      return;
     case FaultKind::kSlowRunner:
       During(
           fault, at, subject,
--- a/soak/job_maker.cc
+++ b/soak/job_maker.cc
@@ -90,8 +90,9 @@
   const bool urgent = Chance(experiment_.urgent_share);
   step.gang = Chance(experiment_.gang_share);
   step.count = static_cast<int>(Pick(step.gang ? 2 : 1, 4));
-  const std::int64_t most = urgent ? kGuaranteedAccelerators / step.count : 8;
-  step.need.accelerators = Pick(1, std::min<std::int64_t>(8, most));
+  const std::int64_t most = experiment_.most_accelerators;
+  const std::int64_t guaranteed = kGuaranteedAccelerators / step.count;
+  step.need.accelerators = Pick(1, urgent ? std::min(guaranteed, most) : most);
   step.saves_progress = Chance(kSavingShare);
   const bool several = !step.gang && Chance(kSeveralStepsShare);
   DraftJob job = Finish(std::move(step), truth, several ? 2 : 1, urgent);
--- a/soak/soak_platform.cc
+++ b/soak/soak_platform.cc
@@ -268,13 +268,23 @@
 }
 
 void SoakPlatform::KillRunner(int index) {
+  LinkFault down;
+  down.refuses = true;
+  EndLife(index, down);
+}
+
+void SoakPlatform::KillRunnerSilently(int index) {
+  LinkFault down;
+  down.dark = true;
+  EndLife(index, down);
+}
+
+void SoakPlatform::EndLife(int index, const LinkFault& down) {
   const std::lock_guard<std::mutex> lock(mutex_);
   Place& place = *places_[index];
   if (place.server == nullptr) return;
-  LinkFault down;
-  down.refuses = true;
   place.link.SetFault(down);
-  place.link.ResetAll();
+  if (down.refuses) place.link.ResetAll();
   place.server->Stop();
   silent_.push_back({place.server->id(), clock_.Now()});
   const std::lock_guard<std::mutex> shed(shed_.mutex);
@@ -289,8 +299,9 @@
 void SoakPlatform::ReviveRunner(int index) {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (places_[index]->server != nullptr) return;
-  places_[index]->link.SetFault({});
   StartLife(index);
+  // Calls that the link has held find the new incarnation.
+  places_[index]->link.SetFault({});
 }
 
 void SoakPlatform::DrainRunner(int index, Duration leaves_in) {
--- a/soak/soak_platform.h
+++ b/soak/soak_platform.h
@@ -77,6 +77,10 @@
   TcpProxy& runner_link(int place) { return places_[place]->link; }
   /// Crashes the runner; nothing responds at its address until `ReviveRunner`.
   void KillRunner(int place);
+  /// Crashes the runner together with its machine: open connections go silent,
+  /// and the next incarnation gets the calls on connections that were opened
+  /// while it was down.
+  void KillRunnerSilently(int place);
   /// Starts a new incarnation at the same address.
   void ReviveRunner(int place);
   void DrainRunner(int place, Duration leaves_in);
@@ -161,6 +165,9 @@
   };
 
   void StartLife(int place);
+  /// Crashes the runner, if there is one; `down` applies to its link until
+  /// `ReviveRunner`.
+  void EndLife(int place, const LinkFault& down);
   void Beat();
   /// Writes the entry of a runner that reaches the store. Precondition: the
   /// place has a runner.
--- a/soak/tcp_proxy.cc
+++ b/soak/tcp_proxy.cc
@@ -194,8 +194,8 @@
   for (;;) {
     const int caller = accept(listener_, nullptr, nullptr);
     if (caller < 0) return;
-    const int server = fault.refuses ? -1 : Connect();
-    if (server < 0) {
+    const int server = fault.refuses || fault.dark ? -1 : Connect();
+    if (server < 0 && !fault.dark) {
       Reset(caller);
       continue;
     }
@@ -209,6 +209,21 @@
   }
 }
 
+void TcpProxy::ServeWithoutServer(Link* link, const LinkFault& fault) {
+  // The caller may have given up; what it sent is delivered all the same.
+  if (!Receive(&link->requests, Duration(0))) link->requests.ended = true;
+  if (fault.dark) return;
+  link->requests.to = link->answers.from = Connect();
+  link->broken = link->requests.to < 0;
+}
+
+void TcpProxy::LoseServer(Link* link) {
+  Reset(link->requests.to);
+  link->requests.to = link->answers.from = -1;
+  link->answers.ended = true;
+  link->silent = true;
+}
+
 void TcpProxy::Discard(Link* link) {
   const bool open =
       Receive(&link->requests, Duration(0)) && !link->requests.ended;
@@ -243,6 +258,14 @@
     ServeLate(link);
     return;
   }
+  if (link->requests.to < 0) {
+    ServeWithoutServer(link, fault);
+    return;
+  }
+  if (fault.dark) {
+    LoseServer(link);
+    return;
+  }
   const Duration lateness = LatenessOf(fault, clock_.Now());
   const bool late = lateness > Duration(0);
   if (!Receive(&link->requests, late ? lateness : fault.delay) ||
@@ -295,6 +318,7 @@
 
 void TcpProxy::Close(Link* link, bool reset) {
   for (const int socket : {link->requests.from, link->requests.to}) {
+    if (socket < 0) continue;
     if (reset) {
       Reset(socket);
     } else {
--- a/soak/tcp_proxy.h
+++ b/soak/tcp_proxy.h
@@ -40,6 +40,10 @@
   /// Nothing listens at the address, so that the system refuses new
   /// connections.
   bool closed = false;
+  /// The server's machine is down: open connections go silent for good. New
+  /// ones are accepted, and what is sent on them is held and delivered to the
+  /// server that is there once the fault ends.
+  bool dark = false;
 };
 
 /// Forwards connections to one server.
@@ -107,6 +111,11 @@
   /// Opens a connection to the server; returns -1 on failure.
   int Connect();
   void Serve(Link* link, const LinkFault& fault);
+  /// Holds the data of a connection without a server, and connects it once the
+  /// machine is no longer dark.
+  void ServeWithoutServer(Link* link, const LinkFault& fault);
+  /// Ends a connection's side of the server and silences the other one.
+  static void LoseServer(Link* link);
   /// Discards data on a silenced connection until the caller closes it.
   void Discard(Link* link);
   /// Drops responses, and delivers delayed requests when they are due.
--- a/test/soak-test.cc
+++ b/test/soak-test.cc
@@ -206,6 +206,55 @@
   CHECK(Get(Duration(5000)).ok());
 }
 
+// Guards against calls that are refused while their server is down, so that the
+// next one would never get a call that was meant for its predecessor.
+TEST(Soak, ProxyThatIsDarkGivesNewCallsToTheNextServer) {
+  server->Stop();
+  LinkFault fault;
+  fault.dark = true;
+  proxy.SetFault(fault);
+  CHECK(Get(Duration(100)).outcome != HttpOutcome::kAnswered);
+  HeldCall call(proxy.address());
+  CHECK(call.Send("h", "k", "/"));
+  CHECK_FALSE(call.IsAnswered(Duration(100)));
+  server = std::make_unique<HttpServer>(Options());
+  Serve();
+  proxy.Redirect({kLocal, server->port()});
+  proxy.SetFault({});
+  CHECK(call.IsAnswered(Duration(5000)));
+  // The caller of the other one has already given up.
+  CHECK(Becomes([this] { return served == 2; }, true));
+}
+
+// Guards against callers that wait for ever because no server came back.
+TEST(Soak, ProxyThatIsDarkResetsNewCallsIfThereIsNoServerInTheEnd) {
+  server->Stop();
+  LinkFault fault;
+  fault.dark = true;
+  proxy.SetFault(fault);
+  HeldCall call(proxy.address());
+  CHECK(call.Send("h", "k", "/"));
+  proxy.SetFault({});
+  CHECK_FALSE(call.IsAnswered(Duration(5000)));
+  CHECK_EQUAL(0, served);
+}
+
+// Guards against open connections that tell of the crash, after which a
+// scheduler would send nothing more to the runner.
+TEST(Soak, ProxyThatIsDarkSilencesOpenConnectionsForGood) {
+  HeldCall open(proxy.address());
+  CHECK(open.Send("h", "k", "/"));
+  CHECK(open.IsAnswered(Duration(5000)));
+  LinkFault fault;
+  fault.dark = true;
+  proxy.SetFault(fault);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(open.Send("h", "k", "/"));
+  proxy.SetFault({});
+  CHECK_FALSE(open.IsAnswered(Duration(300)));
+  CHECK_EQUAL(1, served);
+}
+
 TEST(Soak, ProxyThatIsRedirectedCallsTheOtherServer) {
   server->Stop();
   CHECK_FALSE(Get(Duration(5000)).ok());
@@ -324,6 +373,37 @@
   for (const Fault& fault : plan) CHECK(fault.length > Duration(12500));
 }
 
+// Guards against cuts that are too short, or too late after the restart, for a
+// lease that a scheduler does not know of to matter.
+TEST(Soak, RunnersThatRestartDarkAreCutOffWithinTheLongestLease) {
+  Experiment experiment;
+  experiment.faults = {FaultKind::kRestartRunnerDark};
+  experiment.take_over_share = 0.5;
+  std::size_t restarts = 0;
+  std::size_t cuts = 0;
+  std::size_t kills = 0;
+  Duration last;
+  for (const Fault& fault : PlanFaults(experiment, 7)) {
+    CHECK(fault.at >= last);
+    last = fault.at;
+    if (fault.kind == FaultKind::kKillNode) {
+      CHECK_EQUAL(kLeaderTarget, fault.target);
+      ++kills;
+    } else if (fault.kind == FaultKind::kRestartRunnerDark) {
+      CHECK(fault.length >= Duration(100) && fault.length < Duration(900));
+      ++restarts;
+    } else {
+      CHECK(fault.kind == FaultKind::kPartitionRunner ||
+            fault.kind == FaultKind::kIsolateRunner);
+      CHECK(fault.length >= Duration(6000) && fault.length <= Duration(9000));
+      ++cuts;
+    }
+  }
+  CHECK(restarts > 3);
+  CHECK_EQUAL(restarts, cuts);
+  CHECK(kills > 0 && kills < cuts);
+}
+
 TEST(Soak, EntriesAreOverwrittenForHalfASecondToTwoSeconds) {
   Experiment experiment;
   experiment.faults = {FaultKind::kOverwriteEntry};
@@ -484,6 +564,37 @@
   CHECK(Becomes(names_own, true));
 }
 
+// Guards against calls to a runner that crashed with its machine that are lost
+// instead of reaching the next incarnation, whose clock starts anew.
+TEST(Soak, NextIncarnationGetsCallsThatWereSentWhileItWasDown) {
+  FaultLog faults;
+  Experiment experiment;
+  experiment.runners = 1;
+  experiment.keeps_ids = true;
+  SoakPlatform platform(experiment, &faults);
+  CHECK(platform.Start().ok());
+  constexpr std::int64_t kAgeMs = 400;
+  std::this_thread::sleep_for(std::chrono::milliseconds(kAgeMs));
+  platform.KillRunnerSilently(0);
+  HttpReply reply;
+  std::thread caller([&platform, &reply] {
+    HttpCall call;
+    call.address = platform.runner_link(0).address();
+    call.path = "/v1/hold";
+    call.body = R"({"fence":1,"last-seen":0,"until-ms":9000})";
+    call.headers.emplace("X-Limeledge-Expect-Instance", "i-0-1");
+    call.timeout = Duration(5000);
+    reply = HttpClient().Call(call);
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(kAgeMs));
+  platform.ReviveRunner(0);
+  caller.join();
+  CHECK(reply.ok());
+  const absl::StatusOr<Json::Value> answer = ParseJson(reply.body);
+  CHECK(answer.ok());
+  CHECK((*answer)["clock-ms"].asInt64() < kAgeMs);
+}
+
 // Guards against an alias that outlasts its fault.
 TEST(Soak, AliasNamesTheRunnersAddressUntilItIsRemoved) {
   FaultLog faults;
