Forecast no end of lasting runs

Cause: TimeLeft took the 100 percent that a lasting task reports while it is at work for a run that is about to end, and before the first report its estimate. The forecast of the planner expected the gang to fit at once, in each pass anew, and reserved for it all runners that it needs.

Change: Run tells whether it lasts, for runs that were assigned and for inherited ones, and TimeLeft is empty then. A gang that fits only after such an end has no forecast and reserves nothing. A lasting run that is being stopped ends within the time of a stop.

The same cause elsewhere: moves by gain and the capacity that the share policy expects to be released took lasting runs for runs that end at once; the admission forecast skipped them by a check of its own, which goes. A lasting task that saves was not moved off a leaving runner, as it seemed to end before the runner left.

The emulated runner reports 100 percent of lasting tasks, as the runners of the platform do; it reported a share of their work before.

--- a/src/dispatch/planner_capacity.cc
+++ b/src/dispatch/planner_capacity.cc
@@ -77,7 +77,9 @@
   std::vector<RunEndForecast>& ends = known.emplace();
   CountLooks(candidate.runner->runs().size());
   for (const auto& [name, run] : candidate.runner->runs()) {
-    ends.push_back({TimeLeft(run, now_), run.need});
+    std::optional<Duration> left = TimeLeft(run, now_);
+    if (run.lasting && run.stopping) left = planner_.stop_time_;
+    if (left.has_value()) ends.push_back({*left, run.need});
   }
   std::sort(ends.begin(), ends.end(),
             [](const RunEndForecast& a, const RunEndForecast& b) {
--- a/src/dispatch/planner_shares.cc
+++ b/src/dispatch/planner_shares.cc
@@ -82,12 +82,13 @@
       counted->use->used += run.need;
       // Candidates hold what is being stopped as `releasing`.
       if (run.stopping) continue;
-      Duration left = TimeLeft(run, now);
+      std::optional<Duration> left = TimeLeft(run, now);
+      if (!left.has_value()) continue;
       const bool preempts =
           !counted->urgent && job->step_spec(name.step).preemptible();
-      if (preempts) left = std::min(left, options_.reservation_time);
+      if (preempts) left = std::min(*left, options_.reservation_time);
       const auto interval = static_cast<std::size_t>(
-          std::max<std::int64_t>(0, left.ms()) / kReleaseIntervalMs);
+          std::max<std::int64_t>(0, left->ms()) / kReleaseIntervalMs);
       if (interval < kReleaseIntervals) released[interval] += run.need;
     }
   }
--- a/src/dispatch/runner.cc
+++ b/src/dispatch/runner.cc
@@ -81,7 +81,8 @@
          IsClockOfOtherIncarnation(run, run.start_answer->clock_ms);
 }
 
-Duration TimeLeft(const Run& run, TimePoint now) {
+std::optional<Duration> TimeLeft(const Run& run, TimePoint now) {
+  if (run.lasting) return std::nullopt;
   if (run.phase != RunPhase::kRunning) return run.expected;
   const Duration elapsed = now - run.started_at;
   if (run.percent > 0) {
--- a/src/dispatch/runner.h
+++ b/src/dispatch/runner.h
@@ -125,6 +125,8 @@
   /// unless the present one lists it.
   StartTime stored_incarnation;
   Resources need;
+  /// The run goes on until it is stopped or fails.
+  bool lasting = false;
   RunPhase phase = RunPhase::kPlanned;
   /// The run must end; its stop was sent or still has to be.
   bool stopping = false;
@@ -239,9 +241,9 @@
 /// the run. Thread-safe.
 bool WasBegunByOtherIncarnation(const Run& run);
 
-/// Estimates the remaining time of a run, from its progress if it reported any.
-/// Thread-safe.
-Duration TimeLeft(const Run& run, TimePoint now);
+/// Estimates the remaining time of a run, from its progress if it reported any;
+/// empty if the run does not end by itself. Thread-safe.
+std::optional<Duration> TimeLeft(const Run& run, TimePoint now);
 
 /// How long a run had been under way at `silent_since`, when its runner was
 /// found to be silent; empty if this scheduler did not send the start. This is
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -138,6 +138,7 @@
         run.stored_incarnation = task.incarnation.start_time;
         run.need = job->step_spec(name.step).room();
         run.sharing = job->step_spec(name.step).sharing();
+        run.lasting = job->step_spec(name.step).long_running;
         run.phase = RunPhase::kInherited;
         run.expected = job->step_spec(name.step).estimate;
         run.assigned_at = ctx.now();
@@ -254,6 +255,7 @@
   run.number = assignment.run;
   run.need = job->step_spec(name.step).room();
   run.sharing = job->step_spec(name.step).sharing();
+  run.lasting = job->step_spec(name.step).long_running;
   run.assigned_at = ctx.now();
   run.expected = assignment.expected;
   run.expected_pace = assignment.pace;
--- a/src/dispatch/scheduler_forecast.cc
+++ b/src/dispatch/scheduler_forecast.cc
@@ -92,9 +92,10 @@
     AddUse(displaceable ? policy.priority : CapacitySnapshot::kNeverDisplaced,
            run.need, used);
     // It is unknown when a long-running task ends; it may be cancelled at once.
-    if (job->step_spec(name.step).long_running) continue;
-    snapshot->AddWork(policy.service, policy.priority, run.need, 1,
-                      TimeLeft(run, now), EstimateDeviation(job->spec().queue));
+    const std::optional<Duration> left = TimeLeft(run, now);
+    if (!left.has_value()) continue;
+    snapshot->AddWork(policy.service, policy.priority, run.need, 1, *left,
+                      EstimateDeviation(job->spec().queue));
   }
 }
 
--- a/src/dispatch/scheduler_moves.cc
+++ b/src/dispatch/scheduler_moves.cc
@@ -82,8 +82,9 @@
     Resources room = candidate.room;
     room += run.need;
     if (run.stopping || !need.Fits(room)) continue;
-    const Duration left = TimeLeft(run, now);
-    until = std::min(until.value_or(left), left);
+    const std::optional<Duration> left = TimeLeft(run, now);
+    if (!left.has_value()) continue;
+    until = std::min(until.value_or(*left), *left);
   }
   return until;
 }
--- a/src/dispatch/scheduler_pace.cc
+++ b/src/dispatch/scheduler_pace.cc
@@ -177,7 +177,8 @@
   // A runner that only appears to be shutting down may well be healthy.
   const bool announced = runner->info().draining;
   if (!announced && step.limits_unavailability()) return;
-  if (ctx.now() + TimeLeft(run, ctx.now()) < runner->leaves_at) return;
+  const std::optional<Duration> left = TimeLeft(run, ctx.now());
+  if (left.has_value() && ctx.now() + *left < runner->leaves_at) return;
   ctx.Log(LogId::kRunEvacuated, {{"task", ToString(name)},
                                  {"runner", runner->id().value()},
                                  {"percent", std::to_string(run.percent)}});
--- a/src/emulator/emulated_runner.cc
+++ b/src/emulator/emulated_runner.cc
@@ -24,6 +24,8 @@
 
 constexpr std::size_t kMaxEndsPerPoll = 500;
 constexpr int kPercent = 100;
+/// A lasting task is at work after this time.
+constexpr double kLastingStartMs = 200;
 
 }  // namespace
 
@@ -328,6 +330,14 @@
   return !ended_.empty() && ended_.back().number > acknowledged;
 }
 
+int EmulatedRunner::PercentOf(const ActiveRun& run) {
+  if (run.truth.lasting) return run.worked_ms < kLastingStartMs ? 0 : kPercent;
+  const double share =
+      run.worked_ms /
+      static_cast<double>(std::max<std::int64_t>(1, run.truth.work.ms()));
+  return std::min(kPercent - 1, static_cast<int>(share * kPercent));
+}
+
 dispatch::RunnerPolled EmulatedRunner::Poll(const dispatch::PollRunner& poll) {
   dispatch::RunnerPolled answer;
   answer.asked = poll.target.incarnation;
@@ -352,12 +362,8 @@
                       ended_.begin() + static_cast<std::ptrdiff_t>(count));
   if (count > 0) newest_reported_ = answer.ended.back().number;
   for (const auto& [name, run] : runs_) {
-    const double share =
-        run.worked_ms /
-        static_cast<double>(std::max<std::int64_t>(1, run.truth.work.ms()));
-    const int percent =
-        std::min(kPercent - 1, static_cast<int>(share * kPercent));
-    answer.running.push_back({name, run.number, run.checkpoint, percent});
+    answer.running.push_back(
+        {name, run.number, run.checkpoint, PercentOf(run)});
   }
   return answer;
 }
--- a/src/emulator/emulated_runner.h
+++ b/src/emulator/emulated_runner.h
@@ -27,6 +27,8 @@
   bool saves_progress = false;
   /// Number of members of the task's gang; 0 if it belongs to none.
   int gang_size = 0;
+  /// The task reports 100 percent while it is at work.
+  bool lasting = false;
   /// Share of the tasks, or of the gangs, that take `tail_factor` times as much
   /// work. The name of the task decides which, so every run of it is alike.
   double tail_share = 0;
@@ -170,6 +172,8 @@
 
   /// Factor by which the work of this run takes longer at present.
   double PaceOf(const dispatch::TaskName& name, const ActiveRun& run) const;
+  /// The progress that the run reports.
+  static int PercentOf(const ActiveRun& run);
   bool AcceptsToken(const dispatch::FencingToken& token);
   /// Starts the run, or returns why it is refused.
   dispatch::OrderOutcome ExecuteStart(const dispatch::StartRun& order);
--- a/src/emulator/promise_oracle.cc
+++ b/src/emulator/promise_oracle.cc
@@ -77,6 +77,7 @@
   truth.need = step.need;
   truth.saves_progress = step.saves_progress;
   truth.gang_size = step.gang ? step.count : 0;
+  truth.lasting = step.long_running;
   if (HasTail(name, truth)) {
     truth.work = Duration(
         std::llround(static_cast<double>(truth.work.ms()) * truth.tail_factor));
--- a/test/leaving-runners-test.cc
+++ b/test/leaving-runners-test.cc
@@ -43,8 +43,8 @@
   run.started_at = TimePoint(1000);
   run.percent = 50;
   run.progressed_at = TimePoint(3000);
-  LONGS_EQUAL(1000, dispatch::TimeLeft(run, TimePoint(4000)).ms());
-  LONGS_EQUAL(0, dispatch::TimeLeft(run, TimePoint(6000)).ms());
+  LONGS_EQUAL(1000, dispatch::TimeLeft(run, TimePoint(4000)).value().ms());
+  LONGS_EQUAL(0, dispatch::TimeLeft(run, TimePoint(6000)).value().ms());
 }
 
 // Guards against tasks that a scheduler starts on a runner seconds after the
