Bound how long capacity idles for a gang

Callers of other queues saw that nothing of theirs started for as long as a gang waited for one long run, while nearly all accelerators were idle: the same as with a lasting task, for a run that does end.

Cause: a gang that does not fit reserves all runners that it needs until the last of them is free, however far off that is.

Change: while most accelerators are idle, capacity is reserved for a gang only if it is expected to fit within 2.5 s, and no longer than that; then others get it for as long. On a busy fleet nothing changes, so that small jobs still do not starve gangs there.

What it costs: a gang that needs more than half of a fleet that is half idle may wait longer behind a stream of long small jobs.

--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -54,6 +54,10 @@
   Duration gang_reservation_delay{300};
   /// Maximum number of gangs that have capacity reserved at the same time.
   int max_reserved_gangs = 4;
+  /// While most accelerators are idle, capacity is reserved for a gang no
+  /// longer than this, and only if it is expected to fit within this time.
+  /// Below the same 3 s.
+  Duration idle_reservation_limit{2500};
   /// A step that is not urgent may preempt lower priorities and use more of the
   /// urgent racks once it must start within this time to meet its objective, or
   /// has missed it. Leaves time for two preemptions.
@@ -283,6 +287,9 @@
   std::map<StepName, WaitReason> waits_;
   /// Since when steps wait for capacity that becomes free by itself.
   std::map<StepName, TimePoint> delayed_since_;
+  /// Since when capacity has been reserved for gangs while most accelerators
+  /// were idle.
+  std::map<StepName, TimePoint> idle_reservations_;
   bool preempts_by_loss_ = false;
   Duration stop_time_;
   std::int64_t max_looks_ = PassBudget::kUnlimited;
--- a/src/dispatch/planner_capacity.cc
+++ b/src/dispatch/planner_capacity.cc
@@ -35,6 +35,7 @@
   CapacityForecast Forecast() && {
     CapacityForecast forecast;
     forecast.until = std::get<Duration>(places_.top());
+    forecast.free_in = forecast.until;
     for (; !places_.empty(); places_.pop()) {
       forecast.candidates.push_back(std::get<Candidate*>(places_.top()));
     }
@@ -104,6 +105,7 @@
   const std::optional<CapacityForecast> forecast =
       EarliestCompletion(pending, request);
   if (!forecast.has_value()) return false;
+  if (WouldIdleTooLong(pending, forecast->free_in)) return false;
   ++reserved_gangs_;
   for (Candidate* candidate : forecast->candidates) {
     candidate->room -= pending.spec->room();
@@ -111,6 +113,30 @@
   return true;
 }
 
+bool Planner::Pass::WouldIdleTooLong(const PendingStep& pending,
+                                     Duration free_in) {
+  const Duration limit = options_.idle_reservation_limit;
+  TimePoint& since =
+      planner_.idle_reservations_.emplace(pending.key, now_).first->second;
+  if (!mostly_idle_ || free_in > limit) {
+    since = now_;
+    return mostly_idle_;
+  }
+  const TimePoint end = since + limit;
+  if (now_ < end) {
+    WakeAt(end);
+    return false;
+  }
+  // Others get the capacity for as long as it was kept from them.
+  const TimePoint next = end + limit;
+  if (now_ < next) {
+    WakeAt(next);
+    return true;
+  }
+  since = now_;
+  return false;
+}
+
 std::optional<Planner::Pass::CapacityForecast>
 Planner::Pass::EarliestCompletion(const PendingStep& pending,
                                   const PlacementRequest& request) {
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -46,6 +46,8 @@
   struct CapacityForecast {
     std::vector<Candidate*> candidates;
     Duration until;
+    /// The same; `until` may be extended to the completion of the step.
+    Duration free_in;
   };
   /// Candidates on which the tasks of a step may run together.
   struct CandidateGroup {
@@ -321,6 +323,9 @@
   /// false if none is reserved.
   bool ReserveForGang(const PendingStep& pending,
                       const PlacementRequest& request);
+  /// True if capacity reserved for a gang that is expected to fit in `free_in`
+  /// would stay idle for too long while most of the other capacity is idle too.
+  bool WouldIdleTooLong(const PendingStep& pending, Duration free_in);
   /// The candidates among which the whole gang fits earliest; nothing if it
   /// never fits.
   std::optional<CapacityForecast> EarliestCapacity(
--- a/src/dispatch/planner_preemption.cc
+++ b/src/dispatch/planner_preemption.cc
@@ -487,11 +487,13 @@
     it = old ? planner_.reservations_.erase(it) : std::next(it);
   }
   // A step that no longer waits may wait again later, with another run.
-  for (auto it = planner_.delayed_since_.begin();
-       it != planner_.delayed_since_.end();) {
-    it = waits_.count(it->first) == 0 ? planner_.delayed_since_.erase(it)
-                                      : std::next(it);
-  }
+  const auto drop_steps_that_started = [this](auto* steps) {
+    for (auto it = steps->begin(); it != steps->end();) {
+      it = waits_.count(it->first) == 0 ? steps->erase(it) : std::next(it);
+    }
+  };
+  drop_steps_that_started(&planner_.delayed_since_);
+  drop_steps_that_started(&planner_.idle_reservations_);
 }
 
 }  // namespace limeledge::dispatch
--- a/test/lasting-capacity-test.cc
+++ b/test/lasting-capacity-test.cc
@@ -104,6 +104,17 @@
   CheckAllStarted(others);
 }
 
+// The same for a run that does end, but only after a minute.
+TEST(LastingCapacity, GangThatWaitsForALongRunKeepsNoRunnersFromOthers) {
+  Submit(Step(1, 1, Duration(60000)));
+  system.Run(Duration(2000));
+  SubmitGang(8);
+  system.Run(kLocalityWait);
+  const std::vector<JobId> others = SubmitOthers();
+  system.Run(kOwedWithin);
+  CheckAllStarted(others);
+}
+
 // Runs that do end are waited for: otherwise small jobs would take each runner
 // that becomes idle, and the gang would starve.
 TEST(LastingCapacity, GangThatFitsOnceOthersEndStartsBeforeSmallJobs) {
