Give each step its turn for advice

Cause: one call is in flight at a time, and the first step in the planner's order that has a runner without a ticket, or with one that expires within 1 s, got each of them. The pass also listed runners that are too small or full, so that a step that cannot start asked about all of them again every 2 s. Each call named 30 runners, whatever the step needed, which is 0.9 s of the service's time.

Change: - A step is asked about on runners where it fits now, or, if it does not fit, on those that are large enough for it. One that fits on none, or a gang that is wider than all of them together, is not asked about. - Steps that only lack tickets go first; requests in advance use the rest. Within both, every second request is for the first step in the planner's order, the others for the one that has waited longest, so that no order keeps a step from its turn. - A request names as many runners as the step probably needs by the share that was allowed lately, best placement first, and takes a second at most. Gangs, whose tickets must be valid together, may name up to the 100 that the service takes.

--- a/src/dispatch/catalog.h
+++ b/src/dispatch/catalog.h
@@ -38,6 +38,10 @@
   /// Steps need a ticket from the advice service to start, and only some
   /// runners may run them.
   bool needs_advice = false;
+  /// Time that the advice service takes for a request, and for each runner in
+  /// it; 0 if it is not known.
+  Duration advice_time;
+  Duration advice_time_per_runner;
 };
 
 /// A queue to which jobs are submitted.
--- a/src/dispatch/effect.h
+++ b/src/dispatch/effect.h
@@ -128,6 +128,8 @@
 struct RequestAdvice {
   StepName step;
   std::vector<IncarnationId> runners;
+  /// The time that the service is expected to take.
+  Duration service_time;
 };
 
 /// Asks a peer whether it can reach the store.
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -192,6 +192,31 @@
   return MaxTasksOn(request, candidate) > 0;
 }
 
+int CandidatePool::CountTasks(const Candidate& candidate,
+                              const PlacementRequest& request,
+                              const Resources& room) {
+  const int limit = std::min(request.count, MaxTasksOn(request, candidate));
+  return CountFitting(request.step->room(), room, limit);
+}
+
+std::vector<const Candidate*> CandidatePool::RankFitting(
+    const PlacementRequest& request) const {
+  std::vector<std::pair<PlacementCost, const Candidate*>> order;
+  const Resources need = request.step->room();
+  for (const Candidate& candidate : candidates_) {
+    if (!need.Fits(candidate.room)) continue;
+    if (!MeetsConstraints(candidate, request)) continue;
+    order.emplace_back(
+        PlacementCostOf(candidate, request,
+                        free_accelerators_[candidate.rack_number]),
+        &candidate);
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<const Candidate*> ranked;
+  for (const auto& [cost, candidate] : order) ranked.push_back(candidate);
+  return ranked;
+}
+
 CandidatePool::CandidatePool(std::vector<Candidate> candidates)
     : candidates_(std::move(candidates)) {
   std::unordered_map<std::string_view, std::size_t> numbers;
@@ -266,8 +291,8 @@
   std::vector<Candidate*> chosen;
   for (const auto& [cost, candidate] : order) {
     const int left = request.count - static_cast<int>(chosen.size());
-    const int limit = std::min(left, MaxTasksOn(request, *candidate));
-    const int fitting = CountFitting(need, candidate->room, limit);
+    const int fitting = std::min(
+        left, CandidatePool::CountTasks(*candidate, request, candidate->room));
     chosen.insert(chosen.end(), fitting, candidate);
     if (static_cast<int>(chosen.size()) == request.count) return chosen;
   }
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -121,6 +121,10 @@
   /// Returns null if the task fits nowhere.
   Candidate* PlaceOne(const PlacementRequest& request);
 
+  /// The candidates that the request may use and where a task fits, best first.
+  std::vector<const Candidate*> RankFitting(
+      const PlacementRequest& request) const;
+
   /// True if the free capacity of eligible runners, including what is reserved
   /// for others, fits the request's tasks `times` times.
   bool FitsMultiple(const PlacementRequest& request, int times) const;
@@ -128,6 +132,10 @@
   /// True if the request may use the candidate, regardless of its capacity.
   static bool MeetsConstraints(const Candidate& candidate,
                                const PlacementRequest& request);
+  /// Number of the request's tasks that may be placed on the candidate if
+  /// `room` is free there.
+  static int CountTasks(const Candidate& candidate,
+                        const PlacementRequest& request, const Resources& room);
 
  private:
   std::vector<Candidate*> PlaceWithin(
--- a/src/dispatch/planner.h
+++ b/src/dispatch/planner.h
@@ -138,12 +138,6 @@
   JobId preemptor;
 };
 
-/// A step that needs tickets, and the runners to ask about, best first.
-struct AdviceRequest {
-  StepName step;
-  std::vector<IncarnationId> runners;
-};
-
 /// Why the tasks of a ready step do not start.
 enum class WaitReason {
   /// The policy forbids backfill, and an earlier step does not fit.
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -188,10 +188,11 @@
   /// True if an earlier step does not fit and the policy forbids backfill.
   bool IsBlocked(const PendingStep& pending) const;
   void Place(PendingStep* pending);
-  /// Requests tickets for the eligible runners, those with enough free capacity
-  /// first.
-  void RequestAdviceFor(const PendingStep& pending,
-                        const PlacementRequest& request);
+  /// The runners that are worth asking about: those on which the step fits now
+  /// or, if it does not fit, all that are large enough for it. None if the step
+  /// can never fit.
+  AdviceRequest AdviceRequestFor(const PendingStep& pending,
+                                 const PlacementRequest& request);
   void PlaceGang(PendingStep* pending, PlacementRequest* request);
   /// True if a gang that could start away from its data or spread over racks is
   /// expected to finish sooner by waiting for a better place.
--- a/src/dispatch/planner_placement.cc
+++ b/src/dispatch/planner_placement.cc
@@ -74,8 +74,9 @@
   const std::size_t assigned = plan_.assignments.size();
   PlacementRequest request = RequestFor(*pending);
   std::set<IncarnationId> allowed;
+  AdviceRequest advice_request;
   if (pending->policy.needs_advice) {
-    RequestAdviceFor(*pending, request);
+    advice_request = AdviceRequestFor(*pending, request);
     allowed = advice_.AllowedRunners(pending->key, now_);
     request.allowed = &allowed;
   }
@@ -84,28 +85,57 @@
   } else {
     PlaceTasks(pending, &request);
   }
-  const bool fits =
-      plan_.assignments.size() - assigned == pending->waiting.size();
-  if (!fits && !pending->rank.within_guarantee) {
+  const auto left = static_cast<int>(pending->waiting.size() -
+                                     (plan_.assignments.size() - assigned));
+  if (left > 0 && !pending->rank.within_guarantee) {
     blocked_services_.insert(pending->policy.service);
   }
+  if (left > 0 && !advice_request.runners.empty()) {
+    advice_request.tasks = left;
+    plan_.advice_requests.push_back(std::move(advice_request));
+  }
 }
 
-void Planner::Pass::RequestAdviceFor(const PendingStep& pending,
-                                     const PlacementRequest& request) {
+AdviceRequest Planner::Pass::AdviceRequestFor(const PendingStep& pending,
+                                              const PlacementRequest& request) {
   AdviceRequest advice_request;
   advice_request.step = pending.key;
-  std::vector<IncarnationId> full;
+  advice_request.gang = pending.spec->gang;
+  advice_request.same_rack = pending.spec->gang && pending.spec->same_rack;
+  advice_request.service_time = pending.policy.advice_time;
+  advice_request.service_time_per_runner =
+      pending.policy.advice_time_per_runner;
+  const int needed = pending.spec->gang ? request.count : 1;
   CountLooksAtAll();
+  int fitting = 0;
+  for (const Candidate* candidate : pool_.RankFitting(request)) {
+    if (advice_.IsDenied(pending.key, candidate->runner->incarnation())) {
+      continue;
+    }
+    const int tasks =
+        CandidatePool::CountTasks(*candidate, request, candidate->room);
+    fitting += tasks;
+    advice_request.runners.push_back({candidate->runner->incarnation(), tasks});
+  }
+  if (fitting >= needed) {
+    advice_request.can_start = true;
+    return advice_request;
+  }
+  advice_request.can_start = MayPreemptAny(pending);
+  advice_request.runners.clear();
+  int possible = 0;
   for (const Candidate& candidate : pool_.candidates()) {
+    const IncarnationId& runner = candidate.runner->incarnation();
     if (!CandidatePool::MeetsConstraints(candidate, request)) continue;
-    const bool fits = pending.spec->room().Fits(candidate.room);
-    (fits ? advice_request.runners : full)
-        .push_back(candidate.runner->incarnation());
+    if (advice_.IsDenied(pending.key, runner)) continue;
+    const int tasks = CandidatePool::CountTasks(candidate, request,
+                                                candidate.runner->info().room);
+    possible += tasks;
+    if (tasks > 0) advice_request.runners.push_back({runner, tasks});
   }
-  advice_request.runners.insert(advice_request.runners.end(), full.begin(),
-                                full.end());
-  plan_.advice_requests.push_back(std::move(advice_request));
+  // It never fits on runners that may allow it.
+  if (possible < needed) advice_request.runners.clear();
+  return advice_request;
 }
 
 Duration Planner::Pass::ExpectedTimeNear(const PendingStep& pending) const {
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -214,9 +214,7 @@
                                    {"step", ToString(deferral.step)},
                                    {"reason", ToString(deferral.reason)}});
   }
-  for (const AdviceRequest& request : plan.advice_requests) {
-    ticket_cache_.RequestTickets(ctx, request.step, request.runners);
-  }
+  ticket_cache_.RequestTickets(ctx, plan.advice_requests);
   for (const PreemptionDelay& delay : plan.delays) {
     ctx.Log(LogId::kPreemptionDelayed,
             {{"job", delay.step.job.value()},
--- a/src/dispatch/ticket_cache.cc
+++ b/src/dispatch/ticket_cache.cc
@@ -6,17 +6,35 @@
 
 #include "dispatch/ticket_cache.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace limeledge::dispatch {
 
+namespace {
+
+/// Weight of earlier answers in the estimate of the permitted share.
+constexpr double kEarlierAnswers = 0.9;
+
+/// A request that can be sent, and the step's place in the order of turns.
+struct PossibleRequest {
+  RequestAdvice effect;
+  bool can_start = false;
+  std::int64_t turn = 0;
+};
+
+}  // namespace
+
 std::string TicketCache::TicketFor(const StepName& step,
                                    const IncarnationId& runner,
                                    TimePoint now) const {
   const auto found = entries_.find(step);
   if (found == entries_.end()) return "";
-  const auto entry = found->second.find(runner);
-  if (entry == found->second.end() || !entry->second.permitted) return "";
+  const auto entry = found->second.runners.find(runner);
+  if (entry == found->second.runners.end() || !entry->second.permitted) {
+    return "";
+  }
   const bool valid = now < entry->second.valid_until;
   return valid ? entry->second.ticket : "";
 }
@@ -26,7 +44,7 @@
   std::set<IncarnationId> allowed;
   const auto found = entries_.find(step);
   if (found == entries_.end()) return allowed;
-  for (const auto& [runner, entry] : found->second) {
+  for (const auto& [runner, entry] : found->second.runners) {
     const bool valid =
         entry.permitted && now + options_.ticket_margin < entry.valid_until;
     if (valid) allowed.insert(runner);
@@ -34,24 +52,108 @@
   return allowed;
 }
 
-void TicketCache::RequestTickets(Context& ctx, const StepName& step,
-                                 const std::vector<IncarnationId>& runners) {
+bool TicketCache::IsDenied(const StepName& step,
+                           const IncarnationId& runner) const {
+  const auto found = entries_.find(step);
+  if (found == entries_.end()) return false;
+  const auto entry = found->second.runners.find(runner);
+  return entry != found->second.runners.end() && !entry->second.permitted;
+}
+
+bool TicketCache::HasLastingTicket(const StepEntry& step,
+                                   const IncarnationId& runner,
+                                   TimePoint now) const {
+  const auto entry = step.runners.find(runner);
+  return entry != step.runners.end() && entry->second.permitted &&
+         now + options_.ticket_margin * 2 < entry->second.valid_until;
+}
+
+std::size_t TicketCache::LimitOf(const AdviceRequest& request) const {
+  if (request.gang) return options_.runners_per_gang_call;
+  const Duration each = request.service_time_per_runner;
+  if (each <= Duration(0)) return options_.runners_per_call;
+  const std::int64_t in_time =
+      (options_.max_service_time - request.service_time).ms() / each.ms();
+  return std::clamp<std::int64_t>(
+      in_time, 1, static_cast<std::int64_t>(options_.runners_per_call));
+}
+
+std::vector<IncarnationId> TicketCache::SelectRunners(
+    const AdviceRequest& request, const std::vector<AdviceCandidate>& unknown,
+    int tasks, bool asked) const {
+  // Any of the runners may have free capacity first, or be in the gang's rack;
+  // and a step that was denied before is short of runners that allow it.
+  const bool asks_all = !request.can_start || request.same_rack || asked;
+  const std::size_t limit = LimitOf(request);
+  const double share = PermittedShare();
+  std::vector<IncarnationId> selected;
+  double expected = 0;
+  double all_denied = 1;
+  for (const AdviceCandidate& candidate : unknown) {
+    const bool enough =
+        expected >= tasks && all_denied <= options_.max_denial_chance;
+    if (selected.size() == limit || (enough && !asks_all)) break;
+    selected.push_back(candidate.runner);
+    expected += share * std::min(candidate.tasks, tasks);
+    all_denied *= 1 - share;
+  }
+  return selected;
+}
+
+std::optional<RequestAdvice> TicketCache::RequestFor(
+    TimePoint now, const AdviceRequest& request) {
+  StepEntry& entry = entries_[request.step];
+  std::vector<AdviceCandidate> unknown;
+  int tasks = request.tasks;
+  for (const AdviceCandidate& candidate : request.runners) {
+    if (IsDenied(request.step, candidate.runner)) continue;
+    if (!HasLastingTicket(entry, candidate.runner, now)) {
+      unknown.push_back(candidate);
+    } else if (request.can_start) {
+      tasks -= candidate.tasks;
+    }
+  }
+  if (unknown.empty() || tasks <= 0) return std::nullopt;
+  if (entry.turn == 0) entry.turn = ++turns_;
+  RequestAdvice effect;
+  effect.step = request.step;
+  effect.runners = SelectRunners(request, unknown, tasks, entry.asked);
+  effect.service_time =
+      request.service_time +
+      request.service_time_per_runner * static_cast<int>(effect.runners.size());
+  return effect;
+}
+
+void TicketCache::RequestTickets(Context& ctx,
+                                 const std::vector<AdviceRequest>& requests) {
   if (request_in_flight_ || ctx.now() < next_request_at_) return;
-  std::map<IncarnationId, Entry>& entries = entries_[step];
-  RequestAdvice request;
-  request.step = step;
-  for (const IncarnationId& runner : runners) {
-    if (request.runners.size() == options_.runners_per_call) break;
-    const auto entry = entries.find(runner);
-    const bool unknown = entry == entries.end();
-    const bool expires_soon =
-        !unknown && entry->second.permitted &&
-        ctx.now() + options_.ticket_margin * 2 >= entry->second.valid_until;
-    if (unknown || expires_soon) request.runners.push_back(runner);
+  std::vector<PossibleRequest> possible;
+  for (const AdviceRequest& request : requests) {
+    std::optional<RequestAdvice> effect = RequestFor(ctx.now(), request);
+    if (!effect.has_value()) continue;
+    possible.push_back(
+        {std::move(*effect), request.can_start, entries_[request.step].turn});
+  }
+  // Keeps the planner's order within both parts.
+  const auto in_advance = std::stable_partition(
+      possible.begin(), possible.end(),
+      [](const PossibleRequest& request) { return request.can_start; });
+  if (in_advance != possible.begin()) {
+    possible.erase(in_advance, possible.end());
+  }
+  if (possible.empty()) return;
+  auto next = possible.begin();
+  if (longest_wait_is_next_) {
+    next = std::min_element(
+        possible.begin(), possible.end(),
+        [](const auto& a, const auto& b) { return a.turn < b.turn; });
   }
-  if (request.runners.empty()) return;
+  longest_wait_is_next_ = !longest_wait_is_next_;
+  StepEntry& entry = entries_[next->effect.step];
+  entry.turn = ++turns_;
+  entry.asked = true;
   request_in_flight_ = true;
-  ctx.Emit(std::move(request));
+  ctx.Emit(std::move(next->effect));
 }
 
 void TicketCache::Handle(Context& ctx, const AdviceReceived& answer) {
@@ -62,11 +164,15 @@
     ctx.Log(LogId::kAdviceFailed, {{"step", ToString(answer.step)}});
     return;
   }
-  std::map<IncarnationId, Entry>& entries = entries_[answer.step];
+  std::map<IncarnationId, Entry>& entries = entries_[answer.step].runners;
   for (const IncarnationId& runner : answer.asked) entries[runner] = Entry();
   for (const auto& [runner, ticket] : answer.tickets) {
     entries[runner] = {true, ticket, ctx.now() + answer.valid - paused};
   }
+  recently_asked_ = recently_asked_ * kEarlierAnswers +
+                    static_cast<double>(answer.asked.size());
+  recently_permitted_ = recently_permitted_ * kEarlierAnswers +
+                        static_cast<double>(answer.tickets.size());
   ctx.Log(LogId::kAdviceTaken,
           {{"step", ToString(answer.step)},
            {"asked", std::to_string(answer.asked.size())},
--- a/src/dispatch/ticket_cache.h
+++ b/src/dispatch/ticket_cache.h
@@ -7,7 +7,11 @@
 #ifndef LIMELEDGE_SRC_DISPATCH_TICKET_CACHE_H_
 #define LIMELEDGE_SRC_DISPATCH_TICKET_CACHE_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +25,15 @@
   /// Maximum number of runners in one request. Requests count towards the
   /// objectives of callers.
   std::size_t runners_per_call = 30;
+  /// The same for gangs, all of whose tickets must be valid at the same time:
+  /// the most that the service takes.
+  std::size_t runners_per_gang_call = 100;
+  /// The time that the service may take for a request, as the requests of other
+  /// steps wait meanwhile. Gangs are exempt.
+  Duration max_service_time{1000};
+  /// A request names so many runners that the chance that none of them is
+  /// allowed is at most this.
+  double max_denial_chance = 0.1;
   /// Minimum remaining validity of a ticket that is used. Covers a write to the
   /// store and the start of the run.
   Duration ticket_margin{500};
@@ -28,8 +41,40 @@
   Duration retry_pause{250};
 };
 
-/// Caches the runners that each step may run on. Whether a runner may run a
-/// step never changes, but its ticket expires.
+/// A runner to ask about, and how many tasks of the step fit there.
+struct AdviceCandidate {
+  IncarnationId runner;
+  int tasks = 1;
+};
+
+/// A step that waits and needs tickets.
+struct AdviceRequest {
+  StepName step;
+  /// Number of tasks that wait.
+  int tasks = 1;
+  /// The tasks start together or not at all.
+  bool gang = false;
+  /// All members of the gang must be placed in one rack if possible, so that
+  /// tickets for any of the runners may be needed.
+  bool same_rack = false;
+  /// Only tickets are missing: the step would start on runners that allow it,
+  /// at once or after a preemption. Otherwise the request is made in advance.
+  bool can_start = false;
+  /// Best first.
+  std::vector<AdviceCandidate> runners;
+  /// The service's times for requests of this step's queue.
+  Duration service_time;
+  Duration service_time_per_runner;
+};
+
+/// Caches the runners that each step may run on, and decides which step is
+/// asked about next. Whether a runner may run a step never changes, but its
+/// ticket expires.
+///
+/// The service handles one request at a time and takes long for each. Steps
+/// that only lack tickets go before steps that do not fit. Every second request
+/// is made for the first of them in the planner's order, the others in turn, so
+/// that no step waits for those ahead of it that keep asking.
 ///
 /// Thread safety: none; use it from one thread.
 class TicketCache {
@@ -42,11 +87,13 @@
   /// Runners where `step` may start now.
   std::set<IncarnationId> AllowedRunners(const StepName& step,
                                          TimePoint now) const;
+  /// True if the service said that the step must not run there.
+  bool IsDenied(const StepName& step, const IncarnationId& runner) const;
 
-  /// Requests tickets for `step` from the first of `runners` that have none or
-  /// whose tickets expire soon, unless another request is in flight.
-  void RequestTickets(Context& ctx, const StepName& step,
-                      const std::vector<IncarnationId>& runners);
+  /// Requests tickets for one of the steps, in the planner's order, unless
+  /// another request is in flight. Runners with tickets that are valid for a
+  /// while are not asked about again.
+  void RequestTickets(Context& ctx, const std::vector<AdviceRequest>& requests);
   void Handle(Context& ctx, const AdviceReceived& answer);
   /// Removes the job's steps.
   void Forget(const JobId& job);
@@ -63,13 +110,44 @@
     std::string ticket;
     TimePoint valid_until;
   };
+  struct StepEntry {
+    std::map<IncarnationId, Entry> runners;
+    /// Orders the steps by when they were last asked about, or first needed
+    /// tickets; 0 if the step has not needed any.
+    std::int64_t turn = 0;
+    bool asked = false;
+  };
+
+  /// The request to send for the step; nothing if it needs none.
+  std::optional<RequestAdvice> RequestFor(TimePoint now,
+                                          const AdviceRequest& request);
+  /// True if there is a ticket that needs no renewal so far.
+  bool HasLastingTicket(const StepEntry& step, const IncarnationId& runner,
+                        TimePoint now) const;
+  /// Maximum number of runners to ask about.
+  std::size_t LimitOf(const AdviceRequest& request) const;
+  /// The first of `unknown`, as many as probably allow that many tasks.
+  std::vector<IncarnationId> SelectRunners(
+      const AdviceRequest& request, const std::vector<AdviceCandidate>& unknown,
+      int tasks, bool asked) const;
+  /// Estimate of the share of runners that may run a step.
+  double PermittedShare() const {
+    return (recently_permitted_ + 1) / (recently_asked_ + 2);
+  }
 
   AdviceOptions options_;
   bool request_in_flight_ = false;
   /// Total pause of the process since the request in flight was sent.
   Duration paused_;
   TimePoint next_request_at_;
-  std::map<StepName, std::map<IncarnationId, Entry>> entries_;
+  std::map<StepName, StepEntry> entries_;
+  std::int64_t turns_ = 0;
+  /// The next request is made for the step that has waited longest.
+  bool longest_wait_is_next_ = false;
+  /// Runners that were asked about and those allowed, recent ones weighted
+  /// higher.
+  double recently_asked_ = 0;
+  double recently_permitted_ = 0;
 };
 
 }  // namespace limeledge::dispatch
--- a/src/emulator/emulated_orders.cc
+++ b/src/emulator/emulated_orders.cc
@@ -25,7 +25,6 @@
 constexpr Duration kOrderTimeout{1000};
 /// Interval at which a waiting poll checks again for new ends.
 constexpr Duration kPollRetryInterval{20};
-constexpr Duration kAdviceTime{100};
 constexpr Duration kTicketTime{3000};
 
 /// Sets in the result of a start whether an earlier attempt may still arrive.
@@ -219,7 +218,10 @@
   answer.ok = true;
   answer.asked = request.runners;
   answer.valid = kTicketTime;
-  const TimePoint until = now_ + kAdviceTime + kTicketTime;
+  const Duration time = options_.advice_time +
+                        options_.advice_time_per_runner *
+                            static_cast<std::int64_t>(request.runners.size());
+  const TimePoint until = now_ + time + kTicketTime;
   for (const dispatch::IncarnationId& incarnation : request.runners) {
     // Every second runner gets tickets, in all of its incarnations.
     int index = 0;
@@ -234,7 +236,7 @@
     }
   }
   const int incarnation = processes_[node].incarnation;
-  RunAt(now_ + kAdviceTime, [this, node, incarnation, answer] {
+  RunAt(now_ + time, [this, node, incarnation, answer] {
     Deliver(node, incarnation, answer);
   });
 }
--- a/src/emulator/emulated_system.cc
+++ b/src/emulator/emulated_system.cc
@@ -43,6 +43,10 @@
       catalog_(MakeCatalog(options_.attempts, options_.unguaranteed)),
       oracle_(options_.attempts, CancelBoundsFor(options_.bounds)) {
   for (dispatch::Queue& queue : catalog_.queues) {
+    if (queue.policy.needs_advice) {
+      queue.policy.advice_time = options_.advice_time;
+      queue.policy.advice_time_per_runner = options_.advice_time_per_runner;
+    }
     if (queue.policy.priority != 0) continue;
     queue.policy.stretch = options_.urgent_stretch;
     queue.policy.slack = options_.urgent_slack;
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -57,6 +57,10 @@
   bool enforces_capacity = true;
   /// Starts have to respect a reduced capacity this long after the change.
   Duration capacity_notice{4500};
+  /// Time that the advice service takes for a request, and for each runner in
+  /// it.
+  Duration advice_time{100};
+  Duration advice_time_per_runner;
   /// Objective of jobs in the urgent queue.
   double urgent_stretch = 3;
   Duration urgent_slack{1000};
