Preempt lasting tasks for guaranteed accelerators

Cause: StepSpec::preemptible() is false for every lasting step, and the planner looked for runs to stop among preemptible steps only, whoever asks.

Change: a step within its guarantee may also stop runs of lasting steps. Where a step limits how many of its tasks may be unavailable, tasks that are not at work, or are being stopped, count first, and a selection of runs beyond the limit is replaced by another one. A gang with such a limit is not stopped. Runs of lasting tasks cost as much as a minute of their resources, so that work which loses less makes way before them; their cost grew with their age before. preemptible() keeps its meaning for what any step may stop: placement in urgent racks, shares, the admission forecast and the measuring of runners are as they were.

--- a/src/dispatch/job_spec.h
+++ b/src/dispatch/job_spec.h
@@ -107,7 +107,8 @@
   /// time.
   bool limits_unavailability() const { return max_unavailable >= 0; }
   /// Returns true if the scheduler may stop the step's runs to give their
-  /// capacity to others.
+  /// capacity to any step that outranks it. Runs of other steps make way only
+  /// for guaranteed capacity.
   bool preemptible() const { return !long_running && !limits_unavailability(); }
   Sharing sharing() const {
     if (filler) return Sharing::kBestEffort;
--- a/src/dispatch/planner_pass.h
+++ b/src/dispatch/planner_pass.h
@@ -63,6 +63,10 @@
     const Run* run = nullptr;
     int priority = 0;
     bool within_guarantee = false;
+    /// Makes way only for steps within their guarantee.
+    bool only_for_guarantee = false;
+    /// The step whose unavailability is limited; nothing if there is no limit.
+    std::optional<StepName> limited_step;
   };
   /// Capacity that a run takes, and the time until it ends.
   struct RunEndForecast {
@@ -259,6 +263,10 @@
   Candidate* FindCandidate(const RunnerId& id);
   /// Work lost by stopping the run, in weighted core-milliseconds.
   std::int64_t PreemptionCost(const TaskName& name, const Run& run);
+  /// The cost of stopping a lasting run, which is missed until it is placed
+  /// again.
+  std::int64_t InterruptionCost(const StepSpec& spec, const Run& run,
+                                std::int64_t weight) const;
   /// The same from the progress that the run and all members of its gang have
   /// not saved.
   std::int64_t UnsavedWork(const TaskName& name, const Run& run,
@@ -278,8 +286,17 @@
   }
   /// True if the step may preempt this run. A step preempts lower priorities;
   /// within its guarantee it also preempts urgent work beyond its own
-  /// guarantee.
-  bool MayPreempt(const PendingStep& pending, const Victim& victim) const;
+  /// guarantee, and lasting tasks.
+  bool MayPreempt(const PendingStep& pending, const Victim& victim);
+  /// Number of tasks at work that may be made unavailable, besides those that
+  /// are not at work. Precondition: the step limits its unavailability.
+  int UnavailabilityLeft(const StepName& step);
+  /// True if the task is at work on a runner that can be reached.
+  bool IsAtWork(const TaskName& name, const Task& task) const;
+  /// The first victim beyond what its step's limit allows; null if there is
+  /// none.
+  const TaskName* FindVictimBeyondLimit(
+      const std::vector<PreemptionOption>& options);
   /// Returns at most `limit` options on one candidate, cheapest first.
   std::vector<PreemptionOption> PreemptionOptionsOn(const PendingStep& pending,
                                                     Candidate* candidate,
@@ -299,6 +316,10 @@
   std::vector<PreemptionOption> CheapestOptions(
       const PendingStep& pending, const std::vector<Candidate*>& candidates,
       const PlacementRequest& request);
+  /// The same within the limits on the unavailability of steps.
+  std::vector<PreemptionOption> CheapestAllowedOptions(
+      const PendingStep& pending, const std::vector<Candidate*>& candidates,
+      const PlacementRequest& request);
   /// Eligible candidates grouped by where the step's tasks may run together:
   /// all of them first, then those of each rack.
   std::vector<CandidateGroup> GroupCandidates(const PendingStep& pending,
@@ -368,6 +389,11 @@
   /// True if the list of runners is recent enough to trust their capacities.
   bool capacities_known_ = false;
   std::set<TaskName> preempted_;
+  /// Runs that must not be preempted for the step that is tried, beyond the
+  /// limits of their steps.
+  std::set<TaskName> spared_;
+  /// By steps that limit their unavailability.
+  std::map<StepName, int> unavailability_left_;
   /// Unsaved work of gangs that may be preempted.
   std::map<StepName, std::int64_t> unsaved_gang_work_;
   std::vector<PendingStep> pending_steps_;
--- a/src/dispatch/planner_preemption.cc
+++ b/src/dispatch/planner_preemption.cc
@@ -22,6 +22,14 @@
 // Runs that save their progress do so every second or two, which bounds the
 // loss by a stop.
 constexpr Duration kUnsavedProgress{1000};
+// A lasting task loses no work by a stop, but may be away until there is room
+// elsewhere. Runs that lose less make way before it.
+constexpr Duration kInterruption{60000};
+// Number of selections of runs that are tried before one is within the limits
+// on the unavailability of their steps.
+constexpr int kMaxAlternatives = 32;
+// A lasting task is at work once it reports this progress.
+constexpr int kAtWorkPercent = 100;
 
 /// What a preemption of the run at `now` loses, if its progress was saved last
 /// at `saved_at`.
@@ -123,6 +131,7 @@
   const StepSpec& spec = job->step_spec(name.step);
   const bool urgent = PolicyOf(*job, catalog_).priority == 0;
   const std::int64_t weight = urgent ? options_.urgent_victim_weight : 1;
+  if (run.lasting) return InterruptionCost(spec, run, weight);
   if (planner_.preempts_by_loss_) return UnsavedWork(name, run, weight);
   const std::int64_t cores =
       run.need.cpu_millis +
@@ -134,6 +143,16 @@
   return cores / kMillisPerCore * (lost.ms() + 1) * members * weight;
 }
 
+std::int64_t Planner::Pass::InterruptionCost(const StepSpec& spec,
+                                             const Run& run,
+                                             std::int64_t weight) const {
+  const std::int64_t cores =
+      run.need.cpu_millis +
+      run.need.accelerators * options_.cores_per_accelerator * kMillisPerCore;
+  const int members = spec.gang ? spec.count : 1;
+  return cores / kMillisPerCore * kInterruption.ms() * members * weight;
+}
+
 std::int64_t Planner::Pass::UnsavedWork(const TaskName& name, const Run& run,
                                         std::int64_t weight) {
   const Job* job = jobs_.Find(name.job);
@@ -219,10 +238,21 @@
   for (const auto& [name, run] : candidate.runner->runs()) {
     if (run.stopping) continue;
     const Job* job = jobs_.Find(name.job);
-    if (job == nullptr || !job->step_spec(name.step).preemptible()) continue;
-    victims.push_back({PreemptionCost(name, run), &name, &run,
-                       PolicyOf(*job, catalog_).priority,
-                       jobs_within_guarantee_.count(name.job) != 0});
+    if (job == nullptr) continue;
+    const StepSpec& spec = job->step_spec(name.step);
+    // A stop of one member ends all others.
+    if (spec.gang && spec.limits_unavailability()) continue;
+    Victim victim;
+    victim.cost = PreemptionCost(name, run);
+    victim.name = &name;
+    victim.run = &run;
+    victim.priority = PolicyOf(*job, catalog_).priority;
+    victim.within_guarantee = jobs_within_guarantee_.count(name.job) != 0;
+    victim.only_for_guarantee = !spec.preemptible();
+    if (spec.limits_unavailability()) {
+      victim.limited_step = StepName{name.job, name.occurrence, name.step};
+    }
+    victims.push_back(std::move(victim));
   }
   std::sort(victims.begin(), victims.end(),
             [](const Victim& a, const Victim& b) {
@@ -232,11 +262,56 @@
 }
 
 bool Planner::Pass::MayPreempt(const PendingStep& pending,
-                               const Victim& victim) const {
+                               const Victim& victim) {
   const bool outranked = pending.rank.within_guarantee
                              ? !victim.within_guarantee
-                             : victim.priority > pending.policy.priority;
-  return outranked && preempted_.count(*victim.name) == 0;
+                             : !victim.only_for_guarantee &&
+                                   victim.priority > pending.policy.priority;
+  if (!outranked || preempted_.count(*victim.name) != 0) return false;
+  if (!victim.limited_step.has_value()) return true;
+  return spared_.count(*victim.name) == 0 &&
+         UnavailabilityLeft(*victim.limited_step) > 0;
+}
+
+int Planner::Pass::UnavailabilityLeft(const StepName& step) {
+  const auto known = unavailability_left_.find(step);
+  if (known != unavailability_left_.end()) return known->second;
+  const Job* job = jobs_.Find(step.job);
+  const std::vector<Task>& tasks =
+      job->occurrences()[step.occurrence].steps[step.step].tasks;
+  int left = job->step_spec(step.step).max_unavailable;
+  TaskName name{step.job, step.occurrence, step.step};
+  for (std::size_t i = 0; i < tasks.size(); ++i) {
+    name.index = static_cast<int>(i);
+    if (!IsAtWork(name, tasks[i])) --left;
+  }
+  return unavailability_left_[step] = left;
+}
+
+bool Planner::Pass::IsAtWork(const TaskName& name, const Task& task) const {
+  if (task.phase != TaskPhase::kAssigned) return false;
+  if (preempted_.count(name) != 0) return false;
+  const auto found = fleet_.runners().find(task.incarnation.runner);
+  if (found == fleet_.runners().end() || !found->second->reachable()) {
+    return false;
+  }
+  const Run* run = found->second->FindRun(name, task.run);
+  return run != nullptr && run->phase == RunPhase::kRunning && !run->stopping &&
+         run->percent >= kAtWorkPercent;
+}
+
+const TaskName* Planner::Pass::FindVictimBeyondLimit(
+    const std::vector<PreemptionOption>& options) {
+  std::map<StepName, int> stopped;
+  for (const PreemptionOption& option : options) {
+    for (const TaskName& victim : option.victims) {
+      const Job* job = jobs_.Find(victim.job);
+      if (!job->step_spec(victim.step).limits_unavailability()) continue;
+      const StepName step{victim.job, victim.occurrence, victim.step};
+      if (++stopped[step] > UnavailabilityLeft(step)) return &victim;
+    }
+  }
+  return nullptr;
 }
 
 std::vector<Planner::Pass::PreemptionOption> Planner::Pass::PreemptionOptionsOn(
@@ -380,6 +455,22 @@
   return {};
 }
 
+std::vector<Planner::Pass::PreemptionOption>
+Planner::Pass::CheapestAllowedOptions(const PendingStep& pending,
+                                      const std::vector<Candidate*>& candidates,
+                                      const PlacementRequest& request) {
+  spared_.clear();
+  for (int i = 0; i < kMaxAlternatives; ++i) {
+    std::vector<PreemptionOption> options =
+        CheapestOptions(pending, candidates, request);
+    const TaskName* beyond = FindVictimBeyondLimit(options);
+    if (beyond == nullptr) return options;
+    // Other runs may make way in its place.
+    spared_.insert(*beyond);
+  }
+  return {};
+}
+
 bool Planner::Pass::IsKnownUnmet(const PendingStep& pending,
                                  const PlacementRequest& request) const {
   const auto needs_no_more = [&](const UnmetDemand& unmet) {
@@ -400,7 +491,7 @@
   std::int64_t best_cost = std::numeric_limits<std::int64_t>::max();
   for (const CandidateGroup& group : GroupCandidates(pending, request)) {
     std::vector<PreemptionOption> options =
-        CheapestOptions(pending, group.candidates, request);
+        CheapestAllowedOptions(pending, group.candidates, request);
     if (options.empty()) continue;
     std::int64_t cost = 0;
     for (const PreemptionOption& option : options) cost += option.cost;
@@ -471,6 +562,7 @@
     reservation.runners.push_back(runner.id());
     for (const TaskName& victim : option.victims) {
       preempted_.insert(victim);
+      unavailability_left_.erase({victim.job, victim.occurrence, victim.step});
       plan_.preemptions.push_back(
           {victim, runner.incarnation(), pending.key.job});
     }
