Count jobs as waiting until a runner has begun them

Cause: Job::Assign marked a job as begun when a run was planned. A start that the runner rejected, or that was given up or lost, left the mark, and the row carried it to the next scheduler.

Change: a job has begun once a runner says so: it answers the start, lists the run, or reports its end. A run that ends as rejected or lapsed before that leaves the job queued, and its state says `queued` again; the state that was stored with the plan stays `running` until then, so that a start that is carried out costs no further write.

Rows: `begun` is written as a number now. Earlier versions read it as true; their own `true` is not believed, and done tasks, failures and checkpoints tell instead. The first scheduler of this version, and each one after a take-over, counts jobs of a plan as waiting until their runners have answered a poll: too many for about a second, never too few.

The emulator can reject starts alone.

--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -155,10 +155,31 @@
   task->assigned_at = now;
   ended_runs_.erase(name);
   MarkChanged(name);
-  has_begun_ = true;
+  // Most starts are carried out at once, so that the state is stored only once.
   if (state_ == JobState::kQueued) state_ = JobState::kRunning;
 }
 
+bool Job::RecordBegun() {
+  has_begun_ = true;
+  if (state_ != JobState::kQueued) return false;
+  state_ = JobState::kRunning;
+  return true;
+}
+
+void Job::InferBegun() {
+  const auto has_begun = [](const Task& task) {
+    return task.phase == TaskPhase::kDone || task.failures > 0 ||
+           !task.checkpoint.empty();
+  };
+  for (const Occurrence& occurrence : occurrences_) {
+    for (const Step& step : occurrence.steps) {
+      if (has_begun_) return;
+      has_begun_ = step.gang_failures > 0 ||
+                   std::any_of(step.tasks.begin(), step.tasks.end(), has_begun);
+    }
+  }
+}
+
 void Job::RecordGangStart(const TaskName& name, int run, TimePoint now) {
   std::optional<GangStart>& first =
       occurrences_[name.occurrence].steps[name.step].first_start;
@@ -199,6 +220,9 @@
   }
   task->incarnation = IncarnationId();
   task->phase = TaskPhase::kWaiting;
+  // The other ends are those of runs that began.
+  if (end != RunEnd::kRejected && end != RunEnd::kLeaseExpired) RecordBegun();
+  if (!has_begun_ && state_ == JobState::kRunning) state_ = JobState::kQueued;
   // Its tasks start again however their runs end, members of a gang included.
   if (step.long_running) {
     if (step.gang) MarkStepChanged(name);
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -151,6 +151,8 @@
   const JobSpec& spec() const { return spec_; }
   JobState state() const { return state_; }
   bool cancel_requested() const { return cancel_requested_; }
+  /// True if a run of one of the tasks is known to have begun. A run that was
+  /// assigned may still be rejected by its runner.
   bool has_begun() const { return has_begun_; }
   std::vector<Occurrence>& occurrences() { return occurrences_; }
   const std::vector<Occurrence>& occurrences() const { return occurrences_; }
@@ -170,6 +172,12 @@
     state_ = state;
     has_begun_ = has_begun;
   }
+  /// Concludes from the progress of the tasks whether one of them has begun,
+  /// for rows that do not tell.
+  void InferBegun();
+  /// Records that a run of one of the tasks has begun. Returns true if the
+  /// job's state changes.
+  bool RecordBegun();
   void RequestCancel() { cancel_requested_ = true; }
 
   /// Stores the progress in blocks of `tasks_per_block` tasks from now on.
--- a/src/dispatch/progress_encoder.cc
+++ b/src/dispatch/progress_encoder.cc
@@ -172,12 +172,19 @@
   return encoded;
 }
 
+/// Earlier versions wrote `true` as soon as a run was assigned. They read the
+/// number as `true`.
+void EncodeBegun(const Job& job, JsonText* json) {
+  if (job.has_begun()) json->Key("begun").Number(1);
+}
+
 std::string EncodeBlock(const Job& job, int block, TaskDetail detail) {
   const EncodedTasks tasks =
       EncodeRanges(job, job.blocks()->RangesOf(block), detail);
   JsonText json;
   json.BeginObject();
   if (!tasks.addresses.empty()) json.Key("addresses").Raw(tasks.addresses);
+  EncodeBegun(job, &json);
   json.Key("block_tasks").Number(job.blocks()->tasks_per_block());
   // Queries read the state from the first row of the job.
   json.Key("state").Number(static_cast<int>(job.state()));
@@ -197,7 +204,7 @@
   JsonText json;
   json.BeginObject();
   if (!tasks.addresses.empty()) json.Key("addresses").Raw(tasks.addresses);
-  if (job.has_begun()) json.Key("begun").Bool(true);
+  EncodeBegun(job, &json);
   json.Key("state").Number(static_cast<int>(job.state()));
   if (!tasks.steps.empty()) json.Key("steps").Raw(tasks.steps);
   json.EndObject();
--- a/src/dispatch/row_codec.cc
+++ b/src/dispatch/row_codec.cc
@@ -208,6 +208,13 @@
   }
 }
 
+/// Earlier versions wrote `true` for jobs with a run that was assigned and may
+/// not have begun.
+bool HasBegun(const Json::Value& json) {
+  const Json::Value& begun = json["begun"];
+  return begun.isInt() && begun.asInt() != 0;
+}
+
 JobState StateFrom(const Json::Value& json) {
   const int state = json["state"].asInt();
   const bool known =
@@ -427,8 +434,9 @@
 
 absl::Status DecodeProgress(const std::string& text, Job* job) {
   const auto read = [job](const Json::Value& json) {
-    job->Restore(StateFrom(json), json.get("begun", false).asBool());
+    job->Restore(StateFrom(json), HasBegun(json));
     DecodeAllTasks(json, job);
+    job->InferBegun();
     return true;
   };
   return Decode<bool>(text, read).status();
@@ -440,10 +448,11 @@
     if (tasks_per_block <= 0) {
       return absl::InvalidArgumentError("a block without its size");
     }
-    // Blocks exist only of jobs that have begun.
-    job->Restore(JobState::kRunning, true);
+    // Blocks exist only of jobs that are not final.
+    job->Restore(JobState::kRunning, job->has_begun() || HasBegun(json));
     if (job->blocks() == nullptr) job->DivideProgress(tasks_per_block);
     DecodeAllTasks(json, job);
+    job->InferBegun();
     return true;
   };
   return Decode<bool>(text, read).status();
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -482,6 +482,8 @@
   bool HandleEnds(Context& ctx, Runner* runner,
                   const std::vector<ReportedEnd>& ends);
   void HandleEnd(Context& ctx, Runner* runner, const ReportedEnd& end);
+  /// Records that a runner has begun a run of the job.
+  void RecordBegun(const JobId& id);
   /// True if the end of a superseded run must not be acknowledged yet, because
   /// the platform would then count it against the later runs of its task.
   /// `presumed_over`: the run was already ended here without a reported end.
--- a/src/dispatch/scheduler_runs.cc
+++ b/src/dispatch/scheduler_runs.cc
@@ -141,6 +141,7 @@
     run->progressed_at = ctx.now();
     run->pace_measured_from = ctx.now();
     run->saved_at = ctx.now();
+    RecordBegun(answer.task.job);
     if (WasBegunByOtherIncarnation(*run)) {
       fleet_.HandleOtherIncarnation(ctx.now(), runner);
       AssumeCallsToEarlierIncarnations(ctx.now(), runner);
@@ -400,10 +401,16 @@
   return true;
 }
 
+void Scheduler::RecordBegun(const JobId& id) {
+  Job* job = jobs_.Find(id);
+  if (job != nullptr && job->RecordBegun()) MarkProgressDirty(id);
+}
+
 void Scheduler::HandleEnd(Context& ctx, Runner* runner,
                           const ReportedEnd& end) {
   if (end.number <= runner->newest_end) return;
   runner->newest_end = end.number;
+  RecordBegun(end.task.job);
   Run* run = runner->FindRun(end.task, end.run);
   if (run == nullptr) {
     const bool presumed_over =
@@ -512,6 +519,7 @@
 
 void Scheduler::HandleRunning(Context& ctx, Runner* runner,
                               const ReportedRun& reported) {
+  RecordBegun(reported.task.job);
   Run* run = runner->FindRun(reported.task, reported.run);
   if (run == nullptr && !jobs_.HasReadPartitionOf(reported.task.job)) return;
   if (run == nullptr) {
--- a/src/emulator/emulated_oracle.cc
+++ b/src/emulator/emulated_oracle.cc
@@ -47,7 +47,8 @@
       orders_lost > 0 || polls_lost > 0 || starts_repeated > 0 ||
       polls_late > 0 || !unreachable_runners.empty() ||
       !refusing_runners.empty() || !busy_runners.empty() ||
-      !unlisted_runners.empty() || !overwritten_addresses.empty();
+      !rejecting_runners.empty() || !unlisted_runners.empty() ||
+      !overwritten_addresses.empty();
   return !store && !runners;
 }
 
--- a/src/emulator/emulated_orders.cc
+++ b/src/emulator/emulated_orders.cc
@@ -316,7 +316,11 @@
     const auto at = runner_at_.find(address);
     *responded = at != runner_at_.end() && Responds(recipient.runner) &&
                  Responds(at->second) && !IsSeparated(node, recipient.runner);
-    if (*responded && faults_.busy_runners.count(at->second) != 0) {
+    const bool rejects_starts =
+        std::is_same_v<Order, dispatch::StartRun> &&
+        faults_.rejecting_runners.count(recipient.runner) != 0;
+    if (*responded &&
+        (rejects_starts || faults_.busy_runners.count(at->second) != 0)) {
       body.outcome = OrderOutcome::kUnhealthy;
       body.clock_ms = FindRunner(at->second)->clock_ms();
     } else if (*responded) {
--- a/src/emulator/emulated_system.h
+++ b/src/emulator/emulated_system.h
@@ -140,6 +140,9 @@
   std::set<RunnerId> mute_runners;
   /// Runners that answer every call as busy, and do nothing.
   std::set<RunnerId> busy_runners;
+  /// Runners that answer every start as busy, and do nothing, while they answer
+  /// other calls.
+  std::set<RunnerId> rejecting_runners;
   /// Time that a runner takes to answer an order, in addition to the network
   /// delay. `none` does not count it as a fault.
   Duration order_time;
