Take a checkpoint as a sign that a run has begun

Cause: since a run that ends as lapsed leaves its job queued if nothing else shows that it has begun, also if it left a checkpoint.

Change: a checkpoint that comes with an end shows that the run has begun, as it does in rows.

--- a/src/dispatch/job.cc
+++ b/src/dispatch/job.cc
@@ -220,8 +220,10 @@
   }
   task->incarnation = IncarnationId();
   task->phase = TaskPhase::kWaiting;
-  // The other ends are those of runs that began.
-  if (end != RunEnd::kRejected && end != RunEnd::kLeaseExpired) RecordBegun();
+  // A run that was rejected did not begin, and a lost one may not have.
+  const bool may_not_have_begun =
+      end == RunEnd::kRejected || end == RunEnd::kLeaseExpired;
+  if (!may_not_have_begun || !checkpoint.empty()) RecordBegun();
   if (!has_begun_ && state_ == JobState::kRunning) state_ = JobState::kQueued;
   // Its tasks start again however their runs end, members of a gang included.
   if (step.long_running) {
