--- a/test/lasting-fuzz-test.cc
+++ b/test/lasting-fuzz-test.cc
@@ -246,7 +246,7 @@
       for (std::size_t i = 0; i < free.size(); i += advised ? 2 : 1) {
         places += free[i] / std::max<std::int64_t>(1, step.need.accelerators);
       }
-      if (places < 2 * step.count) continue;
+      if (places < std::int64_t{2} * step.count) continue;
       Report(absl::StrCat(job.value(), " waits beside idle runners"));
     }
   }
