Move limits on unavailable tasks out of planner_preemption.cc

The cores of a run were reckoned in two functions.

Nothing else changes: whole accelerators times 1000 divided by 1000 are what they were.

--- a/src/dispatch/planner_preemption.cc
+++ b/src/dispatch/planner_preemption.cc
@@ -25,11 +25,6 @@
 // A lasting task loses no work by a stop, but may be away until there is room
 // elsewhere. Runs that lose less make way before it.
 constexpr Duration kInterruption{60000};
-// Number of selections of runs that are tried before one is within the limits
-// on the unavailability of their steps.
-constexpr int kMaxAlternatives = 32;
-// A lasting task is at work once it reports this progress.
-constexpr int kAtWorkPercent = 100;
 
 /// What a preemption of the run at `now` loses, if its progress was saved last
 /// at `saved_at`.
@@ -40,6 +35,12 @@
   return {run.need, now - from};
 }
 
+/// Cores that the run takes, with that many for each of its accelerators.
+std::int64_t CoresOf(const Run& run, int cores_per_accelerator) {
+  return run.need.cpu_millis / kMillisPerCore +
+         run.need.accelerators * cores_per_accelerator;
+}
+
 }  // namespace
 
 void Planner::Pass::AcquireCapacity(const PendingStep& pending,
@@ -133,24 +134,20 @@
   const std::int64_t weight = urgent ? options_.urgent_victim_weight : 1;
   if (run.lasting) return InterruptionCost(spec, run, weight);
   if (planner_.preempts_by_loss_) return UnsavedWork(name, run, weight);
-  const std::int64_t cores =
-      run.need.cpu_millis +
-      run.need.accelerators * options_.cores_per_accelerator * kMillisPerCore;
   Duration lost =
       run.phase == RunPhase::kRunning ? now_ - run.started_at : Duration(0);
   if (spec.saves_progress) lost = std::min(lost, kUnsavedProgress);
   const int members = spec.gang ? spec.count : 1;
-  return cores / kMillisPerCore * (lost.ms() + 1) * members * weight;
+  return CoresOf(run, options_.cores_per_accelerator) * (lost.ms() + 1) *
+         members * weight;
 }
 
 std::int64_t Planner::Pass::InterruptionCost(const StepSpec& spec,
                                              const Run& run,
                                              std::int64_t weight) const {
-  const std::int64_t cores =
-      run.need.cpu_millis +
-      run.need.accelerators * options_.cores_per_accelerator * kMillisPerCore;
   const int members = spec.gang ? spec.count : 1;
-  return cores / kMillisPerCore * kInterruption.ms() * members * weight;
+  return CoresOf(run, options_.cores_per_accelerator) * kInterruption.ms() *
+         members * weight;
 }
 
 std::int64_t Planner::Pass::UnsavedWork(const TaskName& name, const Run& run,
@@ -273,47 +270,6 @@
          UnavailabilityLeft(*victim.limited_step) > 0;
 }
 
-int Planner::Pass::UnavailabilityLeft(const StepName& step) {
-  const auto known = unavailability_left_.find(step);
-  if (known != unavailability_left_.end()) return known->second;
-  const Job* job = jobs_.Find(step.job);
-  const std::vector<Task>& tasks =
-      job->occurrences()[step.occurrence].steps[step.step].tasks;
-  int left = job->step_spec(step.step).max_unavailable;
-  TaskName name{step.job, step.occurrence, step.step};
-  for (std::size_t i = 0; i < tasks.size(); ++i) {
-    name.index = static_cast<int>(i);
-    if (!IsAtWork(name, tasks[i])) --left;
-  }
-  return unavailability_left_[step] = left;
-}
-
-bool Planner::Pass::IsAtWork(const TaskName& name, const Task& task) const {
-  if (task.phase != TaskPhase::kAssigned) return false;
-  if (preempted_.count(name) != 0) return false;
-  const auto found = fleet_.runners().find(task.incarnation.runner);
-  if (found == fleet_.runners().end() || !found->second->reachable()) {
-    return false;
-  }
-  const Run* run = found->second->FindRun(name, task.run);
-  return run != nullptr && run->phase == RunPhase::kRunning && !run->stopping &&
-         run->percent >= kAtWorkPercent;
-}
-
-const TaskName* Planner::Pass::FindVictimBeyondLimit(
-    const std::vector<PreemptionOption>& options) {
-  std::map<StepName, int> stopped;
-  for (const PreemptionOption& option : options) {
-    for (const TaskName& victim : option.victims) {
-      const Job* job = jobs_.Find(victim.job);
-      if (!job->step_spec(victim.step).limits_unavailability()) continue;
-      const StepName step{victim.job, victim.occurrence, victim.step};
-      if (++stopped[step] > UnavailabilityLeft(step)) return &victim;
-    }
-  }
-  return nullptr;
-}
-
 std::vector<Planner::Pass::PreemptionOption> Planner::Pass::PreemptionOptionsOn(
     const PendingStep& pending, Candidate* candidate, int limit) {
   const Resources need = pending.spec->room();
@@ -455,22 +411,6 @@
   return {};
 }
 
-std::vector<Planner::Pass::PreemptionOption>
-Planner::Pass::CheapestAllowedOptions(const PendingStep& pending,
-                                      const std::vector<Candidate*>& candidates,
-                                      const PlacementRequest& request) {
-  spared_.clear();
-  for (int i = 0; i < kMaxAlternatives; ++i) {
-    std::vector<PreemptionOption> options =
-        CheapestOptions(pending, candidates, request);
-    const TaskName* beyond = FindVictimBeyondLimit(options);
-    if (beyond == nullptr) return options;
-    // Other runs may make way in its place.
-    spared_.insert(*beyond);
-  }
-  return {};
-}
-
 bool Planner::Pass::IsKnownUnmet(const PendingStep& pending,
                                  const PlacementRequest& request) const {
   const auto needs_no_more = [&](const UnmetDemand& unmet) {
